schema: add messages, settings, generator and core types

Sets down the shape of the code: the schema with its generated code, the named types of package fleet, bounded rings, duties and the clock. The generator writes message checks and the settings from field options.

--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,24 @@
+// Package clock declares the clock that every part takes as a dependency.
+package clock
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// Timer fires once on its channel. Implementations are those of clockwork.
+type Timer = clockwork.Timer
+
+// Clock tells the time and makes timers. It is safe for concurrent use.
+type Clock interface {
+	// Now returns the current time, with a monotonic reading where the clock is real.
+	Now() time.Time
+	// NewTimer returns a timer that fires after d.
+	NewTimer(d time.Duration) Timer
+}
+
+// Real returns the clock of the machine.
+func Real() Clock {
+	return clockwork.NewRealClock()
+}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,180 @@
+// Package settings holds the settings of mimosawharfd, which are generated from the schema, and
+// reads them from flags and environment variables.
+package settings
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v4"
+	"github.com/peterbourgon/ff/v4/ffhelp"
+)
+
+// EnvironmentPrefix starts the name of each environment variable.
+const EnvironmentPrefix = "MIMOSAWHARF"
+
+// ValueError reports a setting that is out of bounds.
+type ValueError struct {
+	Flag  string
+	Value string
+	// Bound says what is allowed.
+	Bound string
+	Unit  string
+}
+
+// Error implements error. It is one line.
+func (e *ValueError) Error() string {
+	if e.Unit == "" {
+		return fmt.Sprintf("--%s: value %q: want %s", e.Flag, e.Value, e.Bound)
+	}
+	return fmt.Sprintf("--%s: value %q: want %s (%s)", e.Flag, e.Value, e.Bound, e.Unit)
+}
+
+// UsageError reports arguments that are not settings.
+type UsageError struct {
+	Problem string
+}
+
+// Error implements error. It is one line.
+func (e *UsageError) Error() string { return e.Problem }
+
+// HelpError asks the caller to print help and exit with code 0.
+type HelpError struct {
+	Text string
+}
+
+// Error implements error.
+func (e *HelpError) Error() string { return e.Text }
+
+// field describes one setting. Its values are generated.
+type field struct {
+	flag     string
+	initial  string
+	unit     string
+	help     string
+	lowest   string
+	highest  string
+	required bool
+	values   []string
+	set      func(s *Settings, f field, text string) error
+}
+
+// Parse reads the settings of the named program from arguments and environment; an argument goes
+// before the environment. It returns *ValueError, *UsageError or *HelpError.
+func Parse(program string, arguments []string) (Settings, error) {
+	set := ff.NewFlagSet(program)
+	texts := make([]string, len(fields))
+	for i, f := range fields {
+		set.StringVar(&texts[i], 0, f.flag, f.initial, f.usage())
+	}
+	err := ff.Parse(set, arguments, ff.WithEnvVarPrefix(EnvironmentPrefix))
+	if errors.Is(err, ff.ErrHelp) {
+		return Settings{}, trace.Wrap(&HelpError{Text: ffhelp.Flags(set).String()})
+	}
+	if err != nil {
+		return Settings{}, trace.Wrap(&UsageError{Problem: err.Error()})
+	}
+	if rest := set.GetArgs(); len(rest) > 0 {
+		return Settings{}, trace.Wrap(&UsageError{Problem: fmt.Sprintf("unexpected argument %q", rest[0])})
+	}
+	return build(texts)
+}
+
+// Defaults returns the settings with their defaults and the given required ones, for tests and the demo.
+func Defaults(change func(*Settings)) (Settings, error) {
+	var s Settings
+	for _, f := range fields {
+		if err := f.set(&s, f, f.initial); err != nil && !f.required {
+			return Settings{}, trace.Wrap(err)
+		}
+	}
+	change(&s)
+	return s, trace.Wrap(s.check())
+}
+
+func build(texts []string) (Settings, error) {
+	var s Settings
+	for i, f := range fields {
+		if err := f.set(&s, f, texts[i]); err != nil {
+			return Settings{}, trace.Wrap(err)
+		}
+	}
+	return s, trace.Wrap(s.check())
+}
+
+func (f field) usage() string {
+	text := f.help
+	if f.unit != "" {
+		text += " Unit: " + f.unit + "."
+	}
+	if f.lowest != "" {
+		text += " From " + f.lowest + " to " + f.highest + "."
+	}
+	if len(f.values) > 0 {
+		text += " One of " + strings.Join(f.values, ", ") + "."
+	}
+	return text
+}
+
+func (f field) fail(text, bound string) error {
+	return trace.Wrap(&ValueError{Flag: f.flag, Value: text, Bound: bound, Unit: f.unit})
+}
+
+func (f field) bounds() string {
+	return "from " + f.lowest + " to " + f.highest
+}
+
+func parseText[T ~string](f field, text string) (T, error) {
+	if f.required && text == "" {
+		return "", f.fail(text, "a value")
+	}
+	if len(f.values) == 0 {
+		return T(text), nil
+	}
+	for _, v := range f.values {
+		if text == v {
+			return T(text), nil
+		}
+	}
+	return "", f.fail(text, "one of "+strings.Join(f.values, ", "))
+}
+
+func parseBool(f field, text string) (bool, error) {
+	v, err := strconv.ParseBool(text)
+	if err != nil {
+		return false, f.fail(text, "true or false")
+	}
+	return v, nil
+}
+
+func parseNumber[T ~int | ~int64 | ~float64](f field, text string) (T, error) {
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, f.fail(text, "a whole number "+f.bounds())
+	}
+	lowest, _ := strconv.ParseInt(f.lowest, 10, 64)
+	highest, _ := strconv.ParseInt(f.highest, 10, 64)
+	return T(n), f.within(text, cmp.Compare(n, lowest), cmp.Compare(n, highest))
+}
+
+func parseDuration(f field, text string) (time.Duration, error) {
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		return 0, f.fail(text, "a duration "+f.bounds())
+	}
+	lowest, _ := time.ParseDuration(f.lowest)
+	highest, _ := time.ParseDuration(f.highest)
+	return d, f.within(text, cmp.Compare(d, lowest), cmp.Compare(d, highest))
+}
+
+func (f field) within(text string, low, high int) error {
+	if low < 0 || high > 0 {
+		return f.fail(text, f.bounds())
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/fleet/configuration.go
@@ -0,0 +1,102 @@
+package fleet
+
+import "time"
+
+// Configuration is the whole configuration at one revision. Maps are never nil after
+// NewConfiguration and a published Configuration is never modified.
+type Configuration struct {
+	Revision ConfigRevision
+	Pools    map[PoolID]Pool
+	Services map[ServiceID]Service
+	Accounts map[ClientAccountID]ClientAccount
+}
+
+// NewConfiguration returns an empty configuration at revision 0.
+func NewConfiguration() Configuration {
+	return Configuration{
+		Pools:    map[PoolID]Pool{},
+		Services: map[ServiceID]Service{},
+		Accounts: map[ClientAccountID]ClientAccount{},
+	}
+}
+
+// Pool is a set of VMs with an availability budget.
+type Pool struct {
+	ID     PoolID
+	Budget Budget
+	// Spare says that the pool lends VMs to other pools.
+	Spare bool
+	// TargetVMs is the size that the pool should have when nothing is lent or borrowed.
+	TargetVMs VMCount
+	// MaxVMs bounds the pool, borrowed VMs included; 0 does not bind.
+	MaxVMs VMCount
+	// Revision is the revision that wrote the item.
+	Revision ConfigRevision
+}
+
+// Budget bounds the voluntary disruption of a pool. Limits that are 0 do not bind.
+type Budget struct {
+	MinAvailableVMs       VMCount
+	MaxUnavailableVMs     VMCount
+	MinAvailableSlots     Slots
+	MaxUnavailablePerZone VMCount
+	MinAvailablePerZone   VMCount
+}
+
+// Service runs on the endpoints of one pool.
+type Service struct {
+	ID           ServiceID
+	Pool         PoolID
+	RequestTypes map[RequestType]RequestTypeRule
+	Revision     ConfigRevision
+}
+
+// RequestTypeRule declares how requests of one type are treated.
+type RequestTypeRule struct {
+	Name RequestType
+	// Class applies to accounts without a priority grant for the type. It is never ClassUrgent.
+	Class Class
+	// Repeatable says that the request may run more than once.
+	Repeatable bool
+	// Checkpointable says that endpoints can checkpoint a running request.
+	Checkpointable bool
+	// DeclaredRunTime is a prior; observed run times replace it.
+	DeclaredRunTime time.Duration
+	// MaxTimeout bounds the timeout that a caller may ask for; 0 does not bind.
+	MaxTimeout time.Duration
+}
+
+// ClientAccount is a customer whose callers submit requests.
+type ClientAccount struct {
+	ID ClientAccountID
+	// CredentialHash is the SHA-256 of the account's secret.
+	CredentialHash []byte
+	Weight         Weight
+	Quota          Quota
+	PriorityGrants []PriorityGrant
+	Revision       ConfigRevision
+}
+
+// Quota bounds an account over all entries. Limits that are 0 do not bind.
+type Quota struct {
+	Rate     RequestsPerSecond
+	Burst    int
+	InFlight int
+}
+
+// PriorityGrant lets an account's requests of one type enter a class.
+type PriorityGrant struct {
+	Service     ServiceID
+	RequestType RequestType
+	Class       Class
+}
+
+// ClassOf returns the class of a request type for the account.
+func (a ClientAccount) ClassOf(service ServiceID, rule RequestTypeRule) Class {
+	for _, g := range a.PriorityGrants {
+		if g.Service == service && g.RequestType == rule.Name {
+			return g.Class
+		}
+	}
+	return rule.Class
+}
--- /dev/null
+++ b/pkg/fleet/wave.go
@@ -0,0 +1,119 @@
+package fleet
+
+import "time"
+
+// WaveState is the state of a maintenance wave.
+type WaveState string
+
+// States of a wave.
+const (
+	WaveStatePlanned     WaveState = "planned"
+	WaveStateRunning     WaveState = "running"
+	WaveStateWaiting     WaveState = "waiting"
+	WaveStateHalted      WaveState = "halted"
+	WaveStateRollingBack WaveState = "rolling-back"
+	WaveStateRolledBack  WaveState = "rolled-back"
+	WaveStateFinished    WaveState = "finished"
+	WaveStateCancelled   WaveState = "cancelled"
+)
+
+// IsFinal reports whether the wave has ended.
+func (s WaveState) IsFinal() bool {
+	return s == WaveStateFinished || s == WaveStateCancelled || s == WaveStateRolledBack
+}
+
+// WaveAction is what a wave does to each of its VMs.
+type WaveAction string
+
+// Actions of a wave.
+const (
+	WaveActionDrain   WaveAction = "drain"
+	WaveActionReboot  WaveAction = "reboot"
+	WaveActionReplace WaveAction = "replace"
+	WaveActionRollOut WaveAction = "roll-out"
+)
+
+// WaveCommand is an operator's command to a wave.
+type WaveCommand string
+
+// Commands to a wave.
+const (
+	WaveCommandStart    WaveCommand = "start"
+	WaveCommandHalt     WaveCommand = "halt"
+	WaveCommandResume   WaveCommand = "resume"
+	WaveCommandRollBack WaveCommand = "roll-back"
+	WaveCommandCancel   WaveCommand = "cancel"
+)
+
+// Wave is the row of a maintenance wave in the platform's table.
+type Wave struct {
+	ID    WaveID
+	Spec  WaveSpec
+	State WaveState
+	// Reason says why the wave waits or halted; it is empty otherwise.
+	Reason string
+	VMs    []WaveVM
+	// Width is how many VMs a step may disrupt at the same time; it is at least 1 while the wave runs.
+	Width       VMCount
+	CreatedAt   time.Time
+	ChangedAt   time.Time
+	OperationID OperationID
+	// Failures counts VMs that did not come back healthy.
+	Failures VMCount
+	// UnexpectedFailures counts VMs of the wave that failed outside their own step.
+	UnexpectedFailures VMCount
+	// RowVersion is the version at which the row was read; it is not stored in the row.
+	RowVersion RowVersion
+}
+
+// WaveSpec is what an operator asks of a wave.
+type WaveSpec struct {
+	Pools  []PoolID
+	Filter WaveFilter
+	Action WaveAction
+	// Version is set only for WaveActionRollOut.
+	Version  Version
+	Deadline time.Time
+	Limits   WaveLimits
+}
+
+// WaveFilter narrows the VMs of a wave. Empty fields match all VMs.
+type WaveFilter struct {
+	Zones            []ZoneID
+	Racks            []RackID
+	MaintainedBefore time.Time
+	VersionNot       Version
+}
+
+// WaveLimits bound a wave. Zero values take the defaults of package maintenance.
+type WaveLimits struct {
+	CanaryVMs      VMCount
+	MaxParallelVMs VMCount
+	MaxFailures    VMCount
+	Soak           time.Duration
+	StepTimeout    time.Duration
+}
+
+// WaveVMState is the progress of one VM of a wave.
+type WaveVMState string
+
+// Progress of a VM of a wave.
+const (
+	WaveVMStatePending WaveVMState = "pending"
+	WaveVMStateStarted WaveVMState = "started"
+	WaveVMStateDone    WaveVMState = "done"
+	WaveVMStateFailed  WaveVMState = "failed"
+	WaveVMStateSkipped WaveVMState = "skipped"
+)
+
+// WaveVM is one VM of a wave.
+type WaveVM struct {
+	VM        VMID
+	Pool      PoolID
+	Zone      ZoneID
+	Rack      RackID
+	State     WaveVMState
+	ChangedAt time.Time
+	// PreviousVersion is what a roll-back installs.
+	PreviousVersion Version
+}
