--- a/cmd/protoc-gen-mimosawharf/checks.go
+++ b/cmd/protoc-gen-mimosawharf/checks.go
@@ -71,9 +71,11 @@
 func generateValueCheck(g *protogen.GeneratedFile, f *protogen.Field, c *optionsv1.Check, name, value string) {
 	if f.Message != nil {
 		if fieldNeedsCheck(f) {
-			g.P("if err := ", value, ".Check(); err != nil {")
+			g.P("if m := ", value, "; m != nil {")
+			g.P("if err := m.Check(); err != nil {")
 			g.P("return ", checkPackage.Ident("Within"), "(", name, ", err)")
 			g.P("}")
+			g.P("}")
 		}
 		return
 	}
--- a/cmd/protoc-gen-mimosawharf/settings.go
+++ b/cmd/protoc-gen-mimosawharf/settings.go
@@ -59,6 +59,9 @@
 	if s.GetRequired() {
 		g.P("required: true,")
 	}
+	if f.Desc.Kind() == protoreflect.BoolKind {
+		g.P("boolean: true,")
+	}
 	if len(s.GetValues()) > 0 {
 		g.P("values: []string{", quoted(s.GetValues()), "},")
 	}
--- /dev/null
+++ b/internal/budget/budget.go
@@ -0,0 +1,102 @@
+// Package budget decides whether a VM may be disrupted on purpose.
+package budget
+
+import (
+	"fmt"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Pool is what a decision needs to know of a pool.
+type Pool struct {
+	Config fleet.Pool
+	// VMs are the VMs whose row names the pool, removed ones left out.
+	VMs []fleet.VM
+	// Lost holds the VMs that are not known to be available, planned or not.
+	Lost map[fleet.VMID]bool
+}
+
+// ExceededError reports a disruption that the budget does not allow now. Nothing was changed.
+type ExceededError struct {
+	Pool  fleet.PoolID
+	Limit string
+	// Want is the value that the limit asks for, Got the value after the disruption.
+	Want, Got int
+}
+
+// Error implements error.
+func (e *ExceededError) Error() string {
+	return fmt.Sprintf("budget of pool %s is exhausted: %s is %d and would become %d", e.Pool, e.Limit, e.Want, e.Got)
+}
+
+// tally counts the capacity of a pool or of one zone of it.
+type tally struct {
+	available, unavailable fleet.VMCount
+	slots                  fleet.Slots
+}
+
+// Allow returns nil when the VM may be disrupted, and *ExceededError otherwise. A VM that is
+// unavailable already may always be disrupted.
+func Allow(p Pool, vm fleet.VM) error {
+	if !p.isAvailable(vm) {
+		return nil
+	}
+	all, zone := p.count(vm)
+	b := p.Config.Budget
+	limits := []struct {
+		name      string
+		set       bool
+		want, got int
+		atMost    bool
+	}{
+		{"min-available-vms", b.MinAvailableVMs > 0, int(b.MinAvailableVMs), int(all.available), false},
+		{"max-unavailable-vms", b.MaxUnavailableVMs > 0, int(b.MaxUnavailableVMs), int(all.unavailable), true},
+		{"min-available-slots", b.MinAvailableSlots > 0, int(b.MinAvailableSlots), int(all.slots), false},
+		{"max-unavailable-per-zone", b.MaxUnavailablePerZone > 0, int(b.MaxUnavailablePerZone), int(zone.unavailable), true},
+		{"min-available-per-zone", b.MinAvailablePerZone > 0, int(b.MinAvailablePerZone), int(zone.available), false},
+	}
+	for _, l := range limits {
+		if l.set && (l.atMost && l.got > l.want || !l.atMost && l.got < l.want) {
+			return trace.Wrap(&ExceededError{Pool: p.Config.ID, Limit: l.name, Want: l.want, Got: l.got})
+		}
+	}
+	return nil
+}
+
+// count returns the capacity of the pool and of the VM's zone once the VM is disrupted.
+func (p Pool) count(disrupted fleet.VM) (all, zone tally) {
+	for _, vm := range p.VMs {
+		available := vm.ID != disrupted.ID && p.isAvailable(vm)
+		all.add(vm, available)
+		if vm.Zone == disrupted.Zone {
+			zone.add(vm, available)
+		}
+	}
+	return all, zone
+}
+
+func (t *tally) add(vm fleet.VM, available bool) {
+	if !available {
+		t.unavailable++
+		return
+	}
+	t.available++
+	t.slots += vm.Slots
+}
+
+func (p Pool) isAvailable(vm fleet.VM) bool {
+	return vm.State == fleet.VMStateServing && !p.Lost[vm.ID]
+}
+
+// Available returns how many VMs of the pool are available.
+func (p Pool) Available() fleet.VMCount {
+	var n fleet.VMCount
+	for _, vm := range p.VMs {
+		if p.isAvailable(vm) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -2,8 +2,10 @@
 package clock
 
 import (
+	"context"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 )
 
@@ -22,3 +24,15 @@
 func Real() Clock {
 	return clockwork.NewRealClock()
 }
+
+// Wait waits for a duration, or returns the context's error when the context ends first.
+func Wait(ctx context.Context, c Clock, d time.Duration) error {
+	timer := c.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.Chan():
+		return nil
+	case <-ctx.Done():
+		return trace.Wrap(ctx.Err())
+	}
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,215 @@
+// Package daemon assembles the duties of mimosawharfd and takes them from start to graceful stop.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/justinas/alice"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/admission"
+	"github.com/mimosawharf/mimosawharf/internal/balancer"
+	"github.com/mimosawharf/mimosawharf/internal/caller"
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/endpoint"
+	"github.com/mimosawharf/mimosawharf/internal/operation"
+	"github.com/mimosawharf/mimosawharf/internal/operator"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/routing"
+	"github.com/mimosawharf/mimosawharf/internal/settings"
+	"github.com/mimosawharf/mimosawharf/internal/ticket"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Daemon is one entry.
+type Daemon struct {
+	// The fields are set before Run.
+	Settings settings.Settings
+	Clock    clock.Clock
+	Log      *zap.Logger
+
+	incarnation fleet.Incarnation
+	listeners   listeners
+	view        ring.Latest[*fleet.View]
+	status      ring.Latest[dispatch.Status]
+	readiness   ring.Latest[balancer.Readiness]
+	held        ring.Latest[control.Leases]
+	events      *ring.Ring[dispatch.Event]
+	jobs        *ring.Ring[endpoint.Job]
+	polls       *ring.Ring[control.PollerEvent]
+	operations  *ring.Ring[operation.Operation]
+}
+
+type listeners struct {
+	caller, operator, health net.Listener
+}
+
+// Run runs the daemon until the context ends and then stops it gracefully: requests in flight finish.
+// It returns *ListenError when a port cannot be opened and *duty.StoppedError when a duty fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.listen(); err != nil {
+		return trace.Wrap(err)
+	}
+	d.incarnation = fleet.NewIncarnation()
+	d.makeRings()
+	group, running := duty.NewGroup(context.WithoutCancel(ctx))
+	for _, one := range d.duties(ctx, group.Stop) {
+		group.Start(running, one)
+	}
+	d.Log.Info("daemon: started", zap.String("entry", string(d.Settings.EntryID)), zap.String("incarnation", string(d.incarnation)))
+	err := group.Wait()
+	d.Log.Info("daemon: stopped")
+	return trace.Wrap(err)
+}
+
+func (d *Daemon) listen() error {
+	var err error
+	if d.listeners.caller, err = Listen(d.Settings.CallerAddress); err != nil {
+		return trace.Wrap(err)
+	}
+	if d.listeners.operator, err = Listen(d.Settings.OperatorAddress); err != nil {
+		return trace.Wrap(err)
+	}
+	d.listeners.health, err = Listen(d.Settings.HealthAddress)
+	return trace.Wrap(err)
+}
+
+func (d *Daemon) makeRings() {
+	capacity := d.Settings.RingCapacity
+	// Each attempt in flight has a place for its result.
+	d.events = ring.NewWithReserve[dispatch.Event]("dispatcher", capacity, d.Settings.CallWorkers)
+	d.jobs = ring.New[endpoint.Job]("calls", 2*d.Settings.CallWorkers)
+	d.polls = ring.New[control.PollerEvent]("poller", capacity)
+	d.operations = ring.New[operation.Operation]("operator", capacity)
+}
+
+// duties returns all duties of the daemon.
+func (d *Daemon) duties(stopAsked context.Context, stopped func()) []duty.Duty {
+	s := d.Settings
+	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
+	list := []duty.Duty{
+		d.dispatcher(),
+		&control.Poller{
+			Table: client, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+		},
+		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
+		d.leaseHolder(client),
+		&control.FleetDriver{
+			Entry: s.EntryID, Table: client, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
+			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+		},
+		&operation.Executor{
+			Entry: s.EntryID, Inbox: d.operations, Table: client, Platform: client, View: &d.view, PollNow: d.pollNow,
+			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
+		},
+		&Supervisor{
+			View: &d.view, Readiness: &d.readiness, Status: &d.status, Dispatcher: d.events, Clock: d.Clock, Log: d.Log,
+			SettleTime: s.SettleTime, DrainTimeout: s.DrainTimeout, StopAsked: stopAsked, Stopped: stopped,
+		},
+	}
+	list = append(list, d.calls()...)
+	return append(list, d.servers()...)
+}
+
+func (d *Daemon) dispatcher() *dispatch.Dispatcher {
+	s := d.Settings
+	key := make([]byte, ticketKeyBytes)
+	_, _ = rand.Read(key) // never fails
+	engine := dispatch.NewEngine(
+		&admission.Queues{Capacity: s.QueueCapacity, MaxBytes: s.QueueBytes},
+		&routing.Router{Zone: s.Zone},
+		&ticket.Book{Issuer: s.EntryID, Incarnation: d.incarnation, Key: key, Lifetime: s.TicketLifetime},
+		s.CallWorkers,
+	)
+	engine.MaxAttempts = s.MaxAttempts
+	peers, _ := s.PeerList() // checked by Parse
+	entriesInZone := 1
+	for _, p := range peers {
+		if p.Zone == s.Zone {
+			entriesInZone++
+		}
+	}
+	return &dispatch.Dispatcher{
+		Engine: engine, Inbox: d.events, Sender: &endpoint.Pool{Jobs: d.jobs}, Clock: d.Clock, Log: d.Log,
+		View: &d.view, EntriesInZone: entriesInZone, Status: &d.status,
+	}
+}
+
+// ticketKeyBytes is the size of the key that signs tickets.
+const ticketKeyBytes = 32
+
+func (d *Daemon) leaseHolder(client *platform.Client) *control.LeaseHolder {
+	s := d.Settings
+	return &control.LeaseHolder{
+		Entry: fleet.Entry{
+			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
+		},
+		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
+		Table:  client, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
+	}
+}
+
+// endpointIdleTimeout closes connections to endpoints that are not used.
+const endpointIdleTimeout = 90 * time.Second
+
+// dialTimeout bounds the opening of a connection to an endpoint.
+const dialTimeout = time.Second
+
+func (d *Daemon) calls() []duty.Duty {
+	client := &http.Client{Transport: &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConnsPerHost: 8,
+		IdleConnTimeout:     endpointIdleTimeout,
+		DisableCompression:  true,
+	}}
+	var list []duty.Duty
+	for i := range d.Settings.CallWorkers {
+		list = append(list, &endpoint.Call{
+			Number: i, Jobs: d.jobs, Results: d.events, Client: client, Scheme: "http", Clock: d.Clock,
+		})
+	}
+	return list
+}
+
+func (d *Daemon) servers() []duty.Duty {
+	s := d.Settings
+	callers := &caller.Handler{
+		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
+	}
+	operators := &operator.Handler{Inbox: d.operations, View: &d.view}
+	health := &balancer.Health{Readiness: &d.readiness}
+	return []duty.Duty{
+		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout},
+		&Server{Duty: "http-operator", Listener: d.listeners.operator, Handler: mount(operators.New()), HeaderTimeout: s.HeaderTimeout},
+		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout},
+	}
+}
+
+// mount serves a handler under its path, behind the common middleware.
+func mount(path string, handler http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(path, handler)
+	return alice.New(noSniff).Then(mux)
+}
+
+// noSniff tells browsers to keep to the content type, because bodies come from callers.
+func noSniff(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Content-Type-Options", "nosniff")
+		next.ServeHTTP(w, r)
+	})
+}
+
+// pollNow asks the poller to read the table at once. The next poll follows soon anyway.
+func (d *Daemon) pollNow() {
+	_ = d.polls.Push(control.PollerEvent{PollNow: true})
+}
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,81 @@
+// Package demo runs the whole path in one process on loopback and checks each step of it.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+)
+
+// timeLimit ends the demo even when a step hangs.
+const timeLimit = 20 * time.Second
+
+// StepError reports a step that did not hold.
+type StepError struct {
+	Step  string
+	Cause error
+}
+
+// Error implements error.
+func (e *StepError) Error() string { return "demo: " + e.Step + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StepError) Unwrap() error { return e.Cause }
+
+// MismatchError reports a result that is not the expected one.
+type MismatchError struct {
+	Want, Got string
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string { return fmt.Sprintf("want %s, got %s", e.Want, e.Got) }
+
+// step is one part of the scenario.
+type step struct {
+	title string
+	run   func(ctx context.Context, f *site) (string, error)
+}
+
+// Run runs the scenario and writes an account of it. It returns *StepError for the first step that
+// does not hold.
+func Run(ctx context.Context, output io.Writer) error {
+	ctx, cancel := context.WithTimeout(ctx, timeLimit)
+	defer cancel()
+	started := clock.Real().Now()
+	f, err := start(ctx)
+	if err != nil {
+		return trace.Wrap(&StepError{Step: "start", Cause: err})
+	}
+	defer f.stop()
+	for i, s := range scenario() {
+		report, err := s.run(ctx, f)
+		if err != nil {
+			_, _ = fmt.Fprintf(output, "%2d. %-52s FAILED\n", i+1, s.title)
+			return trace.Wrap(&StepError{Step: s.title, Cause: err})
+		}
+		_, _ = fmt.Fprintf(output, "%2d. %-52s %s\n", i+1, s.title, report)
+	}
+	_, _ = fmt.Fprintf(output, "all steps hold, %.1f s\n", clock.Real().Now().Sub(started).Seconds())
+	return nil
+}
+
+// checkInterval is how often the demo looks at what it waits for.
+const checkInterval = 20 * time.Millisecond
+
+// eventually waits until the condition holds or the context ends.
+func eventually(ctx context.Context, condition func() (bool, error)) error {
+	for {
+		ok, err := condition()
+		if ok || err != nil {
+			return trace.Wrap(err)
+		}
+		if err := clock.Wait(ctx, clock.Real(), checkInterval); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/operation/operation.go
@@ -0,0 +1,135 @@
+// Package operation carries out the changes that operators ask for, each as one conditional
+// transaction.
+package operation
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/machine"
+	"github.com/mimosawharf/mimosawharf/internal/move"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Table reads and changes rows of the platform's table.
+type Table interface {
+	Commit(ctx context.Context, t platform.Transaction) (fleet.TableRevision, error)
+	Read(ctx context.Context, keys ...fleet.TableKey) ([]platform.Row, error)
+	Changes(ctx context.Context, after fleet.TableRevision, limit int, prefixes ...fleet.TableKey) (platform.Changes, error)
+}
+
+// Lister reads the platform's list of VMs.
+type Lister interface {
+	ListVMs(ctx context.Context) (fleet.VMList, error)
+}
+
+// Poll asks the poller to read the table at once.
+type Poll func()
+
+// Identity says who asks for an operation and why.
+type Identity struct {
+	// ID makes the operation idempotent: an operation that took effect is not carried out again.
+	ID     fleet.OperationID
+	Actor  fleet.OperatorName
+	Reason string
+}
+
+// Operation is one change that an operator asks for.
+type Operation interface {
+	// execute carries the operation out. It is called by the duty.
+	execute(ctx context.Context, x *Executor)
+}
+
+// Executor is the duty that carries out operations, one at a time.
+type Executor struct {
+	// The fields are set before Run.
+	Entry      fleet.EntryID
+	Inbox      *ring.Ring[Operation]
+	Table      Table
+	Platform   Lister
+	View       *ring.Latest[*fleet.View]
+	PollNow    Poll
+	Clock      clock.Clock
+	Log        *zap.Logger
+	ListMaxAge time.Duration
+
+	states *machine.Machine[fleet.VMState, move.Event]
+}
+
+// Name implements duty.Duty.
+func (*Executor) Name() fleet.DutyName { return "operator" }
+
+// Run implements duty.Duty.
+func (x *Executor) Run(ctx context.Context) error {
+	x.states = move.NewMachine()
+	for {
+		op, err := x.Inbox.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		op.execute(ctx, x)
+	}
+}
+
+// Result is the answer to an operation.
+type Result[T any] struct {
+	Value T
+	// Err says why nothing was changed, or that the effect is not known (*platform.UnavailableError).
+	Err error
+}
+
+// NotFoundError reports that what an operation names does not exist. Nothing was changed.
+type NotFoundError struct {
+	Subject fleet.AuditSubject
+}
+
+// Error implements error.
+func (e *NotFoundError) Error() string { return string(e.Subject) + " does not exist" }
+
+// InvalidStateError reports an operation that the state of its subject does not allow.
+type InvalidStateError struct {
+	Subject fleet.AuditSubject
+	Problem string
+}
+
+// Error implements error.
+func (e *InvalidStateError) Error() string { return fmt.Sprintf("%s: %s", e.Subject, e.Problem) }
+
+// maxConflicts bounds how often an operation is tried again after another one changed its rows.
+const maxConflicts = 8
+
+// retryConflicts runs an attempt until it does not conflict. Each attempt reads its rows afresh.
+func retryConflicts[T any](attempt func() (T, error)) (T, error) {
+	var value T
+	var err error
+	for range maxConflicts {
+		value, err = attempt()
+		var conflict *platform.ConflictError
+		if !errors.As(err, &conflict) {
+			return value, err
+		}
+	}
+	return value, err
+}
+
+// audit returns the audit row of an operation.
+func (x *Executor) audit(id Identity, action fleet.AuditAction, subjects ...fleet.AuditSubject) *fleet.Audit {
+	return &fleet.Audit{
+		OperationID: id.ID,
+		At:          x.Clock.Now(),
+		Actor:       string(id.Actor),
+		Action:      action,
+		Subjects:    subjects,
+		Reason:      id.Reason,
+		Outcome:     "done",
+		Entry:       x.Entry,
+	}
+}
--- /dev/null
+++ b/internal/operation/vm.go
@@ -0,0 +1,233 @@
+package operation
+
+import (
+	"context"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/budget"
+	"github.com/mimosawharf/mimosawharf/internal/move"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// VMCommand is what an operator asks of a VM.
+type VMCommand string
+
+// Commands to a VM.
+const (
+	// VMCommandAdopt takes a listed VM into a pool.
+	VMCommandAdopt VMCommand = "adopt"
+	// VMCommandDrain drains a VM and holds it.
+	VMCommandDrain   VMCommand = "drain"
+	VMCommandMove    VMCommand = "move"
+	VMCommandReboot  VMCommand = "reboot"
+	VMCommandReplace VMCommand = "replace"
+	// VMCommandCancel ends a drain or move that is under way.
+	VMCommandCancel VMCommand = "cancel"
+	// VMCommandReturn puts a drained VM back into service.
+	VMCommandReturn VMCommand = "return"
+	VMCommandRemove VMCommand = "remove"
+)
+
+// ChangeVM starts one change of a VM.
+type ChangeVM struct {
+	Identity Identity
+	VM       fleet.VMID
+	Command  VMCommand
+	// Pool is the pool that adopts the VM or that it moves to.
+	Pool  fleet.PoolID
+	Reply *ring.Ring[Result[fleet.VM]]
+}
+
+func (o ChangeVM) execute(ctx context.Context, x *Executor) {
+	value, err := retryConflicts(func() (fleet.VM, error) { return o.attempt(ctx, x) })
+	// The reply ring has room for the one result.
+	_ = o.Reply.Push(Result[fleet.VM]{Value: value, Err: err})
+	x.PollNow()
+}
+
+func (o ChangeVM) attempt(ctx context.Context, x *Executor) (fleet.VM, error) {
+	switch o.Command {
+	case VMCommandAdopt:
+		return o.adopt(ctx, x)
+	case VMCommandCancel, VMCommandReturn:
+		return o.giveBack(ctx, x)
+	default:
+		return o.drain(ctx, x)
+	}
+}
+
+// adopt writes the row of a VM that the platform lists.
+func (o ChangeVM) adopt(ctx context.Context, x *Executor) (fleet.VM, error) {
+	list, err := x.Platform.ListVMs(ctx)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	i := slices.IndexFunc(list.VMs, func(v fleet.PlatformVM) bool { return v.ID == o.VM })
+	if i < 0 {
+		return fleet.VM{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectVM(o.VM)})
+	}
+	rows, err := x.Table.Read(ctx, wire.KeyVM(o.VM), wire.KeyPool(o.Pool))
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	if rows[0].Exists() {
+		return fleet.VM{}, trace.Wrap(&InvalidStateError{Subject: fleet.SubjectVM(o.VM), Problem: "is in a pool already; use move"})
+	}
+	if !rows[1].Exists() {
+		return fleet.VM{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectPool(o.Pool)})
+	}
+	listed := list.VMs[i]
+	vm := fleet.VM{
+		ID: listed.ID, Zone: listed.Zone, Rack: listed.Rack, Address: listed.Address, Slots: listed.Slots,
+		Connections: listed.Connections, Resources: listed.Resources, Version: listed.Version,
+		Pool: o.Pool, State: fleet.VMStateServing, AssignmentEpoch: 1, OperationID: o.Identity.ID, Since: x.Clock.Now(),
+	}
+	_, err = x.Table.Commit(ctx, platform.Transaction{
+		Audit:         x.audit(o.Identity, fleet.AuditActionVMAdopt, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)),
+		Preconditions: []platform.Precondition{{Key: wire.KeyVM(vm.ID)}, {Key: wire.KeyPool(vm.Pool), Version: rows[1].Version}},
+		Puts:          []platform.Put{{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)}},
+	})
+	return vm, trace.Wrap(err)
+}
+
+// subject is a VM with the ledger and the configuration of its pool, all read together.
+type subject struct {
+	vm            fleet.VM
+	ledger        fleet.Ledger
+	pool          fleet.Pool
+	poolVersion   fleet.RowVersion
+	ledgerVersion fleet.RowVersion
+}
+
+func (x *Executor) readSubject(ctx context.Context, id fleet.VMID) (subject, error) {
+	rows, err := x.Table.Read(ctx, wire.KeyVM(id))
+	if err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	if !rows[0].Exists() {
+		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectVM(id)})
+	}
+	s := subject{}
+	if s.vm, err = wire.DecodeVM(rows[0].Value); err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	s.vm.RowVersion = rows[0].Version
+	rows, err = x.Table.Read(ctx, wire.KeyLedger(s.vm.Pool), wire.KeyPool(s.vm.Pool))
+	if err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	if rows[0].Exists() {
+		if s.ledger, err = wire.DecodeLedger(rows[0].Value); err != nil {
+			return subject{}, trace.Wrap(err)
+		}
+	}
+	item, err := wire.DecodeItem(rows[1].Value)
+	if err != nil || item.Pool == nil {
+		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectPool(s.vm.Pool)})
+	}
+	s.ledger.Pool, s.ledgerVersion, s.pool, s.poolVersion = s.vm.Pool, rows[0].Version, *item.Pool, rows[1].Version
+	return s, nil
+}
+
+// drain takes a grant from the pool's budget and starts the drain in the same transaction.
+func (o ChangeVM) drain(ctx context.Context, x *Executor) (fleet.VM, error) {
+	s, err := x.readSubject(ctx, o.VM)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	state, err := x.states.Next(s.vm.State, move.EventDrain)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(&InvalidStateError{Subject: fleet.SubjectVM(o.VM), Problem: err.Error()})
+	}
+	capacity, err := x.capacity(ctx, s)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	if err := budget.Allow(capacity, s.vm); err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	now := x.Clock.Now()
+	vm := move.Apply(s.vm, move.EventDrain, state, o.Identity.ID, now)
+	vm.Purpose, vm.GrantID = o.purpose(), fleet.GrantID(o.Identity.ID)
+	if vm.Purpose == fleet.VMPurposeMove {
+		vm.TargetPool = o.Pool
+	}
+	s.ledger.Grants = append(s.ledger.Grants, fleet.Grant{
+		ID: vm.GrantID, VM: vm.ID, Zone: vm.Zone, Slots: vm.Slots, HolderKind: fleet.HolderKindOperator,
+		Holder: string(o.Identity.Actor), OperationID: o.Identity.ID, GrantedAt: now,
+	})
+	return vm, x.commitVM(ctx, s, vm, x.audit(o.Identity, fleet.AuditActionVMDrain, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)))
+}
+
+func (o ChangeVM) purpose() fleet.VMPurpose {
+	switch o.Command {
+	case VMCommandMove:
+		return fleet.VMPurposeMove
+	case VMCommandReboot:
+		return fleet.VMPurposeReboot
+	case VMCommandReplace:
+		return fleet.VMPurposeReplace
+	case VMCommandRemove:
+		return fleet.VMPurposeRemove
+	default:
+		return fleet.VMPurposeHold
+	}
+}
+
+// giveBack puts a draining or drained VM back into service and returns its grant.
+func (o ChangeVM) giveBack(ctx context.Context, x *Executor) (fleet.VM, error) {
+	s, err := x.readSubject(ctx, o.VM)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	state, err := x.states.Next(s.vm.State, move.EventCancel)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(&InvalidStateError{Subject: fleet.SubjectVM(o.VM), Problem: err.Error()})
+	}
+	vm := move.Apply(s.vm, move.EventCancel, state, o.Identity.ID, x.Clock.Now())
+	s.ledger.Grants = slices.DeleteFunc(s.ledger.Grants, func(g fleet.Grant) bool { return g.VM == vm.ID })
+	return vm, x.commitVM(ctx, s, vm, x.audit(o.Identity, fleet.AuditActionVMCancel, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)))
+}
+
+// commitVM writes a VM and the ledger of its pool under the versions that the decision was made on.
+func (x *Executor) commitVM(ctx context.Context, s subject, vm fleet.VM, audit *fleet.Audit) error {
+	audit.From, audit.To = string(s.vm.State), string(vm.State)
+	s.ledger.OperationID = audit.OperationID
+	_, err := x.Table.Commit(ctx, platform.Transaction{
+		Audit: audit,
+		Preconditions: []platform.Precondition{
+			{Key: wire.KeyVM(vm.ID), Version: s.vm.RowVersion},
+			{Key: wire.KeyLedger(s.ledger.Pool), Version: s.ledgerVersion},
+			{Key: wire.KeyPool(s.pool.ID), Version: s.poolVersion},
+		},
+		Puts: []platform.Put{
+			{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)},
+			{Key: wire.KeyLedger(s.ledger.Pool), Value: wire.EncodeLedger(s.ledger)},
+		},
+	})
+	return trace.Wrap(err)
+}
+
+// capacity reads the VMs of a pool afresh and judges which of them are available.
+func (x *Executor) capacity(ctx context.Context, s subject) (budget.Pool, error) {
+	changes, err := x.Table.Changes(ctx, 0, 0, wire.PrefixVM)
+	if err != nil {
+		return budget.Pool{}, trace.Wrap(err)
+	}
+	p := budget.Pool{Config: s.pool, Lost: map[fleet.VMID]bool{}}
+	view := x.View.Get()
+	for _, row := range changes.Rows {
+		vm, err := wire.DecodeVM(row.Value)
+		if err != nil || row.Deleted || vm.Pool != s.pool.ID || vm.State == fleet.VMStateRemoved {
+			continue
+		}
+		p.VMs = append(p.VMs, vm)
+		p.Lost[vm.ID] = view != nil && view.Leaving[vm.ID]
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/operator/handler.go
@@ -0,0 +1,169 @@
+// Package operator speaks to operators: consoles, scripts and phones.
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/budget"
+	"github.com/mimosawharf/mimosawharf/internal/configuration"
+	"github.com/mimosawharf/mimosawharf/internal/operation"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// HeaderOperator names the operator where the daemon runs without TLS.
+const HeaderOperator = "Mimosawharf-Operator"
+
+// Inbox takes operations. Push returns *ring.FullError when there is no room.
+type Inbox interface {
+	Push(operation.Operation) error
+}
+
+// Handler serves the operator service. It only decodes, puts an operation on the executor's ring and
+// waits for its own answer.
+type Handler struct {
+	operatorv1connect.UnimplementedOperatorServiceHandler
+
+	// The fields are set before the first request.
+	Inbox Inbox
+	View  *ring.Latest[*fleet.View]
+}
+
+// maxMessage bounds a message of an operator; a whole configuration fits.
+const maxMessage = 16 << 20
+
+// New returns the path and the HTTP handler of the operator service.
+func (h *Handler) New() (string, http.Handler) {
+	return operatorv1connect.NewOperatorServiceHandler(h, connect.WithReadMaxBytes(maxMessage))
+}
+
+// ApplyConfiguration implements the operator service.
+func (h *Handler) ApplyConfiguration(ctx context.Context, r *connect.Request[operatorv1.ApplyConfigurationRequest]) (*connect.Response[operatorv1.ApplyConfigurationResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, toConnect(err)
+	}
+	o := operation.ApplyConfig{
+		Identity: identity(r.Header(), r.Msg.GetOperation()),
+		Base:     fleet.ConfigRevision(r.Msg.GetBaseRevision()),
+		DryRun:   r.Msg.GetDryRun(),
+		Reply:    ring.New[operation.Result[operation.Applied]]("operator-apply", 1),
+	}
+	for _, c := range r.Msg.GetChanges() {
+		o.Changes = append(o.Changes, wire.FromChange(c))
+	}
+	applied, err := run(ctx, h.Inbox, o, o.Reply)
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&operatorv1.ApplyConfigurationResponse{Revision: uint64(applied.Revision)}), nil
+}
+
+// GetConfiguration implements the operator service.
+func (h *Handler) GetConfiguration(context.Context, *connect.Request[operatorv1.GetConfigurationRequest]) (*connect.Response[operatorv1.GetConfigurationResponse], error) {
+	return connect.NewResponse(&operatorv1.GetConfigurationResponse{
+		Configuration: wire.Configuration(h.view().Configuration),
+	}), nil
+}
+
+// ListVMs implements the operator service.
+func (h *Handler) ListVMs(_ context.Context, r *connect.Request[operatorv1.ListVMsRequest]) (*connect.Response[operatorv1.ListVMsResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, toConnect(err)
+	}
+	response := &operatorv1.ListVMsResponse{}
+	for _, vm := range wire.SortedVMs(h.view()) {
+		if p := r.Msg.GetPool(); p != "" && p != string(vm.Pool) {
+			continue
+		}
+		if z := r.Msg.GetZone(); z != "" && z != string(vm.Zone) {
+			continue
+		}
+		response.Vms = append(response.Vms, wire.VM(vm))
+	}
+	return connect.NewResponse(response), nil
+}
+
+// ChangeVM implements the operator service.
+func (h *Handler) ChangeVM(ctx context.Context, r *connect.Request[operatorv1.ChangeVMRequest]) (*connect.Response[operatorv1.ChangeVMResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, toConnect(err)
+	}
+	o := operation.ChangeVM{
+		Identity: identity(r.Header(), r.Msg.GetOperation()),
+		VM:       fleet.VMID(r.Msg.GetVm()),
+		Command:  operation.VMCommand(r.Msg.GetAction()),
+		Pool:     fleet.PoolID(r.Msg.GetPool()),
+		Reply:    ring.New[operation.Result[fleet.VM]]("operator-vm", 1),
+	}
+	vm, err := run(ctx, h.Inbox, o, o.Reply)
+	if err != nil {
+		return nil, toConnect(err)
+	}
+	return connect.NewResponse(&operatorv1.ChangeVMResponse{Vm: wire.VM(vm)}), nil
+}
+
+func (h *Handler) view() *fleet.View {
+	if v := h.View.Get(); v != nil {
+		return v
+	}
+	return fleet.NewView()
+}
+
+func run[T any](ctx context.Context, inbox Inbox, o operation.Operation, reply *ring.Ring[operation.Result[T]]) (T, error) {
+	var zero T
+	if err := inbox.Push(o); err != nil {
+		return zero, trace.Wrap(err)
+	}
+	result, err := reply.Pop(ctx)
+	if err != nil {
+		return zero, trace.Wrap(err)
+	}
+	return result.Value, result.Err
+}
+
+func identity(header http.Header, m *operatorv1.Operation) operation.Identity {
+	id := fleet.OperationID(m.GetId())
+	if id == "" {
+		id = fleet.NewOperationID()
+	}
+	return operation.Identity{ID: id, Actor: fleet.OperatorName(header.Get(HeaderOperator)), Reason: m.GetReason()}
+}
+
+// toConnect gives a typed failure the code that clients act on.
+func toConnect(err error) error {
+	var (
+		full        *ring.FullError
+		invalid     *configuration.InvalidError
+		exceeded    *budget.ExceededError
+		notFound    *operation.NotFoundError
+		state       *operation.InvalidStateError
+		revision    *operation.RevisionError
+		conflict    *platform.ConflictError
+		unavailable *platform.UnavailableError
+	)
+	code := connect.CodeInvalidArgument
+	switch {
+	case errors.As(err, &full):
+		code = connect.CodeResourceExhausted
+	case errors.As(err, &notFound):
+		code = connect.CodeNotFound
+	case errors.As(err, &exceeded), errors.As(err, &state), errors.As(err, &revision):
+		code = connect.CodeFailedPrecondition
+	case errors.As(err, &conflict):
+		code = connect.CodeAborted
+	case errors.As(err, &unavailable):
+		code = connect.CodeUnavailable
+	case errors.As(err, &invalid):
+		code = connect.CodeInvalidArgument
+	}
+	return connect.NewError(code, trace.Unwrap(err))
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,240 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1/platformv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Client calls the platform. It is safe for concurrent use once it is made.
+type Client struct {
+	timeout time.Duration
+	table   platformv1connect.TableServiceClient
+	objects platformv1connect.ObjectServiceClient
+	vms     platformv1connect.VMServiceClient
+}
+
+// NewClient returns a client of the platform at a URL. The timeout bounds each call.
+func NewClient(client *http.Client, url string, timeout time.Duration) *Client {
+	return &Client{
+		timeout: timeout,
+		table:   platformv1connect.NewTableServiceClient(client, url),
+		objects: platformv1connect.NewObjectServiceClient(client, url),
+		vms:     platformv1connect.NewVMServiceClient(client, url),
+	}
+}
+
+// Commit applies a transaction and returns its revision. It returns *ConflictError when a
+// precondition did not hold and *UnavailableError when the effect is not known. When an answer was
+// lost, an audited transaction is resolved by its audit row.
+func (c *Client) Commit(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
+	revision, err := c.commitOnce(ctx, t)
+	var unavailable *UnavailableError
+	var conflict *ConflictError
+	if t.Audit == nil || err == nil {
+		return revision, err
+	}
+	ownAudit := wire.KeyAudit(t.Audit.OperationID)
+	if errors.As(err, &unavailable) || errors.As(err, &conflict) && slices.Contains(conflict.Keys, ownAudit) {
+		return c.resolve(ctx, ownAudit, err)
+	}
+	return revision, err
+}
+
+// resolve looks for the audit row of a transaction whose answer was lost or that was sent before.
+func (c *Client) resolve(ctx context.Context, key fleet.TableKey, cause error) (fleet.TableRevision, error) {
+	rows, err := c.Read(ctx, key)
+	if err != nil || !rows[0].Exists() {
+		return 0, cause
+	}
+	return fleet.TableRevision(rows[0].Version), nil
+}
+
+func (c *Client) commitOnce(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m := &platformv1.CommitRequest{}
+	for _, p := range t.Preconditions {
+		m.Preconditions = append(m.Preconditions, &platformv1.Precondition{Key: string(p.Key), Version: uint64(p.Version)})
+	}
+	for _, p := range t.Puts {
+		m.Puts = append(m.Puts, &platformv1.Put{Key: string(p.Key), Value: p.Value, Delete: p.Delete})
+	}
+	if t.Audit != nil {
+		key := string(wire.KeyAudit(t.Audit.OperationID))
+		m.Preconditions = append(m.Preconditions, &platformv1.Precondition{Key: key})
+		m.Puts = append(m.Puts, &platformv1.Put{Key: key, Value: wire.EncodeAudit(*t.Audit)})
+	}
+	response, err := c.table.Commit(ctx, connect.NewRequest(m))
+	if err != nil {
+		return 0, trace.Wrap(&UnavailableError{Call: "commit", Cause: err})
+	}
+	if len(response.Msg.GetConflicts()) > 0 {
+		e := &ConflictError{}
+		for _, k := range response.Msg.GetConflicts() {
+			e.Keys = append(e.Keys, fleet.TableKey(k))
+		}
+		return 0, trace.Wrap(e)
+	}
+	return fleet.TableRevision(response.Msg.GetRevision()), nil
+}
+
+// Read returns one row per key, in order. It returns *UnavailableError.
+func (c *Client) Read(ctx context.Context, keys ...fleet.TableKey) ([]Row, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m := &platformv1.ReadRequest{}
+	for _, k := range keys {
+		m.Keys = append(m.Keys, string(k))
+	}
+	response, err := c.table.Read(ctx, connect.NewRequest(m))
+	if err == nil && len(response.Msg.GetRows()) != len(keys) {
+		err = trace.Wrap(&RowCountError{Want: len(keys), Got: len(response.Msg.GetRows())})
+	}
+	if err != nil {
+		return nil, trace.Wrap(&UnavailableError{Call: "read", Cause: err})
+	}
+	return fromRows(response.Msg.GetRows()), nil
+}
+
+// RowCountError reports a read that returned another number of rows than it was asked for.
+type RowCountError struct {
+	Want, Got int
+}
+
+// Error implements error.
+func (e *RowCountError) Error() string { return "read returned the wrong number of rows" }
+
+// Changes returns rows under the prefixes that changed after a revision, at most limit of them.
+// It returns *UnavailableError.
+func (c *Client) Changes(ctx context.Context, after fleet.TableRevision, limit int, prefixes ...fleet.TableKey) (Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	m := &platformv1.ChangesRequest{After: uint64(after), Limit: uint32(limit)}
+	for _, p := range prefixes {
+		m.Prefixes = append(m.Prefixes, string(p))
+	}
+	response, err := c.table.Changes(ctx, connect.NewRequest(m))
+	if err != nil {
+		return Changes{}, trace.Wrap(&UnavailableError{Call: "changes", Cause: err})
+	}
+	return Changes{
+		Rows:     fromRows(response.Msg.GetRows()),
+		Revision: fleet.TableRevision(response.Msg.GetRevision()),
+		More:     response.Msg.GetMore(),
+		History:  History(response.Msg.GetHistory()),
+	}, nil
+}
+
+// PutObject stores an object. It returns *UnavailableError.
+func (c *Client) PutObject(ctx context.Context, name ObjectName, data []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if _, err := c.objects.PutObject(ctx, connect.NewRequest(&platformv1.PutObjectRequest{Name: string(name), Data: data})); err != nil {
+		return trace.Wrap(&UnavailableError{Call: "put object", Cause: err})
+	}
+	return nil
+}
+
+// GetObject returns an object, or nil when there is none. It returns *UnavailableError.
+func (c *Client) GetObject(ctx context.Context, name ObjectName) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.objects.GetObject(ctx, connect.NewRequest(&platformv1.GetObjectRequest{Name: string(name)}))
+	if err != nil {
+		return nil, trace.Wrap(&UnavailableError{Call: "get object", Cause: err})
+	}
+	if !response.Msg.GetFound() {
+		return nil, nil
+	}
+	return response.Msg.GetData(), nil
+}
+
+// ListVMs returns the platform's list of VMs, which lags. It returns *UnavailableError.
+func (c *Client) ListVMs(ctx context.Context) (fleet.VMList, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.vms.ListVMs(ctx, connect.NewRequest(&platformv1.ListVMsRequest{}))
+	if err != nil {
+		return fleet.VMList{}, trace.Wrap(&UnavailableError{Call: "list VMs", Cause: err})
+	}
+	list := fleet.VMList{AsOf: wire.FromTime(response.Msg.GetAsOf())}
+	for _, v := range response.Msg.GetVms() {
+		list.VMs = append(list.VMs, fromPlatformVM(v))
+	}
+	return list, nil
+}
+
+// Act starts an action on a VM, once per operation id. It returns *UnavailableError, or
+// *RefusedError when the platform does not accept the action.
+func (c *Client) Act(ctx context.Context, command fleet.VMCommand) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.vms.ActOnVM(ctx, connect.NewRequest(&platformv1.ActOnVMRequest{
+		Vm:              string(command.VM),
+		Action:          string(command.Action),
+		Version:         string(command.Version),
+		Pool:            string(command.Pool),
+		AssignmentEpoch: uint64(command.AssignmentEpoch),
+		OperationId:     string(command.OperationID),
+	}))
+	if err != nil {
+		return trace.Wrap(&UnavailableError{Call: "act on VM", Cause: err})
+	}
+	if !response.Msg.GetAccepted() {
+		return trace.Wrap(&RefusedError{VM: command.VM, Action: command.Action})
+	}
+	return nil
+}
+
+// RefusedError reports an action on a VM that the platform does not accept.
+type RefusedError struct {
+	VM     fleet.VMID
+	Action fleet.VMAction
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return "platform refuses to " + string(e.Action) + " VM " + string(e.VM)
+}
+
+func fromRows(rows []*platformv1.Row) []Row {
+	list := make([]Row, 0, len(rows))
+	for _, r := range rows {
+		list = append(list, Row{
+			Key:     fleet.TableKey(r.GetKey()),
+			Value:   r.GetValue(),
+			Version: fleet.RowVersion(r.GetVersion()),
+			Deleted: r.GetDeleted(),
+		})
+	}
+	return list
+}
+
+func fromPlatformVM(v *platformv1.VM) fleet.PlatformVM {
+	return fleet.PlatformVM{
+		ID:            fleet.VMID(v.GetId()),
+		Zone:          fleet.ZoneID(v.GetZone()),
+		Rack:          fleet.RackID(v.GetRack()),
+		Address:       fleet.Address(v.GetAddress()),
+		State:         fleet.PlatformVMState(v.GetState()),
+		Role:          fleet.VMRole(v.GetRole()),
+		Slots:         fleet.Slots(v.GetSlots()),
+		Connections:   fleet.Connections(v.GetConnections()),
+		Resources:     wire.FromResources(v.GetResources()),
+		Version:       fleet.Version(v.GetVersion()),
+		Usage:         fleet.Percent(v.GetUsagePercent()),
+		Boot:          fleet.BootID(v.GetBootId()),
+		LastOperation: fleet.OperationID(v.GetLastOperationId()),
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -31,6 +31,9 @@
 	// wake holds one token while items may be waiting for a parked consumer.
 	wake chan struct{}
 
+	// reserve is how many places only PushReserved may fill.
+	reserve int
+
 	mu sync.Mutex
 	// items is used as a circular buffer; its length is the capacity.
 	items  []T
@@ -47,10 +50,28 @@
 	return &Ring[T]{name: name, wake: make(chan struct{}, 1), items: make([]T, capacity)}
 }
 
-// Push appends an item. It returns *FullError when the ring has no room.
+// NewWithReserve returns an empty ring with room for capacity items of Push and reserve further items
+// of PushReserved. It panics when capacity is below 1 or reserve is below 0.
+func NewWithReserve[T any](name Name, capacity, reserve int) *Ring[T] {
+	r := New[T](name, capacity+reserve)
+	r.reserve = reserve
+	return r
+}
+
+// Push appends an item. It returns *FullError when only the reserve is left.
 func (r *Ring[T]) Push(item T) error {
+	return r.push(item, len(r.items)-r.reserve)
+}
+
+// PushReserved appends an item and may use the reserve. A producer that never has more items
+// outstanding than the reserve never gets *FullError.
+func (r *Ring[T]) PushReserved(item T) error {
+	return r.push(item, len(r.items))
+}
+
+func (r *Ring[T]) push(item T, limit int) error {
 	r.mu.Lock()
-	if r.length == len(r.items) {
+	if r.length >= limit {
 		r.mu.Unlock()
 		return trace.Wrap(&FullError{Ring: r.name, Capacity: len(r.items)})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -60,17 +60,22 @@
 	lowest   string
 	highest  string
 	required bool
-	values   []string
-	set      func(s *Settings, f field, text string) error
+	// boolean settings need no value on the command line.
+	boolean bool
+	values  []string
+	set     func(s *Settings, f field, text string) error
 }
 
 // Parse reads the settings of the named program from arguments and environment; an argument goes
 // before the environment. It returns *ValueError, *UsageError or *HelpError.
 func Parse(program string, arguments []string) (Settings, error) {
 	set := ff.NewFlagSet(program)
-	texts := make([]string, len(fields))
+	texts := make([]text, len(fields))
 	for i, f := range fields {
-		set.StringVar(&texts[i], 0, f.flag, f.initial, f.usage())
+		texts[i] = text{value: f.initial, boolean: f.boolean}
+		if _, err := set.AddFlag(ff.FlagConfig{LongName: f.flag, Usage: f.usage(), Value: &texts[i]}); err != nil {
+			return Settings{}, trace.Wrap(&UsageError{Problem: err.Error()})
+		}
 	}
 	err := ff.Parse(set, arguments, ff.WithEnvVarPrefix(EnvironmentPrefix))
 	if errors.Is(err, ff.ErrHelp) {
@@ -97,10 +102,28 @@
 	return s, trace.Wrap(s.check())
 }
 
-func build(texts []string) (Settings, error) {
+// text is the value of a flag before it is checked.
+type text struct {
+	value   string
+	boolean bool
+}
+
+// Set implements flag.Value.
+func (t *text) Set(value string) error {
+	t.value = value
+	return nil
+}
+
+// String implements flag.Value.
+func (t *text) String() string { return t.value }
+
+// IsBoolFlag tells the flag set that the flag needs no value.
+func (t *text) IsBoolFlag() bool { return t.boolean }
+
+func build(texts []text) (Settings, error) {
 	var s Settings
 	for i, f := range fields {
-		if err := f.set(&s, f, texts[i]); err != nil {
+		if err := f.set(&s, f, texts[i].value); err != nil {
 			return Settings{}, trace.Wrap(err)
 		}
 	}
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -191,6 +191,7 @@
 	},
 	{
 		flag: "insecure", initial: "false", unit: "", help: "Serve without TLS and trust the operator role header; for trials on loopback only.",
+		boolean: true,
 		set: func(s *Settings, f field, text string) (err error) {
 			s.Insecure, err = parseBool(f, text)
 			return err
--- /dev/null
+++ b/internal/standin/platform/vms.go
@@ -0,0 +1,128 @@
+package platform
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// vms holds the VMs and what the lagging list shows of them.
+type vms struct {
+	lag        time.Duration
+	rebootTime time.Duration
+	current    map[fleet.VMID]*platformv1.VM
+	// pending holds actions under way, by VM.
+	pending map[fleet.VMID]pendingAction
+	// shown holds past lists, oldest first; at least one is old enough to be shown.
+	shown []listed
+}
+
+type pendingAction struct {
+	request *platformv1.ActOnVMRequest
+	done    time.Time
+}
+
+type listed struct {
+	at  time.Time
+	vms []*platformv1.VM
+}
+
+func newVMs(lag, rebootTime time.Duration) *vms {
+	return &vms{
+		lag:        lag,
+		rebootTime: rebootTime,
+		current:    map[fleet.VMID]*platformv1.VM{},
+		pending:    map[fleet.VMID]pendingAction{},
+	}
+}
+
+// put adds or replaces a VM.
+func (v *vms) put(now time.Time, vm *platformv1.VM) {
+	if vm.GetBootId() == "" {
+		vm.BootId = uuid.NewString()
+	}
+	v.current[fleet.VMID(vm.GetId())] = vm
+	v.record(now)
+}
+
+func (v *vms) remove(now time.Time, id fleet.VMID) {
+	delete(v.current, id)
+	v.record(now)
+}
+
+// act starts an action. A repeated operation id is accepted and does nothing.
+func (v *vms) act(now time.Time, r *platformv1.ActOnVMRequest) *platformv1.ActOnVMResponse {
+	v.advance(now)
+	id := fleet.VMID(r.GetVm())
+	vm, ok := v.current[id]
+	if !ok {
+		return &platformv1.ActOnVMResponse{}
+	}
+	if vm.GetLastOperationId() == r.GetOperationId() {
+		return &platformv1.ActOnVMResponse{Accepted: true}
+	}
+	if p, busy := v.pending[id]; busy {
+		return &platformv1.ActOnVMResponse{Accepted: p.request.GetOperationId() == r.GetOperationId()}
+	}
+	vm.State = string(fleet.PlatformVMStateRebooting)
+	v.pending[id] = pendingAction{request: r, done: now.Add(v.rebootTime)}
+	v.record(now)
+	return &platformv1.ActOnVMResponse{Accepted: true}
+}
+
+// advance finishes the actions whose time has come.
+func (v *vms) advance(now time.Time) {
+	for id, p := range v.pending {
+		if now.Before(p.done) {
+			continue
+		}
+		delete(v.pending, id)
+		vm := v.current[id]
+		if vm == nil {
+			continue
+		}
+		vm.State = string(fleet.PlatformVMStateLive)
+		vm.BootId = uuid.NewString()
+		vm.LastOperationId = p.request.GetOperationId()
+		if p.request.GetVersion() != "" {
+			vm.Version = p.request.GetVersion()
+		}
+		v.record(p.done)
+	}
+}
+
+// list returns the newest list that is at least the lag old.
+func (v *vms) list(now time.Time, zones []string) *platformv1.ListVMsResponse {
+	v.advance(now)
+	slices.SortStableFunc(v.shown, func(a, b listed) int { return a.at.Compare(b.at) })
+	limit := now.Add(-v.lag)
+	for len(v.shown) > 1 && !v.shown[1].at.After(limit) {
+		v.shown = v.shown[1:]
+	}
+	response := &platformv1.ListVMsResponse{AsOf: timestamppb.New(limit)}
+	if len(v.shown) == 0 || v.shown[0].at.After(limit) && v.lag > 0 {
+		return response
+	}
+	for _, vm := range v.shown[0].vms {
+		if len(zones) == 0 || slices.Contains(zones, vm.GetZone()) {
+			response.Vms = append(response.Vms, vm)
+		}
+	}
+	return response
+}
+
+func (v *vms) record(at time.Time) {
+	l := listed{at: at}
+	for _, vm := range v.current {
+		l.vms = append(l.vms, proto.CloneOf(vm))
+	}
+	slices.SortFunc(l.vms, func(a, b *platformv1.VM) int { return cmp.Compare(a.GetId(), b.GetId()) })
+	v.shown = append(v.shown, l)
+}
--- a/pkg/api/mimosawharf/config/v1/config_check_gen.go
+++ b/pkg/api/mimosawharf/config/v1/config_check_gen.go
@@ -12,24 +12,30 @@
 		return err
 	}
 	for _, v := range x.GetPools() {
-		if err := v.Check(); err != nil {
-			return check.Within("pools", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("pools", err)
+			}
 		}
 	}
 	if err := check.Items("services", len(x.GetServices()), 4096); err != nil {
 		return err
 	}
 	for _, v := range x.GetServices() {
-		if err := v.Check(); err != nil {
-			return check.Within("services", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("services", err)
+			}
 		}
 	}
 	if err := check.Items("accounts", len(x.GetAccounts()), 16384); err != nil {
 		return err
 	}
 	for _, v := range x.GetAccounts() {
-		if err := v.Check(); err != nil {
-			return check.Within("accounts", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("accounts", err)
+			}
 		}
 	}
 	return nil
@@ -73,8 +79,10 @@
 		return err
 	}
 	for _, v := range x.GetRequestTypes() {
-		if err := v.Check(); err != nil {
-			return check.Within("request-types", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("request-types", err)
+			}
 		}
 	}
 	return nil
@@ -112,8 +120,10 @@
 		return err
 	}
 	for _, v := range x.GetPriorityGrants() {
-		if err := v.Check(); err != nil {
-			return check.Within("priority-grants", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("priority-grants", err)
+			}
 		}
 	}
 	return nil
@@ -141,28 +151,40 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *Change) Check() error {
-	if err := x.GetPutPool().Check(); err != nil {
-		return check.Within("put-pool", err)
+	if m := x.GetPutPool(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("put-pool", err)
+		}
 	}
-	if err := x.GetPutService().Check(); err != nil {
-		return check.Within("put-service", err)
+	if m := x.GetPutService(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("put-service", err)
+		}
 	}
-	if err := x.GetPutAccount().Check(); err != nil {
-		return check.Within("put-account", err)
+	if m := x.GetPutAccount(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("put-account", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ItemRow) Check() error {
-	if err := x.GetPool().Check(); err != nil {
-		return check.Within("pool", err)
+	if m := x.GetPool(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("pool", err)
+		}
 	}
-	if err := x.GetService().Check(); err != nil {
-		return check.Within("service", err)
+	if m := x.GetService(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("service", err)
+		}
 	}
-	if err := x.GetAccount().Check(); err != nil {
-		return check.Within("account", err)
+	if m := x.GetAccount(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("account", err)
+		}
 	}
 	return nil
 }
--- a/pkg/api/mimosawharf/fleet/v1/fleet_check_gen.go
+++ b/pkg/api/mimosawharf/fleet/v1/fleet_check_gen.go
@@ -8,8 +8,10 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *WaveRow) Check() error {
-	if err := x.GetSpec().Check(); err != nil {
-		return check.Within("spec", err)
+	if m := x.GetSpec(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("spec", err)
+		}
 	}
 	return nil
 }
@@ -19,8 +21,10 @@
 	if err := check.Items("pools", len(x.GetPools()), 4096); err != nil {
 		return err
 	}
-	if err := x.GetFilter().Check(); err != nil {
-		return check.Within("filter", err)
+	if m := x.GetFilter(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("filter", err)
+		}
 	}
 	if err := check.OneOf("action", x.GetAction(), "drain", "reboot", "replace", "roll-out"); err != nil {
 		return err
--- a/pkg/api/mimosawharf/operator/v1/operator_check_gen.go
+++ b/pkg/api/mimosawharf/operator/v1/operator_check_gen.go
@@ -22,27 +22,35 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ApplyConfigurationRequest) Check() error {
-	if err := x.GetOperation().Check(); err != nil {
-		return check.Within("operation", err)
+	if m := x.GetOperation(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("operation", err)
+		}
 	}
 	if err := check.Items("changes", len(x.GetChanges()), 16384); err != nil {
 		return err
 	}
 	for _, v := range x.GetChanges() {
-		if err := v.Check(); err != nil {
-			return check.Within("changes", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("changes", err)
+			}
 		}
 	}
-	if err := x.GetReplace().Check(); err != nil {
-		return check.Within("replace", err)
+	if m := x.GetReplace(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("replace", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *GetConfigurationResponse) Check() error {
-	if err := x.GetConfiguration().Check(); err != nil {
-		return check.Within("configuration", err)
+	if m := x.GetConfiguration(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("configuration", err)
+		}
 	}
 	return nil
 }
@@ -66,8 +74,10 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ChangeVMRequest) Check() error {
-	if err := x.GetOperation().Check(); err != nil {
-		return check.Within("operation", err)
+	if m := x.GetOperation(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("operation", err)
+		}
 	}
 	if err := check.Length("vm", len(x.GetVm()), 1, 64); err != nil {
 		return err
@@ -89,8 +99,10 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *CreateWaveRequest) Check() error {
-	if err := x.GetOperation().Check(); err != nil {
-		return check.Within("operation", err)
+	if m := x.GetOperation(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("operation", err)
+		}
 	}
 	if err := check.Length("id", len(x.GetId()), 1, 64); err != nil {
 		return err
@@ -101,24 +113,30 @@
 	if err := check.Required("spec", x.GetSpec() != nil); err != nil {
 		return err
 	}
-	if err := x.GetSpec().Check(); err != nil {
-		return check.Within("spec", err)
+	if m := x.GetSpec(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("spec", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *CreateWaveResponse) Check() error {
-	if err := x.GetWave().Check(); err != nil {
-		return check.Within("wave", err)
+	if m := x.GetWave(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("wave", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ControlWaveRequest) Check() error {
-	if err := x.GetOperation().Check(); err != nil {
-		return check.Within("operation", err)
+	if m := x.GetOperation(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("operation", err)
+		}
 	}
 	if err := check.Length("id", len(x.GetId()), 1, 64); err != nil {
 		return err
@@ -134,8 +152,10 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ControlWaveResponse) Check() error {
-	if err := x.GetWave().Check(); err != nil {
-		return check.Within("wave", err)
+	if m := x.GetWave(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("wave", err)
+		}
 	}
 	return nil
 }
@@ -154,8 +174,10 @@
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *ListWavesResponse) Check() error {
 	for _, v := range x.GetWaves() {
-		if err := v.Check(); err != nil {
-			return check.Within("waves", err)
+		if m := v; m != nil {
+			if err := m.Check(); err != nil {
+				return check.Within("waves", err)
+			}
 		}
 	}
 	return nil
--- a/pkg/api/mimosawharf/peer/v1/peer_check_gen.go
+++ b/pkg/api/mimosawharf/peer/v1/peer_check_gen.go
@@ -8,27 +8,35 @@
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *Frame) Check() error {
-	if err := x.GetForward().Check(); err != nil {
-		return check.Within("forward", err)
+	if m := x.GetForward(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("forward", err)
+		}
 	}
-	if err := x.GetCancel().Check(); err != nil {
-		return check.Within("cancel", err)
+	if m := x.GetCancel(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("cancel", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *Forward) Check() error {
-	if err := x.GetRequest().Check(); err != nil {
-		return check.Within("request", err)
+	if m := x.GetRequest(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("request", err)
+		}
 	}
 	return nil
 }
 
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *Cancel) Check() error {
-	if err := x.GetRequest().Check(); err != nil {
-		return check.Within("request", err)
+	if m := x.GetRequest(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("request", err)
+		}
 	}
 	return nil
 }
--- a/pkg/fleet/vm.go
+++ b/pkg/fleet/vm.go
@@ -77,14 +77,12 @@
 	// GrantID names the grant in the ledger of Pool; it is empty exactly while the VM is not disrupted on purpose.
 	GrantID GrantID
 	Purpose VMPurpose
-	// DrainRevision is the table revision that entries must acknowledge before the VM is drained.
-	// It is the row's own version at the start of the drain, 0 otherwise.
-	DrainRevision TableRevision
 	// Since is when the VM entered its state.
 	Since time.Time
 	// Wave is the wave that disrupts the VM, if any.
 	Wave WaveID
-	// RowVersion is the version at which the row was read; it is not stored in the row.
+	// RowVersion is the version at which the row was read; it is not stored in the row. While the
+	// VM is draining it is the table revision that entries must acknowledge.
 	RowVersion RowVersion
 }
 
