configuration: validate, diff, replace and put whole revisions into force

Cause: a head row and its items can reach an entry in any order, so half a revision could be in force; a table restored from a backup could reuse a revision; a repeated operation with a base revision was refused although it had taken effect; findings did not say what to do.

Excluded: a list of all items in the head row (grows with the number of items); clocks to order items of one revision.

Change: the head row carries a digest over the key, revision and operation of every existing item. A copy puts a revision into force when its own items give that digest, and orders items by revision and operation id. A change starts from the newer of table and entry copy, writes a revision above all known ones and brings a restored table up to date. The audit row is read before the attempt and after the commit. Dry runs return differences per field and warnings. A whole configuration can replace the current one. A pool that holds VMs is not deleted. GetConfiguration leaves out credential hashes; a put without one keeps the stored hash.

Verdicts, go test ./internal/configuration ./internal/operation: without the digest, TestCopyOnlyMovesForward fails; without the order of items, it and TestItemsOfOneRevisionAreOrderedByOperation fail; without restoring, TestApplyBringsRestoredTableUpToDate fails; without the audit read, TestApplyTakesEffectOnce fails. With all of them the tests pass, and -rapid.checks=10000 passes. The property test also found that a copy without a head had items in force; that is fixed here.

Conclusion: the four mechanisms are each needed by a test. A VM that is adopted between the check and the commit of a pool's deletion is not excluded.

--- /dev/null
+++ b/internal/configuration/capacity.go
@@ -0,0 +1,118 @@
+package configuration
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Capacity counts the VMs of a pool. Removed VMs do not count.
+type Capacity struct {
+	VMs       fleet.VMCount
+	Available fleet.VMCount
+	// Slots are those of available VMs.
+	Slots    fleet.Slots
+	Draining fleet.VMCount
+	Failed   fleet.VMCount
+	// Borrowed counts VMs of other pools that are lent to this one, Lent those of this one elsewhere.
+	Borrowed fleet.VMCount
+	Lent     fleet.VMCount
+	zones    map[fleet.ZoneID]zoneCapacity
+}
+
+type zoneCapacity struct {
+	vms, available fleet.VMCount
+}
+
+// Capacities counts the VMs of each pool. Lost holds VMs that are not known to be available.
+func Capacities(vms map[fleet.VMID]fleet.VM, lost map[fleet.VMID]bool) map[fleet.PoolID]Capacity {
+	pools := map[fleet.PoolID]Capacity{}
+	for _, vm := range vms {
+		if vm.State == fleet.VMStateRemoved {
+			continue
+		}
+		c := pools[vm.Pool]
+		c.add(vm, vm.State == fleet.VMStateServing && !lost[vm.ID])
+		pools[vm.Pool] = c
+		if vm.HomePool != "" && vm.HomePool != vm.Pool {
+			home := pools[vm.HomePool]
+			home.Lent++
+			pools[vm.HomePool] = home
+		}
+	}
+	return pools
+}
+
+func (c *Capacity) add(vm fleet.VM, available bool) {
+	if c.zones == nil {
+		c.zones = map[fleet.ZoneID]zoneCapacity{}
+	}
+	zone := c.zones[vm.Zone]
+	c.VMs++
+	zone.vms++
+	if available {
+		c.Available++
+		c.Slots += vm.Slots
+		zone.available++
+	}
+	c.zones[vm.Zone] = zone
+	if vm.IsDisrupted() {
+		c.Draining++
+	}
+	if vm.State == fleet.VMStateFailed {
+		c.Failed++
+	}
+	if vm.HomePool != "" && vm.HomePool != vm.Pool {
+		c.Borrowed++
+	}
+}
+
+// Shortfall is a limit of a budget that does not hold.
+type Shortfall struct {
+	Limit string
+	// Zone is empty for a limit of the whole pool.
+	Zone      fleet.ZoneID
+	Want, Got int
+}
+
+// Shortfalls returns the limits of a budget that the pool does not meet now.
+func (c Capacity) Shortfalls(b fleet.Budget) []Shortfall {
+	var list []Shortfall
+	atLeast := func(limit string, zone fleet.ZoneID, want, got int) {
+		if want > 0 && got < want {
+			list = append(list, Shortfall{Limit: limit, Zone: zone, Want: want, Got: got})
+		}
+	}
+	atMost := func(limit string, zone fleet.ZoneID, want, got int) {
+		if want > 0 && got > want {
+			list = append(list, Shortfall{Limit: limit, Zone: zone, Want: want, Got: got})
+		}
+	}
+	atLeast("min-available-vms", "", int(b.MinAvailableVMs), int(c.Available))
+	atMost("max-unavailable-vms", "", int(b.MaxUnavailableVMs), int(c.VMs-c.Available))
+	atLeast("min-available-slots", "", int(b.MinAvailableSlots), int(c.Slots))
+	for _, id := range slices.Sorted(maps.Keys(c.zones)) {
+		zone := c.zones[id]
+		atMost("max-unavailable-per-zone", id, int(b.MaxUnavailablePerZone), int(zone.vms-zone.available))
+		atLeast("min-available-per-zone", id, int(b.MinAvailablePerZone), int(zone.available))
+	}
+	return list
+}
+
+// Required returns how many VMs the budget asks to be available.
+func (c Capacity) Required(b fleet.Budget) fleet.VMCount {
+	required := b.MinAvailableVMs
+	if b.MaxUnavailableVMs > 0 {
+		required = max(required, c.VMs-b.MaxUnavailableVMs)
+	}
+	var zones fleet.VMCount
+	for _, zone := range c.zones {
+		inZone := b.MinAvailablePerZone
+		if b.MaxUnavailablePerZone > 0 {
+			inZone = max(inZone, zone.vms-b.MaxUnavailablePerZone)
+		}
+		zones += inZone
+	}
+	return max(required, zones)
+}
--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -1,14 +1,11 @@
-// Package configuration decides whether a change of the configuration is accepted, and keeps a copy
-// of the configuration that only moves forward.
+// Package configuration decides whether a change of the configuration is accepted and what it does,
+// and keeps a copy of the configuration that only moves forward.
 package configuration
 
 import (
-	"fmt"
 	"maps"
+	"reflect"
 	"slices"
-	"strings"
-
-	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -24,7 +21,8 @@
 }
 
 // Apply returns a copy of the configuration with the changes made. Changed items and the
-// configuration itself carry the revision.
+// configuration itself carry the revision. An account that is put without a credential keeps the
+// credential that it has.
 func Apply(base fleet.Configuration, changes []Change, revision fleet.ConfigRevision) fleet.Configuration {
 	c := fleet.Configuration{
 		Revision: revision,
@@ -51,6 +49,9 @@
 	case c.PutAccount != nil:
 		a := *c.PutAccount
 		a.Revision = revision
+		if len(a.CredentialHash) == 0 {
+			a.CredentialHash = to.Accounts[a.ID].CredentialHash
+		}
 		to.Accounts[a.ID] = a
 	case c.DeletePool != "":
 		delete(to.Pools, c.DeletePool)
@@ -61,6 +62,9 @@
 	}
 }
 
+// IsEmpty reports whether the change names no item.
+func (c Change) IsEmpty() bool { return c == (Change{}) }
+
 // Subject returns what the change is about, for the audit trail.
 func (c Change) Subject() fleet.AuditSubject {
 	switch {
@@ -79,63 +83,80 @@
 	}
 }
 
-// InvalidError lists what is wrong with a configuration. Nothing was changed.
-type InvalidError struct {
-	Findings []string
-}
-
-// Error implements error.
-func (e *InvalidError) Error() string {
-	return "configuration is invalid: " + strings.Join(e.Findings, "; ")
+// Replace returns the changes that turn one configuration into another, ordered by kind and id.
+// Items that differ in nothing but their revision are left alone.
+func Replace(from, to fleet.Configuration) []Change {
+	return slices.Concat(
+		replaceItems(from.Pools, to.Pools, samePool, func(p fleet.Pool) Change { return Change{PutPool: &p} },
+			func(id fleet.PoolID) Change { return Change{DeletePool: id} }),
+		replaceItems(from.Services, to.Services, sameService, func(s fleet.Service) Change { return Change{PutService: &s} },
+			func(id fleet.ServiceID) Change { return Change{DeleteService: id} }),
+		replaceItems(from.Accounts, to.Accounts, sameAccount, func(a fleet.ClientAccount) Change { return Change{PutAccount: &a} },
+			func(id fleet.ClientAccountID) Change { return Change{DeleteAccount: id} }),
+	)
 }
 
-// Check checks a configuration as a whole and returns *InvalidError.
-func Check(c fleet.Configuration) error {
-	var findings []string
-	for _, id := range slices.Sorted(maps.Keys(c.Pools)) {
-		findings = append(findings, checkPool(c.Pools[id])...)
+// Restore returns the changes that turn an older configuration into a newer one, items included that
+// differ only in their revision. It brings a table that was restored from a backup up to date.
+func Restore(older, newer fleet.Configuration) []Change {
+	never := fleet.Configuration{
+		Pools:    maps.Clone(older.Pools),
+		Services: maps.Clone(older.Services),
+		Accounts: maps.Clone(older.Accounts),
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.Services)) {
-		findings = append(findings, checkService(c, c.Services[id])...)
-	}
-	for _, id := range slices.Sorted(maps.Keys(c.Accounts)) {
-		findings = append(findings, checkAccount(c, c.Accounts[id])...)
-	}
-	if len(findings) > 0 {
-		return trace.Wrap(&InvalidError{Findings: findings})
-	}
-	return nil
+	// An item is taken as absent where its revision differs, so that it is put again.
+	maps.DeleteFunc(never.Pools, func(id fleet.PoolID, p fleet.Pool) bool {
+		return isRewritten(newer.Pools, id, p.Revision, poolRevision)
+	})
+	maps.DeleteFunc(never.Services, func(id fleet.ServiceID, s fleet.Service) bool {
+		return isRewritten(newer.Services, id, s.Revision, serviceRevision)
+	})
+	maps.DeleteFunc(never.Accounts, func(id fleet.ClientAccountID, a fleet.ClientAccount) bool {
+		return isRewritten(newer.Accounts, id, a.Revision, accountRevision)
+	})
+	return Replace(never, newer)
 }
 
-func checkPool(p fleet.Pool) []string {
-	if p.Budget == (fleet.Budget{}) {
-		return []string{fmt.Sprintf("pool %s: budget sets no limit; set min-available-vms or max-unavailable-vms", p.ID)}
-	}
-	return nil
+func poolRevision(p fleet.Pool) fleet.ConfigRevision             { return p.Revision }
+func serviceRevision(s fleet.Service) fleet.ConfigRevision       { return s.Revision }
+func accountRevision(a fleet.ClientAccount) fleet.ConfigRevision { return a.Revision }
+
+func isRewritten[K comparable, V any](newer map[K]V, id K, revision fleet.ConfigRevision, of func(V) fleet.ConfigRevision) bool {
+	v, ok := newer[id]
+	return ok && of(v) != revision
 }
 
-func checkService(c fleet.Configuration, s fleet.Service) []string {
-	var findings []string
-	if _, ok := c.Pools[s.Pool]; !ok {
-		findings = append(findings, fmt.Sprintf("service %s: pool %s does not exist", s.ID, s.Pool))
-	}
-	if len(s.RequestTypes) == 0 {
-		findings = append(findings, fmt.Sprintf("service %s: has no request types", s.ID))
+func replaceItems[K ~string, V any](from, to map[K]V, same func(a, b V) bool, put func(V) Change, remove func(K) Change) []Change {
+	var list []Change
+	for _, id := range slices.Sorted(maps.Keys(to)) {
+		if old, ok := from[id]; !ok || !same(old, to[id]) {
+			list = append(list, put(to[id]))
+		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.RequestTypes)) {
-		if s.RequestTypes[name].Class == fleet.ClassUrgent {
-			findings = append(findings, fmt.Sprintf("service %s: request type %s: class urgent needs a priority grant of an account", s.ID, name))
+	for _, id := range slices.Sorted(maps.Keys(from)) {
+		if _, ok := to[id]; !ok {
+			list = append(list, remove(id))
 		}
 	}
-	return findings
+	return list
 }
 
-func checkAccount(c fleet.Configuration, a fleet.ClientAccount) []string {
-	var findings []string
-	for _, g := range a.PriorityGrants {
-		if _, ok := c.Services[g.Service].RequestTypes[g.RequestType]; !ok {
-			findings = append(findings, fmt.Sprintf("account %s: priority grant names unknown request type %s of service %s", a.ID, g.RequestType, g.Service))
-		}
+func samePool(a, b fleet.Pool) bool {
+	a.Revision = b.Revision
+	return a == b
+}
+
+func sameService(a, b fleet.Service) bool {
+	return a.Pool == b.Pool && maps.Equal(a.RequestTypes, b.RequestTypes)
+}
+
+func sameAccount(a, b fleet.ClientAccount) bool {
+	a.Revision = b.Revision
+	if len(b.CredentialHash) == 0 {
+		b.CredentialHash = a.CredentialHash
+	}
+	if len(a.PriorityGrants)+len(b.PriorityGrants) == 0 {
+		a.PriorityGrants, b.PriorityGrants = nil, nil
 	}
-	return findings
+	return reflect.DeepEqual(a, b)
 }
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -205,7 +205,7 @@
 func (p *Poller) absorbHead(row platform.Row) error {
 	head, err := wire.DecodeHead(row.Value)
 	if err == nil {
-		p.config.Advance(p.Clock.Now(), head.Revision)
+		p.config.Advance(p.Clock.Now(), head)
 	}
 	return trace.Wrap(err)
 }
@@ -213,7 +213,7 @@
 func (p *Poller) absorbItem(row platform.Row) error {
 	item, err := wire.DecodeItem(row.Value)
 	if err == nil {
-		p.config.Absorb(row.Key, configuration.Item{Pool: item.Pool, Service: item.Service, Account: item.Account, Revision: item.Revision})
+		p.config.Absorb(p.Clock.Now(), row.Key, item)
 	}
 	return trace.Wrap(err)
 }
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
@@ -17,15 +20,20 @@
 type ApplyConfig struct {
 	Identity Identity
 	Changes  []configuration.Change
+	// Replace is the whole new configuration. When it is set, Changes is empty.
+	Replace *fleet.Configuration
 	// Base is the revision that the changes were made against; 0 accepts any.
 	Base   fleet.ConfigRevision
 	DryRun bool
 	Reply  *ring.Ring[Result[Applied]]
 }
 
-// Applied is the result of a change of the configuration.
+// Applied is the result of a change of the configuration. The differences and warnings of an
+// operation that had taken effect before are not known any more.
 type Applied struct {
-	Revision fleet.ConfigRevision
+	Revision    fleet.ConfigRevision
+	Differences []configuration.Difference
+	Warnings    []string
 }
 
 // RevisionError reports changes that were made against another revision. Nothing was changed.
@@ -46,92 +54,236 @@
 }
 
 func (o ApplyConfig) attempt(ctx context.Context, x *Executor) (Applied, error) {
-	current, headVersion, err := x.readConfiguration(ctx)
-	if err != nil {
+	if before, ok, err := o.appliedBefore(ctx, x); err != nil || ok {
+		return before, trace.Wrap(err)
+	}
+	p, err := o.plan(ctx, x)
+	if err != nil || o.DryRun {
+		return p.applied, trace.Wrap(err)
+	}
+	if _, err := x.Table.Commit(ctx, o.transaction(x, p)); err != nil {
 		return Applied{}, trace.Wrap(err)
 	}
+	// The same operation may have taken effect at another entry, under another revision.
+	committed, found, err := o.appliedBefore(ctx, x)
+	if found {
+		p.applied.Revision = committed.Revision
+	}
+	return p.applied, trace.Wrap(err)
+}
+
+// appliedBefore reads the audit row of the operation and returns the revision that it wrote.
+func (o ApplyConfig) appliedBefore(ctx context.Context, x *Executor) (Applied, bool, error) {
+	rows, err := x.Table.Read(ctx, wire.KeyAudit(o.Identity.ID))
+	if err != nil || !rows[0].Exists() {
+		return Applied{}, false, trace.Wrap(err)
+	}
+	audit, err := wire.DecodeAudit(rows[0].Value)
+	if err != nil {
+		return Applied{}, false, trace.Wrap(err)
+	}
+	revision, err := strconv.ParseUint(audit.To, 10, 64)
+	if audit.Action != fleet.AuditActionConfigApply || err != nil {
+		return Applied{}, false, trace.Wrap(&IDUsedError{ID: o.Identity.ID, Action: audit.Action})
+	}
+	return Applied{Revision: fleet.ConfigRevision(revision)}, true, nil
+}
+
+// IDUsedError reports an operation id that another operation has used. Nothing was changed.
+type IDUsedError struct {
+	ID     fleet.OperationID
+	Action fleet.AuditAction
+}
+
+// Error implements error.
+func (e *IDUsedError) Error() string {
+	return fmt.Sprintf("operation id %s was used for %s: choose a new one", e.ID, e.Action)
+}
+
+// configPlan is what a change of the configuration writes.
+type configPlan struct {
+	applied     Applied
+	subjects    []fleet.AuditSubject
+	written     map[fleet.TableKey]configuration.Item
+	head        configuration.Head
+	headVersion fleet.RowVersion
+	current     fleet.ConfigRevision
+}
+
+func (o ApplyConfig) plan(ctx context.Context, x *Executor) (configPlan, error) {
+	stored, headVersion, err := x.readConfiguration(ctx)
+	if err != nil {
+		return configPlan{}, trace.Wrap(err)
+	}
+	capacities, err := x.capacities(ctx)
+	if err != nil {
+		return configPlan{}, trace.Wrap(err)
+	}
+	inTable, _ := stored.Latest()
+	current, revision := x.newest(inTable)
 	if o.Base != 0 && o.Base != current.Revision {
-		return Applied{}, trace.Wrap(&RevisionError{Base: o.Base, Current: current.Revision})
+		return configPlan{}, trace.Wrap(&RevisionError{Base: o.Base, Current: current.Revision})
 	}
-	// A restored table may hold an older revision than the entries have in force.
-	revision := current.Revision + 1
-	if view := x.View.Get(); view != nil {
-		revision = max(revision, view.Configuration.Revision+1)
+	changes := o.Changes
+	if o.Replace != nil {
+		changes = configuration.Replace(current, *o.Replace)
+	}
+	if err := configuration.CheckChanges(current, changes, capacities); err != nil {
+		return configPlan{}, trace.Wrap(err)
 	}
-	next := configuration.Apply(current, o.Changes, revision)
+	next := configuration.Apply(current, changes, revision)
 	if err := configuration.Check(next); err != nil {
-		return Applied{}, trace.Wrap(err)
+		return configPlan{}, trace.Wrap(err)
+	}
+	p := configPlan{
+		headVersion: headVersion,
+		current:     current.Revision,
+		applied: Applied{
+			Revision: revision, Differences: configuration.Diff(current, next), Warnings: configuration.Warnings(current, next, capacities),
+		},
+		written: map[fleet.TableKey]configuration.Item{},
 	}
-	if o.DryRun {
-		return Applied{Revision: revision}, nil
+	for _, c := range append(restoring(inTable, current), changes...) {
+		p.subjects = append(p.subjects, c.Subject())
+		key, item := itemOf(c, next)
+		item.Revision, item.OperationID = revision, o.Identity.ID
+		p.written[key] = item
 	}
-	_, err = x.Table.Commit(ctx, o.transaction(x, revision, headVersion))
-	return Applied{Revision: revision}, trace.Wrap(err)
+	p.head = configuration.Head{Revision: revision, OperationID: o.Identity.ID, Digest: stored.DigestWith(p.written)}
+	return p, nil
 }
 
-func (o ApplyConfig) transaction(x *Executor, revision fleet.ConfigRevision, headVersion fleet.RowVersion) platform.Transaction {
+// newest returns the configuration that a change starts from and the revision that it writes. A table
+// that was restored from a backup holds an older revision than the entries have in force, and then
+// the entry's own copy is the current one.
+func (x *Executor) newest(inTable fleet.Configuration) (fleet.Configuration, fleet.ConfigRevision) {
+	view := x.View.Get()
+	if view == nil {
+		return inTable, inTable.Revision + 1
+	}
+	current := inTable
+	if view.Configuration.Revision > inTable.Revision {
+		current = view.Configuration
+	}
+	highest := current.Revision
+	for _, e := range view.Entries {
+		highest = max(highest, e.ConfigRevision)
+	}
+	return current, highest + 1
+}
+
+// restoring returns the changes that bring a restored table up to the current configuration.
+func restoring(inTable, current fleet.Configuration) []configuration.Change {
+	if current.Revision <= inTable.Revision {
+		return nil
+	}
+	return configuration.Restore(inTable, current)
+}
+
+func (o ApplyConfig) transaction(x *Executor, p configPlan) platform.Transaction {
 	t := platform.Transaction{
-		Audit:         x.audit(o.Identity, fleet.AuditActionConfigApply),
-		Preconditions: []platform.Precondition{{Key: wire.KeyHead, Version: headVersion}},
-		Puts:          []platform.Put{{Key: wire.KeyHead, Value: wire.EncodeHead(wire.Head{Revision: revision, OperationID: o.Identity.ID})}},
+		Audit:         x.audit(o.Identity, fleet.AuditActionConfigApply, p.subjects...),
+		Preconditions: []platform.Precondition{{Key: wire.KeyHead, Version: p.headVersion}},
+		Puts:          []platform.Put{{Key: wire.KeyHead, Value: wire.EncodeHead(p.head)}},
 	}
-	t.Audit.From, t.Audit.To = fmt.Sprint(revision-1), fmt.Sprint(revision)
-	for _, c := range o.Changes {
-		t.Audit.Subjects = append(t.Audit.Subjects, c.Subject())
-		t.Puts = append(t.Puts, putOf(c, revision))
+	t.Audit.From, t.Audit.To = fmt.Sprint(p.current), fmt.Sprint(p.head.Revision)
+	for _, key := range slices.Sorted(maps.Keys(p.written)) {
+		t.Puts = append(t.Puts, platform.Put{Key: key, Value: wire.EncodeItem(p.written[key])})
 	}
 	return t
 }
 
-func putOf(c configuration.Change, revision fleet.ConfigRevision) platform.Put {
-	item := wire.Item{Revision: revision, Pool: c.PutPool, Service: c.PutService, Account: c.PutAccount}
-	key := fleet.TableKey("")
+// itemOf returns the item that a change leaves behind; it is a tombstone when the item is deleted.
+func itemOf(c configuration.Change, next fleet.Configuration) (fleet.TableKey, configuration.Item) {
+	var item configuration.Item
 	switch {
-	case c.PutPool != nil:
-		key = wire.KeyPool(c.PutPool.ID)
-	case c.PutService != nil:
-		key = wire.KeyService(c.PutService.ID)
-	case c.PutAccount != nil:
-		key = wire.KeyAccount(c.PutAccount.ID)
-	case c.DeletePool != "":
-		key = wire.KeyPool(c.DeletePool)
-	case c.DeleteService != "":
-		key = wire.KeyService(c.DeleteService)
+	case c.PutPool != nil || c.DeletePool != "":
+		id := c.DeletePool
+		if c.PutPool != nil {
+			id = c.PutPool.ID
+		}
+		if p, ok := next.Pools[id]; ok {
+			item.Pool = &p
+		}
+		return wire.KeyPool(id), item
+	case c.PutService != nil || c.DeleteService != "":
+		id := c.DeleteService
+		if c.PutService != nil {
+			id = c.PutService.ID
+		}
+		if s, ok := next.Services[id]; ok {
+			item.Service = &s
+		}
+		return wire.KeyService(id), item
 	default:
-		key = wire.KeyAccount(c.DeleteAccount)
+		id := c.DeleteAccount
+		if c.PutAccount != nil {
+			id = c.PutAccount.ID
+		}
+		if a, ok := next.Accounts[id]; ok {
+			item.Account = &a
+		}
+		return wire.KeyAccount(id), item
 	}
-	return platform.Put{Key: key, Value: wire.EncodeItem(item)}
 }
 
 // readConfiguration reads the whole configuration and the version of its head row.
-func (x *Executor) readConfiguration(ctx context.Context) (fleet.Configuration, fleet.RowVersion, error) {
-	var c configuration.Copy
+func (x *Executor) readConfiguration(ctx context.Context) (*configuration.Copy, fleet.RowVersion, error) {
+	c := &configuration.Copy{}
 	var headVersion fleet.RowVersion
+	err := x.eachRow(ctx, wire.PrefixConfig, func(row platform.Row) error {
+		if row.Key != wire.KeyHead {
+			item, err := wire.DecodeItem(row.Value)
+			if err == nil {
+				c.Absorb(x.Clock.Now(), row.Key, item)
+			}
+			return trace.Wrap(err)
+		}
+		head, err := wire.DecodeHead(row.Value)
+		if err == nil {
+			headVersion = row.Version
+			c.Advance(x.Clock.Now(), head)
+		}
+		return trace.Wrap(err)
+	})
+	return c, headVersion, trace.Wrap(err)
+}
+
+// capacities reads all VMs and counts them by pool.
+func (x *Executor) capacities(ctx context.Context) (map[fleet.PoolID]configuration.Capacity, error) {
+	vms := map[fleet.VMID]fleet.VM{}
+	err := x.eachRow(ctx, wire.PrefixVM, func(row platform.Row) error {
+		vm, err := wire.DecodeVM(row.Value)
+		if err == nil && !row.Deleted {
+			vms[vm.ID] = vm
+		}
+		return trace.Wrap(err)
+	})
+	lost := map[fleet.VMID]bool{}
+	if view := x.View.Get(); view != nil {
+		lost = view.Leaving
+	}
+	return configuration.Capacities(vms, lost), trace.Wrap(err)
+}
+
+// rowsPerRead bounds the rows of one read.
+const rowsPerRead = 2000
+
+// eachRow passes all rows under a prefix to a function.
+func (x *Executor) eachRow(ctx context.Context, prefix fleet.TableKey, take func(platform.Row) error) error {
 	after := fleet.TableRevision(0)
 	for {
-		changes, err := x.Table.Changes(ctx, after, 0, wire.PrefixConfig)
+		changes, err := x.Table.Changes(ctx, after, rowsPerRead, prefix)
 		if err != nil {
-			return fleet.Configuration{}, 0, trace.Wrap(err)
+			return trace.Wrap(err)
 		}
 		for _, row := range changes.Rows {
-			if row.Key != wire.KeyHead {
-				item, err := wire.DecodeItem(row.Value)
-				if err != nil {
-					return fleet.Configuration{}, 0, trace.Wrap(err)
-				}
-				c.Absorb(row.Key, configuration.Item{Pool: item.Pool, Service: item.Service, Account: item.Account, Revision: item.Revision})
-				continue
-			}
-			head, err := wire.DecodeHead(row.Value)
-			if err != nil {
-				return fleet.Configuration{}, 0, trace.Wrap(err)
+			if err := take(row); err != nil {
+				return trace.Wrap(err)
 			}
-			headVersion = row.Version
-			c.Advance(x.Clock.Now(), head.Revision)
 		}
-		after = changes.Revision
-		if !changes.More {
-			return c.Build(), headVersion, nil
+		if after = changes.Revision; !changes.More {
+			return nil
 		}
 	}
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -46,34 +46,6 @@
 	return operatorv1connect.NewOperatorServiceHandler(h, connect.WithReadMaxBytes(maxMessage))
 }
 
-// ApplyConfiguration implements the operator service.
-func (h *Handler) ApplyConfiguration(ctx context.Context, r *connect.Request[operatorv1.ApplyConfigurationRequest]) (*connect.Response[operatorv1.ApplyConfigurationResponse], error) {
-	if err := r.Msg.Check(); err != nil {
-		return nil, toConnect(err)
-	}
-	o := operation.ApplyConfig{
-		Identity: identity(r.Header(), r.Msg.GetOperation()),
-		Base:     fleet.ConfigRevision(r.Msg.GetBaseRevision()),
-		DryRun:   r.Msg.GetDryRun(),
-		Reply:    ring.New[operation.Result[operation.Applied]]("operator-apply", 1),
-	}
-	for _, c := range r.Msg.GetChanges() {
-		o.Changes = append(o.Changes, wire.FromChange(c))
-	}
-	applied, err := run(ctx, h.Inbox, o, o.Reply)
-	if err != nil {
-		return nil, toConnect(err)
-	}
-	return connect.NewResponse(&operatorv1.ApplyConfigurationResponse{Revision: uint64(applied.Revision)}), nil
-}
-
-// GetConfiguration implements the operator service.
-func (h *Handler) GetConfiguration(context.Context, *connect.Request[operatorv1.GetConfigurationRequest]) (*connect.Response[operatorv1.GetConfigurationResponse], error) {
-	return connect.NewResponse(&operatorv1.GetConfigurationResponse{
-		Configuration: wire.Configuration(h.view().Configuration),
-	}), nil
-}
-
 // ListVMs implements the operator service.
 func (h *Handler) ListVMs(_ context.Context, r *connect.Request[operatorv1.ListVMsRequest]) (*connect.Response[operatorv1.ListVMsResponse], error) {
 	if err := r.Msg.Check(); err != nil {
@@ -147,6 +119,7 @@
 		notFound    *operation.NotFoundError
 		state       *operation.InvalidStateError
 		revision    *operation.RevisionError
+		used        *operation.IDUsedError
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
 	)
@@ -158,6 +131,8 @@
 		code = connect.CodeNotFound
 	case errors.As(err, &exceeded), errors.As(err, &state), errors.As(err, &revision):
 		code = connect.CodeFailedPrecondition
+	case errors.As(err, &used):
+		code = connect.CodeAlreadyExists
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
 	case errors.As(err, &unavailable):
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/check"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -162,3 +163,37 @@
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
+
+// CheckUnique returns *check.FieldError when a configuration names an item twice, because then one
+// of the two would be lost without a word.
+func CheckUnique(m *configv1.Configuration) error {
+	if err := checkUnique("replace.pools", m.GetPools(), (*configv1.Pool).GetId); err != nil {
+		return err
+	}
+	if err := checkUnique("replace.services", m.GetServices(), (*configv1.Service).GetId); err != nil {
+		return err
+	}
+	for _, service := range m.GetServices() {
+		if err := CheckRequestTypes(service); err != nil {
+			return err
+		}
+	}
+	return checkUnique("replace.accounts", m.GetAccounts(), (*configv1.ClientAccount).GetId)
+}
+
+// CheckRequestTypes returns *check.FieldError when a service names a request type twice.
+func CheckRequestTypes(m *configv1.Service) error {
+	return checkUnique("service "+m.GetId()+": request-types", m.GetRequestTypes(), (*configv1.RequestType).GetName)
+}
+
+func checkUnique[T any](field string, items []T, idOf func(T) string) error {
+	seen := map[string]bool{}
+	for _, i := range items {
+		id := idOf(i)
+		if seen[id] {
+			return &check.FieldError{Field: field, Bound: "each item once, not " + id + " twice"}
+		}
+		seen[id] = true
+	}
+	return nil
+}
--- a/internal/wire/rows.go
+++ b/internal/wire/rows.go
@@ -1,41 +1,33 @@
 package wire
 
 import (
+	"github.com/mimosawharf/mimosawharf/internal/configuration"
 	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
 	fleetv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/fleet/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Head is the row that holds the configuration's revision.
-type Head struct {
-	Revision    fleet.ConfigRevision
-	OperationID fleet.OperationID
-}
-
 // EncodeHead returns the bytes of the head row.
-func EncodeHead(h Head) []byte {
-	return encode(&configv1.HeadRow{Revision: uint64(h.Revision), OperationId: string(h.OperationID)})
+func EncodeHead(h configuration.Head) []byte {
+	return encode(&configv1.HeadRow{
+		Revision: uint64(h.Revision), OperationId: string(h.OperationID), ItemsDigest: uint64(h.Digest),
+	})
 }
 
 // DecodeHead returns the head row, or *DecodeError.
-func DecodeHead(data []byte) (Head, error) {
+func DecodeHead(data []byte) (configuration.Head, error) {
 	var m configv1.HeadRow
 	err := decode(data, &m)
-	return Head{Revision: fleet.ConfigRevision(m.GetRevision()), OperationID: fleet.OperationID(m.GetOperationId())}, err
-}
-
-// Item is one configuration item as a row. At most one of Pool, Service and Account is set;
-// none is set for a deleted item.
-type Item struct {
-	Revision fleet.ConfigRevision
-	Pool     *fleet.Pool
-	Service  *fleet.Service
-	Account  *fleet.ClientAccount
+	return configuration.Head{
+		Revision:    fleet.ConfigRevision(m.GetRevision()),
+		OperationID: fleet.OperationID(m.GetOperationId()),
+		Digest:      fleet.Digest(m.GetItemsDigest()),
+	}, err
 }
 
 // EncodeItem returns the bytes of a configuration item. An item without a value is a tombstone.
-func EncodeItem(i Item) []byte {
-	m := &configv1.ItemRow{Revision: uint64(i.Revision)}
+func EncodeItem(i configuration.Item) []byte {
+	m := &configv1.ItemRow{Revision: uint64(i.Revision), OperationId: string(i.OperationID)}
 	switch {
 	case i.Pool != nil:
 		m.Item = &configv1.ItemRow_Pool{Pool: Pool(*i.Pool)}
@@ -50,12 +42,12 @@
 }
 
 // DecodeItem returns a configuration item, or *DecodeError.
-func DecodeItem(data []byte) (Item, error) {
+func DecodeItem(data []byte) (configuration.Item, error) {
 	var m configv1.ItemRow
 	if err := decode(data, &m); err != nil {
-		return Item{}, err
+		return configuration.Item{}, err
 	}
-	i := Item{Revision: fleet.ConfigRevision(m.GetRevision())}
+	i := configuration.Item{Revision: fleet.ConfigRevision(m.GetRevision()), OperationID: fleet.OperationID(m.GetOperationId())}
 	switch v := m.GetItem().(type) {
 	case *configv1.ItemRow_Pool:
 		p := FromPool(v.Pool)
--- a/pkg/api/mimosawharf/config/v1/config_check_gen.go
+++ b/pkg/api/mimosawharf/config/v1/config_check_gen.go
@@ -166,6 +166,24 @@
 			return check.Within("put-account", err)
 		}
 	}
+	if err := check.Length("delete-pool", len(x.GetDeletePool()), 0, 64); err != nil {
+		return err
+	}
+	if err := check.Identifier("delete-pool", x.GetDeletePool()); err != nil {
+		return err
+	}
+	if err := check.Length("delete-service", len(x.GetDeleteService()), 0, 64); err != nil {
+		return err
+	}
+	if err := check.Identifier("delete-service", x.GetDeleteService()); err != nil {
+		return err
+	}
+	if err := check.Length("delete-account", len(x.GetDeleteAccount()), 0, 64); err != nil {
+		return err
+	}
+	if err := check.Identifier("delete-account", x.GetDeleteAccount()); err != nil {
+		return err
+	}
 	return nil
 }
 
