operator: serve status and audit trail

Cause: GetStatus and ListAudit were declared but not served.

Excluded: reading the whole trail and sorting it (its length has no bound); a second index by time (one more row per change).

Change: the status is judged from the published view: capacity against budget, entries with their revision and since when, leases, waves, services, and problems with the next step. Loads of the dispatcher come through an interface that may be nil. The audit trail is read backwards in windows of table revisions, which double while they hold few rows; a page names the revision to continue with, and one call reads at most about 24 times.

Verdicts, go test -race ./internal/operation: pages of 1, 7 and 10000 rows over 500 rows and five filters hold each row once, newest first; the first page of 20 rows out of 5000 takes at most 6 reads.

Conclusion: queue depths and ejected endpoints stay 0 until the dispatcher publishes them.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -185,7 +185,10 @@
 	callers := &caller.Handler{
 		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
 	}
-	operators := &operator.Handler{Inbox: d.operations, View: &d.view}
+	operators := &operator.Handler{
+		Inbox: d.operations, View: &d.view, Clock: d.Clock,
+		Bounds: operation.StatusBounds{StoreMaxAge: missedPolls*s.PollInterval + s.PlatformTimeout, ListMaxAge: s.VMListMaxAge},
+	}
 	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
 		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout},
@@ -194,6 +197,9 @@
 	}
 }
 
+// missedPolls is how many polls of the table may fail before the status calls it unreachable.
+const missedPolls = 3
+
 // mount serves a handler under its path, behind the common middleware.
 func mount(path string, handler http.Handler) http.Handler {
 	mux := http.NewServeMux()
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -36,6 +36,10 @@
 	// The fields are set before the first request.
 	Inbox Inbox
 	View  *ring.Latest[*fleet.View]
+	Clock Now
+	// Loads may be nil; then the status shows no queues.
+	Loads  Loads
+	Bounds operation.StatusBounds
 }
 
 // maxMessage bounds a message of an operator; a whole configuration fits.
