command: cover all operations of the operator service

Cause: the command line had put commands, vm and submit only; flags after operands were taken as operands; errors did not name the next step; a flag of one command was read from the daemon's environment.

Excluded: the parser of the flag set for the order of flags (it ends flags at the first operand and takes "--name=" as a flag without a value); a second parser library.

Change: commands for pools, services, accounts, VMs, budgets, waves, the whole configuration, audit trail, status, cancellation, completion and version. Each command is a value with its bounds, help and example. A change gets its operation id in the command line, so that an error whose effect is not known names it. Edits commit against the revision they read. Only common flags are read from the environment. submit ends with 1, 3 or 4 when the work failed, did not run or may have run. Certificates and authorities come from files. Budgets and quotas have bounds in the schema.

Verdicts, go test -race ./internal/command: exit codes and one-line errors of 18 cases, flags before and after operands, 41 commands with an example and completion. By hand on loopback against an entry, three endpoints and the platform: pool put to config apply, audit list, submit and status gave the documented codes; the bash script completed "vm dr" to "drain". The zsh script was not run: the machine has no zsh.

Conclusion: wave commands answer "update the entry" until the entry serves waves.

--- /dev/null
+++ b/internal/command/client.go
@@ -0,0 +1,35 @@
+package command
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/caller/v1/callerv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/client"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// operatorTimeout bounds one operation.
+const operatorTimeout = 30 * time.Second
+
+// operator returns the client for operators. It returns *client.TLSError.
+func (c *cli) operator() (operatorv1connect.OperatorServiceClient, error) {
+	http, err := client.NewHTTP(c.files, operatorTimeout)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.target = "--server " + c.server
+	return client.NewOperator(c.server, client.OperatorOptions{Name: fleet.OperatorName(c.name), HTTP: http}), nil
+}
+
+// callerClient returns the client for callers. The timeout bounds one call. It returns *client.TLSError.
+func (c *cli) callerClient(account, secret string, timeout time.Duration) (callerv1connect.CallerServiceClient, error) {
+	http, err := client.NewHTTP(client.TLSFiles{Authority: c.callerAuthority}, timeout)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	c.target = "--caller-server " + c.caller
+	return client.NewCaller(c.caller, client.CallerOptions{Account: fleet.ClientAccountID(account), Secret: secret, HTTP: http}), nil
+}
--- /dev/null
+++ b/internal/command/item.go
@@ -0,0 +1,191 @@
+package command
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v4"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
+	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// configChange holds the flags of commands that change the configuration.
+type configChange struct {
+	change
+	dryRun *bool
+}
+
+func (c *cli) configFlags(set *ff.FlagSet) configChange {
+	return configChange{change: changeFlags(set), dryRun: set.BoolLong("dry-run", "Show the effect and change nothing.")}
+}
+
+// configuration returns the configuration in force at the entry.
+func (c *cli) configuration(ctx context.Context) (*configv1.Configuration, error) {
+	operator, err := c.operator()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response, err := operator.GetConfiguration(ctx, connect.NewRequest(&operatorv1.GetConfigurationRequest{}))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return response.Msg.GetConfiguration(), nil
+}
+
+// apply commits a change of the configuration, or shows its effect, and prints the response.
+func (c *cli) apply(ctx context.Context, how configChange, m *operatorv1.ApplyConfigurationRequest) error {
+	operator, err := c.operator()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	m.Operation, m.DryRun = how.operation(), *how.dryRun
+	response, err := operator.ApplyConfiguration(ctx, connect.NewRequest(m))
+	if err != nil {
+		return trace.Wrap(failedChange(m.GetOperation(), err))
+	}
+	return c.print(response.Msg, func(w *tabwriter.Writer) { writeApplied(w, response.Msg, m.GetDryRun()) })
+}
+
+func (c *cli) applyOne(ctx context.Context, how configChange, change *configv1.Change) error {
+	return c.apply(ctx, how, &operatorv1.ApplyConfigurationRequest{Changes: []*configv1.Change{change}})
+}
+
+func writeApplied(w *tabwriter.Writer, m *operatorv1.ApplyConfigurationResponse, dryRun bool) {
+	for _, d := range m.GetDifferences() {
+		from, to := d.GetFrom(), d.GetTo()
+		if from == "" {
+			from = "-"
+		}
+		if to == "" {
+			to = "-"
+		}
+		line(w, d.GetItem(), d.GetField(), from+" -> "+to)
+	}
+	for _, warning := range m.GetWarnings() {
+		_, _ = fmt.Fprintln(w, "warning:", warning)
+	}
+	if dryRun {
+		_, _ = fmt.Fprintf(w, "dry run: nothing was changed; the change would become revision %d\n", m.GetRevision())
+		return
+	}
+	_, _ = fmt.Fprintf(w, "configuration revision %d accepted\n", m.GetRevision())
+}
+
+// Retries of an edit that was made against an old revision. The entry learns of a change that was made
+// elsewhere within about a second.
+const (
+	editAttempts = 5
+	editPause    = 400 * time.Millisecond
+)
+
+// edit reads the configuration, makes a change of it and commits it against the revision that was read.
+func (c *cli) edit(ctx context.Context, how configChange, edit func(*configv1.Configuration) (*configv1.Change, error)) error {
+	var err error
+	for range editAttempts {
+		current, readErr := c.configuration(ctx)
+		if readErr != nil {
+			return trace.Wrap(readErr)
+		}
+		change, editErr := edit(current)
+		if editErr != nil {
+			return trace.Wrap(editErr)
+		}
+		err = c.apply(ctx, how, &operatorv1.ApplyConfigurationRequest{
+			Changes: []*configv1.Change{change}, BaseRevision: current.GetRevision(),
+		})
+		if connect.CodeOf(err) != connect.CodeFailedPrecondition {
+			return trace.Wrap(err)
+		}
+		if waitErr := clock.Wait(ctx, c.clock, editPause); waitErr != nil {
+			return trace.Wrap(waitErr)
+		}
+	}
+	return trace.Wrap(err)
+}
+
+// failedChange names the operation of a change that failed, unless the failure is of another kind.
+func failedChange(operation *operatorv1.Operation, err error) error {
+	var failed *connect.Error
+	if !errors.As(err, &failed) {
+		return err
+	}
+	return &OperationError{ID: fleet.OperationID(operation.GetId()), Cause: failed}
+}
+
+func missing(kind, id string) error {
+	return &OutcomeError{Code: ExitRefused, Problem: fmt.Sprintf("%s %s does not exist: mimosawharf %s list shows what does", kind, id, kind)}
+}
+
+// find returns the item of an id.
+func find[T any](items []T, id func(T) string, wanted string) (T, bool) {
+	var zero T
+	i := slices.IndexFunc(items, func(item T) bool { return id(item) == wanted })
+	if i < 0 {
+		return zero, false
+	}
+	return items[i], true
+}
+
+// kind describes one kind of configuration items to the commands that list and show them.
+type kind[T proto.Message] struct {
+	name  string
+	items func(*configv1.Configuration) []T
+	id    func(T) string
+	write func(*tabwriter.Writer, []T)
+	// only returns a configuration with nothing but the items.
+	only func([]T) *configv1.Configuration
+	// remove returns the change that deletes an item.
+	remove func(id string) *configv1.Change
+}
+
+// leaves returns the commands list, show and delete.
+func leaves[T proto.Message](c *cli, parent *ff.FlagSet, k kind[T]) []leaf {
+	set := ff.NewFlagSet("delete").SetParent(parent)
+	how := c.configFlags(set)
+	return []leaf{
+		{
+			path: k.name + " list", help: "list all items of the kind " + k.name, example: k.name + " list --output json",
+			flags: ff.NewFlagSet("list").SetParent(parent),
+			run: func(ctx context.Context, _ []string) error {
+				current, err := c.configuration(ctx)
+				if err != nil {
+					return trace.Wrap(err)
+				}
+				items := k.items(current)
+				return c.print(k.only(items), func(w *tabwriter.Writer) { k.write(w, items) })
+			},
+		},
+		{
+			path: k.name + " show", operands: "<" + k.name + ">", least: 1, most: 1, help: "show one " + k.name, example: k.name + " show storm-desk",
+			flags: ff.NewFlagSet("show").SetParent(parent),
+			run: func(ctx context.Context, operands []string) error {
+				current, err := c.configuration(ctx)
+				if err != nil {
+					return trace.Wrap(err)
+				}
+				item, ok := find(k.items(current), k.id, operands[0])
+				if !ok {
+					return trace.Wrap(missing(k.name, operands[0]))
+				}
+				return c.print(item, func(w *tabwriter.Writer) { k.write(w, []T{item}) })
+			},
+		},
+		{
+			path: k.name + " delete", operands: "<" + k.name + ">", least: 1, most: 1, help: "delete one " + k.name, flags: set,
+			example: k.name + " delete --dry-run storm-desk",
+			run: func(ctx context.Context, operands []string) error {
+				return c.applyOne(ctx, how, k.remove(operands[0]))
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/pool.go
@@ -0,0 +1,112 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v4"
+
+	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
+)
+
+// budgetFlags are the limits of an availability budget.
+type budgetFlags struct {
+	set                                                                          *ff.FlagSet
+	minAvailable, maxUnavailable, minSlots, maxUnavailableZone, minAvailableZone *uint
+}
+
+func newBudgetFlags(set *ff.FlagSet) budgetFlags {
+	return budgetFlags{
+		set:                set,
+		minAvailable:       set.UintLong("min-available-vms", 0, "VMs that must stay available; 0 for no limit."),
+		maxUnavailable:     set.UintLong("max-unavailable-vms", 0, "VMs that may be unavailable at the same time; 0 for no limit."),
+		minSlots:           set.UintLong("min-available-slots", 0, "Slots that must stay available; 0 for no limit."),
+		maxUnavailableZone: set.UintLong("max-unavailable-per-zone", 0, "VMs of a zone that may be unavailable; 0 for no limit."),
+		minAvailableZone:   set.UintLong("min-available-per-zone", 0, "VMs of a zone that must stay available; 0 for no limit."),
+	}
+}
+
+// change sets the limits that were named on the command line and leaves the others alone.
+func (b budgetFlags) change(m *configv1.Budget) {
+	for name, one := range map[string]struct {
+		from *uint
+		to   *uint32
+	}{
+		"min-available-vms":        {b.minAvailable, &m.MinAvailableVms},
+		"max-unavailable-vms":      {b.maxUnavailable, &m.MaxUnavailableVms},
+		"min-available-slots":      {b.minSlots, &m.MinAvailableSlots},
+		"max-unavailable-per-zone": {b.maxUnavailableZone, &m.MaxUnavailablePerZone},
+		"min-available-per-zone":   {b.minAvailableZone, &m.MinAvailablePerZone},
+	} {
+		if f, ok := b.set.GetFlag(name); ok && f.IsSet() {
+			*one.to = saturated(*one.from)
+		}
+	}
+}
+
+func (c *cli) poolCommands(parent *ff.FlagSet) *ff.Command {
+	putSet := ff.NewFlagSet("put").SetParent(parent)
+	limits, how := newBudgetFlags(putSet), c.configFlags(putSet)
+	spare := putSet.BoolLong("spare", "Lend VMs of the pool to other pools.")
+	target := putSet.UintLong("target-vms", 0, "VMs that the pool holds when nothing is lent or borrowed.")
+	most := putSet.UintLong("max-vms", 0, "Most VMs of the pool, borrowed ones included; 0 for no bound.")
+	put := leaf{
+		path: "pool put", operands: "<pool>", least: 1, most: 1, help: "create a pool or replace its settings", flags: putSet,
+		example: "pool put --max-unavailable-vms 1 --reason 'new desk' rota",
+		run: func(ctx context.Context, operands []string) error {
+			pool := &configv1.Pool{Id: operands[0], Spare: *spare, TargetVms: saturated(*target), MaxVms: saturated(*most), Budget: &configv1.Budget{}}
+			limits.change(pool.Budget)
+			return c.applyOne(ctx, how, &configv1.Change{Item: &configv1.Change_PutPool{PutPool: pool}})
+		},
+	}
+	return group(parent, "pool", "manage pools of VMs", "pool list", append(leaves(c, parent, kind[*configv1.Pool]{
+		name: "pool", items: (*configv1.Configuration).GetPools, id: (*configv1.Pool).GetId, write: writePools,
+		only: func(list []*configv1.Pool) *configv1.Configuration { return &configv1.Configuration{Pools: list} },
+		remove: func(id string) *configv1.Change {
+			return &configv1.Change{Item: &configv1.Change_DeletePool{DeletePool: id}}
+		},
+	}), put)...)
+}
+
+func writePools(w *tabwriter.Writer, pools []*configv1.Pool) {
+	lines(w, []string{"POOL", "MIN-AVAILABLE", "MAX-UNAVAILABLE", "MIN-SLOTS", "ZONE-MIN", "ZONE-MAX", "TARGET", "MAX", "SPARE", "REVISION"}, pools, func(p *configv1.Pool) []string {
+		b := p.GetBudget()
+		return []string{
+			p.GetId(), bound(b.GetMinAvailableVms()), bound(b.GetMaxUnavailableVms()), bound(b.GetMinAvailableSlots()),
+			bound(b.GetMinAvailablePerZone()), bound(b.GetMaxUnavailablePerZone()), bound(p.GetTargetVms()), bound(p.GetMaxVms()),
+			yes(p.GetSpare()), fmt.Sprint(p.GetRevision()),
+		}
+	})
+}
+
+func (c *cli) budgetCommands(parent *ff.FlagSet) *ff.Command {
+	setSet := ff.NewFlagSet("set").SetParent(parent)
+	limits, how := newBudgetFlags(setSet), c.configFlags(setSet)
+	set := leaf{
+		path: "budget set", operands: "<pool>", least: 1, most: 1, help: "change limits of a pool's availability budget", flags: setSet,
+		example: "budget set rota --min-available-vms 8 --reason 'storm season'",
+		run: func(ctx context.Context, operands []string) error {
+			return c.edit(ctx, how, func(current *configv1.Configuration) (*configv1.Change, error) {
+				pool, ok := find(current.GetPools(), (*configv1.Pool).GetId, operands[0])
+				if !ok {
+					return nil, trace.Wrap(missing("pool", operands[0]))
+				}
+				if pool.Budget == nil {
+					pool.Budget = &configv1.Budget{}
+				}
+				limits.change(pool.GetBudget())
+				return &configv1.Change{Item: &configv1.Change_PutPool{PutPool: pool}}, nil
+			})
+		},
+	}
+	show := leaf{
+		path: "budget show", operands: "[<pool>]", most: 1, help: "compare the capacity of pools with their budgets", example: "budget show rota",
+		flags: ff.NewFlagSet("show").SetParent(parent),
+		run: func(ctx context.Context, operands []string) error {
+			return c.showBudgets(ctx, operands)
+		},
+	}
+	return group(parent, "budget", "manage availability budgets", "budget show", show, set)
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -6,45 +6,17 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
-	"time"
+	"strings"
 
-	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
 
-	"github.com/mimosawharf/mimosawharf/internal/demo"
-	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
+	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/pkg/client"
-	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// ExitCode tells shells what came of a command.
-type ExitCode int
-
-// Exit codes.
-const (
-	ExitOK ExitCode = 0
-	// ExitFailure means that the operation failed.
-	ExitFailure ExitCode = 1
-	// ExitUsage means that the arguments are wrong; nothing was asked of the daemon.
-	ExitUsage ExitCode = 2
-	// ExitRefused means that the daemon refused the operation; nothing was changed.
-	ExitRefused ExitCode = 3
-	// ExitUnavailable means that the daemon or its store does not answer; the effect is not known.
-	ExitUnavailable ExitCode = 4
-)
-
-// UsageError reports wrong arguments.
-type UsageError struct {
-	Problem string
-}
-
-// Error implements error.
-func (e *UsageError) Error() string { return e.Problem }
-
 // Format is the format of output.
 type Format string
 
@@ -57,80 +29,116 @@
 // cli holds what all commands share.
 type cli struct {
 	output io.Writer
+	clock  clock.Clock
 	server string
 	caller string
 	name   string
 	format string
+	files  client.TLSFiles
+	// callerAuthority holds the authorities trusted for the entries' address for callers.
+	callerAuthority string
+	// target is the flag that names the entry of the last client.
+	target string
 }
 
-// Run runs the command that the arguments name and returns its exit code.
+// Program is the command line. Its fields are set before Run.
+type Program struct {
+	Output, Problems io.Writer
+	Clock            clock.Clock
+}
+
+// Run runs the command that the arguments name with the clock of the machine.
 func Run(ctx context.Context, arguments []string, output, problems io.Writer) ExitCode {
-	c := &cli{output: output}
-	root := c.root()
-	err := root.ParseAndRun(ctx, arguments, ff.WithEnvVarPrefix("MIMOSAWHARF"))
+	return Program{Output: output, Problems: problems, Clock: clock.Real()}.Run(ctx, arguments)
+}
+
+// Run runs the command that the arguments name and returns its exit code.
+func (p Program) Run(ctx context.Context, arguments []string) ExitCode {
+	c := &cli{output: p.Output, clock: p.Clock}
+	set := c.rootFlags()
+	root := c.root(set)
+	err := useEnvironment(set)
+	if err == nil {
+		err = parseAndRun(ctx, root, arguments)
+	}
 	if errors.Is(err, ff.ErrHelp) || errors.Is(err, ff.ErrNoExec) {
-		_, _ = fmt.Fprintln(output, ffhelp.Command(root.GetSelected()))
+		_, _ = fmt.Fprintln(p.Output, ffhelp.Command(root.GetSelected()))
 		return ExitOK
 	}
 	if err == nil {
 		return ExitOK
 	}
-	_, _ = fmt.Fprintln(problems, "mimosawharf:", trace.Unwrap(err))
+	_, _ = fmt.Fprintln(p.Problems, "mimosawharf:", c.explain(err))
 	return exitCode(err)
 }
 
-func (c *cli) root() *ff.Command {
+func parseAndRun(ctx context.Context, root *ff.Command, arguments []string) error {
+	ordered, err := order(root, arguments)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if err := root.Parse(ordered); err != nil {
+		if errors.Is(err, ff.ErrHelp) {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(&UsageError{Problem: err.Error()})
+	}
+	return root.Run(ctx)
+}
+
+func (c *cli) rootFlags() *ff.FlagSet {
 	set := ff.NewFlagSet("mimosawharf")
 	set.StringVar(&c.server, 0, "server", "http://127.0.0.1:7401", "URL of an entry for operators.")
 	set.StringVar(&c.caller, 0, "caller-server", "http://127.0.0.1:7400", "URL of an entry for callers.")
 	set.StringVar(&c.name, 0, "operator", os.Getenv("USER"), "Name of the operator where the daemon runs without TLS.")
 	set.StringEnumVar(&c.format, 0, "output", "Format of output: table or json.", string(FormatTable), string(FormatJSON))
-	root := &ff.Command{Name: "mimosawharf", Usage: "mimosawharf [flags] <command>", Flags: set}
-	root.Subcommands = []*ff.Command{
-		c.poolCommand(set), c.serviceCommand(set), c.accountCommand(set), c.vmCommand(set), c.submitCommand(set), c.demoCommand(),
-	}
-	return root
+	set.StringVar(&c.files.Certificate, 0, "tls-cert-file", "", "Certificate of the operator, PEM.")
+	set.StringVar(&c.files.Key, 0, "tls-key-file", "", "Private key of the operator, PEM.")
+	set.StringVar(&c.files.Authority, 0, "tls-ca-file", "", "Authorities trusted for entries, PEM.")
+	set.StringVar(&c.callerAuthority, 0, "caller-tls-ca-file", "", "Authorities trusted for entries by submit and cancel, PEM.")
+	return set
 }
 
-func (c *cli) operator() operatorv1connect.OperatorServiceClient {
-	return client.NewOperator(c.server, client.OperatorOptions{
-		Name: fleet.OperatorName(c.name),
-		HTTP: &http.Client{Timeout: operatorTimeout},
+// environmentPrefix starts the environment variable of each flag that all commands have.
+const environmentPrefix = "MIMOSAWHARF_"
+
+// useEnvironment sets the common flags from the environment. The flags of single commands are left out,
+// because the environment of a daemon, such as its zone, would silently narrow what commands show.
+func useEnvironment(set *ff.FlagSet) error {
+	return set.WalkFlags(func(f ff.Flag) error {
+		name, _ := f.GetLongName()
+		variable := environmentPrefix + strings.ToUpper(strings.ReplaceAll(name, "-", "_"))
+		value, ok := os.LookupEnv(variable)
+		if !ok {
+			return nil
+		}
+		if err := f.SetValue(value); err != nil {
+			return trace.Wrap(&UsageError{Problem: fmt.Sprintf("%s: value %q: %s", variable, value, f.GetUsage())})
+		}
+		return nil
 	})
 }
 
-// operatorTimeout bounds one operation.
-const operatorTimeout = 30 * time.Second
+const rootHelp = `Operates pools, services, client accounts, VMs, budgets and maintenance waves
+through any entry. Flags may stand before or after other arguments. The flags
+below are also read from MIMOSAWHARF_SERVER, MIMOSAWHARF_OUTPUT and so on.
 
-func (c *cli) demoCommand() *ff.Command {
-	return &ff.Command{
-		Name: "demo", Usage: "demo", ShortHelp: "run the whole path on loopback and check each step",
-		Exec: func(ctx context.Context, _ []string) error {
-			return trace.Wrap(demo.Run(ctx, c.output))
-		},
-	}
-}
+Exit codes:
+  0  done
+  1  failed, or the work itself failed
+  2  wrong arguments; nothing was asked of the entry
+  3  refused, or not run; nothing was changed
+  4  no answer; the effect is not known: run again with the same --operation-id
 
-func exitCode(err error) ExitCode {
-	var usage *UsageError
-	var failed *connect.Error
-	switch {
-	case errors.As(err, &usage):
-		return ExitUsage
-	case errors.As(err, &failed):
-		return exitCodeOf(failed.Code())
-	default:
-		return ExitFailure
-	}
-}
+Example:
+  mimosawharf --server https://10.0.0.5:7401 status`
 
-func exitCodeOf(code connect.Code) ExitCode {
-	switch code {
-	case connect.CodeUnavailable, connect.CodeDeadlineExceeded:
-		return ExitUnavailable
-	case connect.CodeInternal, connect.CodeUnknown:
-		return ExitFailure
-	default:
-		return ExitRefused
+func (c *cli) root(set *ff.FlagSet) *ff.Command {
+	root := &ff.Command{Name: "mimosawharf", Usage: "mimosawharf [flags] <command>", LongHelp: rootHelp, Flags: set}
+	root.Subcommands = []*ff.Command{
+		c.statusCommand(set), c.poolCommands(set), c.budgetCommands(set), c.serviceCommands(set), c.accountCommands(set),
+		c.vmCommands(set), c.waveCommands(set), c.configCommands(set), c.auditCommands(set),
+		c.submitCommand(set), c.cancelCommand(set), c.demoCommand(set), c.completionCommand(set, root), c.versionCommand(set),
 	}
+	return root
 }
--- /dev/null
+++ b/internal/command/vm.go
@@ -0,0 +1,163 @@
+package command
+
+import (
+	"context"
+	"fmt"
+	"text/tabwriter"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v4"
+
+	fleetv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/fleet/v1"
+	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+)
+
+func (c *cli) vmCommands(parent *ff.FlagSet) *ff.Command {
+	leaves := []leaf{c.vmList(parent), c.vmShow(parent)}
+	for _, a := range []struct{ action, help, flags string }{
+		{"adopt", "take listed VMs into a pool", " --pool rota"},
+		{"drain", "drain VMs and hold them", " --reason 'disk check'"},
+		{"move", "move VMs to another pool", " --pool reporting"},
+		{"reboot", "drain VMs and reboot them", " --reason 'kernel update'"},
+		{"replace", "drain VMs and replace them by new ones", " --reason 'bad disk'"},
+		{"cancel", "end drains or moves that are under way", ""},
+		{"return", "put drained VMs back into service", ""},
+		{"remove", "drain VMs and take them out of the fleet", " --reason retired"},
+	} {
+		leaves = append(leaves, c.vmAction(parent, a.action, a.help, "vm "+a.action+" vm-1 vm-2"+a.flags))
+	}
+	return group(parent, "vm", "manage VMs", "vm list --pool rota", leaves...)
+}
+
+func (c *cli) vmList(parent *ff.FlagSet) leaf {
+	set := ff.NewFlagSet("list").SetParent(parent)
+	pool := set.StringLong("pool", "", "Show only VMs of this pool.")
+	zone := set.StringLong("zone", "", "Show only VMs of this availability zone.")
+	return leaf{
+		path: "vm list", help: "list VMs", example: "vm list --pool rota --zone zone-a", flags: set,
+		run: func(ctx context.Context, _ []string) error {
+			m, err := c.vms(ctx, &operatorv1.ListVMsRequest{Pool: *pool, Zone: *zone})
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return c.print(m, func(w *tabwriter.Writer) {
+				lines(w, []string{"VM", "ZONE", "RACK", "POOL", "STATE", "PURPOSE", "TARGET", "VERSION", "SINCE"}, m.GetVms(), func(vm *fleetv1.VMRow) []string {
+					return []string{
+						vm.GetId(), vm.GetZone(), vm.GetRack(), vm.GetPool(), vm.GetState(), vm.GetPurpose(), vm.GetTargetPool(),
+						vm.GetVersion(), instantText(vm.GetSince()),
+					}
+				})
+			})
+		},
+	}
+}
+
+func (c *cli) vms(ctx context.Context, m *operatorv1.ListVMsRequest) (*operatorv1.ListVMsResponse, error) {
+	operator, err := c.operator()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response, err := operator.ListVMs(ctx, connect.NewRequest(m))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return response.Msg, nil
+}
+
+func (c *cli) vmShow(parent *ff.FlagSet) leaf {
+	return leaf{
+		path: "vm show", operands: "<vm>", least: 1, most: 1, help: "show one VM", example: "vm show vm-1",
+		flags: ff.NewFlagSet("show").SetParent(parent),
+		run: func(ctx context.Context, operands []string) error {
+			m, err := c.vms(ctx, &operatorv1.ListVMsRequest{})
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			vm, ok := find(m.GetVms(), (*fleetv1.VMRow).GetId, operands[0])
+			if !ok {
+				return trace.Wrap(missing("vm", operands[0]))
+			}
+			return c.print(vm, func(w *tabwriter.Writer) { writeVM(w, vm) })
+		},
+	}
+}
+
+func writeVM(w *tabwriter.Writer, vm *fleetv1.VMRow) {
+	r := vm.GetResources()
+	for _, cells := range [][]string{
+		{"vm", vm.GetId()},
+		{"zone", vm.GetZone()},
+		{"rack", vm.GetRack()},
+		{"address", vm.GetAddress()},
+		{"pool", vm.GetPool()},
+		{"home pool", vm.GetHomePool()},
+		{"state", vm.GetState() + " since " + instantText(vm.GetSince())},
+		{"purpose", vm.GetPurpose()},
+		{"target pool", vm.GetTargetPool()},
+		{"assignment epoch", fmt.Sprint(vm.GetAssignmentEpoch())},
+		{"slots", count(vm.GetSlots())},
+		{"connections", count(vm.GetConnections())},
+		{"resources", fmt.Sprintf("%d cores, %d bytes, %d accelerators", r.GetCores(), r.GetMemoryBytes(), r.GetAccelerators())},
+		{"version", vm.GetVersion()},
+		{"target version", vm.GetTargetVersion()},
+		{"last maintained", instantText(vm.GetLastMaintained())},
+		{"wave", vm.GetWave()},
+		{"grant", vm.GetGrantId()},
+		{"operation", vm.GetOperationId()},
+	} {
+		line(w, cells...)
+	}
+}
+
+func (c *cli) vmAction(parent *ff.FlagSet, action, help, example string) leaf {
+	set := ff.NewFlagSet(action).SetParent(parent)
+	how, pool := changeFlags(set), new(string)
+	needsPool := action == "adopt" || action == "move"
+	if needsPool {
+		set.StringVar(pool, 0, "pool", "", "Pool that adopts the VMs or that they move to.")
+	}
+	return leaf{
+		path: "vm " + action, operands: "<vm>...", least: 1, most: -1, help: help, example: example, flags: set,
+		run: func(ctx context.Context, vms []string) error {
+			switch {
+			case needsPool && *pool == "":
+				return trace.Wrap(&UsageError{Problem: "vm " + action + ": want --pool: for example mimosawharf " + example})
+			case *how.id != "" && len(vms) > 1:
+				return trace.Wrap(&UsageError{Problem: "--operation-id: names one change: give one VM with it"})
+			}
+			return c.changeVMs(ctx, how, action, *pool, vms)
+		},
+	}
+}
+
+// changeVMs changes one VM after the other and ends with the first that fails.
+func (c *cli) changeVMs(ctx context.Context, how change, action, pool string, vms []string) error {
+	operator, err := c.operator()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	changed := &operatorv1.ListVMsResponse{}
+	var failed error
+	for _, vm := range vms {
+		one := how.operation()
+		response, err := operator.ChangeVM(ctx, connect.NewRequest(&operatorv1.ChangeVMRequest{Operation: one, Vm: vm, Action: action, Pool: pool}))
+		if err != nil {
+			failed = failedChange(one, err)
+			break
+		}
+		changed.Vms = append(changed.Vms, response.Msg.GetVm())
+		*how.id = ""
+	}
+	if len(changed.GetVms()) > 0 {
+		err = c.print(changed, func(w *tabwriter.Writer) {
+			for _, vm := range changed.GetVms() {
+				_, _ = fmt.Fprintf(w, "VM %s: pool %s, %s\n", vm.GetId(), vm.GetPool(), vm.GetState())
+			}
+		})
+	}
+	if failed != nil {
+		return trace.Wrap(failed)
+	}
+	return trace.Wrap(err)
+}
--- a/pkg/api/mimosawharf/config/v1/config_check_gen.go
+++ b/pkg/api/mimosawharf/config/v1/config_check_gen.go
@@ -52,6 +52,11 @@
 	if err := check.Required("budget", x.GetBudget() != nil); err != nil {
 		return err
 	}
+	if m := x.GetBudget(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("budget", err)
+		}
+	}
 	if err := check.AtMost("target-vms", int64(x.GetTargetVms()), 100000); err != nil {
 		return err
 	}
@@ -61,6 +66,26 @@
 	return nil
 }
 
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *Budget) Check() error {
+	if err := check.AtMost("min-available-vms", int64(x.GetMinAvailableVms()), 100000); err != nil {
+		return err
+	}
+	if err := check.AtMost("max-unavailable-vms", int64(x.GetMaxUnavailableVms()), 100000); err != nil {
+		return err
+	}
+	if err := check.AtMost("min-available-slots", int64(x.GetMinAvailableSlots()), 10000000); err != nil {
+		return err
+	}
+	if err := check.AtMost("max-unavailable-per-zone", int64(x.GetMaxUnavailablePerZone()), 100000); err != nil {
+		return err
+	}
+	if err := check.AtMost("min-available-per-zone", int64(x.GetMinAvailablePerZone()), 100000); err != nil {
+		return err
+	}
+	return nil
+}
+
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *Service) Check() error {
 	if err := check.Length("id", len(x.GetId()), 1, 64); err != nil {
@@ -116,6 +141,11 @@
 	if err := check.AtMost("weight", int64(x.GetWeight()), 1000); err != nil {
 		return err
 	}
+	if m := x.GetQuota(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("quota", err)
+		}
+	}
 	if err := check.Items("priority-grants", len(x.GetPriorityGrants()), 256); err != nil {
 		return err
 	}
@@ -129,6 +159,20 @@
 	return nil
 }
 
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *Quota) Check() error {
+	if err := check.AtMost("requests-per-second", int64(x.GetRequestsPerSecond()), 10000000); err != nil {
+		return err
+	}
+	if err := check.AtMost("burst", int64(x.GetBurst()), 10000000); err != nil {
+		return err
+	}
+	if err := check.AtMost("in-flight", int64(x.GetInFlight()), 10000000); err != nil {
+		return err
+	}
+	return nil
+}
+
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *PriorityGrant) Check() error {
 	if err := check.Length("service", len(x.GetService()), 1, 64); err != nil {
