settings: report every wrong value in one line

Excluded: checks after the ports are open (the exit code would come late and depend on what else runs on the machine).

Change: all wrong settings are returned together, one line each with flag, value, bound and unit; settings that depend on a wrong one are not reported again.

--- a/cmd/mimosawharfd/main.go
+++ b/cmd/mimosawharfd/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
 	"github.com/gravitational/trace"
@@ -37,7 +38,10 @@
 		return exitOK
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "mimosawharfd:", trace.Unwrap(err))
+		// One line for each setting.
+		for _, line := range strings.Split(trace.Unwrap(err).Error(), "\n") {
+			fmt.Fprintln(os.Stderr, "mimosawharfd:", line)
+		}
 		return exitUsage
 	}
 	log, err := logging.New(logging.Format(s.LogFormat), logging.Level(s.LogLevel))
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -35,6 +36,29 @@
 	return fmt.Sprintf("--%s: value %q: want %s (%s)", e.Flag, e.Value, e.Bound, e.Unit)
 }
 
+// InvalidError lists all settings that are out of bounds.
+type InvalidError struct {
+	Values []*ValueError
+}
+
+// Error implements error. It has one line for each setting.
+func (e *InvalidError) Error() string {
+	var lines []string
+	for _, v := range e.Values {
+		lines = append(lines, v.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the settings that are out of bounds.
+func (e *InvalidError) Unwrap() []error {
+	var list []error
+	for _, v := range e.Values {
+		list = append(list, v)
+	}
+	return list
+}
+
 // UsageError reports arguments that are not settings.
 type UsageError struct {
 	Problem string
@@ -67,7 +91,7 @@
 }
 
 // Parse reads the settings of the named program from arguments and environment; an argument goes
-// before the environment. It returns *ValueError, *UsageError or *HelpError.
+// before the environment. It returns *InvalidError, *UsageError or *HelpError.
 func Parse(program string, arguments []string) (Settings, error) {
 	set := ff.NewFlagSet(program)
 	texts := make([]text, len(fields))
@@ -77,7 +101,11 @@
 			return Settings{}, trace.Wrap(&UsageError{Problem: err.Error()})
 		}
 	}
-	err := ff.Parse(set, arguments, ff.WithEnvVarPrefix(EnvironmentPrefix))
+	arguments, err := splitAssignments(arguments)
+	if err != nil {
+		return Settings{}, trace.Wrap(err)
+	}
+	err = ff.Parse(set, arguments, ff.WithEnvVarPrefix(EnvironmentPrefix))
 	if errors.Is(err, ff.ErrHelp) {
 		return Settings{}, trace.Wrap(&HelpError{Text: ffhelp.Flags(set).String()})
 	}
@@ -99,7 +127,7 @@
 		}
 	}
 	change(&s)
-	return s, trace.Wrap(s.check())
+	return s, invalid(s.problems(nil))
 }
 
 // text is the value of a flag before it is checked.
@@ -120,14 +148,44 @@
 // IsBoolFlag tells the flag set that the flag needs no value.
 func (t *text) IsBoolFlag() bool { return t.boolean }
 
+// splitAssignments turns "--name=value" into two arguments, because the flag set takes "--name=" as a
+// flag whose value follows. It returns *UsageError for a last flag without a value.
+func splitAssignments(arguments []string) ([]string, error) {
+	var list []string
+	for i, argument := range arguments {
+		name, value, assigned := strings.Cut(strings.TrimPrefix(argument, "--"), "=")
+		at := slices.IndexFunc(fields, func(f field) bool { return f.flag == name })
+		switch {
+		case at < 0 || !strings.HasPrefix(argument, "--") || fields[at].boolean:
+			list = append(list, argument)
+		case assigned:
+			list = append(list, "--"+name, value)
+		case i == len(arguments)-1:
+			return nil, trace.Wrap(&UsageError{Problem: "--" + name + ": needs a value"})
+		default:
+			list = append(list, argument)
+		}
+	}
+	return list, nil
+}
+
 func build(texts []text) (Settings, error) {
 	var s Settings
+	var wrong []*ValueError
 	for i, f := range fields {
-		if err := f.set(&s, f, texts[i].value); err != nil {
-			return Settings{}, trace.Wrap(err)
+		var v *ValueError
+		if err := f.set(&s, f, texts[i].value); errors.As(err, &v) {
+			wrong = append(wrong, v)
 		}
 	}
-	return s, trace.Wrap(s.check())
+	return s, invalid(append(wrong, s.problems(wrong)...))
+}
+
+func invalid(wrong []*ValueError) error {
+	if len(wrong) == 0 {
+		return nil
+	}
+	return trace.Wrap(&InvalidError{Values: wrong})
 }
 
 func (f field) usage() string {
