--- a/cmd/protoc-gen-mimosawharf/checks.go
+++ b/cmd/protoc-gen-mimosawharf/generate/checks.go
@@ -1,4 +1,4 @@
-package main
+package generate
 
 import (
 	"fmt"
@@ -92,10 +92,21 @@
 		guard(g, "OneOf", name, value, quoted(c.GetValues()))
 	}
 	if c.Min != nil && !(c.GetMin() == 0 && isUnsigned(f)) {
-		guard(g, "AtLeast", name, "int64("+value+")", c.GetMin())
+		guard(g, "AtLeast", name, signed(f, value), c.GetMin())
 	}
 	if c.Max != nil {
-		guard(g, "AtMost", name, "int64("+value+")", c.GetMax())
+		guard(g, "AtMost", name, signed(f, value), c.GetMax())
+	}
+}
+
+// signed converts a number for a comparison. A 64-bit unsigned number above the signed range must not
+// wrap to a negative one, which would pass an upper bound.
+func signed(f *protogen.Field, value string) string {
+	switch f.Desc.Kind() {
+	case protoreflect.Uint64Kind, protoreflect.Fixed64Kind:
+		return "int64(min(" + value + ", 1<<63-1))"
+	default:
+		return "int64(" + value + ")"
 	}
 }
 
--- a/cmd/protoc-gen-mimosawharf/settings.go
+++ b/cmd/protoc-gen-mimosawharf/generate/settings.go
@@ -1,4 +1,4 @@
-package main
+package generate
 
 import (
 	"fmt"
--- a/cmd/protoc-gen-mimosawharf/main.go
+++ b/cmd/protoc-gen-mimosawharf/main.go
@@ -5,19 +5,10 @@
 
 import (
 	"google.golang.org/protobuf/compiler/protogen"
-	"google.golang.org/protobuf/types/pluginpb"
+
+	"github.com/mimosawharf/mimosawharf/cmd/protoc-gen-mimosawharf/generate"
 )
 
 func main() {
-	protogen.Options{}.Run(func(p *protogen.Plugin) error {
-		p.SupportedFeatures = uint64(pluginpb.CodeGeneratorResponse_FEATURE_PROTO3_OPTIONAL)
-		for _, f := range p.Files {
-			if !f.Generate {
-				continue
-			}
-			generateChecks(p, f)
-			generateSettings(p, f)
-		}
-		return nil
-	})
+	protogen.Options{}.Run(generate.All)
 }
