--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -65,21 +65,39 @@
 // IsEmpty reports whether the change names no item.
 func (c Change) IsEmpty() bool { return c == (Change{}) }
 
+// Pool returns the pool that the change is about, or an empty id.
+func (c Change) Pool() fleet.PoolID {
+	if c.PutPool != nil {
+		return c.PutPool.ID
+	}
+	return c.DeletePool
+}
+
+// Service returns the service that the change is about, or an empty id.
+func (c Change) Service() fleet.ServiceID {
+	if c.PutService != nil {
+		return c.PutService.ID
+	}
+	return c.DeleteService
+}
+
+// Account returns the client account that the change is about, or an empty id.
+func (c Change) Account() fleet.ClientAccountID {
+	if c.PutAccount != nil {
+		return c.PutAccount.ID
+	}
+	return c.DeleteAccount
+}
+
 // Subject returns what the change is about, for the audit trail.
 func (c Change) Subject() fleet.AuditSubject {
 	switch {
-	case c.PutPool != nil:
-		return fleet.SubjectPool(c.PutPool.ID)
-	case c.PutService != nil:
-		return fleet.SubjectService(c.PutService.ID)
-	case c.PutAccount != nil:
-		return fleet.SubjectAccount(c.PutAccount.ID)
-	case c.DeletePool != "":
-		return fleet.SubjectPool(c.DeletePool)
-	case c.DeleteService != "":
-		return fleet.SubjectService(c.DeleteService)
+	case c.Pool() != "":
+		return fleet.SubjectPool(c.Pool())
+	case c.Service() != "":
+		return fleet.SubjectService(c.Service())
 	default:
-		return fleet.SubjectAccount(c.DeleteAccount)
+		return fleet.SubjectAccount(c.Account())
 	}
 }
 
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -195,36 +195,21 @@
 
 // itemOf returns the item that a change leaves behind; it is a tombstone when the item is deleted.
 func itemOf(c configuration.Change, next fleet.Configuration) (fleet.TableKey, configuration.Item) {
-	var item configuration.Item
 	switch {
-	case c.PutPool != nil || c.DeletePool != "":
-		id := c.DeletePool
-		if c.PutPool != nil {
-			id = c.PutPool.ID
-		}
-		if p, ok := next.Pools[id]; ok {
-			item.Pool = &p
-		}
-		return wire.KeyPool(id), item
-	case c.PutService != nil || c.DeleteService != "":
-		id := c.DeleteService
-		if c.PutService != nil {
-			id = c.PutService.ID
-		}
-		if s, ok := next.Services[id]; ok {
-			item.Service = &s
-		}
-		return wire.KeyService(id), item
+	case c.Pool() != "":
+		return wire.KeyPool(c.Pool()), configuration.Item{Pool: lookup(next.Pools, c.Pool())}
+	case c.Service() != "":
+		return wire.KeyService(c.Service()), configuration.Item{Service: lookup(next.Services, c.Service())}
 	default:
-		id := c.DeleteAccount
-		if c.PutAccount != nil {
-			id = c.PutAccount.ID
-		}
-		if a, ok := next.Accounts[id]; ok {
-			item.Account = &a
-		}
-		return wire.KeyAccount(id), item
+		return wire.KeyAccount(c.Account()), configuration.Item{Account: lookup(next.Accounts, c.Account())}
+	}
+}
+
+func lookup[K comparable, V any](items map[K]V, id K) *V {
+	if v, ok := items[id]; ok {
+		return &v
 	}
+	return nil
 }
 
 // readConfiguration reads the whole configuration and the version of its head row.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -126,6 +126,7 @@
 		used        *operation.IDUsedError
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
+		undecoded   *wire.DecodeError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
@@ -139,8 +140,11 @@
 		code = connect.CodeAlreadyExists
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
+	case errors.As(err, &undecoded):
+		code = connect.CodeInternal
 	case errors.As(err, &invalid):
 		code = connect.CodeInvalidArgument
 	}
