--- a/cmd/protoc-gen-mimosawharf/generate/generate_test.go
+++ b/cmd/protoc-gen-mimosawharf/generate/generate_test.go
@@ -85,7 +85,9 @@
 }
 
 // schema returns a request for a message with one field.
-func schema(kind descriptorpb.FieldDescriptorProto_Type, options *descriptorpb.FieldOptions) *pluginpb.CodeGeneratorRequest {
+func schema(kind descriptorpb.FieldDescriptorProto_Type, option protoreflect.ExtensionType, value proto.Message) *pluginpb.CodeGeneratorRequest {
+	options := &descriptorpb.FieldOptions{}
+	proto.SetExtension(options, option, value)
 	r := request(optionsv1.File_mimosawharf_options_v1_options_proto)
 	r.FileToGenerate = []string{"mimosawharf/test.proto"}
 	r.ProtoFile = append(r.ProtoFile, &descriptorpb.FileDescriptorProto{
@@ -114,9 +116,7 @@
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
 			is := is.New(t)
-			options := &descriptorpb.FieldOptions{}
-			proto.SetExtension(options, optionsv1.E_Check, c.check)
-			response, err := run(t, schema(c.kind, options))
+			response, err := run(t, schema(c.kind, optionsv1.E_Check, c.check))
 			is.NoErr(err)
 			is.True(strings.Contains(response.GetFile()[0].GetContent(), c.want))
 		})
@@ -141,9 +141,7 @@
 	for _, c := range cases {
 		t.Run(c.want, func(t *testing.T) {
 			is := is.New(t)
-			options := &descriptorpb.FieldOptions{}
-			proto.SetExtension(options, optionsv1.E_Setting, c.setting)
-			_, err := run(t, schema(c.kind, options))
+			_, err := run(t, schema(c.kind, optionsv1.E_Setting, c.setting))
 			var wrong *generate.SettingError
 			is.True(errors.As(err, &wrong))
 			is.True(strings.Contains(wrong.Error(), c.want))
--- a/internal/command/audit.go
+++ b/internal/command/audit.go
@@ -6,12 +6,12 @@
 	"strings"
 	"text/tabwriter"
 
-	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 
 	fleetv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/fleet/v1"
 	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
 )
 
 func (c *cli) auditCommands(parent *ff.FlagSet) *ff.Command {
@@ -48,18 +48,14 @@
 // listAudit collects rows until the limit or the end of the trail. A page of the entry may be short
 // because it reads a bounded part of the trail at a time.
 func (c *cli) listAudit(ctx context.Context, m *operatorv1.ListAuditRequest) error {
-	operator, err := c.operator()
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	all, limit := &operatorv1.ListAuditResponse{}, m.GetLimit()
 	for {
-		response, err := operator.ListAudit(ctx, connect.NewRequest(m))
+		response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ListAudit, m)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		all.Rows = append(all.Rows, response.Msg.GetRows()...)
-		all.NextPage = response.Msg.GetNextPage()
+		all.Rows = append(all.Rows, response.GetRows()...)
+		all.NextPage = response.GetNextPage()
 		if all.GetNextPage() == 0 || uint32(len(all.GetRows())) >= limit {
 			break
 		}
--- a/internal/command/client.go
+++ b/internal/command/client.go
@@ -1,8 +1,10 @@
 package command
 
 import (
+	"context"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/caller/v1/callerv1connect"
@@ -24,6 +26,19 @@
 	return client.NewOperator(c.server, client.OperatorOptions{Name: fleet.OperatorName(c.name), HTTP: http}), nil
 }
 
+// ask calls one procedure of the operator service.
+func ask[Q, A any](ctx context.Context, c *cli, call func(operatorv1connect.OperatorServiceClient, context.Context, *connect.Request[Q]) (*connect.Response[A], error), m *Q) (*A, error) {
+	operator, err := c.operator()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	response, err := call(operator, ctx, connect.NewRequest(m))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	return response.Msg, nil
+}
+
 // callerClient returns the client for callers. The timeout bounds one call. It returns *client.TLSError.
 func (c *cli) callerClient(account, secret string, timeout time.Duration) (callerv1connect.CallerServiceClient, error) {
 	http, err := client.NewHTTP(client.TLSFiles{Authority: c.callerAuthority}, timeout)
--- a/internal/command/config.go
+++ b/internal/command/config.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"text/tabwriter"
 
-	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 	"google.golang.org/protobuf/encoding/protojson"
 
 	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
 	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
 )
 
 func (c *cli) configCommands(parent *ff.FlagSet) *ff.Command {
@@ -110,13 +110,5 @@
 }
 
 func (c *cli) status(ctx context.Context) (*operatorv1.GetStatusResponse, error) {
-	operator, err := c.operator()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	response, err := operator.GetStatus(ctx, connect.NewRequest(&operatorv1.GetStatusRequest{}))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return response.Msg, nil
+	return ask(ctx, c, operatorv1connect.OperatorServiceClient.GetStatus, &operatorv1.GetStatusRequest{})
 }
--- a/internal/command/item.go
+++ b/internal/command/item.go
@@ -16,6 +16,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
 	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -31,29 +32,18 @@
 
 // configuration returns the configuration in force at the entry.
 func (c *cli) configuration(ctx context.Context) (*configv1.Configuration, error) {
-	operator, err := c.operator()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	response, err := operator.GetConfiguration(ctx, connect.NewRequest(&operatorv1.GetConfigurationRequest{}))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return response.Msg.GetConfiguration(), nil
+	response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.GetConfiguration, &operatorv1.GetConfigurationRequest{})
+	return response.GetConfiguration(), trace.Wrap(err)
 }
 
 // apply commits a change of the configuration, or shows its effect, and prints the response.
 func (c *cli) apply(ctx context.Context, how configChange, m *operatorv1.ApplyConfigurationRequest) error {
-	operator, err := c.operator()
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	m.Operation, m.DryRun = how.operation(), *how.dryRun
-	response, err := operator.ApplyConfiguration(ctx, connect.NewRequest(m))
+	response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ApplyConfiguration, m)
 	if err != nil {
 		return trace.Wrap(failedChange(m.GetOperation(), err))
 	}
-	return c.print(response.Msg, func(w *tabwriter.Writer) { writeApplied(w, response.Msg, m.GetDryRun()) })
+	return c.print(response, func(w *tabwriter.Writer) { writeApplied(w, response, m.GetDryRun()) })
 }
 
 func (c *cli) applyOne(ctx context.Context, how configChange, change *configv1.Change) error {
--- a/internal/command/vm.go
+++ b/internal/command/vm.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"text/tabwriter"
 
-	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 
 	fleetv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/fleet/v1"
 	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
 )
 
 func (c *cli) vmCommands(parent *ff.FlagSet) *ff.Command {
@@ -54,15 +54,7 @@
 }
 
 func (c *cli) vms(ctx context.Context, m *operatorv1.ListVMsRequest) (*operatorv1.ListVMsResponse, error) {
-	operator, err := c.operator()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	response, err := operator.ListVMs(ctx, connect.NewRequest(m))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return response.Msg, nil
+	return ask(ctx, c, operatorv1connect.OperatorServiceClient.ListVMs, m)
 }
 
 func (c *cli) vmShow(parent *ff.FlagSet) leaf {
@@ -133,22 +125,19 @@
 
 // changeVMs changes one VM after the other and ends with the first that fails.
 func (c *cli) changeVMs(ctx context.Context, how change, action, pool string, vms []string) error {
-	operator, err := c.operator()
-	if err != nil {
-		return trace.Wrap(err)
-	}
 	changed := &operatorv1.ListVMsResponse{}
 	var failed error
 	for _, vm := range vms {
 		one := how.operation()
-		response, err := operator.ChangeVM(ctx, connect.NewRequest(&operatorv1.ChangeVMRequest{Operation: one, Vm: vm, Action: action, Pool: pool}))
+		response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ChangeVM, &operatorv1.ChangeVMRequest{Operation: one, Vm: vm, Action: action, Pool: pool})
 		if err != nil {
 			failed = failedChange(one, err)
 			break
 		}
-		changed.Vms = append(changed.Vms, response.Msg.GetVm())
+		changed.Vms = append(changed.Vms, response.GetVm())
 		*how.id = ""
 	}
+	var err error
 	if len(changed.GetVms()) > 0 {
 		err = c.print(changed, func(w *tabwriter.Writer) {
 			for _, vm := range changed.GetVms() {
--- a/internal/command/wave.go
+++ b/internal/command/wave.go
@@ -7,7 +7,6 @@
 	"text/tabwriter"
 	"time"
 
-	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 	"google.golang.org/protobuf/types/known/durationpb"
@@ -16,6 +15,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	fleetv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/fleet/v1"
 	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1/operatorv1connect"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -113,16 +113,12 @@
 			if err != nil {
 				return trace.Wrap(err)
 			}
-			operator, err := c.operator()
-			if err != nil {
-				return trace.Wrap(err)
-			}
 			m := &operatorv1.CreateWaveRequest{Operation: how.operation(), Id: operands[0], Spec: spec, DryRun: *dryRun}
-			response, err := operator.CreateWave(ctx, connect.NewRequest(m))
+			response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.CreateWave, m)
 			if err != nil {
 				return trace.Wrap(failedChange(m.GetOperation(), err))
 			}
-			return c.print(response.Msg, func(w *tabwriter.Writer) { writePlan(w, response.Msg, *dryRun) })
+			return c.print(response, func(w *tabwriter.Writer) { writePlan(w, response, *dryRun) })
 		},
 	}
 }
@@ -150,31 +146,19 @@
 		path: "wave " + string(command), operands: "<wave>", least: 1, most: 1, help: help, flags: set,
 		example: "wave " + string(command) + " autumn --reason 'agreed with the desk'",
 		run: func(ctx context.Context, operands []string) error {
-			operator, err := c.operator()
-			if err != nil {
-				return trace.Wrap(err)
-			}
 			m := &operatorv1.ControlWaveRequest{Operation: how.operation(), Id: operands[0], Action: string(command)}
-			response, err := operator.ControlWave(ctx, connect.NewRequest(m))
+			response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ControlWave, m)
 			if err != nil {
 				return trace.Wrap(failedChange(m.GetOperation(), err))
 			}
-			return c.print(response.Msg, func(w *tabwriter.Writer) { _, _ = fmt.Fprintln(w, progress(response.Msg.GetWave())) })
+			return c.print(response, func(w *tabwriter.Writer) { _, _ = fmt.Fprintln(w, progress(response.GetWave())) })
 		},
 	}
 }
 
 // waves returns the wave of an id, or all waves when it is empty.
 func (c *cli) waves(ctx context.Context, id string) (*operatorv1.ListWavesResponse, error) {
-	operator, err := c.operator()
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	response, err := operator.ListWaves(ctx, connect.NewRequest(&operatorv1.ListWavesRequest{Id: id}))
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	return response.Msg, nil
+	return ask(ctx, c, operatorv1connect.OperatorServiceClient.ListWaves, &operatorv1.ListWavesRequest{Id: id})
 }
 
 func (c *cli) wave(ctx context.Context, id string) (*fleetv1.WaveRow, error) {
