platform: add table lanes, bounded retries and a stand-in with faults

Cause: a client without a rate could exceed the table's limits, a lost answer was read back once and then reported as unknown, and the stand-in could only be down or lose answers.

Excluded: a mutex-guarded limiter shared by the duties (no owner, no order); a retry of every transaction without a read (a second write whose first effect is not known).

Change: the duties table-writer and table-reader take calls from bounded rings within table-writes-per-second and table-reads-per-second, with heartbeats and lease writes first. A lost answer is resolved by the audit row, then sent again at most 4 times; a reused operation id is an error. The stand-in has conflicts, slow answers, lost answers, stale reads, duplicate delivery, rate refusals, a late list and backup and restore, set from tests or by the RPC FaultService.

Verdicts: go test -race -count=1 ./internal/platform/ passes with 13 fault cases on 3 adapters. With the audit row never read back, the cases "answer lost after the effect", "answer lost and the audit row is read stale" and "repeated operation id takes effect once" fail (go test -run PlatformContract/in-process).

Conclusion: lost answers and limits are handled in one place, and another adapter can run the same table.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,6 +47,8 @@
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
 	operations  *ring.Ring[operation.Operation]
+	writes      *ring.Ring[*platform.Call]
+	reads       *ring.Ring[*platform.Call]
 }
 
 type listeners struct {
@@ -90,25 +92,30 @@
 	d.jobs = ring.New[endpoint.Job]("calls", 2*d.Settings.CallWorkers)
 	d.polls = ring.New[control.PollerEvent]("poller", capacity)
 	d.operations = ring.New[operation.Operation]("operator", capacity)
+	d.writes = ring.New[*platform.Call]("table-writer", capacity)
+	d.reads = ring.New[*platform.Call]("table-reader", capacity)
 }
 
 // duties returns all duties of the daemon.
 func (d *Daemon) duties(stopAsked context.Context, stopped func()) []duty.Duty {
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
+	table := &platform.Limited{Client: client, Writes: d.writes, Reads: d.reads}
 	list := []duty.Duty{
 		d.dispatcher(),
+		&platform.Lane{Duty: "table-writer", Inbox: d.writes, Clock: d.Clock, PerSecond: float64(s.TableWritesPerSecond)},
+		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
-			Table: client, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
-		d.leaseHolder(client),
+		d.leaseHolder(table),
 		&control.FleetDriver{
-			Entry: s.EntryID, Table: client, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
+			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
 		},
 		&operation.Executor{
-			Entry: s.EntryID, Inbox: d.operations, Table: client, Platform: client, View: &d.view, PollNow: d.pollNow,
+			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
 		},
 		&Supervisor{
@@ -147,14 +154,14 @@
 // ticketKeyBytes is the size of the key that signs tickets.
 const ticketKeyBytes = 32
 
-func (d *Daemon) leaseHolder(client *platform.Client) *control.LeaseHolder {
+func (d *Daemon) leaseHolder(table *platform.Limited) *control.LeaseHolder {
 	s := d.Settings
 	return &control.LeaseHolder{
 		Entry: fleet.Entry{
 			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
 		},
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
-		Table:  client, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
+		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"slices"
 	"time"
 
 	"connectrpc.com/connect"
@@ -16,48 +14,45 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// Services are what the platform serves. A stand-in in the same process provides them without a network.
+type Services struct {
+	Table   platformv1connect.TableServiceClient
+	Objects platformv1connect.ObjectServiceClient
+	VMs     platformv1connect.VMServiceClient
+}
+
 // Client calls the platform. It is safe for concurrent use once it is made.
 type Client struct {
-	timeout time.Duration
-	table   platformv1connect.TableServiceClient
-	objects platformv1connect.ObjectServiceClient
-	vms     platformv1connect.VMServiceClient
+	timeout  time.Duration
+	services Services
 }
 
 // NewClient returns a client of the platform at a URL. The timeout bounds each call.
 func NewClient(client *http.Client, url string, timeout time.Duration) *Client {
-	return &Client{
-		timeout: timeout,
-		table:   platformv1connect.NewTableServiceClient(client, url),
-		objects: platformv1connect.NewObjectServiceClient(client, url),
-		vms:     platformv1connect.NewVMServiceClient(client, url),
-	}
+	return NewClientOf(Services{
+		Table:   platformv1connect.NewTableServiceClient(client, url),
+		Objects: platformv1connect.NewObjectServiceClient(client, url),
+		VMs:     platformv1connect.NewVMServiceClient(client, url),
+	}, timeout)
 }
 
-// Commit applies a transaction and returns its revision. It returns *ConflictError when a
-// precondition did not hold and *UnavailableError when the effect is not known. When an answer was
-// lost, an audited transaction is resolved by its audit row.
-func (c *Client) Commit(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
-	revision, err := c.commitOnce(ctx, t)
-	var unavailable *UnavailableError
-	var conflict *ConflictError
-	if t.Audit == nil || err == nil {
-		return revision, err
-	}
-	ownAudit := wire.KeyAudit(t.Audit.OperationID)
-	if errors.As(err, &unavailable) || errors.As(err, &conflict) && slices.Contains(conflict.Keys, ownAudit) {
-		return c.resolve(ctx, ownAudit, err)
-	}
-	return revision, err
+// NewClientOf returns a client of the given services.
+func NewClientOf(s Services, timeout time.Duration) *Client {
+	return &Client{timeout: timeout, services: s}
 }
 
-// resolve looks for the audit row of a transaction whose answer was lost or that was sent before.
-func (c *Client) resolve(ctx context.Context, key fleet.TableKey, cause error) (fleet.TableRevision, error) {
-	rows, err := c.Read(ctx, key)
-	if err != nil || !rows[0].Exists() {
-		return 0, cause
+// Commit applies a transaction and returns its revision. It returns *ConflictError when a
+// precondition did not hold, *RateExceededError when nothing was changed for lack of rate,
+// *OperationReusedError, and *UnavailableError when the effect is not known. When an answer was lost,
+// an audited transaction is resolved by its audit row.
+func (c *Client) Commit(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
+	a := &attempt{transaction: t}
+	for {
+		revision, done, err := a.step(ctx, c)
+		if done {
+			return revision, err
+		}
 	}
-	return fleet.TableRevision(rows[0].Version), nil
 }
 
 func (c *Client) commitOnce(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
@@ -75,9 +70,9 @@
 		m.Preconditions = append(m.Preconditions, &platformv1.Precondition{Key: key})
 		m.Puts = append(m.Puts, &platformv1.Put{Key: key, Value: wire.EncodeAudit(*t.Audit)})
 	}
-	response, err := c.table.Commit(ctx, connect.NewRequest(m))
+	response, err := c.services.Table.Commit(ctx, connect.NewRequest(m))
 	if err != nil {
-		return 0, trace.Wrap(&UnavailableError{Call: "commit", Cause: err})
+		return 0, failure("commit", err)
 	}
 	if len(response.Msg.GetConflicts()) > 0 {
 		e := &ConflictError{}
@@ -97,12 +92,12 @@
 	for _, k := range keys {
 		m.Keys = append(m.Keys, string(k))
 	}
-	response, err := c.table.Read(ctx, connect.NewRequest(m))
+	response, err := c.services.Table.Read(ctx, connect.NewRequest(m))
 	if err == nil && len(response.Msg.GetRows()) != len(keys) {
 		err = trace.Wrap(&RowCountError{Want: len(keys), Got: len(response.Msg.GetRows())})
 	}
 	if err != nil {
-		return nil, trace.Wrap(&UnavailableError{Call: "read", Cause: err})
+		return nil, failure("read", err)
 	}
 	return fromRows(response.Msg.GetRows()), nil
 }
@@ -124,9 +119,9 @@
 	for _, p := range prefixes {
 		m.Prefixes = append(m.Prefixes, string(p))
 	}
-	response, err := c.table.Changes(ctx, connect.NewRequest(m))
+	response, err := c.services.Table.Changes(ctx, connect.NewRequest(m))
 	if err != nil {
-		return Changes{}, trace.Wrap(&UnavailableError{Call: "changes", Cause: err})
+		return Changes{}, failure("changes", err)
 	}
 	return Changes{
 		Rows:     fromRows(response.Msg.GetRows()),
@@ -140,8 +135,8 @@
 func (c *Client) PutObject(ctx context.Context, name ObjectName, data []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	if _, err := c.objects.PutObject(ctx, connect.NewRequest(&platformv1.PutObjectRequest{Name: string(name), Data: data})); err != nil {
-		return trace.Wrap(&UnavailableError{Call: "put object", Cause: err})
+	if _, err := c.services.Objects.PutObject(ctx, connect.NewRequest(&platformv1.PutObjectRequest{Name: string(name), Data: data})); err != nil {
+		return failure("put object", err)
 	}
 	return nil
 }
@@ -150,9 +145,9 @@
 func (c *Client) GetObject(ctx context.Context, name ObjectName) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	response, err := c.objects.GetObject(ctx, connect.NewRequest(&platformv1.GetObjectRequest{Name: string(name)}))
+	response, err := c.services.Objects.GetObject(ctx, connect.NewRequest(&platformv1.GetObjectRequest{Name: string(name)}))
 	if err != nil {
-		return nil, trace.Wrap(&UnavailableError{Call: "get object", Cause: err})
+		return nil, failure("get object", err)
 	}
 	if !response.Msg.GetFound() {
 		return nil, nil
@@ -164,9 +159,9 @@
 func (c *Client) ListVMs(ctx context.Context) (fleet.VMList, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	response, err := c.vms.ListVMs(ctx, connect.NewRequest(&platformv1.ListVMsRequest{}))
+	response, err := c.services.VMs.ListVMs(ctx, connect.NewRequest(&platformv1.ListVMsRequest{}))
 	if err != nil {
-		return fleet.VMList{}, trace.Wrap(&UnavailableError{Call: "list VMs", Cause: err})
+		return fleet.VMList{}, failure("list VMs", err)
 	}
 	list := fleet.VMList{AsOf: wire.FromTime(response.Msg.GetAsOf())}
 	for _, v := range response.Msg.GetVms() {
@@ -180,7 +175,7 @@
 func (c *Client) Act(ctx context.Context, command fleet.VMCommand) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	response, err := c.vms.ActOnVM(ctx, connect.NewRequest(&platformv1.ActOnVMRequest{
+	response, err := c.services.VMs.ActOnVM(ctx, connect.NewRequest(&platformv1.ActOnVMRequest{
 		Vm:              string(command.VM),
 		Action:          string(command.Action),
 		Version:         string(command.Version),
@@ -189,7 +184,7 @@
 		OperationId:     string(command.OperationID),
 	}))
 	if err != nil {
-		return trace.Wrap(&UnavailableError{Call: "act on VM", Cause: err})
+		return failure("act on VM", err)
 	}
 	if !response.Msg.GetAccepted() {
 		return trace.Wrap(&RefusedError{VM: command.VM, Action: command.Action})
@@ -208,6 +203,14 @@
 	return "platform refuses to " + string(e.Action) + " VM " + string(e.VM)
 }
 
+// failure converts a failed call. A call that exceeded the rate had no effect.
+func failure(call string, err error) error {
+	if connect.CodeOf(err) == connect.CodeResourceExhausted {
+		return trace.Wrap(&RateExceededError{Call: call})
+	}
+	return trace.Wrap(&UnavailableError{Call: call, Cause: err})
+}
+
 func fromRows(rows []*platformv1.Row) []Row {
 	list := make([]Row, 0, len(rows))
 	for _, r := range rows {
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -71,6 +71,16 @@
 	return text
 }
 
+// RateExceededError reports a call that the platform refused for exceeding its rate. Nothing was changed.
+type RateExceededError struct {
+	Call string
+}
+
+// Error implements error.
+func (e *RateExceededError) Error() string {
+	return "platform refuses " + e.Call + ": rate exceeded; try again later"
+}
+
 // UnavailableError reports that the platform did not answer. For a transaction it means that the
 // effect is not known.
 type UnavailableError struct {
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -1,5 +1,5 @@
 // Package platform is a small stand-in for the platform, used by tests and by the demo. It keeps a
-// transactional table, an object store and a lagging list of VMs in memory.
+// transactional table, an object store and a lagging list of VMs in memory, and misbehaves on request.
 package platform
 
 import (
@@ -20,47 +20,20 @@
 // inboxCapacity bounds the calls that wait for the stand-in's one goroutine.
 const inboxCapacity = 4096
 
-// Platform is the stand-in. Its duty owns all state; the RPC handlers put their calls on its ring.
+// Platform serves a store to many clients. Its duty owns the store; the RPC handlers put their calls
+// on its ring.
 type Platform struct {
-	// Clock is set before Run.
-	Clock clock.Clock
-	// ListLag is how far the list of VMs lags behind.
-	ListLag time.Duration
-	// RebootTime is how long an action on a VM takes.
-	RebootTime time.Duration
-
+	clock clock.Clock
 	inbox *ring.Ring[func()]
-
-	table   *table
-	objects map[string][]byte
-	vms     *vms
-	faults  Faults
+	store *Store
 }
 
-// Faults make the stand-in misbehave. The zero value is a healthy platform.
-type Faults struct {
-	// Down refuses every call.
-	Down bool
-	// LoseAnswers drops the answers of that many commits after their effect.
-	LoseAnswers int
-}
-
-// DownError is the refusal of a platform that is down.
-type DownError struct{}
-
-// Error implements error.
-func (*DownError) Error() string { return "stand-in platform is down" }
-
 // New returns a stand-in without VMs.
 func New(c clock.Clock, listLag, rebootTime time.Duration) *Platform {
 	return &Platform{
-		Clock:      c,
-		ListLag:    listLag,
-		RebootTime: rebootTime,
-		inbox:      ring.New[func()]("standin-platform", inboxCapacity),
-		table:      newTable("history-1"),
-		objects:    map[string][]byte{},
-		vms:        newVMs(listLag, rebootTime),
+		clock: c,
+		inbox: ring.New[func()]("standin-platform", inboxCapacity),
+		store: NewStore(c, listLag, rebootTime),
 	}
 }
 
@@ -78,95 +51,86 @@
 	}
 }
 
-// Handler returns the HTTP handler of the platform's services.
+// Handler returns the HTTP handler of the platform's services and of the control of its faults.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(platformv1connect.NewTableServiceHandler(p))
 	mux.Handle(platformv1connect.NewObjectServiceHandler(p))
 	mux.Handle(platformv1connect.NewVMServiceHandler(p))
+	mux.Handle(platformv1connect.NewFaultServiceHandler(control{platform: p}))
 	return mux
 }
 
+// Change runs a change of the store on the duty.
+func (p *Platform) Change(ctx context.Context, change func(*Store)) error {
+	_, err := do(ctx, p, func() (bool, error) { change(p.store); return true, nil })
+	return trace.Wrap(err)
+}
+
 // PutVM adds or replaces a VM.
 func (p *Platform) PutVM(ctx context.Context, vm *platformv1.VM) error {
-	_, err := do(ctx, p, func() (bool, error) { p.vms.put(p.Clock.Now(), vm); return true, nil })
-	return trace.Wrap(err)
+	return p.Change(ctx, func(s *Store) { s.PutVM(vm) })
 }
 
 // RemoveVM takes a VM off the list.
 func (p *Platform) RemoveVM(ctx context.Context, id fleet.VMID) error {
-	_, err := do(ctx, p, func() (bool, error) { p.vms.remove(p.Clock.Now(), id); return true, nil })
-	return trace.Wrap(err)
+	return p.Change(ctx, func(s *Store) { s.RemoveVM(id) })
 }
 
 // SetFaults replaces the faults.
 func (p *Platform) SetFaults(ctx context.Context, f Faults) error {
-	_, err := do(ctx, p, func() (bool, error) { p.faults = f; return true, nil })
-	return trace.Wrap(err)
+	return p.Change(ctx, func(s *Store) { s.Faults = f })
 }
 
 // Commit implements the table service.
 func (p *Platform) Commit(ctx context.Context, r *connect.Request[platformv1.CommitRequest]) (*connect.Response[platformv1.CommitResponse], error) {
-	return serve(ctx, p, func() (*platformv1.CommitResponse, error) {
-		response := p.table.commit(r.Msg)
-		if p.faults.LoseAnswers > 0 {
-			p.faults.LoseAnswers--
-			return nil, &DownError{}
-		}
-		return response, nil
-	})
+	return serve(ctx, p, r, p.store.Commit)
 }
 
 // Read implements the table service.
 func (p *Platform) Read(ctx context.Context, r *connect.Request[platformv1.ReadRequest]) (*connect.Response[platformv1.ReadResponse], error) {
-	return serve(ctx, p, func() (*platformv1.ReadResponse, error) { return p.table.read(r.Msg), nil })
+	return serve(ctx, p, r, p.store.Read)
 }
 
 // Changes implements the table service.
 func (p *Platform) Changes(ctx context.Context, r *connect.Request[platformv1.ChangesRequest]) (*connect.Response[platformv1.ChangesResponse], error) {
-	return serve(ctx, p, func() (*platformv1.ChangesResponse, error) { return p.table.changes(r.Msg), nil })
+	return serve(ctx, p, r, p.store.Changes)
 }
 
 // PutObject implements the object store.
 func (p *Platform) PutObject(ctx context.Context, r *connect.Request[platformv1.PutObjectRequest]) (*connect.Response[platformv1.PutObjectResponse], error) {
-	return serve(ctx, p, func() (*platformv1.PutObjectResponse, error) {
-		p.objects[r.Msg.GetName()] = r.Msg.GetData()
-		return &platformv1.PutObjectResponse{}, nil
-	})
+	return serve(ctx, p, r, p.store.PutObject)
 }
 
 // GetObject implements the object store.
 func (p *Platform) GetObject(ctx context.Context, r *connect.Request[platformv1.GetObjectRequest]) (*connect.Response[platformv1.GetObjectResponse], error) {
-	return serve(ctx, p, func() (*platformv1.GetObjectResponse, error) {
-		data, ok := p.objects[r.Msg.GetName()]
-		return &platformv1.GetObjectResponse{Data: data, Found: ok}, nil
-	})
+	return serve(ctx, p, r, p.store.GetObject)
 }
 
 // ListVMs implements the VM service.
 func (p *Platform) ListVMs(ctx context.Context, r *connect.Request[platformv1.ListVMsRequest]) (*connect.Response[platformv1.ListVMsResponse], error) {
-	return serve(ctx, p, func() (*platformv1.ListVMsResponse, error) {
-		return p.vms.list(p.Clock.Now(), r.Msg.GetZones()), nil
-	})
+	return serve(ctx, p, r, p.store.ListVMs)
 }
 
 // ActOnVM implements the VM service.
 func (p *Platform) ActOnVM(ctx context.Context, r *connect.Request[platformv1.ActOnVMRequest]) (*connect.Response[platformv1.ActOnVMResponse], error) {
-	return serve(ctx, p, func() (*platformv1.ActOnVMResponse, error) { return p.vms.act(p.Clock.Now(), r.Msg), nil })
+	return serve(ctx, p, r, p.store.ActOnVM)
 }
 
-// serve runs a call of an RPC on the duty, unless the platform is down.
-func serve[T any](ctx context.Context, p *Platform, call func() (*T, error)) (*connect.Response[T], error) {
-	m, err := do(ctx, p, func() (*T, error) {
-		if p.faults.Down {
-			return nil, &DownError{}
-		}
-		return call()
+// serve runs a call of an RPC on the duty. A slow platform delays the answer after the effect.
+func serve[Q, A any](ctx context.Context, p *Platform, r *connect.Request[Q], call func(context.Context, *connect.Request[Q]) (*connect.Response[A], error)) (*connect.Response[A], error) {
+	slow := time.Duration(0)
+	response, err := do(ctx, p, func() (*connect.Response[A], error) {
+		slow = p.store.Faults.Slow
+		return call(ctx, r)
 	})
+	if err == nil && slow > 0 {
+		err = clock.Wait(ctx, p.clock, slow)
+	}
 	if err != nil {
-		return nil, connect.NewError(connect.CodeUnavailable, err)
+		return nil, err
 	}
-	return connect.NewResponse(m), nil
+	return response, nil
 }
 
 type outcome[T any] struct {
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -2,27 +2,52 @@
 
 import (
 	"cmp"
+	"fmt"
+	"maps"
 	"slices"
 	"strings"
 
 	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
 )
 
+// versionsKept bounds the earlier versions of a row that stale reads may show.
+const versionsKept = 16
+
 // table is a transactional table in memory. Deleted rows stay as tombstones.
 type table struct {
 	revision uint64
 	history  string
-	rows     map[string]*platformv1.Row
+	// restores counts the restores, to give each history its own name.
+	restores int
+	// rows holds the versions of each row, oldest first and never empty.
+	rows map[string][]*platformv1.Row
+	// backup is the copy that restore puts back; nil when there is none.
+	backup *table
 }
 
 func newTable(history string) *table {
-	return &table{history: history, rows: map[string]*platformv1.Row{}}
+	return &table{history: history, rows: map[string][]*platformv1.Row{}}
+}
+
+// keep copies the table for a later restore.
+func (t *table) keep() {
+	t.backup = &table{revision: t.revision, rows: maps.Clone(t.rows)}
+}
+
+// restore puts the copy back. Without a copy the table becomes empty.
+func (t *table) restore() {
+	t.restores++
+	t.history = fmt.Sprintf("history-%d", t.restores+1)
+	t.revision, t.rows = 0, map[string][]*platformv1.Row{}
+	if t.backup != nil {
+		t.revision, t.rows = t.backup.revision, maps.Clone(t.backup.rows)
+	}
 }
 
 func (t *table) commit(r *platformv1.CommitRequest) *platformv1.CommitResponse {
 	response := &platformv1.CommitResponse{}
 	for _, p := range r.GetPreconditions() {
-		if t.versionOf(p.GetKey()) != p.GetVersion() {
+		if t.rowAt(p.GetKey(), t.revision).GetVersion() != p.GetVersion() {
 			response.Conflicts = append(response.Conflicts, p.GetKey())
 		}
 	}
@@ -31,36 +56,46 @@
 	}
 	t.revision++
 	for _, p := range r.GetPuts() {
-		t.rows[p.GetKey()] = &platformv1.Row{Key: p.GetKey(), Value: p.GetValue(), Version: t.revision, Deleted: p.GetDelete()}
+		versions := t.rows[p.GetKey()]
+		versions = versions[max(0, len(versions)-versionsKept):]
+		row := &platformv1.Row{Key: p.GetKey(), Value: p.GetValue(), Version: t.revision, Deleted: p.GetDelete()}
+		// The clip keeps the copy of a backup apart from later versions.
+		t.rows[p.GetKey()] = append(slices.Clip(versions), row)
 	}
 	response.Revision = t.revision
 	return response
 }
 
-// versionOf returns the version of an existing row, and 0 for one that does not exist.
-func (t *table) versionOf(key string) uint64 {
-	row, ok := t.rows[key]
-	if !ok || row.GetDeleted() {
-		return 0
+// at returns the version of a row that was current at a revision, tombstones included, or nil.
+func (t *table) at(key string, revision uint64) *platformv1.Row {
+	for _, row := range slices.Backward(t.rows[key]) {
+		if row.GetVersion() <= revision {
+			return row
+		}
 	}
-	return row.GetVersion()
+	return nil
 }
 
-func (t *table) read(r *platformv1.ReadRequest) *platformv1.ReadResponse {
-	response := &platformv1.ReadResponse{Revision: t.revision}
+// rowAt returns a row as it was at a revision, with version 0 when it did not exist.
+func (t *table) rowAt(key string, revision uint64) *platformv1.Row {
+	if row := t.at(key, revision); row != nil && !row.GetDeleted() {
+		return row
+	}
+	return &platformv1.Row{Key: key}
+}
+
+func (t *table) read(r *platformv1.ReadRequest, revision uint64) *platformv1.ReadResponse {
+	response := &platformv1.ReadResponse{Revision: revision}
 	for _, key := range r.GetKeys() {
-		row := &platformv1.Row{Key: key}
-		if t.versionOf(key) != 0 {
-			row = t.rows[key]
-		}
-		response.Rows = append(response.Rows, row)
+		response.Rows = append(response.Rows, t.rowAt(key, revision))
 	}
 	return response
 }
 
-func (t *table) changes(r *platformv1.ChangesRequest) *platformv1.ChangesResponse {
-	response := &platformv1.ChangesResponse{Revision: t.revision, History: t.history}
-	for key, row := range t.rows {
+func (t *table) changes(r *platformv1.ChangesRequest, revision uint64) *platformv1.ChangesResponse {
+	response := &platformv1.ChangesResponse{Revision: revision, History: t.history}
+	for key := range t.rows {
+		row := t.at(key, revision)
 		if row.GetVersion() > r.GetAfter() && hasAnyPrefix(key, r.GetPrefixes()) {
 			response.Rows = append(response.Rows, row)
 		}
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -22,6 +22,10 @@
 	pending map[fleet.VMID]pendingAction
 	// shown holds past lists, oldest first; at least one is old enough to be shown.
 	shown []listed
+	// shownUntil is when the last returned list was true.
+	shownUntil time.Time
+	// done holds the operations that were carried out, so that a late duplicate does nothing.
+	done map[fleet.OperationID]bool
 }
 
 type pendingAction struct {
@@ -40,6 +44,7 @@
 		rebootTime: rebootTime,
 		current:    map[fleet.VMID]*platformv1.VM{},
 		pending:    map[fleet.VMID]pendingAction{},
+		done:       map[fleet.OperationID]bool{},
 	}
 }
 
@@ -65,7 +70,7 @@
 	if !ok {
 		return &platformv1.ActOnVMResponse{}
 	}
-	if vm.GetLastOperationId() == r.GetOperationId() {
+	if v.done[fleet.OperationID(r.GetOperationId())] {
 		return &platformv1.ActOnVMResponse{Accepted: true}
 	}
 	if p, busy := v.pending[id]; busy {
@@ -91,6 +96,7 @@
 		vm.State = string(fleet.PlatformVMStateLive)
 		vm.BootId = uuid.NewString()
 		vm.LastOperationId = p.request.GetOperationId()
+		v.done[fleet.OperationID(vm.GetLastOperationId())] = true
 		if p.request.GetVersion() != "" {
 			vm.Version = p.request.GetVersion()
 		}
@@ -99,10 +105,15 @@
 }
 
 // list returns the newest list that is at least the lag old.
-func (v *vms) list(now time.Time, zones []string) *platformv1.ListVMsResponse {
+func (v *vms) list(now time.Time, late time.Duration, zones []string) *platformv1.ListVMsResponse {
 	v.advance(now)
 	slices.SortStableFunc(v.shown, func(a, b listed) int { return a.at.Compare(b.at) })
-	limit := now.Add(-v.lag)
+	limit := now.Add(-v.lag - late)
+	if limit.Before(v.shownUntil) {
+		// A list that becomes later stands still; it does not go back.
+		limit = v.shownUntil
+	}
+	v.shownUntil = limit
 	for len(v.shown) > 1 && !v.shown[1].at.After(limit) {
 		v.shown = v.shown[1:]
 	}
--- a/pkg/api/mimosawharf/platform/v1/platformv1connect/platform.connect.go
+++ b/pkg/api/mimosawharf/platform/v1/platformv1connect/platform.connect.go
@@ -28,6 +28,8 @@
 	ObjectServiceName = "mimosawharf.platform.v1.ObjectService"
 	// VMServiceName is the fully-qualified name of the VMService service.
 	VMServiceName = "mimosawharf.platform.v1.VMService"
+	// FaultServiceName is the fully-qualified name of the FaultService service.
+	FaultServiceName = "mimosawharf.platform.v1.FaultService"
 )
 
 // These constants are the fully-qualified names of the RPCs defined in this package. They're
@@ -52,6 +54,12 @@
 	VMServiceListVMsProcedure = "/mimosawharf.platform.v1.VMService/ListVMs"
 	// VMServiceActOnVMProcedure is the fully-qualified name of the VMService's ActOnVM RPC.
 	VMServiceActOnVMProcedure = "/mimosawharf.platform.v1.VMService/ActOnVM"
+	// FaultServiceSetFaultsProcedure is the fully-qualified name of the FaultService's SetFaults RPC.
+	FaultServiceSetFaultsProcedure = "/mimosawharf.platform.v1.FaultService/SetFaults"
+	// FaultServiceBackupProcedure is the fully-qualified name of the FaultService's Backup RPC.
+	FaultServiceBackupProcedure = "/mimosawharf.platform.v1.FaultService/Backup"
+	// FaultServiceRestoreProcedure is the fully-qualified name of the FaultService's Restore RPC.
+	FaultServiceRestoreProcedure = "/mimosawharf.platform.v1.FaultService/Restore"
 )
 
 // TableServiceClient is a client for the mimosawharf.platform.v1.TableService service.
@@ -375,3 +383,131 @@
 func (UnimplementedVMServiceHandler) ActOnVM(context.Context, *connect.Request[v1.ActOnVMRequest]) (*connect.Response[v1.ActOnVMResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.platform.v1.VMService.ActOnVM is not implemented"))
 }
+
+// FaultServiceClient is a client for the mimosawharf.platform.v1.FaultService service.
+type FaultServiceClient interface {
+	// SetFaults replaces the faults; an empty message makes the stand-in healthy.
+	SetFaults(context.Context, *connect.Request[v1.SetFaultsRequest]) (*connect.Response[v1.SetFaultsResponse], error)
+	// Backup keeps a copy of the table.
+	Backup(context.Context, *connect.Request[v1.BackupRequest]) (*connect.Response[v1.BackupResponse], error)
+	// Restore puts the last copy back: revisions go back and the history changes.
+	Restore(context.Context, *connect.Request[v1.RestoreRequest]) (*connect.Response[v1.RestoreResponse], error)
+}
+
+// NewFaultServiceClient constructs a client for the mimosawharf.platform.v1.FaultService service.
+// By default, it uses the Connect protocol with the binary Protobuf Codec, asks for gzipped
+// responses, and sends uncompressed requests. To use the gRPC or gRPC-Web protocols, supply the
+// connect.WithGRPC() or connect.WithGRPCWeb() options.
+//
+// The URL supplied here should be the base URL for the Connect or gRPC server (for example,
+// http://api.acme.com or https://acme.com/grpc).
+func NewFaultServiceClient(httpClient connect.HTTPClient, baseURL string, opts ...connect.ClientOption) FaultServiceClient {
+	baseURL = strings.TrimRight(baseURL, "/")
+	faultServiceMethods := v1.File_mimosawharf_platform_v1_platform_proto.Services().ByName("FaultService").Methods()
+	return &faultServiceClient{
+		setFaults: connect.NewClient[v1.SetFaultsRequest, v1.SetFaultsResponse](
+			httpClient,
+			baseURL+FaultServiceSetFaultsProcedure,
+			connect.WithSchema(faultServiceMethods.ByName("SetFaults")),
+			connect.WithClientOptions(opts...),
+		),
+		backup: connect.NewClient[v1.BackupRequest, v1.BackupResponse](
+			httpClient,
+			baseURL+FaultServiceBackupProcedure,
+			connect.WithSchema(faultServiceMethods.ByName("Backup")),
+			connect.WithClientOptions(opts...),
+		),
+		restore: connect.NewClient[v1.RestoreRequest, v1.RestoreResponse](
+			httpClient,
+			baseURL+FaultServiceRestoreProcedure,
+			connect.WithSchema(faultServiceMethods.ByName("Restore")),
+			connect.WithClientOptions(opts...),
+		),
+	}
+}
+
+// faultServiceClient implements FaultServiceClient.
+type faultServiceClient struct {
+	setFaults *connect.Client[v1.SetFaultsRequest, v1.SetFaultsResponse]
+	backup    *connect.Client[v1.BackupRequest, v1.BackupResponse]
+	restore   *connect.Client[v1.RestoreRequest, v1.RestoreResponse]
+}
+
+// SetFaults calls mimosawharf.platform.v1.FaultService.SetFaults.
+func (c *faultServiceClient) SetFaults(ctx context.Context, req *connect.Request[v1.SetFaultsRequest]) (*connect.Response[v1.SetFaultsResponse], error) {
+	return c.setFaults.CallUnary(ctx, req)
+}
+
+// Backup calls mimosawharf.platform.v1.FaultService.Backup.
+func (c *faultServiceClient) Backup(ctx context.Context, req *connect.Request[v1.BackupRequest]) (*connect.Response[v1.BackupResponse], error) {
+	return c.backup.CallUnary(ctx, req)
+}
+
+// Restore calls mimosawharf.platform.v1.FaultService.Restore.
+func (c *faultServiceClient) Restore(ctx context.Context, req *connect.Request[v1.RestoreRequest]) (*connect.Response[v1.RestoreResponse], error) {
+	return c.restore.CallUnary(ctx, req)
+}
+
+// FaultServiceHandler is an implementation of the mimosawharf.platform.v1.FaultService service.
+type FaultServiceHandler interface {
+	// SetFaults replaces the faults; an empty message makes the stand-in healthy.
+	SetFaults(context.Context, *connect.Request[v1.SetFaultsRequest]) (*connect.Response[v1.SetFaultsResponse], error)
+	// Backup keeps a copy of the table.
+	Backup(context.Context, *connect.Request[v1.BackupRequest]) (*connect.Response[v1.BackupResponse], error)
+	// Restore puts the last copy back: revisions go back and the history changes.
+	Restore(context.Context, *connect.Request[v1.RestoreRequest]) (*connect.Response[v1.RestoreResponse], error)
+}
+
+// NewFaultServiceHandler builds an HTTP handler from the service implementation. It returns the
+// path on which to mount the handler and the handler itself.
+//
+// By default, handlers support the Connect, gRPC, and gRPC-Web protocols with the binary Protobuf
+// and JSON codecs. They also support gzip compression.
+func NewFaultServiceHandler(svc FaultServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
+	faultServiceMethods := v1.File_mimosawharf_platform_v1_platform_proto.Services().ByName("FaultService").Methods()
+	faultServiceSetFaultsHandler := connect.NewUnaryHandler(
+		FaultServiceSetFaultsProcedure,
+		svc.SetFaults,
+		connect.WithSchema(faultServiceMethods.ByName("SetFaults")),
+		connect.WithHandlerOptions(opts...),
+	)
+	faultServiceBackupHandler := connect.NewUnaryHandler(
+		FaultServiceBackupProcedure,
+		svc.Backup,
+		connect.WithSchema(faultServiceMethods.ByName("Backup")),
+		connect.WithHandlerOptions(opts...),
+	)
+	faultServiceRestoreHandler := connect.NewUnaryHandler(
+		FaultServiceRestoreProcedure,
+		svc.Restore,
+		connect.WithSchema(faultServiceMethods.ByName("Restore")),
+		connect.WithHandlerOptions(opts...),
+	)
+	return "/mimosawharf.platform.v1.FaultService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case FaultServiceSetFaultsProcedure:
+			faultServiceSetFaultsHandler.ServeHTTP(w, r)
+		case FaultServiceBackupProcedure:
+			faultServiceBackupHandler.ServeHTTP(w, r)
+		case FaultServiceRestoreProcedure:
+			faultServiceRestoreHandler.ServeHTTP(w, r)
+		default:
+			http.NotFound(w, r)
+		}
+	})
+}
+
+// UnimplementedFaultServiceHandler returns CodeUnimplemented from all methods.
+type UnimplementedFaultServiceHandler struct{}
+
+func (UnimplementedFaultServiceHandler) SetFaults(context.Context, *connect.Request[v1.SetFaultsRequest]) (*connect.Response[v1.SetFaultsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.platform.v1.FaultService.SetFaults is not implemented"))
+}
+
+func (UnimplementedFaultServiceHandler) Backup(context.Context, *connect.Request[v1.BackupRequest]) (*connect.Response[v1.BackupResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.platform.v1.FaultService.Backup is not implemented"))
+}
+
+func (UnimplementedFaultServiceHandler) Restore(context.Context, *connect.Request[v1.RestoreRequest]) (*connect.Response[v1.RestoreResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.platform.v1.FaultService.Restore is not implemented"))
+}
