operation: judge loss on a fresh list and answer repeated calls once

Cause: a drain was judged with a list of VMs of any age, a VM missing from the view counted as available, a stale read of VM rows could hide a grant, and a repeated call with the same operation id got a state error.

Excluded: judging by the view's set of leaving VMs, which is empty for a VM adopted a moment ago.

Change: budget.Lost counts only VMs that a list within vm-list-max-age shows as live and returns StaleListError otherwise. VMs in the ledger's grants count as unavailable, and a read older than the ledger is a conflict. Each operation first looks for its own audit row and returns the result of the earlier call; another change under the same id is refused.

Conclusion: no grant rests on evidence that is old or from another moment.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/gravitational/trace"
 
@@ -16,6 +17,9 @@
 	VMs []fleet.VM
 	// Lost holds the VMs that are not known to be available, planned or not.
 	Lost map[fleet.VMID]bool
+	// Grants are the disruptions in the pool's ledger. Their VMs count as unavailable even where VMs
+	// was read before the disruption began.
+	Grants []fleet.Grant
 }
 
 // ExceededError reports a disruption that the budget does not allow now. Nothing was changed.
@@ -87,7 +91,8 @@
 }
 
 func (p Pool) isAvailable(vm fleet.VM) bool {
-	return vm.State == fleet.VMStateServing && !p.Lost[vm.ID]
+	granted := slices.ContainsFunc(p.Grants, func(g fleet.Grant) bool { return g.VM == vm.ID })
+	return vm.State == fleet.VMStateServing && !p.Lost[vm.ID] && !granted
 }
 
 // Available returns how many VMs of the pool are available.
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
@@ -46,6 +47,9 @@
 }
 
 func (o ApplyConfig) attempt(ctx context.Context, x *Executor) (Applied, error) {
+	if done, revision, err := o.tookEffect(ctx, x); done || err != nil {
+		return Applied{Revision: revision}, trace.Wrap(err)
+	}
 	current, headVersion, err := x.readConfiguration(ctx)
 	if err != nil {
 		return Applied{}, trace.Wrap(err)
@@ -69,6 +73,19 @@
 	return Applied{Revision: revision}, trace.Wrap(err)
 }
 
+// tookEffect returns the revision that an earlier call with the same operation id committed.
+func (o ApplyConfig) tookEffect(ctx context.Context, x *Executor) (bool, fleet.ConfigRevision, error) {
+	if o.DryRun || len(o.Changes) == 0 {
+		return false, 0, nil
+	}
+	audit, err := x.tookEffect(ctx, o.Identity, fleet.AuditActionConfigApply, o.Changes[0].Subject())
+	if audit == nil || err != nil {
+		return false, 0, trace.Wrap(err)
+	}
+	revision, err := strconv.ParseUint(audit.To, 10, 64)
+	return true, fleet.ConfigRevision(revision), trace.Wrap(err)
+}
+
 func (o ApplyConfig) transaction(x *Executor, revision fleet.ConfigRevision, headVersion fleet.RowVersion) platform.Transaction {
 	t := platform.Transaction{
 		Audit:         x.audit(o.Identity, fleet.AuditActionConfigApply),
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -16,6 +17,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -120,6 +122,24 @@
 	return value, err
 }
 
+// tookEffect returns the audit row of an operation that an earlier call with the same operation id has
+// carried out, or nil.
+// It returns *platform.OperationReusedError when the id belongs to another change.
+func (x *Executor) tookEffect(ctx context.Context, id Identity, action fleet.AuditAction, subject fleet.AuditSubject) (*fleet.Audit, error) {
+	rows, err := x.Table.Read(ctx, wire.KeyAudit(id.ID))
+	if err != nil || !rows[0].Exists() {
+		return nil, trace.Wrap(err)
+	}
+	found, err := wire.DecodeAudit(rows[0].Value)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	if found.Action != action || found.Actor != string(id.Actor) || !slices.Contains(found.Subjects, subject) {
+		return nil, trace.Wrap(&platform.OperationReusedError{Operation: id.ID, Action: found.Action})
+	}
+	return &found, nil
+}
+
 // audit returns the audit row of an operation.
 func (x *Executor) audit(id Identity, action fleet.AuditAction, subjects ...fleet.AuditSubject) *fleet.Audit {
 	return &fleet.Audit{
--- a/internal/operation/vm.go
+++ b/internal/operation/vm.go
@@ -51,6 +51,14 @@
 }
 
 func (o ChangeVM) attempt(ctx context.Context, x *Executor) (fleet.VM, error) {
+	done, err := x.tookEffect(ctx, o.Identity, o.action(), fleet.SubjectVM(o.VM))
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	if done != nil {
+		s, err := x.readSubject(ctx, o.VM)
+		return s.vm, trace.Wrap(err)
+	}
 	switch o.Command {
 	case VMCommandAdopt:
 		return o.adopt(ctx, x)
@@ -61,6 +69,18 @@
 	}
 }
 
+// action returns the verb of the operation's audit row.
+func (o ChangeVM) action() fleet.AuditAction {
+	switch o.Command {
+	case VMCommandAdopt:
+		return fleet.AuditActionVMAdopt
+	case VMCommandCancel, VMCommandReturn:
+		return fleet.AuditActionVMCancel
+	default:
+		return fleet.AuditActionVMDrain
+	}
+}
+
 // adopt writes the row of a VM that the platform lists.
 func (o ChangeVM) adopt(ctx context.Context, x *Executor) (fleet.VM, error) {
 	list, err := x.Platform.ListVMs(ctx)
@@ -213,21 +233,29 @@
 	return trace.Wrap(err)
 }
 
-// capacity reads the VMs of a pool afresh and judges which of them are available.
+// capacity reads the VMs of a pool afresh and judges which of them are available. A read that is older
+// than the ledger may show VMs as serving whose disruption the ledger no longer lists, so it counts as
+// a conflict.
 func (x *Executor) capacity(ctx context.Context, s subject) (budget.Pool, error) {
 	changes, err := x.Table.Changes(ctx, 0, 0, wire.PrefixVM)
 	if err != nil {
 		return budget.Pool{}, trace.Wrap(err)
 	}
-	p := budget.Pool{Config: s.pool, Lost: map[fleet.VMID]bool{}}
-	view := x.View.Get()
+	if changes.Revision < fleet.TableRevision(s.ledgerVersion) {
+		return budget.Pool{}, trace.Wrap(&platform.ConflictError{Keys: []fleet.TableKey{wire.KeyLedger(s.pool.ID)}})
+	}
+	p := budget.Pool{Config: s.pool, Grants: s.ledger.Grants}
 	for _, row := range changes.Rows {
 		vm, err := wire.DecodeVM(row.Value)
 		if err != nil || row.Deleted || vm.Pool != s.pool.ID || vm.State == fleet.VMStateRemoved {
 			continue
 		}
 		p.VMs = append(p.VMs, vm)
-		p.Lost[vm.ID] = view != nil && view.Leaving[vm.ID]
 	}
-	return p, nil
+	view := x.View.Get()
+	if view == nil {
+		view = fleet.NewView()
+	}
+	p.Lost, err = budget.Lost(p.VMs, view.List, view.ListReadAt, x.Clock.Now(), x.ListMaxAge)
+	return p, trace.Wrap(err)
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -149,10 +149,12 @@
 		revision    *operation.RevisionError
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
+		rate        *platform.RateExceededError
+		stale       *budget.StaleListError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
-	case errors.As(err, &full):
+	case errors.As(err, &full), errors.As(err, &rate):
 		code = connect.CodeResourceExhausted
 	case errors.As(err, &notFound):
 		code = connect.CodeNotFound
@@ -160,7 +162,7 @@
 		code = connect.CodeFailedPrecondition
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.As(err, &stale):
 		code = connect.CodeUnavailable
 	case errors.As(err, &invalid):
 		code = connect.CodeInvalidArgument
