control: release by zone, recover failed VMs and keep rows moving forward

Cause: a cut-off entry of another zone blocked a release for ever, failed VMs and lost grants stayed, a reboot could be asked for after a cancel, and a failed read in the middle of a poll could lose rows.

Excluded: dropping the known configuration when the table is restored (it would revert); asking the platform before the row says rebooting.

The driver fails unlisted VMs, recovers them, returns grants that no VM uses, ends holds of ended waves and removes rows of gone entries. The poller drafts a view, copies only maps that change, ignores stale reads and older rows of peers, re-reads a restored table and takes the VMs of other zones out of use once the view is older than half the hold time. A lease held from before a restore is dropped.

--- /dev/null
+++ b/internal/control/draft.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"maps"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/configuration"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// draft is the next view. Its maps are those of the published view until a row changes them.
+type draft struct {
+	view fleet.View
+	// owned names the prefixes whose map was copied.
+	owned map[fleet.TableKey]bool
+	// known and history replace those of the poller when the draft is published; a draft that is dropped
+	// in the middle of a read leaves no trace.
+	known    map[fleet.TableKey]knownRow
+	history  platform.History
+	restored bool
+	changed  bool
+}
+
+// versionOf returns what the draft knows of a row.
+func (p *Poller) versionOf(d *draft, key fleet.TableKey) knownRow {
+	if known, ok := d.known[key]; ok || d.restored {
+		return known
+	}
+	return p.known[key]
+}
+
+func (p *Poller) draft() *draft {
+	if p.view == nil {
+		p.view, p.known = fleet.NewView(), map[fleet.TableKey]knownRow{}
+	}
+	return &draft{view: *p.view, owned: map[fleet.TableKey]bool{}, known: map[fleet.TableKey]knownRow{}, history: p.history}
+}
+
+// forget starts the rows of the view again, because the table was restored. The configuration stays: it
+// only moves forward.
+func (d *draft) forget(history platform.History) {
+	d.history, d.restored, d.known = history, true, map[fleet.TableKey]knownRow{}
+	empty := fleet.NewView()
+	d.view.VMs, d.view.Ledgers, d.view.Waves = empty.VMs, empty.Ledgers, empty.Waves
+	d.view.Entries, d.view.Leases = empty.Entries, empty.Leases
+	for _, prefix := range []fleet.TableKey{wire.PrefixVM, wire.PrefixLedger, wire.PrefixWave, wire.PrefixEntry, wire.PrefixLease} {
+		d.owned[prefix] = true
+	}
+	d.view.Revision, d.changed = 0, true
+}
+
+// absorb takes one row into a draft, unless a newer one is known. A row that cannot be decoded is left
+// out and logged.
+func (p *Poller) absorb(d *draft, row platform.Row, fromPeer bool) {
+	if known := p.versionOf(d, row.Key); row.Version <= known.version && (fromPeer || !known.fromPeer) {
+		return
+	}
+	var err error
+	v := &d.view
+	switch {
+	case row.Key == wire.KeyHead:
+		err = p.absorbHead(d, row)
+	case wire.HasPrefix(row.Key, wire.PrefixConfig):
+		err = p.absorbItem(d, row)
+	case wire.HasPrefix(row.Key, wire.PrefixVM):
+		err = absorbRow(d, &v.VMs, wire.PrefixVM, row, wire.DecodeVM, func(vm *fleet.VM) { vm.RowVersion = row.Version })
+	case wire.HasPrefix(row.Key, wire.PrefixLedger):
+		err = absorbRow(d, &v.Ledgers, wire.PrefixLedger, row, wire.DecodeLedger, func(l *fleet.Ledger) { l.RowVersion = row.Version })
+	case wire.HasPrefix(row.Key, wire.PrefixWave):
+		err = absorbRow(d, &v.Waves, wire.PrefixWave, row, wire.DecodeWave, func(w *fleet.Wave) { w.RowVersion = row.Version })
+	case wire.HasPrefix(row.Key, wire.PrefixLease):
+		err = absorbRow(d, &v.Leases, wire.PrefixLease, row, wire.DecodeLease, func(l *fleet.Lease) { l.RowVersion = row.Version })
+	case wire.HasPrefix(row.Key, wire.PrefixEntry):
+		err = absorbRow(d, &v.Entries, wire.PrefixEntry, row, wire.DecodeEntry, func(e *fleet.Entry) { e.RowVersion = row.Version })
+	}
+	if err != nil {
+		p.Log.Error("poller: row was left out", zap.String("key", string(row.Key)), zap.Error(err))
+		return
+	}
+	d.known[row.Key] = knownRow{version: row.Version, fromPeer: fromPeer}
+}
+
+// absorbRow takes one row into the map of its prefix, which is copied once per draft.
+func absorbRow[K ~string, V any](d *draft, to *map[K]V, prefix fleet.TableKey, row platform.Row, decode func([]byte) (V, error), version func(*V)) error {
+	value, err := decode(row.Value)
+	if err != nil && !row.Deleted {
+		return trace.Wrap(err)
+	}
+	if !d.owned[prefix] {
+		*to, d.owned[prefix] = maps.Clone(*to), true
+	}
+	d.changed = true
+	id := K(wire.IDOf(row.Key, prefix))
+	if row.Deleted {
+		delete(*to, id)
+		return nil
+	}
+	version(&value)
+	(*to)[id] = value
+	return nil
+}
+
+func (p *Poller) absorbHead(d *draft, row platform.Row) error {
+	head, err := wire.DecodeHead(row.Value)
+	if err == nil && p.config.Advance(p.Clock.Now(), head.Revision) {
+		d.changed, p.configChanged = true, true
+	}
+	return trace.Wrap(err)
+}
+
+func (p *Poller) absorbItem(d *draft, row platform.Row) error {
+	item, err := wire.DecodeItem(row.Value)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if p.config.Absorb(row.Key, configuration.Item{Pool: item.Pool, Service: item.Service, Account: item.Account, Revision: item.Revision}) {
+		d.changed, p.configChanged = true, true
+	}
+	return nil
+}
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -37,7 +37,13 @@
 	Clock    clock.Clock
 	Log      *zap.Logger
 	Interval time.Duration
+	// HoldTime is how long after its lease lapsed an entry of another zone is waited for.
+	HoldTime time.Duration
+	// ListMaxAge is the age from which the list of VMs is no evidence.
+	ListMaxAge time.Duration
 
+	// seen remembers since when each entry's row has not changed, by this entry's clock.
+	seen   sightings
 	states *machine.Machine[fleet.VMState, move.Event]
 }
 
@@ -46,91 +52,105 @@
 
 // Run implements duty.Duty.
 func (d *FleetDriver) Run(ctx context.Context) error {
-	d.states = move.NewMachine()
 	for {
-		if held, ok := d.Held.Get()[fleet.DutyFleetDriver]; ok {
-			d.drive(ctx, held)
-		}
+		d.Step(ctx)
 		if err := clock.Wait(ctx, d.Clock, d.Interval); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 }
 
-func (d *FleetDriver) drive(ctx context.Context, held Held) {
+// Step makes one round over the fleet if this entry holds the lease. Only the duty calls it, or a test in
+// its place.
+func (d *FleetDriver) Step(ctx context.Context) {
+	if d.states == nil {
+		d.states, d.seen = move.NewMachine(), sightings{}
+	}
 	view := d.View.Get()
 	if view == nil {
 		return
 	}
-	changed := false
+	d.seen.observe(d.Clock.Now(), view.Entries)
+	held, ok := d.Held.Get()[fleet.DutyFleetDriver]
+	if !ok {
+		return
+	}
+	changed := d.returnGrants(ctx, held, view)
+	changed = d.removeEntries(ctx, held, view) || changed
+	facts := d.facts(view)
 	for _, id := range slices.Sorted(maps.Keys(view.VMs)) {
 		vm := view.VMs[id]
-		step := move.Next(vm, d.facts(view, vm))
-		if step.Event == "" {
-			continue
+		step := move.Next(vm, facts(vm))
+		if step.Command != nil {
+			d.note("act on VM", string(id), d.Platform.Act(ctx, *step.Command))
 		}
-		if err := d.apply(ctx, held, view, vm, step); err != nil {
-			var conflict *platform.ConflictError
-			if !errors.As(err, &conflict) {
-				d.Log.Warn("fleet-driver: step failed", zap.String("vm", string(id)), zap.String("event", string(step.Event)), zap.Error(err))
-			}
+		if step.Event != "" {
+			d.note(string(step.Event), string(id), d.apply(ctx, held, view, vm, step.Event))
+			changed = true
 		}
-		changed = true
 	}
 	if changed {
 		_ = d.Poller.Push(PollerEvent{PollNow: true})
 	}
 }
 
-func (d *FleetDriver) facts(view *fleet.View, vm fleet.VM) move.Facts {
-	f := move.Facts{Released: isReleased(view, vm)}
-	for i := range view.List.VMs {
-		if view.List.VMs[i].ID == vm.ID {
-			f.Listed = &view.List.VMs[i]
-		}
+// note logs a failed step. A conflict is no failure: the next round decides on newer rows.
+func (d *FleetDriver) note(what, subject string, err error) {
+	var conflict *platform.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		d.Log.Warn("fleet-driver: step failed", zap.String("step", what), zap.String("subject", subject), zap.Error(err))
 	}
-	return f
 }
 
-// isReleased reports whether every entry has acknowledged the drain of the VM.
-func isReleased(view *fleet.View, vm fleet.VM) bool {
+// facts returns a function that gives the facts of each VM.
+func (d *FleetDriver) facts(view *fleet.View) func(vm fleet.VM) move.Facts {
+	listed := map[fleet.VMID]*fleet.PlatformVM{}
+	for i := range view.List.VMs {
+		listed[view.List.VMs[i].ID] = &view.List.VMs[i]
+	}
+	now := d.Clock.Now()
+	fresh := d.isListFresh(now, view)
+	var entries []move.EntryFacts
 	for _, e := range view.Entries {
-		if e.AcknowledgedRevision < fleet.TableRevision(vm.RowVersion) {
-			return false
+		entries = append(entries, move.EntryFacts{
+			Entry: e, UnchangedFor: now.Sub(d.seen[e.ID].at), IsGone: d.isEntryGone(now, view, e),
+		})
+	}
+	return func(vm fleet.VM) move.Facts {
+		return move.Facts{
+			Released:    move.IsReleased(vm, entries, d.HoldTime),
+			Listed:      listed[vm.ID],
+			ListIsFresh: fresh && view.List.AsOf.After(vm.Since),
+			HolderGone:  vm.Wave != "" && view.Waves[vm.Wave].State.IsFinal(),
 		}
 	}
-	return len(view.Entries) > 0
+}
+
+func (d *FleetDriver) isListFresh(now time.Time, view *fleet.View) bool {
+	return !view.ListReadAt.IsZero() && now.Sub(view.ListReadAt) <= d.ListMaxAge && now.Sub(view.List.AsOf) <= d.ListMaxAge
+}
+
+// isEntryGone reports whether an entry's lease has lapsed and a fresh list no longer shows its VM.
+func (d *FleetDriver) isEntryGone(now time.Time, view *fleet.View, e fleet.Entry) bool {
+	if e.VM == "" || !d.isListFresh(now, view) || now.Sub(d.seen[e.ID].at) <= e.Duration {
+		return false
+	}
+	return !slices.ContainsFunc(view.List.VMs, func(vm fleet.PlatformVM) bool { return vm.ID == e.VM })
 }
 
 // apply makes one transition. The lease's row and the VM's row are preconditions.
-func (d *FleetDriver) apply(ctx context.Context, held Held, view *fleet.View, vm fleet.VM, step move.Step) error {
-	state, err := d.states.Next(vm.State, step.Event)
+func (d *FleetDriver) apply(ctx context.Context, held Held, view *fleet.View, vm fleet.VM, event move.Event) error {
+	state, err := d.states.Next(vm.State, event)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	now, operation := d.Clock.Now(), fleet.NewOperationID()
-	if step.Command != nil {
-		// The drain's operation id makes the action idempotent, whoever asks for it.
-		operation = vm.OperationID
-		step.Command.OperationID = operation
-		if err := d.Platform.Act(ctx, *step.Command); err != nil {
-			return trace.Wrap(err)
-		}
-	}
-	next := move.Apply(vm, step.Event, state, operation, now)
-	t := platform.Transaction{
-		Audit: &fleet.Audit{
-			OperationID: fleet.NewOperationID(), At: now, Actor: string(d.Entry), Action: auditAction(step.Event),
-			Subjects: []fleet.AuditSubject{fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)},
-			From:     string(vm.State), To: string(next.State), Outcome: "done", Entry: d.Entry,
-		},
-		Preconditions: []platform.Precondition{
-			{Key: wire.KeyLease(fleet.DutyFleetDriver), Version: held.RowVersion},
-			{Key: wire.KeyVM(vm.ID), Version: vm.RowVersion},
-		},
-		Puts: []platform.Put{{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(next)}},
-	}
-	if move.ReturnsGrant(step.Event) {
+	next := move.Apply(vm, event, state, operation, now)
+	t := d.transaction(held, auditAction(event), fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool))
+	t.Audit.OperationID, t.Audit.From, t.Audit.To = operation, string(vm.State), string(next.State)
+	t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyVM(vm.ID), Version: vm.RowVersion})
+	t.Puts = append(t.Puts, platform.Put{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(next)})
+	if move.ReturnsGrant(event) {
 		returnGrant(&t, view.Ledgers[vm.Pool], vm)
 	}
 	_, err = d.Table.Commit(ctx, t)
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -47,13 +47,10 @@
 
 	version fleet.RowVersion
 	held    Leases
+	// revision is the highest table revision seen; the table goes below it only when it is restored.
+	revision fleet.TableRevision
 	// seen remembers when the row of each entry was last seen to change, by this entry's clock.
-	seen map[fleet.EntryID]sighting
-}
-
-type sighting struct {
-	version fleet.RowVersion
-	at      time.Time
+	seen sightings
 }
 
 // Name implements duty.Duty.
@@ -64,18 +61,26 @@
 
 // Run implements duty.Duty.
 func (h *LeaseHolder) Run(ctx context.Context) error {
-	h.held, h.seen = Leases{}, map[fleet.EntryID]sighting{}
 	for {
-		h.renew(ctx)
-		if h.version != 0 {
-			h.takeLeases(ctx)
-		}
+		h.Step(ctx)
 		if err := clock.Wait(ctx, h.Clock, h.Entry.Duration/renewalsPerLease); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 }
 
+// Step renews the entry's row and takes leases that are free. Only the duty calls it, or a test in its
+// place.
+func (h *LeaseHolder) Step(ctx context.Context) {
+	if h.seen == nil {
+		h.held, h.seen = Leases{}, sightings{}
+	}
+	h.renew(ctx)
+	if h.version != 0 {
+		h.takeLeases(ctx)
+	}
+}
+
 // renew writes the entry's row. The row of an earlier incarnation is replaced.
 func (h *LeaseHolder) renew(ctx context.Context) {
 	now, row := h.Clock.Now(), h.Entry
@@ -105,8 +110,13 @@
 	if view == nil {
 		return
 	}
+	if view.Revision < h.revision {
+		// A restored table may give a version that this entry holds to another row of the lease.
+		h.held = Leases{}
+	}
+	h.revision = view.Revision
 	now := h.Clock.Now()
-	h.observe(now, view)
+	h.seen.observe(now, view.Entries)
 	held := Leases{}
 	for _, d := range h.Duties {
 		if l, ok := h.keepOrTake(ctx, now, view, d); ok {
@@ -117,14 +127,6 @@
 	h.Held.Set(held)
 }
 
-func (h *LeaseHolder) observe(now time.Time, view *fleet.View) {
-	for id, e := range view.Entries {
-		if s, ok := h.seen[id]; !ok || s.version != e.RowVersion {
-			h.seen[id] = sighting{version: e.RowVersion, at: now}
-		}
-	}
-}
-
 func (h *LeaseHolder) keepOrTake(ctx context.Context, now time.Time, view *fleet.View, d fleet.DutyName) (Held, bool) {
 	lease := view.Leases[d]
 	if lease.Holder == h.Entry.ID && lease.Incarnation == h.Entry.Incarnation {
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -36,6 +36,8 @@
 type PollerEvent struct {
 	// List is a new list of VMs of the platform.
 	List *fleet.VMList
+	// Rows are rows that a peer knows.
+	Rows []platform.Row
 	// PollNow asks for a poll without waiting for the interval.
 	PollNow bool
 }
@@ -50,11 +52,29 @@
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Interval   time.Duration
+	Zone       fleet.ZoneID
+	// HoldTime is how long after the lease of this entry lapsed its acknowledgement is waited for in
+	// other zones. The entry stops using VMs of other zones at half of it.
+	HoldTime time.Duration
 
 	view    *fleet.View
 	config  configuration.Copy
 	history platform.History
 	failing bool
+	// configChanged says that config holds a change that the view does not.
+	configChanged bool
+	// avoiding says that the view leaves out the VMs of other zones.
+	avoiding bool
+	// known holds the version of each row in the view, deleted rows included, so that an older row of
+	// a peer or of a stale read changes nothing.
+	known map[fleet.TableKey]knownRow
+}
+
+type knownRow struct {
+	version fleet.RowVersion
+	// fromPeer says that the table has not confirmed the row yet. The table overrules it, because a
+	// peer may still know the rows of a history before a restore.
+	fromPeer bool
 }
 
 // Name implements duty.Duty.
@@ -62,7 +82,6 @@
 
 // Run implements duty.Duty.
 func (p *Poller) Run(ctx context.Context) error {
-	p.view = fleet.NewView()
 	timer := p.Clock.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -70,47 +89,63 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		if ok && ev.List != nil {
-			p.takeList(*ev.List)
-		}
+		p.Handle(ctx, ev)
 		if !ok || ev.PollNow {
-			p.poll(ctx)
+			p.Poll(ctx)
 			timer.Reset(p.Interval)
 		}
 	}
 }
 
-// poll reads all changes since the last poll and publishes a new view.
-func (p *Poller) poll(ctx context.Context) {
-	next := p.copyView()
+// Handle takes the news of one event into the view. Only the duty calls it, or a test in its place.
+func (p *Poller) Handle(_ context.Context, ev PollerEvent) {
+	d := p.draft()
+	if ev.List != nil && !ev.List.AsOf.Before(d.view.List.AsOf) {
+		d.view.List, d.view.ListReadAt, d.changed = *ev.List, p.Clock.Now(), true
+	}
+	for _, row := range ev.Rows {
+		p.absorb(d, row, true)
+	}
+	if d.changed {
+		p.publish(d)
+	}
+}
+
+// Poll reads all changes since the last poll and publishes a new view. Only the duty calls it, or a
+// test in its place.
+func (p *Poller) Poll(ctx context.Context) {
+	d := p.draft()
+	// The view is as old as the moment before the first read was sent.
+	asked := p.Clock.Now()
 	for {
-		changes, err := p.Table.Changes(ctx, next.Revision, changesLimit,
+		changes, err := p.Table.Changes(ctx, d.view.Revision, changesLimit,
 			wire.PrefixConfig, wire.PrefixVM, wire.PrefixLedger, wire.PrefixWave, wire.PrefixLease, wire.PrefixEntry)
 		if err != nil {
 			p.noteFailure(err)
+			p.publishAge()
 			return
 		}
-		if p.isOtherHistory(changes) {
+		if d.history != "" && changes.History != d.history {
 			p.Log.Warn("poller: table has another history, reading it whole", zap.String("history", string(changes.History)))
-			p.history, next.Revision = changes.History, 0
+			d.forget(changes.History)
 			continue
 		}
-		p.history = changes.History
+		if changes.Revision < d.view.Revision {
+			p.publishAge()
+			return // a stale read confirms nothing
+		}
+		d.history = changes.History
 		for _, row := range changes.Rows {
-			p.absorb(next, row)
+			p.absorb(d, row, false)
 		}
-		next.Revision = changes.Revision
+		d.view.Revision = changes.Revision
 		if !changes.More {
 			break
 		}
 	}
 	p.failing = false
-	next.RefreshedAt = p.Clock.Now()
-	p.publish(next)
-}
-
-func (p *Poller) isOtherHistory(c platform.Changes) bool {
-	return p.history != "" && c.History != p.history
+	d.view.RefreshedAt = asked
+	p.publish(d)
 }
 
 func (p *Poller) noteFailure(err error) {
@@ -120,35 +155,54 @@
 	p.failing = true
 }
 
-func (p *Poller) takeList(list fleet.VMList) {
-	next := p.copyView()
-	next.List, next.ListReadAt = list, p.Clock.Now()
-	p.publish(next)
+// publish makes a draft the view. A draft without a change only confirms the age of the view, so the
+// dispatcher is not told.
+func (p *Poller) publish(d *draft) {
+	if p.configChanged {
+		d.view.Configuration, p.configChanged = p.config.Build(), false
+		d.changed = true
+	}
+	if d.restored {
+		p.known = map[fleet.TableKey]knownRow{}
+	}
+	maps.Copy(p.known, d.known)
+	p.history = d.history
+	d.view.Configuration.Revision, d.view.ConfigSince = p.config.Revision()
+	foreign := p.mustAvoidOtherZones(&d.view)
+	if d.changed || foreign != p.avoiding {
+		d.view.Leaving = p.leavingVMs(&d.view, foreign)
+		d.changed = true
+	}
+	p.avoiding, p.view = foreign, &d.view
+	p.View.Set(p.view)
+	if d.changed {
+		// When the ring is full, the dispatcher takes the view with its next tick.
+		_ = p.Dispatcher.Push(dispatch.ViewChanged{})
+	}
 }
 
-func (p *Poller) copyView() *fleet.View {
-	v := *p.view
-	v.VMs = maps.Clone(v.VMs)
-	v.Ledgers = maps.Clone(v.Ledgers)
-	v.Waves = maps.Clone(v.Waves)
-	v.Entries = maps.Clone(v.Entries)
-	v.Leases = maps.Clone(v.Leases)
-	return &v
+// publishAge takes the VMs of other zones out of the view once it is too old to use them.
+func (p *Poller) publishAge() {
+	if d := p.draft(); p.mustAvoidOtherZones(&d.view) != p.avoiding {
+		p.publish(d)
+	}
 }
 
-func (p *Poller) publish(next *fleet.View) {
-	next.Configuration = p.config.Build()
-	next.Configuration.Revision, next.ConfigSince = p.config.Revision()
-	next.Leaving = leavingVMs(next)
-	p.view = next
-	p.View.Set(next)
-	// When the ring is full, the dispatcher takes the view with its next tick.
-	_ = p.Dispatcher.Push(dispatch.ViewChanged{})
+// mustAvoidOtherZones reports whether the view is older than half the hold time. Entries of other zones
+// may then be close to giving VMs of theirs to another pool without this entry's acknowledgement.
+func (p *Poller) mustAvoidOtherZones(v *fleet.View) bool {
+	return p.HoldTime > 0 && p.Clock.Now().Sub(v.RefreshedAt) > p.HoldTime/2
 }
 
-// leavingVMs returns the VMs that the platform's list shows as leaving or no longer shows.
-func leavingVMs(view *fleet.View) map[fleet.VMID]bool {
+// leavingVMs returns the VMs that take no new work of this entry: the platform's list shows them as
+// leaving or no longer shows them, or the view is too old to use their zone.
+func (p *Poller) leavingVMs(view *fleet.View, avoidOtherZones bool) map[fleet.VMID]bool {
 	leaving := map[fleet.VMID]bool{}
+	for id, vm := range view.VMs {
+		if avoidOtherZones && vm.Zone != p.Zone {
+			leaving[id] = true
+		}
+	}
 	if view.ListReadAt.IsZero() {
 		return leaving
 	}
@@ -163,57 +217,3 @@
 	}
 	return leaving
 }
-
-// absorb takes one row into the view. A row that cannot be decoded is left out and logged.
-func (p *Poller) absorb(v *fleet.View, row platform.Row) {
-	var err error
-	switch {
-	case row.Key == wire.KeyHead:
-		err = p.absorbHead(row)
-	case wire.HasPrefix(row.Key, wire.PrefixConfig):
-		err = p.absorbItem(row)
-	case wire.HasPrefix(row.Key, wire.PrefixVM):
-		err = absorbRow(v.VMs, fleet.VMID(wire.IDOf(row.Key, wire.PrefixVM)), row, wire.DecodeVM, func(vm *fleet.VM) { vm.RowVersion = row.Version })
-	case wire.HasPrefix(row.Key, wire.PrefixLedger):
-		err = absorbRow(v.Ledgers, fleet.PoolID(wire.IDOf(row.Key, wire.PrefixLedger)), row, wire.DecodeLedger, func(l *fleet.Ledger) { l.RowVersion = row.Version })
-	case wire.HasPrefix(row.Key, wire.PrefixWave):
-		err = absorbRow(v.Waves, fleet.WaveID(wire.IDOf(row.Key, wire.PrefixWave)), row, wire.DecodeWave, func(w *fleet.Wave) { w.RowVersion = row.Version })
-	case wire.HasPrefix(row.Key, wire.PrefixLease):
-		err = absorbRow(v.Leases, fleet.DutyName(wire.IDOf(row.Key, wire.PrefixLease)), row, wire.DecodeLease, func(l *fleet.Lease) { l.RowVersion = row.Version })
-	case wire.HasPrefix(row.Key, wire.PrefixEntry):
-		err = absorbRow(v.Entries, fleet.EntryID(wire.IDOf(row.Key, wire.PrefixEntry)), row, wire.DecodeEntry, func(e *fleet.Entry) { e.RowVersion = row.Version })
-	}
-	if err != nil {
-		p.Log.Error("poller: row was left out", zap.String("key", string(row.Key)), zap.Error(err))
-	}
-}
-
-func absorbRow[K comparable, V any](to map[K]V, id K, row platform.Row, decode func([]byte) (V, error), version func(*V)) error {
-	if row.Deleted {
-		delete(to, id)
-		return nil
-	}
-	value, err := decode(row.Value)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	version(&value)
-	to[id] = value
-	return nil
-}
-
-func (p *Poller) absorbHead(row platform.Row) error {
-	head, err := wire.DecodeHead(row.Value)
-	if err == nil {
-		p.config.Advance(p.Clock.Now(), head.Revision)
-	}
-	return trace.Wrap(err)
-}
-
-func (p *Poller) absorbItem(row platform.Row) error {
-	item, err := wire.DecodeItem(row.Value)
-	if err == nil {
-		p.config.Absorb(row.Key, configuration.Item{Pool: item.Pool, Service: item.Service, Account: item.Account, Revision: item.Revision})
-	}
-	return trace.Wrap(err)
-}
--- /dev/null
+++ b/internal/control/sweep.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// sightings remember since when each entry's row has not changed, by this entry's clock.
+type sightings map[fleet.EntryID]sighting
+
+type sighting struct {
+	version fleet.RowVersion
+	at      time.Time
+}
+
+func (s sightings) observe(now time.Time, entries map[fleet.EntryID]fleet.Entry) {
+	maps.DeleteFunc(s, func(id fleet.EntryID, _ sighting) bool { _, ok := entries[id]; return !ok })
+	for id, e := range entries {
+		if known, ok := s[id]; !ok || known.version != e.RowVersion {
+			s[id] = sighting{version: e.RowVersion, at: now}
+		}
+	}
+}
+
+// returnGrants returns grants whose VM is no longer disrupted under them. A restored table may hold
+// such grants, and a VM that was removed leaves one behind.
+func (d *FleetDriver) returnGrants(ctx context.Context, held Held, view *fleet.View) bool {
+	changed := false
+	for _, pool := range slices.Sorted(maps.Keys(view.Ledgers)) {
+		ledger := view.Ledgers[pool]
+		for _, g := range ledger.Grants {
+			vm := view.VMs[g.VM]
+			if vm.Pool == pool && vm.GrantID == g.ID {
+				continue
+			}
+			t := d.transaction(held, fleet.AuditActionGrantReturn, fleet.SubjectPool(pool), fleet.SubjectVM(g.VM))
+			// The VM's row is a precondition, because the grant may have begun after the view.
+			t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyVM(g.VM), Version: vm.RowVersion})
+			returnGrant(&t, ledger, fleet.VM{ID: g.VM, Pool: pool})
+			_, err := d.Table.Commit(ctx, t)
+			d.note("return grant", string(g.ID), err)
+			changed = true
+			break // the ledger's version is used up
+		}
+	}
+	return changed
+}
+
+// removeEntries removes the rows of entries whose VM the platform's list no longer shows.
+func (d *FleetDriver) removeEntries(ctx context.Context, held Held, view *fleet.View) bool {
+	changed := false
+	for _, id := range slices.Sorted(maps.Keys(view.Entries)) {
+		e := view.Entries[id]
+		if !d.isEntryGone(d.Clock.Now(), view, e) {
+			continue
+		}
+		t := d.transaction(held, fleet.AuditActionEntryRemove, fleet.SubjectEntry(id))
+		t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyEntry(id), Version: e.RowVersion})
+		t.Puts = append(t.Puts, platform.Put{Key: wire.KeyEntry(id), Delete: true})
+		_, err := d.Table.Commit(ctx, t)
+		d.note("remove entry", string(id), err)
+		changed = true
+	}
+	return changed
+}
+
+// transaction returns a transaction that applies only while this entry holds the lease.
+func (d *FleetDriver) transaction(held Held, action fleet.AuditAction, subjects ...fleet.AuditSubject) platform.Transaction {
+	return platform.Transaction{
+		Audit: &fleet.Audit{
+			OperationID: fleet.NewOperationID(), At: d.Clock.Now(), Actor: string(d.Entry), Action: action,
+			Subjects: subjects, Outcome: "done", Entry: d.Entry,
+		},
+		Preconditions: []platform.Precondition{{Key: wire.KeyLease(fleet.DutyFleetDriver), Version: held.RowVersion}},
+	}
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,12 +107,13 @@
 		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
 			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Zone: s.Zone, HoldTime: s.HoldTime,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(table),
 		&control.FleetDriver{
 			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
-			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
 		},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
--- /dev/null
+++ b/internal/move/release.go
@@ -0,0 +1,31 @@
+package move
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// EntryFacts are what the release of a VM depends on for one entry.
+type EntryFacts struct {
+	Entry fleet.Entry
+	// UnchangedFor is how long the entry's row has not changed, by the driver's clock.
+	UnchangedFor time.Duration
+	// IsGone says that a fresh list of VMs no longer shows the entry's own VM.
+	IsGone bool
+}
+
+// IsReleased reports whether no entry sends work of the VM's assignment any more. An entry of the VM's
+// own zone must acknowledge or be gone, because it serves on while its zone is cut off. An entry of
+// another zone stops by itself when its view is older than half the hold time, so its silence is enough
+// once its lease has been expired for the whole hold time.
+func IsReleased(vm fleet.VM, entries []EntryFacts, holdTime time.Duration) bool {
+	for _, e := range entries {
+		acknowledged := e.Entry.AcknowledgedRevision >= fleet.TableRevision(vm.RowVersion)
+		silent := e.Entry.Zone != vm.Zone && e.UnchangedFor > e.Entry.Duration+holdTime
+		if !acknowledged && !e.IsGone && !silent {
+			return false
+		}
+	}
+	return len(entries) > 0
+}
--- a/internal/move/step.go
+++ b/internal/move/step.go
@@ -12,50 +12,81 @@
 	Released bool
 	// Listed is the VM in the platform's list, nil when the list does not show it.
 	Listed *fleet.PlatformVM
+	// ListIsFresh says that the list is younger than its bound and than the VM's state, so that a VM
+	// that it does not show is lost.
+	ListIsFresh bool
+	// HolderGone says that the wave on whose behalf the VM is disrupted has ended.
+	HolderGone bool
 }
 
 // Step is the next thing to do for a VM.
 type Step struct {
-	// Event is the transition to make; it is empty when nothing is to be done.
+	// Event is the transition to make; it is empty when the state stays.
 	Event Event
-	// Command is what to ask of the platform before the transition, if anything.
+	// Command is what to ask of the platform, if anything.
 	Command *fleet.VMCommand
 }
 
-// Next returns the next step of a VM that is being disrupted.
+// Next returns the next step of a VM.
 func Next(vm fleet.VM, f Facts) Step {
+	if f.ListIsFresh && f.Listed == nil && vm.State != fleet.VMStateFailed && vm.State != fleet.VMStateRemoved {
+		return Step{Event: EventFail}
+	}
+	isLive := f.Listed != nil && f.Listed.State == fleet.PlatformVMStateLive
 	switch vm.State {
 	case fleet.VMStateDraining:
+		if f.HolderGone {
+			return Step{Event: EventCancel}
+		}
 		if f.Released {
 			return Step{Event: EventRelease}
 		}
 	case fleet.VMStateDrained:
-		return nextDrained(vm)
+		return nextDrained(vm, f)
 	case fleet.VMStateRebooting:
-		if f.Listed != nil && f.Listed.State == fleet.PlatformVMStateLive && f.Listed.LastOperation == vm.OperationID {
+		if isLive && f.Listed.LastOperation == vm.OperationID {
 			return Step{Event: EventBooted}
 		}
+		// The platform carries an operation id out once, so the command may be repeated.
+		return Step{Command: command(vm)}
+	case fleet.VMStateFailed:
+		if f.ListIsFresh && isLive {
+			return Step{Event: EventRecover}
+		}
 	}
 	return Step{}
 }
 
-func nextDrained(vm fleet.VM) Step {
+func nextDrained(vm fleet.VM, f Facts) Step {
 	switch vm.Purpose {
 	case fleet.VMPurposeMove:
 		return Step{Event: EventAttach}
-	case fleet.VMPurposeReboot:
-		return Step{Event: EventReboot, Command: &fleet.VMCommand{VM: vm.ID, Action: fleet.VMActionReboot}}
-	case fleet.VMPurposeReplace:
-		return Step{Event: EventReboot, Command: &fleet.VMCommand{VM: vm.ID, Action: fleet.VMActionReplace}}
-	case fleet.VMPurposeRollOut:
-		return Step{Event: EventReboot, Command: &fleet.VMCommand{VM: vm.ID, Action: fleet.VMActionRollOut, Version: vm.TargetVersion}}
+	case fleet.VMPurposeReboot, fleet.VMPurposeReplace, fleet.VMPurposeRollOut:
+		// The row changes before the platform is asked: a cancel that came between the command and
+		// the row would put a VM into service that is about to reboot.
+		return Step{Event: EventReboot}
 	case fleet.VMPurposeRemove:
 		return Step{Event: EventRemove}
 	default:
+		if f.HolderGone {
+			return Step{Event: EventCancel}
+		}
 		return Step{}
 	}
 }
 
+// command returns what a rebooting VM needs of the platform.
+func command(vm fleet.VM) *fleet.VMCommand {
+	c := &fleet.VMCommand{VM: vm.ID, Action: fleet.VMActionReboot, OperationID: vm.OperationID}
+	switch vm.Purpose {
+	case fleet.VMPurposeReplace:
+		c.Action = fleet.VMActionReplace
+	case fleet.VMPurposeRollOut:
+		c.Action, c.Version = fleet.VMActionRollOut, vm.TargetVersion
+	}
+	return c
+}
+
 // Apply returns the row of the VM after an event. The caller has checked that the state allows it.
 func Apply(vm fleet.VM, event Event, state fleet.VMState, operation fleet.OperationID, now time.Time) fleet.VM {
 	vm.State, vm.OperationID, vm.Since = state, operation, now
--- a/pkg/fleet/audit.go
+++ b/pkg/fleet/audit.go
@@ -21,6 +21,8 @@
 	AuditActionWaveCreate  AuditAction = "wave-create"
 	AuditActionWaveControl AuditAction = "wave-control"
 	AuditActionWaveStep    AuditAction = "wave-step"
+	AuditActionGrantReturn AuditAction = "grant-return"
+	AuditActionEntryRemove AuditAction = "entry-remove"
 	AuditActionLeaseTake   AuditAction = "lease-take"
 )
 
@@ -45,6 +47,9 @@
 // SubjectLease returns the subject of a lease.
 func SubjectLease(d DutyName) AuditSubject { return AuditSubject("lease/" + string(d)) }
 
+// SubjectEntry returns the subject of an entry.
+func SubjectEntry(id EntryID) AuditSubject { return AuditSubject("entry/" + string(id)) }
+
 // Audit is one row of the audit trail. It is written in the same transaction as its change.
 type Audit struct {
 	OperationID OperationID
