--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -72,32 +72,17 @@
 	return p.applied, trace.Wrap(err)
 }
 
-// appliedBefore reads the audit row of the operation and returns the revision that it wrote.
+// appliedBefore returns the revision that an earlier call with the same operation id committed.
 func (o ApplyConfig) appliedBefore(ctx context.Context, x *Executor) (Applied, bool, error) {
-	rows, err := x.Table.Read(ctx, wire.KeyAudit(o.Identity.ID))
-	if err != nil || !rows[0].Exists() {
-		return Applied{}, false, trace.Wrap(err)
+	if o.DryRun {
+		return Applied{}, false, nil
 	}
-	audit, err := wire.DecodeAudit(rows[0].Value)
-	if err != nil {
+	audit, err := x.tookEffect(ctx, o.Identity, fleet.AuditActionConfigApply, "")
+	if audit == nil || err != nil {
 		return Applied{}, false, trace.Wrap(err)
 	}
 	revision, err := strconv.ParseUint(audit.To, 10, 64)
-	if audit.Action != fleet.AuditActionConfigApply || err != nil {
-		return Applied{}, false, trace.Wrap(&IDUsedError{ID: o.Identity.ID, Action: audit.Action})
-	}
-	return Applied{Revision: fleet.ConfigRevision(revision)}, true, nil
-}
-
-// IDUsedError reports an operation id that another operation has used. Nothing was changed.
-type IDUsedError struct {
-	ID     fleet.OperationID
-	Action fleet.AuditAction
-}
-
-// Error implements error.
-func (e *IDUsedError) Error() string {
-	return fmt.Sprintf("operation id %s was used for %s: choose a new one", e.ID, e.Action)
+	return Applied{Revision: fleet.ConfigRevision(revision)}, true, trace.Wrap(err)
 }
 
 // configPlan is what a change of the configuration writes.
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -123,14 +123,16 @@
 		notFound    *operation.NotFoundError
 		state       *operation.InvalidStateError
 		revision    *operation.RevisionError
-		used        *operation.IDUsedError
+		used        *platform.OperationReusedError
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
 		undecoded   *wire.DecodeError
+		rate        *platform.RateExceededError
+		stale       *budget.StaleListError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
-	case errors.As(err, &full):
+	case errors.As(err, &full), errors.As(err, &rate):
 		code = connect.CodeResourceExhausted
 	case errors.As(err, &notFound):
 		code = connect.CodeNotFound
@@ -140,7 +142,7 @@
 		code = connect.CodeAlreadyExists
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
-	case errors.As(err, &unavailable), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &unavailable), errors.As(err, &stale), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
 	case errors.As(err, &undecoded):
