--- a/internal/admission/queues.go
+++ b/internal/admission/queues.go
@@ -8,94 +8,202 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// queueKey names the queue of one service and class.
+// Lane is a class. Long work that endpoints cannot checkpoint has a lane of its own, because it
+// waits for slots that other long work need not wait for.
+type Lane struct {
+	Class  fleet.Class
+	Pinned bool
+}
+
+// Lanes of requests.
+var (
+	LaneUrgent = Lane{Class: fleet.ClassUrgent}
+	LaneNormal = Lane{Class: fleet.ClassNormal}
+	LaneLong   = Lane{Class: fleet.ClassLong}
+	LanePinned = Lane{Class: fleet.ClassLong, Pinned: true}
+)
+
+// queueKey names the queue of one service and lane.
 type queueKey struct {
 	service fleet.ServiceID
-	class   fleet.Class
+	lane    Lane
 }
 
-// Queues are the bounded queues of all services and classes. One goroutine owns them.
+// Queues are the bounded queues of all services and lanes. One goroutine owns them.
 type Queues struct {
 	// Capacity bounds each queue.
 	Capacity int
 	// MaxBytes bounds the bodies in all queues.
 	MaxBytes fleet.Bytes
+	// NormalPercent is the share of short work that normal work gets while urgent work waits.
+	NormalPercent fleet.Percent
 
-	queues map[queueKey][]*request.Work
+	queues map[queueKey]*queue
+	items  map[*request.Work]*item
+	// credit is the run time that normal work of a service may take before urgent work.
+	credit map[fleet.ServiceID]time.Duration
 	bytes  fleet.Bytes
 }
 
-// Offer appends work to its queue. It returns false when the queue has no room.
-func (q *Queues) Offer(now time.Time, w *request.Work) bool {
+// Offer queues work of an account. When there is no room, the newest request of the account with
+// the largest share gives way. Offer returns the work that was pushed out, which may be w itself.
+func (q *Queues) Offer(now time.Time, w *request.Work, weight fleet.Weight) []*request.Work {
+	w.Queued = now
 	key := keyOf(w)
-	size := fleet.Bytes(len(w.Request.Body))
-	if len(q.queues[key]) >= q.Capacity || q.bytes+size > q.MaxBytes {
-		return false
-	}
-	if q.queues == nil {
-		q.queues = map[queueKey][]*request.Work{}
+	list := q.queueOf(key)
+	q.add(list, w, weight, false)
+	var out []*request.Work
+	for list.length > q.Capacity || q.bytes > q.MaxBytes {
+		f := list.largest()
+		newest := f.items[len(f.items)-1].work
+		q.Remove(newest)
+		out = append(out, newest)
+		if newest == w {
+			break
+		}
 	}
-	w.Queued = now
-	q.queues[key] = append(q.queues[key], w)
-	q.bytes += size
-	return true
+	return out
 }
 
-// Requeue puts work that was dispatched back at the head of its queue, beyond the bounds if need be.
-func (q *Queues) Requeue(now time.Time, w *request.Work) {
-	key := keyOf(w)
+// Requeue puts work that was dispatched back at the head of its flow, beyond the bounds if need be.
+func (q *Queues) Requeue(now time.Time, w *request.Work, weight fleet.Weight) {
 	w.Queued = now
-	q.queues[key] = append([]*request.Work{w}, q.queues[key]...)
+	q.add(q.queueOf(keyOf(w)), w, weight, true)
+}
+
+func (q *Queues) add(list *queue, w *request.Work, weight fleet.Weight, head bool) {
+	if q.items == nil {
+		q.items = map[*request.Work]*item{}
+	}
+	q.items[w] = list.add(w, weight, head)
 	q.bytes += fleet.Bytes(len(w.Request.Body))
 }
 
+func (q *Queues) queueOf(key queueKey) *queue {
+	list := q.queues[key]
+	if list == nil {
+		if q.queues == nil {
+			q.queues = map[queueKey]*queue{}
+		}
+		list = newQueue()
+		q.queues[key] = list
+	}
+	return list
+}
+
 // Peek returns the work that is due next, or nil.
-func (q *Queues) Peek(service fleet.ServiceID, class fleet.Class) *request.Work {
-	if list := q.queues[queueKey{service, class}]; len(list) > 0 {
-		return list[0]
+func (q *Queues) Peek(service fleet.ServiceID, lane Lane) *request.Work {
+	if list := q.queues[queueKey{service, lane}]; list != nil && list.length > 0 {
+		return list.busy.First().items[0].work
 	}
 	return nil
 }
 
-// Pop removes the work that Peek returns.
-func (q *Queues) Pop(service fleet.ServiceID, class fleet.Class) {
-	key := queueKey{service, class}
-	q.bytes -= fleet.Bytes(len(q.queues[key][0].Request.Body))
-	q.queues[key] = q.queues[key][1:]
-}
-
-// Remove takes the matching work off all queues in one step.
-func (q *Queues) Remove(match func(*request.Work) bool) []*request.Work {
-	var removed []*request.Work
-	for key, list := range q.queues {
-		kept := list[:0:0]
-		for _, w := range list {
-			if match(w) {
-				removed = append(removed, w)
-				q.bytes -= fleet.Bytes(len(w.Request.Body))
-			} else {
-				kept = append(kept, w)
+// Pop removes the work that Peek returns and charges it to its account.
+func (q *Queues) Pop(service fleet.ServiceID, lane Lane) {
+	it := q.queues[queueKey{service, lane}].take()
+	q.charge(service, lane.Class, it.expected)
+	q.Remove(it.work)
+}
+
+// Remove takes work off its queue. It returns false when the work is not queued.
+func (q *Queues) Remove(w *request.Work) bool {
+	it := q.items[w]
+	if it == nil {
+		return false
+	}
+	delete(q.items, w)
+	q.bytes -= fleet.Bytes(len(w.Request.Body))
+	it.queue.remove(it)
+	return true
+}
+
+// maxCredit bounds the run time of normal work that goes before urgent work at one time.
+const maxCredit = time.Second
+
+// charge books a dispatch against the minimum share of normal work.
+func (q *Queues) charge(service fleet.ServiceID, class fleet.Class, expected time.Duration) {
+	if q.credit == nil {
+		q.credit = map[fleet.ServiceID]time.Duration{}
+	}
+	switch {
+	case class == fleet.ClassUrgent && q.Depth(service, fleet.ClassNormal) > 0:
+		share := expected * time.Duration(q.NormalPercent) / time.Duration(max(100-q.NormalPercent, 1))
+		q.credit[service] = min(q.credit[service]+share, maxCredit)
+	case class == fleet.ClassNormal:
+		q.credit[service] = max(q.credit[service]-expected, 0)
+	}
+}
+
+// NextShort returns the short class that is due next, or false when no short work waits. Urgent
+// work goes first, apart from the minimum share of normal work.
+func (q *Queues) NextShort(service fleet.ServiceID) (Lane, bool) {
+	urgent, normal := q.Peek(service, LaneUrgent), q.Peek(service, LaneNormal)
+	switch {
+	case urgent == nil && normal == nil:
+		return Lane{}, false
+	case urgent == nil, normal != nil && q.credit[service] >= max(normal.Expected, 1):
+		return LaneNormal, true
+	default:
+		return LaneUrgent, true
+	}
+}
+
+// WaitOf returns how long new work of an account is expected to wait when slots run the work of its
+// service. Fair queueing bounds the wait by the account's own backlog and share.
+func (q *Queues) WaitOf(w *request.Work, weight fleet.Weight, slots fleet.Slots) time.Duration {
+	var ahead time.Duration
+	if list := q.queues[keyOf(w)]; list != nil {
+		ahead = list.backlog
+		own, weights := w.Expected, max(weight, 1)
+		if f := list.flows[w.Request.Account]; f != nil {
+			own += f.backlog
+			if f.index >= 0 {
+				weights = 0
 			}
 		}
-		q.queues[key] = kept
+		fair := own.Seconds() * float64(list.weights+weights) / float64(max(weight, 1))
+		ahead = min(ahead, time.Duration(fair*float64(time.Second)))
 	}
-	return removed
+	if w.Request.Class == fleet.ClassNormal {
+		if urgent := q.queues[queueKey{w.Request.Service, LaneUrgent}]; urgent != nil {
+			ahead += urgent.backlog
+		}
+	}
+	return ahead / time.Duration(max(slots, 1))
 }
 
 // Depth returns how much work of a service and class waits.
 func (q *Queues) Depth(service fleet.ServiceID, class fleet.Class) int {
-	return len(q.queues[queueKey{service, class}])
-}
-
-// Len returns how much work waits in all queues.
-func (q *Queues) Len() int {
 	n := 0
-	for _, list := range q.queues {
-		n += len(list)
+	for _, pinned := range []bool{false, true} {
+		if list := q.queues[queueKey{service, Lane{class, pinned}}]; list != nil {
+			n += list.length
+		}
 	}
 	return n
 }
 
+// ShortDepth returns how much short work of a service waits.
+func (q *Queues) ShortDepth(service fleet.ServiceID) int {
+	return q.Depth(service, fleet.ClassUrgent) + q.Depth(service, fleet.ClassNormal)
+}
+
+// Backlog returns the expected run time of the short work of a service that waits.
+func (q *Queues) Backlog(service fleet.ServiceID) time.Duration {
+	var sum time.Duration
+	for _, lane := range []Lane{LaneUrgent, LaneNormal} {
+		if list := q.queues[queueKey{service, lane}]; list != nil {
+			sum += list.backlog
+		}
+	}
+	return sum
+}
+
+// Len returns how much work waits in all queues.
+func (q *Queues) Len() int { return len(q.items) }
+
 func keyOf(w *request.Work) queueKey {
-	return queueKey{service: w.Request.Service, class: w.Request.Class}
+	r := w.Request
+	return queueKey{r.Service, Lane{Class: r.Class, Pinned: r.Class == fleet.ClassLong && !r.Checkpointable}}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -23,6 +24,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/operation"
 	"github.com/mimosawharf/mimosawharf/internal/operator"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/retry"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/routing"
 	"github.com/mimosawharf/mimosawharf/internal/settings"
@@ -125,22 +127,29 @@
 	key := make([]byte, ticketKeyBytes)
 	_, _ = rand.Read(key) // never fails
 	engine := dispatch.NewEngine(
-		&admission.Queues{Capacity: s.QueueCapacity, MaxBytes: s.QueueBytes},
-		&routing.Router{Zone: s.Zone},
+		&admission.Queues{Capacity: s.QueueCapacity, MaxBytes: s.QueueBytes, NormalPercent: s.NormalPercent},
+		&routing.Router{
+			Zone: s.Zone, Entry: s.EntryID, Reserved: s.ShortReservedSlots, EjectPercent: s.EjectPercent,
+			LoanLife: s.SlotLoan, ZoneLatency: s.ZoneLatency,
+		},
 		&ticket.Book{Issuer: s.EntryID, Incarnation: d.incarnation, Key: key, Lifetime: s.TicketLifetime},
 		s.CallWorkers,
 	)
 	engine.MaxAttempts = s.MaxAttempts
+	engine.LongPercent, engine.LongLag = s.LongSlotsPercent, s.LongLag
+	engine.Quotas.MaxInFlight = s.MaxConnectionsPerAccount
+	engine.Retries = &retry.Budget{Percent: s.RetryPercent, Random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	peers, _ := s.PeerList() // checked by Parse
-	entriesInZone := 1
+	entries := []fleet.EntryID{s.EntryID}
 	for _, p := range peers {
 		if p.Zone == s.Zone {
-			entriesInZone++
+			entries = append(entries, p.ID)
 		}
 	}
+	engine.SetEntries(d.Clock.Now(), entries, len(peers)+1)
 	return &dispatch.Dispatcher{
 		Engine: engine, Inbox: d.events, Sender: &endpoint.Pool{Jobs: d.jobs}, Clock: d.Clock, Log: d.Log,
-		View: &d.view, EntriesInZone: entriesInZone, Status: &d.status,
+		View: &d.view, EntriesInZone: len(entries), Status: &d.status,
 	}
 }
 
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -1,30 +1,56 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/mimosawharf/mimosawharf/internal/request"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Cancel cancels requests of an account, by id or by group.
+// Cancel cancels requests of an account, by id or by group. Its cost depends on the requests that it
+// names only.
 func (e *Engine) Cancel(account fleet.ClientAccountID, ids []fleet.RequestID, group fleet.RequestGroup) CancelCount {
-	match := func(w *request.Work) bool {
-		r := w.Request
-		return r.Account == account && (slices.Contains(ids, r.ID) || group != "" && r.Group == group)
+	var list []*request.Work
+	for _, id := range ids {
+		if w := e.work[workKey{account, id}]; w != nil {
+			list = append(list, w)
+		}
+	}
+	if group != "" {
+		for w := range e.groups[groupKey{account, group}] {
+			list = append(list, w)
+		}
 	}
+	slices.SortFunc(list, func(a, b *request.Work) int { return cmp.Compare(a.Request.ID, b.Request.ID) })
 	var count CancelCount
-	for _, w := range e.Queues.Remove(match) {
+	for _, w := range slices.Compact(list) {
+		e.cancel(w, &count)
+	}
+	return count
+}
+
+func (e *Engine) cancel(w *request.Work, count *CancelCount) {
+	c := e.running[w]
+	if c == nil {
 		count.Dequeued++
-		e.end(w, request.EventRefuse, request.NotRun(request.ReasonCancelled, 0))
+		e.Queues.Remove(w)
+		e.endQueued(w, request.ReasonCancelled)
+		return
 	}
-	for _, c := range e.calls {
-		if !match(c.work) || c.work.CancelRequested {
-			continue
-		}
-		count.Stopping++
-		c.work.CancelRequested = true
-		e.out.Controls = append(e.out.Controls, Control{Target: c.target, Request: c.work.Request.ID, Action: ControlStop})
+	if w.CancelRequested {
+		return
+	}
+	count.Stopping++
+	w.CancelRequested = true
+	e.control(c, ControlStop)
+}
+
+// Abandon takes a queued repeatable request off its queue because its caller has gone.
+func (e *Engine) Abandon(account fleet.ClientAccountID, id fleet.RequestID) {
+	w := e.work[workKey{account, id}]
+	if w != nil && w.Request.Repeatable && e.running[w] == nil {
+		e.Queues.Remove(w)
+		e.endQueued(w, request.ReasonCancelled)
 	}
-	return count
 }
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -92,10 +92,30 @@
 			d.Engine.SetView(now, view, d.EntriesInZone)
 		}
 	case EndpointReported:
-		d.Engine.Reported(v.Endpoint, v.Load)
+		d.Engine.Reported(now, v.Endpoint, v.Load)
+	case CallerLeft:
+		d.Engine.Abandon(v.Account, v.ID)
 	case StopRequested:
 		d.stopping = true
 		d.Engine.Stop()
+	default:
+		d.handlePeer(now, ev)
+	}
+}
+
+// handlePeer handles what concerns other entries.
+func (d *Dispatcher) handlePeer(now time.Time, ev Event) {
+	switch v := ev.(type) {
+	case EntriesChanged:
+		d.Engine.SetEntries(now, v.Zone, v.Total)
+	case LoanReportWanted:
+		_ = v.Reply.Push(d.Engine.LoanReport())
+	case LoanAsked:
+		_ = v.Reply.Push(d.Engine.Lend(now, v.Ask))
+	case LoansGranted:
+		d.Engine.LoansGranted(now, v.Asked, v.Loans)
+	case LoanReturned:
+		d.Engine.LoanReturned(now, v.Loan)
 	}
 }
 
@@ -120,7 +140,8 @@
 		}
 		for _, s := range actions.Sends {
 			if err := d.Sender.Send(s); err != nil {
-				d.Engine.Called(now, s.Call, request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalUnreachable})
+				// The entry itself has no room, which says nothing about the endpoint.
+				d.Engine.Called(now, s.Call, request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalBusy})
 			}
 		}
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -3,13 +3,15 @@
 package dispatch
 
 import (
-	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/admission"
+	"github.com/mimosawharf/mimosawharf/internal/estimate"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/internal/retry"
 	"github.com/mimosawharf/mimosawharf/internal/routing"
 	"github.com/mimosawharf/mimosawharf/internal/ticket"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -25,16 +27,29 @@
 	Queues  *admission.Queues
 	Router  *routing.Router
 	Tickets *ticket.Book
+	// Quotas, Estimates and Retries have working values from NewEngine.
+	Quotas    *admission.Quotas
+	Estimates *estimate.Estimator
+	Retries   *retry.Budget
 	// MaxAttempts bounds the attempts of one request.
 	MaxAttempts fleet.Attempt
 	// MaxCalls bounds the attempts in flight.
 	MaxCalls int
+	// LongPercent is the share of the slots that long work is guaranteed, with a lag of LongLag.
+	LongPercent fleet.Percent
+	LongLag     time.Duration
 
-	view     *fleet.View
+	view *fleet.View
+	// pools and waiting hold the pools that have a service and those with queued requests.
+	pools    map[fleet.PoolID]*poolState
+	waiting  map[fleet.PoolID]*poolState
 	states   *machine.Machine[request.State, request.Event]
 	work     map[workKey]*request.Work
+	groups   map[groupKey]map[*request.Work]bool
 	tickets  map[fleet.TicketSequence]*request.Work
 	calls    map[CallID]*call
+	running  map[*request.Work]*call
+	timers   *timers
 	lastCall CallID
 	stopping bool
 	out      Actions
@@ -46,10 +61,21 @@
 	id      fleet.RequestID
 }
 
+// groupKey names a group of requests within its client account.
+type groupKey struct {
+	account fleet.ClientAccountID
+	group   fleet.RequestGroup
+}
+
 // call is an attempt in flight.
 type call struct {
-	work   *request.Work
-	target routing.Target
+	work    *request.Work
+	target  routing.Target
+	attempt routing.Attempt
+	started time.Time
+	// set and place say where the pool keeps a long call; set is nil once a checkpoint was asked for.
+	set   *callSet
+	place int
 }
 
 // NewEngine returns an engine that knows no endpoints yet.
@@ -58,13 +84,23 @@
 		Queues:      queues,
 		Router:      router,
 		Tickets:     tickets,
+		Quotas:      &admission.Quotas{},
+		Estimates:   &estimate.Estimator{},
+		Retries:     &retry.Budget{Percent: 10, Random: rand.New(rand.NewPCG(1, 1))},
 		MaxAttempts: 3,
 		MaxCalls:    maxCalls,
+		LongPercent: 25,
+		LongLag:     10 * time.Second,
 		view:        fleet.NewView(),
+		pools:       map[fleet.PoolID]*poolState{},
+		waiting:     map[fleet.PoolID]*poolState{},
 		states:      request.NewMachine(),
 		work:        map[workKey]*request.Work{},
+		groups:      map[groupKey]map[*request.Work]bool{},
 		tickets:     map[fleet.TicketSequence]*request.Work{},
 		calls:       map[CallID]*call{},
+		running:     map[*request.Work]*call{},
+		timers:      newTimers(),
 	}
 }
 
@@ -78,8 +114,26 @@
 // SetView replaces what the engine knows of the fleet.
 func (e *Engine) SetView(now time.Time, view *fleet.View, entriesInZone int) {
 	e.view = view
+	e.Quotas.Entries = max(e.Quotas.Entries, entriesInZone)
 	e.Router.Update(view, entriesInZone)
-	e.dispatch(now)
+	for _, p := range e.pools {
+		p.services = p.services[:0]
+	}
+	for id, s := range view.Configuration.Services {
+		p := e.pools[s.Pool]
+		if p == nil {
+			p = &poolState{id: s.Pool, creditAt: now}
+			e.pools[s.Pool] = p
+		}
+		p.services = append(p.services, id)
+	}
+	for _, p := range e.pools {
+		slices.Sort(p.services)
+		if e.waitingIn(p, fleet.Classes()...) > 0 {
+			e.waiting[p.id] = p
+		}
+	}
+	e.dispatchWaiting(now)
 }
 
 // Submit takes a request of a caller.
@@ -112,57 +166,96 @@
 }
 
 func (e *Engine) admit(now time.Time, w *request.Work) {
-	key := workKey{w.Request.Account, w.Request.ID}
+	account := e.view.Configuration.Accounts[w.Request.Account]
+	w.Expected = e.Estimates.Expected(w.Request.Service, e.ruleOf(w))
 	switch {
 	case e.stopping:
 		e.refuse(w, request.ReasonStopping, refusalRetry)
-	case e.work[key] != nil:
+		return
+	case e.work[keyOf(w)] != nil:
 		e.refuse(w, request.ReasonDuplicate, 0)
+		return
 	case !e.Router.HasEndpoints(e.poolOf(w)):
 		e.refuse(w, request.ReasonNoEndpoint, refusalRetry)
-	case !e.Queues.Offer(now, w):
-		e.refuse(w, request.ReasonQueueFull, refusalRetry)
-	default:
-		e.fire(w, request.EventQueue)
-		e.work[key] = w
-		e.dispatch(now)
+		return
+	}
+	if wait, late := e.isLate(now, w, account.Weight); late {
+		e.refuse(w, request.ReasonDeadline, max(wait, refusalRetry))
+		return
+	}
+	if wait, ok := e.Quotas.Take(now, w.Request.Account, account.Quota); !ok {
+		e.refuse(w, request.ReasonQuota, wait)
+		return
 	}
+	e.register(w)
+	e.fire(w, request.EventQueue)
+	e.timers.set(w, w.Request.Deadline)
+	for _, out := range e.Queues.Offer(now, w, account.Weight) {
+		e.endQueued(out, request.ReasonQueueFull)
+	}
+	e.dispatchPool(now, e.pools[e.poolOf(w)])
 }
 
-// dispatch sends queued work to endpoints while there is room.
-func (e *Engine) dispatch(now time.Time) {
-	for _, id := range slices.Sorted(maps.Keys(e.view.Configuration.Services)) {
-		for _, class := range fleet.Classes() {
-			e.dispatchQueue(now, id, class)
-		}
+// isLate reports whether work cannot meet its deadline, and its expected wait. Only observed run
+// times count: a declared one that is far too long would refuse its type forever.
+func (e *Engine) isLate(now time.Time, w *request.Work, weight fleet.Weight) (time.Duration, bool) {
+	slots, _ := e.Router.Slots(e.poolOf(w))
+	left := w.Request.Deadline.Sub(now)
+	if left <= 0 {
+		return 0, true
+	}
+	if slots == 0 || !e.Estimates.IsObserved(w.Request.Service, w.Request.Type) {
+		return 0, false
 	}
+	wait := e.Queues.WaitOf(w, weight, slots)
+	return wait, wait+w.Expected > left
 }
 
-func (e *Engine) dispatchQueue(now time.Time, service fleet.ServiceID, class fleet.Class) {
-	for len(e.calls) < e.MaxCalls {
-		w := e.Queues.Peek(service, class)
-		if w == nil {
-			return
-		}
-		target, ok := e.Router.Pick(e.poolOf(w), w.Tried)
-		if !ok {
-			return
-		}
-		e.Queues.Pop(service, class)
-		e.send(now, w, target)
+func (e *Engine) register(w *request.Work) {
+	e.work[keyOf(w)] = w
+	if w.Request.Group == "" {
+		return
 	}
+	key := groupKey{w.Request.Account, w.Request.Group}
+	if e.groups[key] == nil {
+		e.groups[key] = map[*request.Work]bool{}
+	}
+	e.groups[key][w] = true
 }
 
-func (e *Engine) send(now time.Time, w *request.Work, target routing.Target) {
+// unregister forgets a request that has ended.
+func (e *Engine) unregister(w *request.Work) {
+	e.timers.remove(w)
+	if e.work[keyOf(w)] != w {
+		return
+	}
+	delete(e.work, keyOf(w))
+	e.Quotas.Done(w.Request.Account)
+	key := groupKey{w.Request.Account, w.Request.Group}
+	delete(e.groups[key], w)
+	if len(e.groups[key]) == 0 {
+		delete(e.groups, key)
+	}
+}
+
+func (e *Engine) send(now time.Time, w *request.Work, target routing.Target, attempt routing.Attempt) {
 	e.fire(w, request.EventSend)
 	e.lastCall++
 	w.Attempts++
 	w.Tried = append(w.Tried, target.Endpoint)
 	if w.FirstStart.IsZero() {
 		w.FirstStart = now
+		e.Retries.First()
 	}
-	e.calls[e.lastCall] = &call{work: w, target: target}
-	e.Router.Started(target.Endpoint)
+	c := &call{work: w, target: target, attempt: attempt, started: now}
+	e.calls[e.lastCall], e.running[w] = c, c
+	if attempt.Long {
+		e.timers.remove(w)
+		e.pools[target.Pool].addLong(c)
+	} else {
+		e.timers.set(w, now.Add(e.Estimates.StragglerBound(w.Request.Service, e.ruleOf(w))))
+	}
+	e.Router.Started(target.Endpoint, attempt)
 	e.out.Sends = append(e.out.Sends, Send{
 		Call:       e.lastCall,
 		Target:     target,
@@ -173,69 +266,22 @@
 	})
 }
 
-// Tick takes work whose deadline has passed off the queues and forgets old tickets.
+// Tick acts on deadlines, retries, stragglers, loans and probes that are due, and forgets old tickets.
 func (e *Engine) Tick(now time.Time) {
 	e.Tickets.Expire(now)
-	late := e.Queues.Remove(func(w *request.Work) bool { return !now.Before(w.Request.Deadline) })
-	for _, w := range late {
-		e.end(w, request.EventRefuse, request.NotRun(request.ReasonDeadline, refusalRetry))
-	}
-	e.dispatch(now)
-}
-
-// Stop makes the engine refuse new work.
-func (e *Engine) Stop() { e.stopping = true }
-
-// InFlight returns how many requests are queued or running.
-func (e *Engine) InFlight() int { return len(e.work) }
-
-// AcknowledgedRevision returns the highest table revision that this entry has applied while it has
-// nothing in flight on any VM whose drain had begun by then.
-func (e *Engine) AcknowledgedRevision() fleet.TableRevision {
-	revision := e.view.Revision
-	for _, c := range e.calls {
-		vm, ok := e.view.VMs[c.target.VM]
-		if ok && vm.State == fleet.VMStateDraining && fleet.TableRevision(vm.RowVersion) <= revision {
-			revision = fleet.TableRevision(vm.RowVersion) - 1
+	e.Router.Tick(now)
+	for w := e.timers.due(now); w != nil; w = e.timers.due(now) {
+		switch {
+		case w.State == request.StateRunning:
+			e.reclassify(now, w)
+		case !now.Before(w.Request.Deadline):
+			e.Queues.Remove(w)
+			e.endQueued(w, request.ReasonDeadline)
+		default:
+			e.Queues.Requeue(now, w, e.weightOf(w))
+			e.timers.set(w, w.Request.Deadline)
+			e.dispatchPool(now, e.pools[e.poolOf(w)])
 		}
 	}
-	return revision
-}
-
-func (e *Engine) poolOf(w *request.Work) fleet.PoolID {
-	return e.view.Configuration.Services[w.Request.Service].Pool
-}
-
-// refuse ends work that was never queued.
-func (e *Engine) refuse(w *request.Work, reason request.Reason, retryAfter time.Duration) {
-	e.end(w, request.EventRefuse, request.NotRun(reason, retryAfter))
-}
-
-// end gives work its one outcome.
-func (e *Engine) end(w *request.Work, event request.Event, o request.Outcome) {
-	e.fire(w, event)
-	key := workKey{w.Request.Account, w.Request.ID}
-	if e.work[key] == w {
-		delete(e.work, key)
-	}
-	if w.Sequence != 0 && e.tickets[w.Sequence] == w {
-		delete(e.tickets, w.Sequence)
-		e.Tickets.End(w.Sequence, o)
-	}
-	e.reply(w.Replies, o)
-}
-
-func (e *Engine) reply(ids []request.ReplyID, o request.Outcome) {
-	for _, id := range ids {
-		e.out.Replies = append(e.out.Replies, Reply{ID: id, Outcome: o})
-	}
-}
-
-// fire applies an event to the state of the work. The engine asks only for allowed events.
-func (e *Engine) fire(w *request.Work, event request.Event) {
-	state, err := e.states.Next(w.State, event)
-	if err != nil {
-		panic(err.Error())
-	}
-	w.State = state
+	e.dispatchWaiting(now)
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -58,6 +58,40 @@
 	Load     request.Load
 }
 
+// CallerLeft says that the caller of a request no longer waits.
+type CallerLeft struct {
+	Account fleet.ClientAccountID
+	ID      fleet.RequestID
+}
+
+// EntriesChanged names the live entries of the entry's zone and counts all live entries.
+type EntriesChanged struct {
+	Zone  []fleet.EntryID
+	Total int
+}
+
+// LoanReportWanted asks for what to report to peers about slots.
+type LoanReportWanted struct {
+	Reply *ring.Ring[LoanReport]
+}
+
+// LoanAsked is a peer's report that it wants slots. The loans granted are pushed on Reply.
+type LoanAsked struct {
+	Ask   routing.Ask
+	Reply *ring.Ring[[]routing.Loan]
+}
+
+// LoansGranted carries a peer's loans in answer to the report that was sent at Asked.
+type LoansGranted struct {
+	Asked time.Time
+	Loans []routing.Loan
+}
+
+// LoanReturned is a loan that its borrower gave back.
+type LoanReturned struct {
+	Loan routing.Loan
+}
+
 // StopRequested makes the dispatcher refuse new work; what is in flight finishes.
 type StopRequested struct{}
 
@@ -67,6 +101,12 @@
 func (Cancelled) isEvent()        {}
 func (ViewChanged) isEvent()      {}
 func (EndpointReported) isEvent() {}
+func (CallerLeft) isEvent()       {}
+func (EntriesChanged) isEvent()   {}
+func (LoanReportWanted) isEvent() {}
+func (LoanAsked) isEvent()        {}
+func (LoansGranted) isEvent()     {}
+func (LoanReturned) isEvent()     {}
 func (StopRequested) isEvent()    {}
 
 // Send starts an attempt at an endpoint.
--- /dev/null
+++ b/internal/dispatch/outcome.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// dispatchWaiting looks again at the pools that have queued requests.
+func (e *Engine) dispatchWaiting(now time.Time) {
+	for _, p := range e.sortedWaiting() {
+		e.dispatchPool(now, p)
+	}
+}
+
+func (e *Engine) sortedWaiting() []*poolState {
+	var list []*poolState
+	for _, id := range slices.Sorted(maps.Keys(e.waiting)) {
+		list = append(list, e.waiting[id])
+	}
+	return list
+}
+
+// Stop makes the engine refuse new work.
+func (e *Engine) Stop() { e.stopping = true }
+
+// InFlight returns how many requests are queued or running.
+func (e *Engine) InFlight() int { return len(e.work) }
+
+// AcknowledgedRevision returns the highest table revision that this entry has applied while it has
+// nothing in flight on any VM whose drain had begun by then.
+func (e *Engine) AcknowledgedRevision() fleet.TableRevision {
+	revision := e.view.Revision
+	for _, c := range e.calls {
+		vm, ok := e.view.VMs[c.target.VM]
+		if ok && vm.State == fleet.VMStateDraining && fleet.TableRevision(vm.RowVersion) <= revision {
+			revision = fleet.TableRevision(vm.RowVersion) - 1
+		}
+	}
+	return revision
+}
+
+func keyOf(w *request.Work) workKey { return workKey{w.Request.Account, w.Request.ID} }
+
+func (e *Engine) poolOf(w *request.Work) fleet.PoolID {
+	return e.view.Configuration.Services[w.Request.Service].Pool
+}
+
+func (e *Engine) ruleOf(w *request.Work) fleet.RequestTypeRule {
+	rule := e.view.Configuration.Services[w.Request.Service].RequestTypes[w.Request.Type]
+	rule.Name = w.Request.Type
+	return rule
+}
+
+func (e *Engine) weightOf(w *request.Work) fleet.Weight {
+	return e.view.Configuration.Accounts[w.Request.Account].Weight
+}
+
+// refuse ends work that was never queued.
+func (e *Engine) refuse(w *request.Work, reason request.Reason, retryAfter time.Duration) {
+	e.end(w, request.EventRefuse, request.NotRun(reason, retryAfter))
+}
+
+// endQueued ends work that waits. Work of which an earlier attempt may have run is never called
+// not-run.
+func (e *Engine) endQueued(w *request.Work, reason request.Reason) {
+	if w.MayHaveRun {
+		e.end(w, request.EventLose, request.Unknown(reason))
+		return
+	}
+	e.end(w, request.EventRefuse, request.NotRun(reason, refusalRetry))
+}
+
+// end gives work its one outcome.
+func (e *Engine) end(w *request.Work, event request.Event, o request.Outcome) {
+	e.fire(w, event)
+	e.unregister(w)
+	if w.Sequence != 0 && e.tickets[w.Sequence] == w {
+		delete(e.tickets, w.Sequence)
+		e.Tickets.End(w.Sequence, o)
+	}
+	e.reply(w.Replies, o)
+}
+
+func (e *Engine) reply(ids []request.ReplyID, o request.Outcome) {
+	for _, id := range ids {
+		e.out.Replies = append(e.out.Replies, Reply{ID: id, Outcome: o})
+	}
+}
+
+// fire applies an event to the state of the work. The engine asks only for allowed events.
+func (e *Engine) fire(w *request.Work, event request.Event) {
+	state, err := e.states.Next(w.State, event)
+	if err != nil {
+		panic(err.Error())
+	}
+	w.State = state
+}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -1,56 +1,189 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/internal/routing"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// blameCount is on how many healthy endpoints a request fails until it is taken for the cause.
+const blameCount = 2
+
 // Called takes the result of an attempt.
 func (e *Engine) Called(now time.Time, id CallID, result request.Result) {
 	c := e.calls[id]
 	if c == nil {
 		return
 	}
+	p := e.pools[c.target.Pool]
+	e.accrue(now, p)
 	delete(e.calls, id)
-	e.Router.Finished(c.target.Endpoint)
+	delete(e.running, c.work)
+	p.removeLong(c)
+	e.timers.remove(c.work)
+	c.work.CheckpointRequested = false
+	e.Router.Finished(c.target.Endpoint, c.attempt)
 	if result.Load != nil {
-		e.Reported(c.target.Endpoint, *result.Load)
+		e.Reported(now, c.target.Endpoint, *result.Load)
+	}
+	ran := result.Elapsed
+	if ran <= 0 {
+		ran = now.Sub(c.started)
 	}
+	e.conclude(now, c, result, ran)
+	e.dispatchPool(now, p)
+}
+
+// conclude decides what a result means for the request and for the endpoint.
+func (e *Engine) conclude(now time.Time, c *call, result request.Result, ran time.Duration) {
+	w := c.work
 	switch result.Kind {
 	case request.ResultAnswered:
-		e.end(c.work, request.EventAnswer, request.Answered(request.AnswerStatusOK, result.Body))
+		e.judge(now, c, routing.VerdictAnswered, ran)
+		e.Estimates.Observe(w.Request.Service, e.ruleOf(w), w.Ran+ran)
+		e.end(w, request.EventAnswer, request.Answered(request.AnswerStatusOK, result.Body))
 	case request.ResultFailed:
-		e.end(c.work, request.EventAnswer, request.Answered(request.AnswerStatusFailed, []byte(result.Detail)))
+		e.failed(now, c, result, ran)
 	case request.ResultNotRun:
-		e.retryNotRun(now, c.work)
+		e.notRun(now, c, result, ran)
 	case request.ResultCheckpointed:
-		c.work.Checkpoint = result.Checkpoint
-		e.requeue(now, c.work)
+		e.checkpointed(now, c, result, ran)
 	default:
-		e.end(c.work, request.EventLose, request.Unknown(result.Reason))
+		e.lost(now, c, result, ran)
 	}
-	e.dispatch(now)
 }
 
-// retryNotRun queues work again after an attempt that did not run.
-func (e *Engine) retryNotRun(now time.Time, w *request.Work) {
-	if w.Attempts >= e.MaxAttempts || !now.Before(w.Request.Deadline) {
-		e.end(w, request.EventRefuse, request.NotRun(request.ReasonRetriesExhausted, refusalRetry))
+func (e *Engine) judge(now time.Time, c *call, verdict routing.Verdict, ran time.Duration) {
+	e.Router.Judge(now, c.target.Endpoint, verdict, ran, c.work.Expected)
+}
+
+// failed handles a failure that the endpoint reported. A failure that is not blamed on the endpoint
+// is the application's answer.
+func (e *Engine) failed(now time.Time, c *call, result request.Result, ran time.Duration) {
+	w := c.work
+	w.MayHaveRun = true
+	answer := request.Answered(request.AnswerStatusFailed, []byte(result.Detail))
+	if result.Blame != request.BlameEndpoint || w.CancelRequested {
+		e.end(w, request.EventAnswer, answer)
 		return
 	}
-	e.requeue(now, w)
+	e.judge(now, c, routing.VerdictFailed, ran)
+	w.FailedOn = append(w.FailedOn, c.target.Endpoint)
+	if e.isCause(now, w) || !w.Request.Repeatable || !e.retry(now, w) {
+		e.end(w, request.EventAnswer, answer)
+	}
 }
 
-func (e *Engine) requeue(now time.Time, w *request.Work) {
+// isCause reports whether a request failed on endpoints that serve other requests well. Its failures
+// are then taken back from their records.
+func (e *Engine) isCause(now time.Time, w *request.Work) bool {
+	well := 0
+	for _, id := range w.FailedOn {
+		if e.Router.ServesWell(id) {
+			well++
+		}
+	}
+	if well < blameCount {
+		return false
+	}
+	for _, id := range w.FailedOn {
+		e.Router.Absolve(now, id)
+	}
+	return true
+}
+
+// lost handles an attempt without a complete answer.
+func (e *Engine) lost(now time.Time, c *call, result request.Result, ran time.Duration) {
+	w := c.work
+	w.MayHaveRun = true
+	// A timeout of the caller says nothing about the endpoint unless the run was too long.
+	bound := e.Estimates.StragglerBound(w.Request.Service, e.ruleOf(w))
+	if result.Reason != request.ReasonTimeout || ran > bound {
+		e.judge(now, c, routing.VerdictFailed, ran)
+		w.FailedOn = append(w.FailedOn, c.target.Endpoint)
+	}
+	switch {
+	case w.CancelRequested:
+		e.end(w, request.EventLose, request.Unknown(request.ReasonStopRequested))
+	case !w.Request.Repeatable:
+		e.end(w, request.EventLose, request.Unknown(result.Reason))
+	case e.isCause(now, w):
+		e.end(w, request.EventAnswer, request.Answered(request.AnswerStatusFailed, []byte("the request failed on several healthy endpoints")))
+	case !e.retry(now, w):
+		e.end(w, request.EventLose, request.Unknown(result.Reason))
+	}
+}
+
+// notRun handles an attempt that certainly did not run.
+func (e *Engine) notRun(now time.Time, c *call, result request.Result, ran time.Duration) {
+	w := c.work
+	switch result.Refusal {
+	case request.RefusalLeaving, request.RefusalWrongAssignment:
+		e.Router.SetLeaving(c.target.Endpoint)
+	case request.RefusalBusy:
+		e.Router.Busy(now, c.target.Endpoint)
+	case request.RefusalUnreachable:
+		e.judge(now, c, routing.VerdictFailed, ran)
+	}
+	reason := request.ReasonRetriesExhausted
+	if w.CancelRequested {
+		reason = request.ReasonCancelled
+	} else if e.retry(now, w) {
+		return
+	}
+	e.endQueued(w, reason)
+}
+
+// checkpointed puts a run that the endpoint has stopped back in its queue. Resuming it continues the
+// same run, so it costs no attempt and may go to the same endpoint.
+func (e *Engine) checkpointed(now time.Time, c *call, result request.Result, ran time.Duration) {
+	w := c.work
+	w.MayHaveRun = true
+	w.Checkpoint = result.Checkpoint
+	w.Ran += ran
+	w.Attempts--
+	w.Tried = slices.DeleteFunc(w.Tried, func(id fleet.EndpointID) bool { return id == c.target.Endpoint })
+	switch {
+	case w.CancelRequested:
+		e.end(w, request.EventLose, request.Unknown(request.ReasonStopRequested))
+	case !now.Before(w.Request.Deadline):
+		e.end(w, request.EventLose, request.Unknown(request.ReasonTimeout))
+	default:
+		e.fire(w, request.EventRequeue)
+		e.Queues.Requeue(now, w, e.weightOf(w))
+		e.timers.set(w, w.Request.Deadline)
+	}
+}
+
+// retry queues work for another attempt at another endpoint. It returns false when no further
+// attempt is allowed.
+func (e *Engine) retry(now time.Time, w *request.Work) bool {
+	at := now.Add(e.Retries.Backoff(w.Attempts))
+	if w.Attempts >= e.MaxAttempts || !at.Before(w.Request.Deadline) ||
+		!e.Router.HasUntried(e.poolOf(w), w.Tried) || !e.Retries.Take(now) {
+		return false
+	}
 	e.fire(w, request.EventRequeue)
-	e.Queues.Requeue(now, w)
+	e.retryAt(w, at)
+	return true
+}
+
+// retryAt keeps work out of its queue until an instant.
+func (e *Engine) retryAt(w *request.Work, at time.Time) {
+	w.NotBefore = at
+	if w.Request.Deadline.Before(at) {
+		at = w.Request.Deadline
+	}
+	e.timers.set(w, at)
 }
 
 // Reported takes an endpoint's own statement about itself.
-func (e *Engine) Reported(id fleet.EndpointID, load request.Load) {
+func (e *Engine) Reported(now time.Time, id fleet.EndpointID, load request.Load) {
 	if load.Leaving {
 		e.Router.SetLeaving(id)
 	}
+	e.Router.Stated(now, id, load.Running)
 }
--- a/internal/request/state.go
+++ b/internal/request/state.go
@@ -40,7 +40,7 @@
 		{Name: string(EventRequeue), Src: []string{string(StateRunning)}, Dst: string(StateQueued)},
 		{Name: string(EventAnswer), Src: []string{string(StateRunning), string(StateUnknown)}, Dst: string(StateAnswered)},
 		{Name: string(EventRefuse), Src: []string{string(StateReceived), string(StateQueued), string(StateRunning)}, Dst: string(StateNotRun)},
-		{Name: string(EventLose), Src: []string{string(StateRunning)}, Dst: string(StateUnknown)},
+		{Name: string(EventLose), Src: []string{string(StateQueued), string(StateRunning)}, Dst: string(StateUnknown)},
 	}
 }
 
--- a/internal/request/work.go
+++ b/internal/request/work.go
@@ -23,8 +23,13 @@
 	Attempts fleet.Attempt
 	// Tried lists the endpoints that got an attempt; none of them gets another one.
 	Tried []fleet.EndpointID
-	// FailedOn counts the endpoints on which the request failed.
-	FailedOn int
+	// FailedOn lists the endpoints on which the request failed.
+	FailedOn []fleet.EndpointID
+	// MayHaveRun says that an attempt ran or may have run, at least in part. The request is then
+	// never refused as not-run.
+	MayHaveRun bool
+	// Ran is how long the request ran before its last checkpoint.
+	Ran time.Duration
 	// Checkpoint is where the next attempt resumes; it is nil for a new run.
 	Checkpoint []byte
 	// Replies are the callers who wait for the outcome.
--- /dev/null
+++ b/internal/routing/pool.go
@@ -0,0 +1,100 @@
+package routing
+
+import (
+	"slices"
+
+	"github.com/mimosawharf/mimosawharf/internal/heap"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// order is one of the orders in which a pool keeps its endpoints.
+type order int
+
+// Orders of a pool.
+const (
+	orderShort order = 0
+	orderLong  order = 1
+	orders           = 2
+)
+
+// pool keeps the endpoints of one pool ordered, so that a choice costs the logarithm of their number.
+type pool struct {
+	id   fleet.PoolID
+	byID map[fleet.EndpointID]*endpoint
+	// ranked are heaps with the best endpoint first.
+	ranked [orders]*heap.Heap[*endpoint]
+	// slots is the sum of the limits of all endpoints, running that of the attempts in flight.
+	slots, running fleet.Slots
+	// ejected counts the endpoints that are ejected or on probation.
+	ejected int
+	// borrowed is the sum of the slots on loan from others.
+	borrowed fleet.Slots
+}
+
+func newPool(id fleet.PoolID) *pool {
+	p := &pool{id: id, byID: map[fleet.EndpointID]*endpoint{}}
+	for o := range p.ranked {
+		p.ranked[o] = newRanking(order(o))
+	}
+	return p
+}
+
+func (p *pool) add(e *endpoint) {
+	e.pool = p
+	p.byID[e.vm.Endpoint()] = e
+	p.slots += e.limit()
+	p.running += e.running
+	p.borrowed += e.borrowed
+	if e.health.state != healthStateHealthy {
+		p.ejected++
+	}
+	for _, list := range p.ranked {
+		list.Push(e)
+	}
+}
+
+// best returns the best endpoint with room that is not left out.
+func (p *pool) best(o order, tried []fleet.EndpointID) *endpoint {
+	list := p.ranked[o]
+	var skipped []*endpoint
+	var found *endpoint
+	for list.Len() > 0 && found == nil {
+		e := list.First()
+		if e.room(o) <= 0 {
+			break
+		}
+		if !slices.Contains(tried, e.vm.Endpoint()) {
+			found = e
+			break
+		}
+		list.Remove(e)
+		skipped = append(skipped, e)
+	}
+	for _, e := range skipped {
+		list.Push(e)
+	}
+	return found
+}
+
+// newRanking returns an empty order: endpoints with room come first, then those of the entry's own
+// zone, then the least expected work for each slot.
+func newRanking(o order) *heap.Heap[*endpoint] {
+	less := func(a, b *endpoint) bool {
+		if roomA, roomB := a.room(o) > 0, b.room(o) > 0; roomA != roomB {
+			return roomA
+		}
+		if a.own != b.own {
+			return a.own
+		}
+		if loadA, loadB := a.load(), b.load(); loadA != loadB {
+			return loadA < loadB
+		}
+		return a.rank < b.rank
+	}
+	return &heap.Heap[*endpoint]{Less: less, Place: func(e *endpoint) *int { return &e.index[o] }}
+}
+
+// load is the expected work for each slot, in seconds.
+func (e *endpoint) load() float64 {
+	return e.work.Seconds() / float64(max(e.limit(), 1))
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -2,9 +2,10 @@
 package routing
 
 import (
-	"cmp"
 	"slices"
+	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/heap"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -12,19 +13,29 @@
 type Router struct {
 	// Zone is the entry's own availability zone.
 	Zone fleet.ZoneID
+	// Entry is the entry's own id.
+	Entry fleet.EntryID
+	// Reserved is how many slots of each endpoint long work never uses, over all entries.
+	Reserved fleet.Slots
+	// EjectPercent bounds the ejected endpoints of a pool.
+	EjectPercent fleet.Percent
+	// LoanLife is how long a loan of slots lasts; 0 lends nothing.
+	LoanLife time.Duration
+	// ZoneLatency is the extra latency of an endpoint in another availability zone.
+	ZoneLatency time.Duration
 
+	// entries are the live entries of the zone; while they are unknown, count is their number.
+	entries   []fleet.EntryID
+	count     int
+	view      *fleet.View
 	endpoints map[fleet.EndpointID]*endpoint
-	pools     map[fleet.PoolID][]*endpoint
-}
-
-// endpoint is what the router knows of one endpoint.
-type endpoint struct {
-	vm fleet.VM
-	// share is how many slots this entry may use.
-	share fleet.Slots
-	// running counts the attempts of this entry in flight.
-	running fleet.Slots
-	leaving bool
+	pools     map[fleet.PoolID]*pool
+	// probes holds the ejected endpoints by the time of their next probe.
+	probes heap.Heap[*endpoint]
+	// lentTo and borrowedOf hold the loans in force.
+	lentTo, borrowedOf map[loanKey]holding
+	// excessive holds the endpoints on which others run more than their shares.
+	excessive map[fleet.EndpointID]*endpoint
 }
 
 // Target is the endpoint chosen for an attempt.
@@ -36,80 +47,217 @@
 	AssignmentEpoch fleet.AssignmentEpoch
 }
 
-// Update replaces the known endpoints. Attempts in flight stay counted.
+// Attempt describes an attempt that needs an endpoint, or runs on one.
+type Attempt struct {
+	// Long says that the attempt counts as long work.
+	Long bool
+	// Expected is the expected run time.
+	Expected time.Duration
+	// Tried lists the endpoints that are left out.
+	Tried []fleet.EndpointID
+	// Wait is how long the attempt is expected to wait for a slot in the entry's own zone.
+	Wait time.Duration
+}
+
+func (a Attempt) order() order {
+	if a.Long {
+		return orderLong
+	}
+	return orderShort
+}
+
+// SetEntries sets the live entries of the entry's zone, among which slots are shared.
+func (r *Router) SetEntries(entries []fleet.EntryID) {
+	r.entries = entries
+	if r.view != nil {
+		r.Update(r.view, r.count)
+	}
+}
+
+// Update replaces the known endpoints. Attempts in flight, loans and health stay.
 func (r *Router) Update(view *fleet.View, entriesInZone int) {
 	old := r.endpoints
-	r.endpoints = map[fleet.EndpointID]*endpoint{}
-	r.pools = map[fleet.PoolID][]*endpoint{}
+	r.view, r.count = view, entriesInZone
+	r.endpoints = make(map[fleet.EndpointID]*endpoint, len(view.VMs))
+	r.pools = map[fleet.PoolID]*pool{}
+	r.probes = heap.Heap[*endpoint]{
+		Less:  func(a, b *endpoint) bool { return a.health.probeAt.Before(b.health.probeAt) },
+		Place: func(e *endpoint) *int { return &e.health.place },
+	}
+	if r.lentTo == nil {
+		r.lentTo, r.borrowedOf = map[loanKey]holding{}, map[loanKey]holding{}
+		r.excessive = map[fleet.EndpointID]*endpoint{}
+	}
 	for _, vm := range view.VMs {
-		e := &endpoint{vm: vm, leaving: vm.State != fleet.VMStateServing || view.Leaving[vm.ID]}
-		if known := old[vm.Endpoint()]; known != nil {
-			e.running = known.running
-			e.leaving = e.leaving || known.leaving && known.vm.AssignmentEpoch == vm.AssignmentEpoch && known.vm.RowVersion == vm.RowVersion
-		}
-		e.share = vm.Slots / fleet.Slots(max(entriesInZone, 1))
+		e := r.renew(old[vm.Endpoint()], vm)
+		e.leaving = vm.State != fleet.VMStateServing || view.Leaving[vm.ID]
 		r.endpoints[vm.Endpoint()] = e
-		r.pools[vm.Pool] = append(r.pools[vm.Pool], e)
 	}
-	for _, list := range r.pools {
-		slices.SortFunc(list, func(a, b *endpoint) int { return cmp.Compare(a.vm.ID, b.vm.ID) })
+	for id, e := range old {
+		// An endpoint that left the view stays known until its last attempt has ended.
+		if r.endpoints[id] == nil && e.running > 0 {
+			e.leaving, e.pool = true, nil
+			r.endpoints[id] = e
+		}
 	}
-}
-
-// Pick returns the endpoint of a pool for the next attempt, or false when none has room. Endpoints
-// in tried are left out.
-func (r *Router) Pick(pool fleet.PoolID, tried []fleet.EndpointID) (Target, bool) {
-	var best *endpoint
-	for _, e := range r.pools[pool] {
-		if e.leaving || e.running >= e.share || slices.Contains(tried, e.vm.Endpoint()) {
-			continue
+	r.countLoans()
+	for _, vm := range view.VMs {
+		p := r.pools[vm.Pool]
+		if p == nil {
+			p = newPool(vm.Pool)
+			r.pools[vm.Pool] = p
 		}
-		if best == nil || r.isBetter(e, best) {
-			best = e
+		e := r.endpoints[vm.Endpoint()]
+		e.health.place = -1
+		p.add(e)
+		if e.health.state == healthStateEjected {
+			r.probes.Push(e)
 		}
 	}
-	if best == nil {
-		return Target{}, false
+}
+
+// renew returns the record of an endpoint with a row that may have changed.
+func (r *Router) renew(e *endpoint, vm fleet.VM) *endpoint {
+	switch {
+	case e == nil:
+		e = &endpoint{health: health{state: healthStateHealthy, place: -1}, rank: rendezvous(r.Entry, vm.Endpoint())}
+	case e.vm.AssignmentEpoch != vm.AssignmentEpoch || e.vm.RowVersion != vm.RowVersion:
+		e.stated = false
+	}
+	e.vm, e.own = vm, vm.Zone == r.Zone
+	e.share, e.reserved = 0, 0
+	if e.own {
+		e.share, e.reserved = r.divide(vm)
 	}
-	return Target{
-		Endpoint:        best.vm.Endpoint(),
-		VM:              best.vm.ID,
-		Address:         best.vm.Address,
-		Pool:            best.vm.Pool,
-		AssignmentEpoch: best.vm.AssignmentEpoch,
-	}, true
+	return e
 }
 
-func (r *Router) isBetter(a, b *endpoint) bool {
-	if own := a.vm.Zone == r.Zone; own != (b.vm.Zone == r.Zone) {
-		return own
+// Pick returns the endpoint of a pool for an attempt, or false when none has room.
+func (r *Router) Pick(id fleet.PoolID, a Attempt) (Target, bool) {
+	p := r.pools[id]
+	if p == nil {
+		return Target{}, false
+	}
+	e := p.best(a.order(), a.Tried)
+	if e == nil || !e.own && a.Wait <= r.ZoneLatency {
+		return Target{}, false
 	}
-	return a.running < b.running
+	return e.target(), true
 }
 
 // Started counts an attempt as in flight.
-func (r *Router) Started(id fleet.EndpointID) {
-	if e := r.endpoints[id]; e != nil {
-		e.running++
+func (r *Router) Started(id fleet.EndpointID, a Attempt) { r.countAttempt(id, a, 1) }
+
+// Finished counts an attempt as ended.
+func (r *Router) Finished(id fleet.EndpointID, a Attempt) { r.countAttempt(id, a, -1) }
+
+// countAttempt adds or removes one attempt.
+func (r *Router) countAttempt(id fleet.EndpointID, a Attempt, n int) {
+	e := r.endpoints[id]
+	if e == nil {
+		return
+	}
+	r.change(e, func() {
+		e.running += fleet.Slots(n)
+		e.work += time.Duration(n) * a.Expected
+		if a.Long {
+			e.long += fleet.Slots(n)
+		}
+	})
+	if e.pool == nil && e.running == 0 {
+		delete(r.endpoints, id)
 	}
 }
 
-// Finished counts an attempt as ended.
-func (r *Router) Finished(id fleet.EndpointID) {
-	if e := r.endpoints[id]; e != nil {
-		e.running--
+// change modifies an endpoint and restores the sums and orders of its pool.
+func (r *Router) change(e *endpoint, modify func()) {
+	p := e.pool
+	if p == nil {
+		modify()
+		return
+	}
+	p.slots -= e.limit()
+	p.running -= e.running
+	p.borrowed -= e.borrowed
+	modify()
+	p.slots += e.limit()
+	p.running += e.running
+	p.borrowed += e.borrowed
+	for _, list := range p.ranked {
+		list.Fix(e)
 	}
 }
 
 // SetLeaving stops new attempts at an endpoint until its row changes.
 func (r *Router) SetLeaving(id fleet.EndpointID) {
+	if e := r.endpoints[id]; e != nil && !e.stated {
+		r.change(e, func() { e.stated = true })
+	}
+}
+
+// Stated takes an endpoint's own count of running requests. What others run beyond their shares and
+// loans, such as a request that outlived its loan, is left free for the life of a loan.
+func (r *Router) Stated(now time.Time, id fleet.EndpointID, running fleet.Slots) {
+	e := r.endpoints[id]
+	if e == nil || !e.own || r.LoanLife <= 0 {
+		return
+	}
+	excess := max(running-e.running-(e.vm.Slots-e.share+e.lent), 0)
+	if excess == 0 && e.excess == 0 {
+		return
+	}
+	e.excessUntil = now.Add(r.LoanLife)
+	r.change(e, func() { e.excess = excess })
+	r.excessive[id] = e
+}
+
+// Busy takes an endpoint's refusal of an attempt for lack of a slot: it runs as many as it has slots.
+func (r *Router) Busy(now time.Time, id fleet.EndpointID) {
 	if e := r.endpoints[id]; e != nil {
-		e.leaving = true
+		r.Stated(now, id, e.vm.Slots)
 	}
 }
 
+// Tick ends loans and starts probes that are due.
+func (r *Router) Tick(now time.Time) {
+	r.expireLoans(now)
+	r.startProbes(now)
+	for id, e := range r.excessive {
+		if !now.Before(e.excessUntil) {
+			r.change(e, func() { e.excess = 0 })
+			delete(r.excessive, id)
+		}
+	}
+}
+
+// Peers returns how many other entries share the slots of the zone.
+func (r *Router) Peers() int { return max(len(r.entries)-1, 0) }
+
 // HasEndpoints reports whether a pool has any endpoint, whatever its state.
-func (r *Router) HasEndpoints(pool fleet.PoolID) bool { return len(r.pools[pool]) > 0 }
+func (r *Router) HasEndpoints(id fleet.PoolID) bool { return r.pools[id] != nil }
+
+// HasUntried reports whether a pool has an endpoint that is not left out and not leaving.
+func (r *Router) HasUntried(id fleet.PoolID, tried []fleet.EndpointID) bool {
+	p := r.pools[id]
+	if p == nil {
+		return false
+	}
+	// At most the tried endpoints and those that leave are looked at in vain.
+	for _, e := range p.byID {
+		if !e.leaving && !e.stated && !slices.Contains(tried, e.vm.Endpoint()) {
+			return true
+		}
+	}
+	return false
+}
+
+// Slots returns how many slots of a pool this entry may use, and how many of them it uses.
+func (r *Router) Slots(id fleet.PoolID) (limit, running fleet.Slots) {
+	if p := r.pools[id]; p != nil {
+		return p.slots, p.running
+	}
+	return 0, 0
+}
 
 // Running returns how many attempts of this entry are in flight at an endpoint.
 func (r *Router) Running(id fleet.EndpointID) fleet.Slots {
--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -72,6 +72,12 @@
 	SlotLoan time.Duration
 	// ProbeInterval is the setting --probe-interval. Longest time without a word from an endpoint before it is probed. Values: unit duration, from 50ms to 10s.
 	ProbeInterval time.Duration
+	// NormalPercent is the setting --normal-percent. Share of short work that normal work gets while urgent work waits. Values: unit percent, from 0 to 90.
+	NormalPercent fleet.Percent
+	// LongLag is the setting --long-lag. How far long work may lag behind its guaranteed share before it goes before short work. Values: unit duration, from 100ms to 10m.
+	LongLag time.Duration
+	// ZoneLatency is the setting --zone-latency. Extra latency of an endpoint in another availability zone. Values: unit duration, from 0s to 1s.
+	ZoneLatency time.Duration
 	// PollInterval is the setting --poll-interval. Time between polls of the table. Values: unit duration, from 50ms to 10s.
 	PollInterval time.Duration
 	// VMListInterval is the setting --vm-list-interval. Time between reads of the platform's VM list. Values: unit duration, from 50ms to 1m.
@@ -341,6 +347,30 @@
 			return err
 		},
 	},
+	{
+		flag: "normal-percent", initial: "10", unit: "percent", help: "Share of short work that normal work gets while urgent work waits.",
+		lowest: "0", highest: "90",
+		set: func(s *Settings, f field, text string) (err error) {
+			s.NormalPercent, err = parseNumber[fleet.Percent](f, text)
+			return err
+		},
+	},
+	{
+		flag: "long-lag", initial: "10s", unit: "duration", help: "How far long work may lag behind its guaranteed share before it goes before short work.",
+		lowest: "100ms", highest: "10m",
+		set: func(s *Settings, f field, text string) (err error) {
+			s.LongLag, err = parseDuration(f, text)
+			return err
+		},
+	},
+	{
+		flag: "zone-latency", initial: "1ms", unit: "duration", help: "Extra latency of an endpoint in another availability zone.",
+		lowest: "0s", highest: "1s",
+		set: func(s *Settings, f field, text string) (err error) {
+			s.ZoneLatency, err = parseDuration(f, text)
+			return err
+		},
+	},
 	{
 		flag: "poll-interval", initial: "1s", unit: "duration", help: "Time between polls of the table.",
 		lowest: "50ms", highest: "10s",
