routing: number loans so that a late return ends none

Cause: a return that crossed a renewal ended the renewed loan at the lender while the borrower kept using it, so both used the slots.

Excluded: waiting for an acknowledgement of each return, which costs a round trip while the slots stand idle. The lender also no longer stops at the first endpoint without a slot of its own to lend.

Change: each grant has a number; a return and a grant that is not newer than the loan in force are ignored.

TestReturnCrossesRenewal guards the case.

--- a/internal/routing/loan.go
+++ b/internal/routing/loan.go
@@ -12,6 +12,9 @@
 // clocks of two entries drift apart far less than a hundredth during a loan.
 const driftMargin = 100
 
+// LoanNumber orders the loans that a lender has granted.
+type LoanNumber uint64
+
 // Loan lends slots of one endpoint from one entry to another. There is one loan at most for a
 // lender, a borrower and an endpoint; a newer one replaces it.
 type Loan struct {
@@ -19,6 +22,9 @@
 	Borrower fleet.EntryID
 	Endpoint fleet.EndpointID
 	Slots    fleet.Slots
+	// Number rises with each grant and renewal. A return that crosses a renewal names the older
+	// loan, so that it does not end the newer one.
+	Number LoanNumber
 }
 
 // loanKey names a loan at this entry by the other party and the endpoint.
@@ -31,6 +37,7 @@
 type holding struct {
 	slots   fleet.Slots
 	expires time.Time
+	number  LoanNumber
 }
 
 // Ask is what a peer reports of a pool in which it has more work than slots.
@@ -54,9 +61,10 @@
 	var list []Loan
 	grant := func(e *endpoint, slots fleet.Slots) {
 		key := loanKey{ask.Borrower, e.vm.Endpoint()}
-		r.lend(e, key, holding{slots: slots, expires: expires})
+		r.lend(e, key, holding{slots: slots, expires: expires, number: r.lastLoan + 1})
+		r.lastLoan++
 		wanted -= slots
-		list = append(list, Loan{Lender: r.Entry, Borrower: ask.Borrower, Endpoint: e.vm.Endpoint(), Slots: slots})
+		list = append(list, Loan{Lender: r.Entry, Borrower: ask.Borrower, Endpoint: e.vm.Endpoint(), Slots: slots, Number: r.lastLoan})
 	}
 	for _, key := range r.loansTo(ask.Borrower, p) {
 		// Slots on loan stay on loan until they expire or return, so a renewal never shrinks them.
@@ -65,11 +73,16 @@
 		}
 	}
 	spare := p.slots - p.running - keep
+	var skip []fleet.EndpointID
 	for wanted > 0 && spare > 0 {
-		e := p.best(orderShort, nil)
-		if e == nil || e.share-e.lent <= e.running || e.health.state != healthStateHealthy {
+		e := p.best(orderShort, skip)
+		if e == nil {
 			break
 		}
+		skip = append(skip, e.vm.Endpoint())
+		if e.share-e.lent <= e.running || e.health.state != healthStateHealthy {
+			continue
+		}
 		slots := min(wanted, spare, e.share-e.lent-e.running)
 		spare -= slots
 		held := r.lentTo[loanKey{ask.Borrower, e.vm.Endpoint()}].slots
@@ -140,8 +153,9 @@
 		return
 	}
 	for _, l := range loans {
-		if e := r.endpoints[l.Endpoint]; e != nil && l.Borrower == r.Entry && l.Slots > 0 {
-			r.borrow(e, loanKey{l.Lender, l.Endpoint}, holding{slots: l.Slots, expires: expires})
+		key := loanKey{l.Lender, l.Endpoint}
+		if e := r.endpoints[l.Endpoint]; e != nil && l.Borrower == r.Entry && l.Slots > 0 && l.Number > r.borrowedOf[key].number {
+			r.borrow(e, key, holding{slots: l.Slots, expires: expires, number: l.Number})
 		}
 	}
 }
@@ -169,13 +183,13 @@
 	var list []Loan
 	for _, key := range r.sortedBorrowed() {
 		e := p.byID[key.endpoint]
-		slots := r.borrowedOf[key].slots
+		slots, number := r.borrowedOf[key].slots, r.borrowedOf[key].number
 		if e == nil || slots > spare || e.running > e.share-e.lent+e.borrowed-slots {
 			continue
 		}
 		spare -= slots
 		r.borrow(e, key, holding{})
-		list = append(list, Loan{Lender: key.other, Borrower: r.Entry, Endpoint: key.endpoint, Slots: slots})
+		list = append(list, Loan{Lender: key.other, Borrower: r.Entry, Endpoint: key.endpoint, Slots: slots, Number: number})
 	}
 	return list
 }
@@ -194,7 +208,7 @@
 // Returned ends a loan that its borrower gave back.
 func (r *Router) Returned(l Loan) {
 	key := loanKey{l.Borrower, l.Endpoint}
-	if l.Lender == r.Entry && r.lentTo[key].slots > 0 {
+	if l.Lender == r.Entry && r.lentTo[key].slots > 0 && r.lentTo[key].number == l.Number {
 		r.lend(r.endpoints[l.Endpoint], key, holding{})
 	}
 }
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -34,6 +34,7 @@
 	probes heap.Heap[*endpoint]
 	// lentTo and borrowedOf hold the loans in force.
 	lentTo, borrowedOf map[loanKey]holding
+	lastLoan           LoanNumber
 	// excessive holds the endpoints on which others run more than their shares.
 	excessive map[fleet.EndpointID]*endpoint
 }
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -158,6 +158,22 @@
 	}
 }
 
+// Guards against a slot used twice: a return that crosses a renewal must not end the renewed loan.
+func TestReturnCrossesRenewal(t *testing.T) {
+	is := is.New(t)
+	a, b := newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+	ask := routing.Ask{Borrower: "entry-1", Pool: "p", Wanted: 3}
+	b.Borrow(now, now, a.Grant(now, ask, 0))
+	renewed, returned := a.Grant(now, ask, 0), b.Surplus("p", 0)
+	b.Borrow(now, now, renewed)
+	for _, l := range returned {
+		a.Returned(l)
+	}
+	slotsA, _ := a.Slots("p")
+	slotsB, _ := b.Slots("p")
+	is.Equal(slotsA+slotsB, fleet.Slots(16))
+}
+
 // Guards against work in flight on a borrowed slot that is forgotten when its loan ends.
 func TestRunOutlivesLoan(t *testing.T) {
 	is := is.New(t)
@@ -197,7 +213,7 @@
 				v.VMs[id] = vm
 			}
 			r := newRouter("entry-0", entries(1), v)
-			r.Borrow(now, now, []routing.Loan{{Lender: "other", Borrower: "entry-0", Endpoint: "b-0", Slots: 1}})
+			r.Borrow(now, now, []routing.Loan{{Lender: "other", Borrower: "entry-0", Endpoint: "b-0", Slots: 1, Number: 1}})
 			target, _ := r.Pick("p", routing.Attempt{Wait: c.wait})
 			is.Equal(target.Endpoint, c.want)
 		})
