configuration: follow the table after restores and lagging entries

Cause: a property test over random restores found entries that stayed behind for good. A restore can lose a deletion; the change that brings the table up to date then writes no tombstone for it, and an entry that still has the item waits for a digest that its items never give. A lagging entry could also overwrite what another entry has in force.

Excluded: a list of deleted items in the view (the tombstone may be lost in every entry that is alive); clearing the copy on a restore (the configuration would go back).

Change: the poller keeps a second copy that is read from the table's present history. When a newer revision is complete there, the entry's copy takes over its items. A change is refused when another live entry has a newer revision than this entry and the table, and names that entry.

Conclusion: agreement rests on the second copy, and accepted changes on the refusal, which needs the rows of the other entries to be renewed.

--- a/internal/command/exit.go
+++ b/internal/command/exit.go
@@ -118,6 +118,9 @@
 	case connect.CodeResourceExhausted:
 		return "wait a moment and run the command again"
 	case connect.CodeAborted:
+		if strings.Contains(err.Error(), "through entry") {
+			return ""
+		}
 		return "another operation changed the same rows; look at mimosawharf status and run the command again"
 	case connect.CodeNotFound:
 		return "check the name; list commands show what exists"
--- a/internal/configuration/copy.go
+++ b/internal/configuration/copy.go
@@ -79,13 +79,17 @@
 	if ok && !item.isAfter(known) {
 		return false
 	}
+	c.put(key, item)
+	c.settle(now)
+	return true
+}
+
+func (c *Copy) put(key fleet.TableKey, item Item) {
 	if c.items == nil {
 		c.items = map[fleet.TableKey]Item{}
 	}
+	c.sum += digestOf(key, item) - digestOf(key, c.items[key])
 	c.items[key] = item
-	c.sum += digestOf(key, item) - digestOf(key, known)
-	c.settle(now)
-	return true
 }
 
 // Advance takes a head. Its revision comes into force as soon as all its items are absorbed.
@@ -99,10 +103,35 @@
 	return true
 }
 
+// Follow takes over the items of a copy that was read from one history of the table, when a newer revision
+// is in force there. It ends the wait for a revision whose items differ from those known: a restore of
+// the table can lose a deletion, or an item that a newer revision does without.
+func (c *Copy) Follow(now time.Time, table *Copy) bool {
+	head := table.newest
+	if !table.isComplete() || !head.isAfter(c.inForce) {
+		return false
+	}
+	for key, known := range c.items {
+		if _, ok := table.items[key]; !ok && !known.IsDeleted() {
+			c.put(key, Item{Revision: head.Revision, OperationID: head.OperationID})
+		}
+	}
+	for key, item := range table.items {
+		c.put(key, item)
+	}
+	c.newest = head
+	c.settle(now)
+	return true
+}
+
+// isComplete reports whether all items of the newest head are present.
+func (c *Copy) isComplete() bool {
+	return c.newest != (Head{}) && (c.newest.Digest == 0 || c.newest.Digest == emptyDigest+c.sum)
+}
+
 // settle puts the newest revision into force when all its items are present.
 func (c *Copy) settle(now time.Time) {
-	isComplete := c.newest.Digest == 0 || c.newest.Digest == emptyDigest+c.sum
-	if c.newest == (Head{}) || !isComplete {
+	if !c.isComplete() {
 		return
 	}
 	if c.newest.isAfter(c.inForce) {
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -51,8 +51,10 @@
 	Log        *zap.Logger
 	Interval   time.Duration
 
-	view    *fleet.View
-	config  configuration.Copy
+	view   *fleet.View
+	config configuration.Copy
+	// table holds the configuration as read from the table's present history.
+	table   configuration.Copy
 	history platform.History
 	failing bool
 }
@@ -92,7 +94,7 @@
 		}
 		if p.isOtherHistory(changes) {
 			p.Log.Warn("poller: table has another history, reading it whole", zap.String("history", string(changes.History)))
-			p.history, next.Revision = changes.History, 0
+			p.history, next.Revision, p.table = changes.History, 0, configuration.Copy{}
 			continue
 		}
 		p.history = changes.History
@@ -105,6 +107,7 @@
 		}
 	}
 	p.failing = false
+	p.config.Follow(p.Clock.Now(), &p.table)
 	next.RefreshedAt = p.Clock.Now()
 	p.publish(next)
 }
@@ -206,6 +209,7 @@
 	head, err := wire.DecodeHead(row.Value)
 	if err == nil {
 		p.config.Advance(p.Clock.Now(), head)
+		p.table.Advance(p.Clock.Now(), head)
 	}
 	return trace.Wrap(err)
 }
@@ -214,6 +218,7 @@
 	item, err := wire.DecodeItem(row.Value)
 	if err == nil {
 		p.config.Absorb(p.Clock.Now(), row.Key, item)
+		p.table.Absorb(p.Clock.Now(), row.Key, item)
 	}
 	return trace.Wrap(err)
 }
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -120,7 +120,10 @@
 		return configPlan{}, trace.Wrap(err)
 	}
 	inTable, _ := stored.Latest()
-	current, revision := x.newest(inTable)
+	current, revision, err := x.newest(inTable)
+	if err != nil {
+		return configPlan{}, trace.Wrap(err)
+	}
 	if o.Base != 0 && o.Base != current.Revision {
 		return configPlan{}, trace.Wrap(&RevisionError{Base: o.Base, Current: current.Revision})
 	}
@@ -155,11 +158,12 @@
 
 // newest returns the configuration that a change starts from and the revision that it writes. A table
 // that was restored from a backup holds an older revision than the entries have in force, and then
-// the entry's own copy is the current one.
-func (x *Executor) newest(inTable fleet.Configuration) (fleet.Configuration, fleet.ConfigRevision) {
+// the entry's own copy is the current one. It returns *LaggingError when another entry that is alive
+// has a newer one: a change of the older one would lose what was accepted since.
+func (x *Executor) newest(inTable fleet.Configuration) (fleet.Configuration, fleet.ConfigRevision, error) {
 	view := x.View.Get()
 	if view == nil {
-		return inTable, inTable.Revision + 1
+		return inTable, inTable.Revision + 1, nil
 	}
 	current := inTable
 	if view.Configuration.Revision > inTable.Revision {
@@ -167,9 +171,26 @@
 	}
 	highest := current.Revision
 	for _, e := range view.Entries {
+		isAlive := x.Clock.Now().Sub(e.RenewedAt) <= e.Duration+clockSlack
+		if isAlive && e.ConfigRevision > current.Revision {
+			return current, 0, trace.Wrap(&LaggingError{Entry: e.ID, Newer: e.ConfigRevision, Known: current.Revision})
+		}
 		highest = max(highest, e.ConfigRevision)
 	}
-	return current, highest + 1
+	return current, highest + 1, nil
+}
+
+// LaggingError reports that another entry has a newer configuration than this entry and the table, as
+// after a restore of the table. Nothing was changed.
+type LaggingError struct {
+	Entry        fleet.EntryID
+	Newer, Known fleet.ConfigRevision
+}
+
+// Error implements error.
+func (e *LaggingError) Error() string {
+	return fmt.Sprintf("entry %s has revision %d in force, but this entry and the table know only revision %d: run the command again through entry %s",
+		e.Entry, e.Newer, e.Known, e.Entry)
 }
 
 // restoring returns the changes that bring a restored table up to the current configuration.
--- a/internal/operation/config_test.go
+++ b/internal/operation/config_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"pgregory.net/rapid"
 
 	"github.com/mimosawharf/mimosawharf/internal/configuration"
 	"github.com/mimosawharf/mimosawharf/internal/operation"
@@ -114,3 +116,83 @@
 	is.True(!exists) // a deleted item stays deleted
 	is.Equal(old.Build().Revision, fleet.ConfigRevision(7))
 }
+
+// Guards against entries that disagree, go back or stay behind after restores of the table, over random
+// schedules of changes through lagging entries, backups, restores and late reads.
+func TestEntriesAgreeAfterRestores(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is, e, entries := is.New(t), newExecutor(t), make([]configuration.Copy, 3)
+		backup := maps.Clone(e.table.rows)
+		read := func(i int) {
+			before, _ := entries[i].Revision()
+			var table configuration.Copy
+			e.deliver(&table)
+			e.deliver(&entries[i])
+			entries[i].Follow(time.Time{}, &table)
+			after, _ := entries[i].Revision()
+			is.True(after >= before) // revisions only grow
+		}
+		apply := func(step, through int, changes []configuration.Change) error {
+			view := fleet.NewView()
+			view.Configuration = entries[through].Build()
+			for i := range entries {
+				revision, _ := entries[i].Revision()
+				id := fleet.EntryID(fmt.Sprint("entry-", i))
+				view.Entries[id] = fleet.Entry{ID: id, ConfigRevision: revision, RenewedAt: e.clock.Now()}
+			}
+			e.view.Set(view)
+			_, err := e.apply(operation.ApplyConfig{Identity: identity(fleet.OperationID(fmt.Sprintf("%04d", step))), Changes: changes})
+			return err
+		}
+		steps := rapid.IntRange(1, 30).Draw(t, "steps")
+		for step := range steps {
+			i := rapid.IntRange(0, 2).Draw(t, "entry")
+			switch rapid.SampledFrom([]string{"put", "put", "delete", "read", "read", "backup", "restore"}).Draw(t, "step") {
+			case "put":
+				_ = apply(step, i, put(drawPool(t), fleet.VMCount(step+1)))
+			case "delete":
+				_ = apply(step, i, []configuration.Change{{DeletePool: drawPool(t)}})
+			case "read":
+				read(i)
+			case "backup":
+				backup = maps.Clone(e.table.rows)
+			case "restore":
+				e.table.rows = maps.Clone(backup)
+			}
+		}
+		newest := 0
+		for i := range entries {
+			read(i)
+			a, _ := entries[i].Revision()
+			if b, _ := entries[newest].Revision(); a > b {
+				newest = i
+			}
+		}
+		is.NoErr(apply(steps, newest, put("last", 1)))
+		for i := range entries {
+			read(i)
+			is.Equal(entries[i].Build(), e.entry()) // old and new entries agree
+		}
+	})
+}
+
+func drawPool(t *rapid.T) fleet.PoolID {
+	return fleet.PoolID(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "pool"))
+}
+
+// Guards against an entry that lags and overwrites, on a restored table, what another entry has in force.
+func TestLaggingEntryDoesNotOverwriteNewerRevision(t *testing.T) {
+	is := is.New(t)
+	e := newExecutor(t)
+	view := fleet.NewView()
+	view.Entries["entry-b"] = fleet.Entry{ID: "entry-b", ConfigRevision: 6, RenewedAt: e.clock.Now(), Duration: time.Second}
+	e.view.Set(view)
+	_, err := e.apply(operation.ApplyConfig{Identity: identity("one"), Changes: put("rota", 1)})
+	var lagging *operation.LaggingError
+	is.True(errors.As(err, &lagging))
+	is.Equal(lagging.Entry, fleet.EntryID("entry-b"))
+	e.clock.Advance(time.Minute)
+	applied, err := e.apply(operation.ApplyConfig{Identity: identity("one"), Changes: put("rota", 1)})
+	is.NoErr(err) // an entry that is gone does not block changes
+	is.Equal(applied.Revision, fleet.ConfigRevision(7))
+}
--- a/internal/operation/table_test.go
+++ b/internal/operation/table_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"slices"
 	"strings"
-	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -90,7 +89,7 @@
 	inbox *ring.Ring[operation.Operation]
 }
 
-func newExecutor(t *testing.T) *executor {
+func newExecutor(t interface{ Cleanup(func()) }) *executor {
 	e := &executor{
 		table: &memoryTable{rows: map[fleet.TableKey]platform.Row{}},
 		clock: clockwork.NewFakeClockAt(time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)),
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -127,6 +127,7 @@
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
 		undecoded   *wire.DecodeError
+		lagging     *operation.LaggingError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
@@ -143,6 +144,8 @@
 	case errors.As(err, &unavailable), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
+	case errors.As(err, &lagging):
+		code = connect.CodeAborted
 	case errors.As(err, &undecoded):
 		code = connect.CodeInternal
 	case errors.As(err, &invalid):
