--- a/internal/configuration/validate.go
+++ b/internal/configuration/validate.go
@@ -90,8 +90,8 @@
 
 func checkPool(p fleet.Pool) []string {
 	findings := checkID("pool", string(p.ID))
-	note := func(format string, arguments ...any) {
-		findings = append(findings, fmt.Sprintf("pool %s: ", p.ID)+fmt.Sprintf(format, arguments...))
+	note := func(text string) {
+		findings = append(findings, fmt.Sprintf("pool %s: ", p.ID)+text)
 	}
 	b := p.Budget
 	if p.ID == fleet.PoolUnassigned {
@@ -101,19 +101,19 @@
 		note("budget sets no limit; set min-available-vms or max-unavailable-vms")
 	}
 	if p.TargetVMs > 0 && b.MinAvailableVMs > p.TargetVMs {
-		note("min-available-vms %d exceeds target-vms %d; lower the budget or raise the target", b.MinAvailableVMs, p.TargetVMs)
+		note(fmt.Sprintf("min-available-vms %d exceeds target-vms %d; lower the budget or raise the target", b.MinAvailableVMs, p.TargetVMs))
 	}
 	if p.MaxVMs > 0 && p.TargetVMs > p.MaxVMs {
-		note("target-vms %d exceeds max-vms %d; lower the target or raise the bound", p.TargetVMs, p.MaxVMs)
+		note(fmt.Sprintf("target-vms %d exceeds max-vms %d; lower the target or raise the bound", p.TargetVMs, p.MaxVMs))
 	}
 	if p.MaxVMs > 0 && b.MinAvailableVMs > p.MaxVMs {
-		note("min-available-vms %d exceeds max-vms %d; lower the budget or raise the bound", b.MinAvailableVMs, p.MaxVMs)
+		note(fmt.Sprintf("min-available-vms %d exceeds max-vms %d; lower the budget or raise the bound", b.MinAvailableVMs, p.MaxVMs))
 	}
 	if b.MinAvailableVMs > 0 && b.MinAvailablePerZone > b.MinAvailableVMs {
-		note("min-available-per-zone %d exceeds min-available-vms %d; raise min-available-vms or unset it", b.MinAvailablePerZone, b.MinAvailableVMs)
+		note(fmt.Sprintf("min-available-per-zone %d exceeds min-available-vms %d; raise min-available-vms or unset it", b.MinAvailablePerZone, b.MinAvailableVMs))
 	}
 	if b.MaxUnavailableVMs > 0 && b.MaxUnavailablePerZone > b.MaxUnavailableVMs {
-		note("max-unavailable-per-zone %d exceeds max-unavailable-vms %d; lower the bound per zone", b.MaxUnavailablePerZone, b.MaxUnavailableVMs)
+		note(fmt.Sprintf("max-unavailable-per-zone %d exceeds max-unavailable-vms %d; lower the bound per zone", b.MaxUnavailablePerZone, b.MaxUnavailableVMs))
 	}
 	return findings
 }
@@ -134,37 +134,37 @@
 
 func checkRequestType(service fleet.ServiceID, t fleet.RequestTypeRule) []string {
 	findings := checkID("service "+string(service)+": request type", string(t.Name))
-	note := func(format string, arguments ...any) {
-		findings = append(findings, fmt.Sprintf("service %s: request type %s: ", service, t.Name)+fmt.Sprintf(format, arguments...))
+	note := func(text string) {
+		findings = append(findings, fmt.Sprintf("service %s: request type %s: ", service, t.Name)+text)
 	}
 	switch {
 	case t.Class == fleet.ClassUrgent:
 		note("class urgent needs a priority grant of an account; use normal here and grant urgent to the account")
 	case !slices.Contains(fleet.Classes(), t.Class):
-		note("class %q is not known; use normal or long", t.Class)
+		note(fmt.Sprintf("class %q is not known; use normal or long", t.Class))
 	}
 	if t.DeclaredRunTime < 0 {
-		note("declared-run-time %s is negative; use 0 when it is not known", t.DeclaredRunTime)
+		note(fmt.Sprintf("declared-run-time %s is negative; use 0 when it is not known", t.DeclaredRunTime))
 	}
 	if t.MaxTimeout < 0 {
-		note("max-timeout %s is negative; use 0 for no bound", t.MaxTimeout)
+		note(fmt.Sprintf("max-timeout %s is negative; use 0 for no bound", t.MaxTimeout))
 	}
 	if t.MaxTimeout > 0 && t.DeclaredRunTime > t.MaxTimeout {
-		note("declared-run-time %s exceeds max-timeout %s; no request could finish; raise the timeout", t.DeclaredRunTime, t.MaxTimeout)
+		note(fmt.Sprintf("declared-run-time %s exceeds max-timeout %s; no request could finish; raise the timeout", t.DeclaredRunTime, t.MaxTimeout))
 	}
 	return findings
 }
 
 func checkAccount(c fleet.Configuration, a fleet.ClientAccount) []string {
 	findings := checkID("account", string(a.ID))
-	note := func(format string, arguments ...any) {
-		findings = append(findings, fmt.Sprintf("account %s: ", a.ID)+fmt.Sprintf(format, arguments...))
+	note := func(text string) {
+		findings = append(findings, fmt.Sprintf("account %s: ", a.ID)+text)
 	}
 	if len(a.CredentialHash) != credentialHashBytes {
-		note("credential-hash has %d bytes; set the SHA-256 of the secret (account put --secret-file)", len(a.CredentialHash))
+		note(fmt.Sprintf("credential-hash has %d bytes; set the SHA-256 of the secret (account put --secret-file)", len(a.CredentialHash)))
 	}
 	if a.Weight < 0 || a.Weight > maxWeight {
-		note("weight %d is out of bounds; use 0 to %d", a.Weight, maxWeight)
+		note(fmt.Sprintf("weight %d is out of bounds; use 0 to %d", a.Weight, maxWeight))
 	}
 	if q := a.Quota; q.Rate < 0 || q.Burst < 0 || q.InFlight < 0 {
 		note("quota is negative; use 0 for no bound")
@@ -175,14 +175,14 @@
 	seen := map[fleet.PriorityGrant]bool{}
 	for _, g := range a.PriorityGrants {
 		if _, ok := c.Services[g.Service].RequestTypes[g.RequestType]; !ok {
-			note("priority grant names unknown request type %s of service %s; remove the grant or add the request type", g.RequestType, g.Service)
+			note(fmt.Sprintf("priority grant names unknown request type %s of service %s; remove the grant or add the request type", g.RequestType, g.Service))
 		}
 		if !slices.Contains(fleet.Classes(), g.Class) {
-			note("priority grant for %s of service %s: class %q is not known; use urgent, normal or long", g.RequestType, g.Service, g.Class)
+			note(fmt.Sprintf("priority grant for %s of service %s: class %q is not known; use urgent, normal or long", g.RequestType, g.Service, g.Class))
 		}
 		key := fleet.PriorityGrant{Service: g.Service, RequestType: g.RequestType}
 		if seen[key] {
-			note("has two priority grants for request type %s of service %s; keep one", g.RequestType, g.Service)
+			note(fmt.Sprintf("has two priority grants for request type %s of service %s; keep one", g.RequestType, g.Service))
 		}
 		seen[key] = true
 	}
--- a/internal/configuration/warn.go
+++ b/internal/configuration/warn.go
@@ -24,12 +24,12 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(from.Services)) {
 		if _, ok := to.Services[id]; !ok {
-			w.add("service %s: is deleted; its requests are refused not-run from now on", id)
+			w.add(fmt.Sprintf("service %s: is deleted; its requests are refused not-run from now on", id))
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(from.Accounts)) {
 		if a, ok := to.Accounts[id]; !ok {
-			w.add("account %s: is deleted; its callers are refused from now on", id)
+			w.add(fmt.Sprintf("account %s: is deleted; its callers are refused from now on", id))
 		} else {
 			w.account(from.Accounts[id], a)
 		}
@@ -43,21 +43,21 @@
 	list       []string
 }
 
-func (w *warnings) add(format string, arguments ...any) {
-	w.list = append(w.list, fmt.Sprintf(format, arguments...))
+func (w *warnings) add(text string) {
+	w.list = append(w.list, text)
 }
 
 func (w *warnings) pool(p fleet.Pool) {
 	c := w.capacities[p.ID]
 	shortfalls := c.Shortfalls(p.Budget)
 	for _, s := range shortfalls {
-		w.add("pool %s: budget cannot be met now: %s; no VM of the pool can be disrupted until it is", p.ID, s)
+		w.add(fmt.Sprintf("pool %s: budget cannot be met now: %s; no VM of the pool can be disrupted until it is", p.ID, s))
 	}
 	if len(shortfalls) == 0 && c.VMs > 0 && c.Required(p.Budget) >= c.VMs {
-		w.add("pool %s: budget keeps all %d VMs available; drains, moves and waves on the pool will wait", p.ID, c.VMs)
+		w.add(fmt.Sprintf("pool %s: budget keeps all %d VMs available; drains, moves and waves on the pool will wait", p.ID, c.VMs))
 	}
 	if p.MaxVMs > 0 && c.VMs > p.MaxVMs {
-		w.add("pool %s: holds %d VMs, more than max-vms %d; move some of them out", p.ID, c.VMs, p.MaxVMs)
+		w.add(fmt.Sprintf("pool %s: holds %d VMs, more than max-vms %d; move some of them out", p.ID, c.VMs, p.MaxVMs))
 	}
 }
 
@@ -72,24 +72,24 @@
 
 func (w *warnings) service(old, s fleet.Service) {
 	if w.capacities[s.Pool].Available == 0 {
-		w.add("service %s: pool %s has no serving VM; requests are refused until you adopt VMs into the pool or move them there", s.ID, s.Pool)
+		w.add(fmt.Sprintf("service %s: pool %s has no serving VM; requests are refused until you adopt VMs into the pool or move them there", s.ID, s.Pool))
 	}
 	if old.ID == "" {
 		return
 	}
 	if old.Pool != s.Pool {
-		w.add("service %s: moves from pool %s to pool %s; check that pool %s has room for its requests", s.ID, old.Pool, s.Pool, s.Pool)
+		w.add(fmt.Sprintf("service %s: moves from pool %s to pool %s; check that pool %s has room for its requests", s.ID, old.Pool, s.Pool, s.Pool))
 	}
 	for _, name := range slices.Sorted(maps.Keys(old.RequestTypes)) {
 		before := old.RequestTypes[name]
 		after, ok := s.RequestTypes[name]
 		switch {
 		case !ok:
-			w.add("service %s: request type %s is removed; its requests are refused not-run from now on", s.ID, name)
+			w.add(fmt.Sprintf("service %s: request type %s is removed; its requests are refused not-run from now on", s.ID, name))
 		case before.Repeatable && !after.Repeatable:
-			w.add("service %s: request type %s is no longer repeatable; callers need a ticket for it", s.ID, name)
+			w.add(fmt.Sprintf("service %s: request type %s is no longer repeatable; callers need a ticket for it", s.ID, name))
 		case !before.Repeatable && after.Repeatable:
-			w.add("service %s: request type %s becomes repeatable; it may run more than once", s.ID, name)
+			w.add(fmt.Sprintf("service %s: request type %s becomes repeatable; it may run more than once", s.ID, name))
 		}
 	}
 }
@@ -101,7 +101,7 @@
 	for _, g := range old.PriorityGrants {
 		rule := w.to.Services[g.Service].RequestTypes[g.RequestType]
 		if class := a.ClassOf(g.Service, rule); rule.Name != "" && class != g.Class {
-			w.add("account %s: request type %s of service %s goes from class %s to class %s", a.ID, g.RequestType, g.Service, g.Class, class)
+			w.add(fmt.Sprintf("account %s: request type %s of service %s goes from class %s to class %s", a.ID, g.RequestType, g.Service, g.Class, class))
 		}
 	}
 }
@@ -115,5 +115,5 @@
 	if from == 0 {
 		before = "unlimited"
 	}
-	w.add("account %s: quota %s goes from %s to %d; requests beyond it are refused not-run", id, name, before, to)
+	w.add(fmt.Sprintf("account %s: quota %s goes from %s to %d; requests beyond it are refused not-run", id, name, before, to))
 }
--- a/internal/operation/status.go
+++ b/internal/operation/status.go
@@ -102,14 +102,14 @@
 }
 
 // broken notes a guarantee that does not hold, or that cannot be judged.
-func (s *statusBuilder) broken(format string, arguments ...any) {
+func (s *statusBuilder) broken(text string) {
 	s.status.Healthy = false
-	s.notice(format, arguments...)
+	s.notice(text)
 }
 
 // notice notes something that an operator should look at.
-func (s *statusBuilder) notice(format string, arguments ...any) {
-	s.status.Problems = append(s.status.Problems, fmt.Sprintf(format, arguments...))
+func (s *statusBuilder) notice(text string) {
+	s.status.Problems = append(s.status.Problems, text)
 }
 
 func (s *statusBuilder) store() {
@@ -120,7 +120,7 @@
 	s.status.StoreAge = max(0, s.now.Sub(s.view.RefreshedAt))
 	s.status.StoreReachable = s.status.StoreAge <= s.bounds.StoreMaxAge
 	if !s.status.StoreReachable {
-		s.broken("the table has not answered for %s: requests go on, nothing voluntary starts; check the platform", rounded(s.status.StoreAge))
+		s.broken(fmt.Sprintf("the table has not answered for %s: requests go on, nothing voluntary starts; check the platform", rounded(s.status.StoreAge)))
 	}
 	if s.view.ListReadAt.IsZero() {
 		s.broken("the list of VMs has not been read: no new grants are given; check the platform")
@@ -128,7 +128,7 @@
 	}
 	s.status.ListAge = max(0, s.now.Sub(s.view.ListReadAt))
 	if s.status.ListAge > s.bounds.ListMaxAge {
-		s.broken("the list of VMs is %s old: no new grants are given; check the platform", rounded(s.status.ListAge))
+		s.broken(fmt.Sprintf("the list of VMs is %s old: no new grants are given; check the platform", rounded(s.status.ListAge)))
 	}
 }
 
@@ -142,16 +142,16 @@
 			Disruptions: fleet.VMCount(len(s.view.Ledgers[id].Grants)),
 		}
 		for _, f := range p.Shortfalls {
-			s.broken("pool %s: budget does not hold: %s; return drained VMs, replace failed ones or move VMs into the pool", id, f)
+			s.broken(fmt.Sprintf("pool %s: budget does not hold: %s; return drained VMs, replace failed ones or move VMs into the pool", id, f))
 		}
 		if c.VMs == 0 {
-			s.notice("pool %s: has no VMs; adopt some (vm adopt --pool %s) or delete the pool", id, id)
+			s.notice(fmt.Sprintf("pool %s: has no VMs; adopt some (vm adopt --pool %s) or delete the pool", id, id))
 		}
 		s.status.Pools = append(s.status.Pools, p)
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.capacities)) {
 		if _, ok := s.view.Configuration.Pools[id]; !ok && id != fleet.PoolUnassigned && s.capacities[id].VMs > 0 {
-			s.broken("pool %s: holds %d VMs but is not configured; put the pool or move its VMs", id, s.capacities[id].VMs)
+			s.broken(fmt.Sprintf("pool %s: holds %d VMs but is not configured; put the pool or move its VMs", id, s.capacities[id].VMs))
 		}
 	}
 }
@@ -161,10 +161,10 @@
 		pool := s.view.Configuration.Services[id].Pool
 		one := ServiceStatus{Service: id, Endpoints: s.capacities[pool].Available, Load: loads[id]}
 		if one.Endpoints == 0 {
-			s.broken("service %s: pool %s has no serving VM, requests are refused; adopt or move VMs into it", id, pool)
+			s.broken(fmt.Sprintf("service %s: pool %s has no serving VM, requests are refused; adopt or move VMs into it", id, pool))
 		}
 		if one.Load.Ejected > 0 {
-			s.notice("service %s: %d endpoints are ejected because their requests fail; look at them and replace their VMs if need be", id, one.Load.Ejected)
+			s.notice(fmt.Sprintf("service %s: %d endpoints are ejected because their requests fail; look at them and replace their VMs if need be", id, one.Load.Ejected))
 		}
 		s.status.Services = append(s.status.Services, one)
 	}
@@ -176,11 +176,11 @@
 		age := s.now.Sub(vm.Since)
 		switch {
 		case vm.State == fleet.VMStateFailed:
-			s.notice("VM %s: of pool %s has failed; replace or remove it", id, vm.Pool)
+			s.notice(fmt.Sprintf("VM %s: of pool %s has failed; replace or remove it", id, vm.Pool))
 		case vm.State == fleet.VMStateDraining && age > drainNoticeAfter:
-			s.notice("VM %s: has been draining for %s; wait for its requests, or end the drain with vm cancel", id, rounded(age))
+			s.notice(fmt.Sprintf("VM %s: has been draining for %s; wait for its requests, or end the drain with vm cancel", id, rounded(age)))
 		case vm.State == fleet.VMStateServing && s.view.Leaving[id]:
-			s.notice("VM %s: serves pool %s but the platform's list shows it as leaving or not at all; it takes no new work", id, vm.Pool)
+			s.notice(fmt.Sprintf("VM %s: serves pool %s but the platform's list shows it as leaving or not at all; it takes no new work", id, vm.Pool))
 		}
 	}
 }
@@ -193,9 +193,9 @@
 		behind := e.ConfigRevision < current && s.now.Sub(s.view.ConfigSince) > configurationMaxDelay
 		switch {
 		case !one.Reachable:
-			s.notice("entry %s: has not renewed its row for %s; check its VM, or its link to the platform", id, rounded(s.now.Sub(e.RenewedAt)))
+			s.notice(fmt.Sprintf("entry %s: has not renewed its row for %s; check its VM, or its link to the platform", id, rounded(s.now.Sub(e.RenewedAt))))
 		case behind:
-			s.broken("entry %s: has revision %d in force, current is %d; check its link to the platform and to its peers", id, e.ConfigRevision, current)
+			s.broken(fmt.Sprintf("entry %s: has revision %d in force, current is %d; check its link to the platform and to its peers", id, e.ConfigRevision, current))
 		}
 		s.status.Entries = append(s.status.Entries, one)
 	}
@@ -205,7 +205,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.view.Leases)) {
 		l := s.view.Leases[id]
 		if e, ok := s.view.Entries[l.Holder]; !ok || e.Incarnation != l.Incarnation {
-			s.notice("lease %s: its holder %s is gone; another entry takes it within seconds, if not check the entries", id, l.Holder)
+			s.notice(fmt.Sprintf("lease %s: its holder %s is gone; another entry takes it within seconds, if not check the entries", id, l.Holder))
 		}
 		s.status.Leases = append(s.status.Leases, LeaseStatus{Lease: l, Age: max(0, s.now.Sub(l.RenewedAt))})
 	}
@@ -219,9 +219,9 @@
 		}
 		switch w.State {
 		case fleet.WaveStateHalted:
-			s.notice("wave %s: is halted: %s; then wave resume, wave roll-back or wave cancel", id, w.Reason)
+			s.notice(fmt.Sprintf("wave %s: is halted: %s; then wave resume, wave roll-back or wave cancel", id, w.Reason))
 		case fleet.WaveStateWaiting:
-			s.notice("wave %s: waits: %s; it goes on by itself", id, w.Reason)
+			s.notice(fmt.Sprintf("wave %s: waits: %s; it goes on by itself", id, w.Reason))
 		}
 		s.status.Waves = append(s.status.Waves, w)
 	}
