--- a/internal/control/draft.go
+++ b/internal/control/draft.go
@@ -62,9 +62,9 @@
 	v := &d.view
 	switch {
 	case row.Key == wire.KeyHead:
-		err = p.absorbHead(d, row)
+		err = p.absorbHead(d, row, fromPeer)
 	case wire.HasPrefix(row.Key, wire.PrefixConfig):
-		err = p.absorbItem(d, row)
+		err = p.absorbItem(d, row, fromPeer)
 	case wire.HasPrefix(row.Key, wire.PrefixVM):
 		err = absorbRow(d, &v.VMs, wire.PrefixVM, row, wire.DecodeVM, func(vm *fleet.VM) { vm.RowVersion = row.Version })
 	case wire.HasPrefix(row.Key, wire.PrefixLedger):
@@ -103,15 +103,21 @@
 	return nil
 }
 
-func (p *Poller) absorbHead(d *draft, row platform.Row) error {
+func (p *Poller) absorbHead(d *draft, row platform.Row, fromPeer bool) error {
 	head, err := wire.DecodeHead(row.Value)
-	if err == nil && p.config.Advance(p.Clock.Now(), head) {
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if p.config.Advance(p.Clock.Now(), head) {
 		d.changed, p.configChanged = true, true
 	}
-	return trace.Wrap(err)
+	if !fromPeer {
+		p.table.Advance(p.Clock.Now(), head)
+	}
+	return nil
 }
 
-func (p *Poller) absorbItem(d *draft, row platform.Row) error {
+func (p *Poller) absorbItem(d *draft, row platform.Row, fromPeer bool) error {
 	item, err := wire.DecodeItem(row.Value)
 	if err != nil {
 		return trace.Wrap(err)
@@ -119,5 +125,8 @@
 	if p.config.Absorb(p.Clock.Now(), row.Key, item) {
 		d.changed, p.configChanged = true, true
 	}
+	if !fromPeer {
+		p.table.Absorb(p.Clock.Now(), row.Key, item)
+	}
 	return nil
 }
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -57,8 +57,10 @@
 	// other zones. The entry stops using VMs of other zones at half of it.
 	HoldTime time.Duration
 
-	view    *fleet.View
-	config  configuration.Copy
+	view   *fleet.View
+	config configuration.Copy
+	// table holds the configuration as read from the table's present history.
+	table   configuration.Copy
 	history platform.History
 	failing bool
 	// configChanged says that config holds a change that the view does not.
@@ -128,6 +130,7 @@
 		if d.history != "" && changes.History != d.history {
 			p.Log.Warn("poller: table has another history, reading it whole", zap.String("history", string(changes.History)))
 			d.forget(changes.History)
+			p.table = configuration.Copy{}
 			continue
 		}
 		if changes.Revision < d.view.Revision {
@@ -144,6 +147,9 @@
 		}
 	}
 	p.failing = false
+	if p.config.Follow(p.Clock.Now(), &p.table) {
+		d.changed, p.configChanged = true, true
+	}
 	d.view.RefreshedAt = asked
 	p.publish(d)
 }
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -129,6 +129,7 @@
 		undecoded   *wire.DecodeError
 		rate        *platform.RateExceededError
 		stale       *budget.StaleListError
+		lagging     *operation.LaggingError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
@@ -145,6 +146,8 @@
 	case errors.As(err, &unavailable), errors.As(err, &stale), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
+	case errors.As(err, &lagging):
+		code = connect.CodeAborted
 	case errors.As(err, &undecoded):
 		code = connect.CodeInternal
 	case errors.As(err, &invalid):
