--- a/internal/routing/loan.go
+++ b/internal/routing/loan.go
@@ -122,26 +122,23 @@
 }
 
 func (r *Router) lend(e *endpoint, key loanKey, h holding) {
-	old := r.lentTo[key].slots
-	if h.slots == 0 {
-		delete(r.lentTo, key)
-	} else {
-		r.lentTo[key] = h
-	}
-	if e != nil {
-		r.change(e, func() { e.lent += h.slots - old })
-	}
+	r.hold(r.lentTo, e, key, h, func(n fleet.Slots) { e.lent += n })
 }
 
 func (r *Router) borrow(e *endpoint, key loanKey, h holding) {
-	old := r.borrowedOf[key].slots
+	r.hold(r.borrowedOf, e, key, h, func(n fleet.Slots) { e.borrowed += n })
+}
+
+// hold replaces a loan; a loan of no slots ends it. The endpoint is nil when it has left the fleet.
+func (r *Router) hold(loans map[loanKey]holding, e *endpoint, key loanKey, h holding, add func(fleet.Slots)) {
+	old := loans[key].slots
 	if h.slots == 0 {
-		delete(r.borrowedOf, key)
+		delete(loans, key)
 	} else {
-		r.borrowedOf[key] = h
+		loans[key] = h
 	}
 	if e != nil {
-		r.change(e, func() { e.borrowed += h.slots - old })
+		r.change(e, func() { add(h.slots - old) })
 	}
 }
 
