maintenance: decide the steps of maintenance waves

Cause: docs/design.md section 7 describes waves, and nothing decided them.

Excluded: a width for the whole wave (a wave of many pools would be held up by its smallest budget), a wait for the soak before every step (it makes a roll-out as long as step plus soak for each width), a failure count as the halt rule (its false halts grow with the length of a wave).

Change: package maintenance with the state machine of section 12, the plan, the next step, the halt rule, storms, roll-back, deadlines and the standing schedule. A decision takes the row, facts and an instant only. The row gains the healthy count, the instants of calm and of judgement, a late mark and the start of each VM's step.

Checked: go test -race ./internal/maintenance ./internal/design passes.

--- a/internal/design/design_test.go
+++ b/internal/design/design_test.go
@@ -12,6 +12,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mimosawharf/mimosawharf/internal/daemon"
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
 	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/request"
 )
@@ -25,6 +26,7 @@
 		table fsm.Events
 	}{
 		{"VM", move.Transitions()},
+		{"Wave", maintenance.Transitions()},
 		{"Request", request.Transitions()},
 		{"Daemon", daemon.Transitions()},
 	}
--- /dev/null
+++ b/internal/maintenance/command.go
@@ -0,0 +1,87 @@
+package maintenance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// RollBackError reports a roll-back of a wave that installed no version.
+type RollBackError struct {
+	Wave   fleet.WaveID
+	Action fleet.WaveAction
+}
+
+// Error implements error.
+func (e *RollBackError) Error() string {
+	return "wave " + string(e.Wave) + " cannot roll back its action " + string(e.Action) + ": cancel it instead"
+}
+
+// Command returns the row of a wave after an operator's command, which is applied as an event of the
+// same name. It returns *RollBackError. The caller has checked that the state allows the event.
+func Command(w fleet.Wave, c fleet.WaveCommand, now time.Time) (fleet.Wave, error) {
+	w.Reason = ""
+	switch c {
+	case fleet.WaveCommandHalt:
+		w.Reason = ReasonOperator
+	case fleet.WaveCommandResume:
+		w.JudgedFrom, w.CalmSince = now, time.Time{}
+	case fleet.WaveCommandRollBack:
+		if w.Spec.Action != fleet.WaveActionRollOut {
+			return w, trace.Wrap(&RollBackError{Wave: w.ID, Action: w.Spec.Action})
+		}
+		w = rollBack(w, now)
+	}
+	return w, nil
+}
+
+// rollBack plans every VM that the wave touched for its previous version. The canary is not repeated,
+// because the previous version is known to work.
+func rollBack(w fleet.Wave, now time.Time) fleet.Wave {
+	w.VMs = slices.Clone(w.VMs)
+	for i := range w.VMs {
+		v := &w.VMs[i]
+		touched := !v.StartedAt.IsZero() && v.PreviousVersion != "" && v.PreviousVersion != w.Spec.Version
+		v.StartedAt = time.Time{}
+		if touched {
+			setState(v, fleet.WaveVMStatePending, now)
+		} else {
+			setState(v, fleet.WaveVMStateSkipped, now)
+		}
+	}
+	w.Width, w.Healthy, w.JudgedFrom = 1, 0, now
+	return w
+}
+
+// Started returns the row of a wave after the drain of a VM began.
+func Started(w fleet.Wave, id fleet.VMID, now time.Time) fleet.Wave {
+	w.VMs = slices.Clone(w.VMs)
+	for i := range w.VMs {
+		if w.VMs[i].VM == id {
+			setState(&w.VMs[i], fleet.WaveVMStateStarted, now)
+			w.VMs[i].StartedAt = now
+		}
+	}
+	return w
+}
+
+// Disruption returns the purpose and the version of a VM's drain in the wave.
+func Disruption(w fleet.Wave, id fleet.VMID) (fleet.VMPurpose, fleet.Version) {
+	switch w.Spec.Action {
+	case fleet.WaveActionReboot:
+		return fleet.VMPurposeReboot, ""
+	case fleet.WaveActionReplace:
+		return fleet.VMPurposeReplace, ""
+	case fleet.WaveActionRollOut:
+		i := slices.IndexFunc(w.VMs, func(v fleet.WaveVM) bool { return v.VM == id })
+		if w.State == fleet.WaveStateRollingBack && i >= 0 {
+			return fleet.VMPurposeRollOut, w.VMs[i].PreviousVersion
+		}
+		return fleet.VMPurposeRollOut, w.Spec.Version
+	default:
+		return fleet.VMPurposeHold, ""
+	}
+}
--- /dev/null
+++ b/internal/maintenance/fake_test.go
@@ -0,0 +1,147 @@
+package maintenance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+var start = time.Date(2026, 3, 2, 6, 0, 0, 0, time.UTC)
+
+// world is a fleet in memory with a budget of VMs per pool.
+type world struct {
+	vms        map[fleet.VMID]fleet.VM
+	limit      map[fleet.PoolID]int
+	until      map[fleet.VMID]time.Time
+	steps      *rand.Rand
+	isBad      func(fleet.VM) bool
+	violations int
+}
+
+type size struct{ pools, vms, zones, limit int }
+
+func newWorld(s size, seed uint64) *world {
+	w := &world{
+		vms: map[fleet.VMID]fleet.VM{}, limit: map[fleet.PoolID]int{}, until: map[fleet.VMID]time.Time{},
+		steps: rand.New(rand.NewPCG(seed, 1)), isBad: func(fleet.VM) bool { return false },
+	}
+	for p := range s.pools {
+		pool := fleet.PoolID(fmt.Sprintf("pool-%03d", p))
+		w.limit[pool] = s.limit
+		for i := range s.vms {
+			zone := i * s.zones / s.vms
+			id := fleet.VMID(fmt.Sprintf("%s-%03d", pool, i))
+			w.vms[id] = fleet.VM{
+				ID: id, Pool: pool, State: fleet.VMStateServing, Version: "v1", Since: start.Add(-time.Hour),
+				Zone: fleet.ZoneID(fmt.Sprintf("zone-%d", zone)), Rack: fleet.RackID(fmt.Sprintf("rack-%d-%d", zone, i/4)),
+			}
+		}
+	}
+	return w
+}
+
+func (w *world) list() []fleet.VM {
+	var list []fleet.VM
+	for _, vm := range w.vms {
+		list = append(list, vm)
+	}
+	return list
+}
+
+func (w *world) unavailable(pool fleet.PoolID) int {
+	n := 0
+	for _, vm := range w.vms {
+		if vm.Pool == pool && vm.State != fleet.VMStateServing {
+			n++
+		}
+	}
+	return n
+}
+
+// ledger takes grants against the VMs out of service at one instant.
+type ledger map[fleet.PoolID]int
+
+func (l ledger) Take(vm fleet.VM) bool {
+	if l[vm.Pool] <= 0 {
+		return false
+	}
+	l[vm.Pool]--
+	return true
+}
+
+// drain starts the step of a VM. A step takes 4 to 6 minutes.
+func (w *world) drain(id fleet.VMID, version fleet.Version, now time.Time) {
+	vm := w.vms[id]
+	vm.State, vm.TargetVersion = fleet.VMStateRebooting, version
+	w.vms[id] = vm
+	w.until[id] = now.Add(4*time.Minute + time.Duration(w.steps.Int64N(int64(2*time.Minute))))
+}
+
+func (w *world) advance(now time.Time) {
+	for id, until := range w.until {
+		if now.Before(until) {
+			continue
+		}
+		vm := w.vms[id]
+		vm.State, vm.LastMaintained, vm.Version = fleet.VMStateServing, now, vm.TargetVersion
+		if w.isBad(vm) {
+			vm.State = fleet.VMStateFailed
+		}
+		w.vms[id] = vm
+		delete(w.until, id)
+	}
+}
+
+func (w *world) facts() maintenance.Facts {
+	l := ledger{}
+	for pool, limit := range w.limit {
+		l[pool] = limit
+	}
+	for _, vm := range w.vms {
+		if vm.State != fleet.VMStateServing {
+			l[vm.Pool]--
+		}
+	}
+	for pool := range w.limit {
+		if l[pool] < 0 && w.unavailable(pool) > w.limit[pool] {
+			w.violations++
+		}
+	}
+	return maintenance.Facts{VMs: w.vms, Budget: l}
+}
+
+// tick is how often the driver decides.
+const tick = 5 * time.Second
+
+// run drives a wave until it ends, halts or the time is up, and returns its row and end.
+func (w *world) run(wave fleet.Wave, most time.Duration, observe func(maintenance.Decision, time.Time)) (fleet.Wave, time.Duration) {
+	states := maintenance.NewMachine()
+	for at := time.Duration(0); at < most; at += tick {
+		now := start.Add(at)
+		w.advance(now)
+		d := maintenance.Next(wave, w.facts(), now)
+		observe(d, now)
+		wave = d.Wave
+		if d.Event != "" {
+			wave.State, _ = states.Next(wave.State, d.Event)
+		}
+		if wave.State.IsFinal() || wave.State == fleet.WaveStateHalted {
+			return wave, at
+		}
+		for _, id := range d.Start {
+			_, version := maintenance.Disruption(wave, id)
+			w.drain(id, version, now)
+			wave = maintenance.Started(wave, id, now)
+		}
+	}
+	return wave, most
+}
+
+func rollOut(limits fleet.WaveLimits) fleet.WaveSpec {
+	return fleet.WaveSpec{Action: fleet.WaveActionRollOut, Version: "v2", Limits: limits}
+}
+
+func ignore(maintenance.Decision, time.Time) {}
--- /dev/null
+++ b/internal/maintenance/schedule.go
@@ -0,0 +1,92 @@
+package maintenance
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Period is within which every VM is maintained once.
+const Period = 6 * 7 * 24 * time.Hour
+
+// Times of the standing schedule.
+const (
+	// scheduleSlack is kept free at the end of the period for storms, halts and failed VMs.
+	scheduleSlack = 7 * 24 * time.Hour
+	// minimumAge keeps the schedule from maintaining fresh VMs.
+	minimumAge = 7 * 24 * time.Hour
+	day        = 24 * time.Hour
+)
+
+// Standing returns what the standing schedule asks of today's wave. It takes from each pool the VMs
+// maintained longest ago, as many as keep every VM within the period, and reports false when none is
+// due or a wave of the schedule is still open. The daily share also spreads VMs that became due
+// together.
+func Standing(vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
+	id := standingID(now)
+	for _, w := range waves {
+		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
+			return "", fleet.WaveSpec{}, false
+		}
+	}
+	sizes, due := map[fleet.PoolID]int{}, map[fleet.PoolID]int{}
+	for _, vm := range vms {
+		if vm.State == fleet.VMStateRemoved {
+			continue
+		}
+		sizes[vm.Pool]++
+		if now.Sub(maintainedAt(vm)) >= minimumAge {
+			due[vm.Pool]++
+		}
+	}
+	if len(due) == 0 {
+		return "", fleet.WaveSpec{}, false
+	}
+	share := 0
+	spec := fleet.WaveSpec{Action: fleet.WaveActionReboot, Filter: fleet.WaveFilter{MaintainedBefore: now.Add(-minimumAge)}}
+	for pool := range due {
+		spec.Pools = append(spec.Pools, pool)
+		share = max(share, ceilDiv(sizes[pool], int((Period-scheduleSlack-minimumAge)/day)))
+	}
+	slices.SortFunc(spec.Pools, func(a, b fleet.PoolID) int { return cmp.Compare(a, b) })
+	spec.Limits.MaxVMsPerPool = fleet.VMCount(share)
+	return id, spec, true
+}
+
+const standingPrefix = "standing-"
+
+func standingID(now time.Time) fleet.WaveID {
+	return fleet.WaveID(standingPrefix + now.UTC().Format("2006-01-02"))
+}
+
+func isStanding(id fleet.WaveID) bool {
+	return len(id) > len(standingPrefix) && id[:len(standingPrefix)] == standingPrefix
+}
+
+func ceilDiv(a, b int) int { return (a + b - 1) / b }
+
+// isLate reports whether the wave is expected to end after its deadline at the rate so far.
+func isLate(w fleet.Wave, now time.Time) bool {
+	if w.Spec.Deadline.IsZero() {
+		return false
+	}
+	first, finished, open := now, 0, 0
+	for _, v := range w.VMs {
+		if !v.StartedAt.IsZero() && v.StartedAt.Before(first) {
+			first = v.StartedAt
+		}
+		switch v.State {
+		case fleet.WaveVMStateDone, fleet.WaveVMStateFailed:
+			finished++
+		case fleet.WaveVMStatePending, fleet.WaveVMStateStarted:
+			open++
+		}
+	}
+	remaining := time.Duration(0)
+	if finished > 0 && w.Width > 0 {
+		remaining = now.Sub(first) / time.Duration(finished) * time.Duration(open)
+	}
+	return open > 0 && now.Add(remaining).After(w.Spec.Deadline)
+}
--- /dev/null
+++ b/internal/maintenance/step.go
@@ -0,0 +1,149 @@
+package maintenance
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Budget answers for the availability budgets of the pools.
+type Budget interface {
+	// Take counts the VM as disrupted when the budget of its pool allows that, and reports whether
+	// it does.
+	Take(vm fleet.VM) bool
+}
+
+// Facts are what a decision depends on besides the row of the wave.
+type Facts struct {
+	VMs map[fleet.VMID]fleet.VM
+	// Lost holds the VMs that do not answer although their row says that they serve.
+	Lost   map[fleet.VMID]bool
+	Budget Budget
+	// Urgent is the share of the fleet's slots that urgent work uses or waits for.
+	Urgent fleet.Percent
+}
+
+// Decision is the next step of a wave.
+type Decision struct {
+	// Wave is the row with the progress and the event applied; starts are not applied yet.
+	Wave fleet.Wave
+	// Event is the transition of the wave; it is empty when the state stays.
+	Event Event
+	// Start holds the VMs to drain now, in order.
+	Start []fleet.VMID
+}
+
+// Urgent load at which waves wait and go on. The gap and the hold time keep a wave from stopping and
+// starting with every short change of load.
+const (
+	urgentHigh fleet.Percent = 60
+	urgentLow  fleet.Percent = 40
+	calmHold                 = 10 * time.Minute
+)
+
+// Reasons of waves that wait or halted.
+const (
+	ReasonStorm       = "urgent-load-high"
+	ReasonFailureRate = "failures-exceed-background-rate"
+	ReasonCanary      = "canary-failed"
+	ReasonMaxFailures = "max-failures-reached"
+	ReasonOperator    = "halted-by-operator"
+)
+
+// Next decides the next step of a wave. It depends on nothing but its arguments.
+func Next(w fleet.Wave, f Facts, now time.Time) Decision {
+	if w.State.IsFinal() || w.State == fleet.WaveStatePlanned {
+		return Decision{Wave: w}
+	}
+	w.VMs = slices.Clone(w.VMs)
+	for i := range w.VMs {
+		progress(&w, i, f, now)
+	}
+	w = widen(w)
+	w.Late = isLate(w, now)
+	d := Decision{Wave: w}
+	d.Event, d.Wave.Reason = nextEvent(&d.Wave, f, now)
+	if d.Event == "" && (w.State == fleet.WaveStateRunning || w.State == fleet.WaveStateRollingBack) {
+		d.Start = starts(d.Wave, f)
+	}
+	return d
+}
+
+// nextEvent returns the transition that the wave makes by itself and the reason of its next state.
+func nextEvent(w *fleet.Wave, f Facts, now time.Time) (Event, string) {
+	active := w.State == fleet.WaveStateRunning || w.State == fleet.WaveStateWaiting
+	if reason := haltReason(*w, now); active && reason != "" {
+		return EventHalt, reason
+	}
+	switch w.State {
+	case fleet.WaveStateRunning:
+		if !hasOpenVMs(*w) {
+			return EventFinish, ""
+		}
+		if f.Urgent >= urgentHigh {
+			w.CalmSince = time.Time{}
+			return EventWait, ReasonStorm
+		}
+	case fleet.WaveStateWaiting:
+		if isCalm(w, f.Urgent, now) {
+			w.CalmSince = time.Time{}
+			return EventProceed, ""
+		}
+	case fleet.WaveStateRollingBack:
+		if !hasOpenVMs(*w) {
+			return EventRolledBack, ""
+		}
+	}
+	return "", w.Reason
+}
+
+// isCalm notes since when urgent load is low and reports whether that is long enough.
+func isCalm(w *fleet.Wave, urgent fleet.Percent, now time.Time) bool {
+	if urgent > urgentLow {
+		w.CalmSince = time.Time{}
+		return false
+	}
+	if w.CalmSince.IsZero() {
+		w.CalmSince = now
+	}
+	return now.Sub(w.CalmSince) >= calmHold
+}
+
+func haltReason(w fleet.Wave, now time.Time) string {
+	switch {
+	case canaryFailed(w):
+		return ReasonCanary
+	case isExcessive(w, now):
+		return ReasonFailureRate
+	case newFailures(w) >= WithDefaults(w.Spec.Limits).MaxFailures:
+		return ReasonMaxFailures
+	default:
+		return ""
+	}
+}
+
+// canaryFailed reports a failure before the canary was judged healthy, unless an operator accepted it.
+func canaryFailed(w fleet.Wave) bool {
+	return w.Width == 0 && newFailures(w) > 0
+}
+
+// newFailures counts the failed VMs that no operator has accepted by resuming the wave.
+func newFailures(w fleet.Wave) fleet.VMCount {
+	var n fleet.VMCount
+	for _, v := range w.VMs {
+		if v.State == fleet.WaveVMStateFailed && v.ChangedAt.After(w.JudgedFrom) {
+			n++
+		}
+	}
+	return n
+}
+
+func hasOpenVMs(w fleet.Wave) bool {
+	return slices.ContainsFunc(w.VMs, func(v fleet.WaveVM) bool { return v.State == fleet.WaveVMStatePending || isExposed(v) })
+}
+
+// isExposed reports whether the VM has begun its step and is not judged yet.
+func isExposed(v fleet.WaveVM) bool {
+	return v.State == fleet.WaveVMStateStarted || v.State == fleet.WaveVMStateSoaking
+}
--- a/internal/wire/wave.go
+++ b/internal/wire/wave.go
@@ -18,6 +18,10 @@
 		OperationId:        string(w.OperationID),
 		Failures:           uint32(w.Failures),
 		UnexpectedFailures: uint32(w.UnexpectedFailures),
+		Healthy:            uint32(w.Healthy),
+		CalmSince:          Time(w.CalmSince),
+		JudgedFrom:         Time(w.JudgedFrom),
+		Late:               w.Late,
 	}
 	for _, v := range w.VMs {
 		m.Vms = append(m.Vms, &fleetv1.WaveVM{
@@ -28,6 +32,7 @@
 			State:           string(v.State),
 			ChangedAt:       Time(v.ChangedAt),
 			PreviousVersion: string(v.PreviousVersion),
+			StartedAt:       Time(v.StartedAt),
 		})
 	}
 	return m
@@ -46,6 +51,10 @@
 		OperationID:        fleet.OperationID(m.GetOperationId()),
 		Failures:           fleet.VMCount(m.GetFailures()),
 		UnexpectedFailures: fleet.VMCount(m.GetUnexpectedFailures()),
+		Healthy:            fleet.VMCount(m.GetHealthy()),
+		CalmSince:          FromTime(m.GetCalmSince()),
+		JudgedFrom:         FromTime(m.GetJudgedFrom()),
+		Late:               m.GetLate(),
 	}
 	for _, v := range m.GetVms() {
 		w.VMs = append(w.VMs, fleet.WaveVM{
@@ -56,6 +65,7 @@
 			State:           fleet.WaveVMState(v.GetState()),
 			ChangedAt:       FromTime(v.GetChangedAt()),
 			PreviousVersion: fleet.Version(v.GetPreviousVersion()),
+			StartedAt:       FromTime(v.GetStartedAt()),
 		})
 	}
 	return w
@@ -90,6 +100,7 @@
 			MaxFailures:    uint32(s.Limits.MaxFailures),
 			Soak:           Duration(s.Limits.Soak),
 			StepTimeout:    Duration(s.Limits.StepTimeout),
+			MaxVmsPerPool:  uint32(s.Limits.MaxVMsPerPool),
 		},
 	}
 }
@@ -114,6 +125,7 @@
 			MaxFailures:    fleet.VMCount(l.GetMaxFailures()),
 			Soak:           FromDuration(l.GetSoak()),
 			StepTimeout:    FromDuration(l.GetStepTimeout()),
+			MaxVMsPerPool:  fleet.VMCount(l.GetMaxVmsPerPool()),
 		},
 	}
 }
--- a/pkg/fleet/wave.go
+++ b/pkg/fleet/wave.go
@@ -53,7 +53,7 @@
 	// Reason says why the wave waits or halted; it is empty otherwise.
 	Reason string
 	VMs    []WaveVM
-	// Width is how many VMs a step may disrupt at the same time; it is at least 1 while the wave runs.
+	// Width is how many VMs of a pool a step may disrupt at the same time; 0 until the canary is judged.
 	Width       VMCount
 	CreatedAt   time.Time
 	ChangedAt   time.Time
@@ -62,6 +62,14 @@
 	Failures VMCount
 	// UnexpectedFailures counts VMs of the wave that failed outside their own step.
 	UnexpectedFailures VMCount
+	// Healthy counts VMs judged healthy since Width changed last.
+	Healthy VMCount
+	// CalmSince is since when urgent load is low; it is set only while the wave waits.
+	CalmSince time.Time
+	// JudgedFrom is when an operator last resumed the wave; earlier failures do not halt it again.
+	JudgedFrom time.Time
+	// Late says that the wave is expected to end after its deadline.
+	Late bool
 	// RowVersion is the version at which the row was read; it is not stored in the row.
 	RowVersion RowVersion
 }
@@ -92,6 +100,8 @@
 	MaxFailures    VMCount
 	Soak           time.Duration
 	StepTimeout    time.Duration
+	// MaxVMsPerPool takes only the VMs of a pool that were maintained longest ago; 0 takes all.
+	MaxVMsPerPool VMCount
 }
 
 // WaveVMState is the progress of one VM of a wave.
@@ -101,6 +111,8 @@
 const (
 	WaveVMStatePending WaveVMState = "pending"
 	WaveVMStateStarted WaveVMState = "started"
+	// WaveVMStateSoaking means that the VM is back and its health is not judged yet.
+	WaveVMStateSoaking WaveVMState = "soaking"
 	WaveVMStateDone    WaveVMState = "done"
 	WaveVMStateFailed  WaveVMState = "failed"
 	WaveVMStateSkipped WaveVMState = "skipped"
@@ -116,4 +128,6 @@
 	ChangedAt time.Time
 	// PreviousVersion is what a roll-back installs.
 	PreviousVersion Version
+	// StartedAt is when the drain of the VM began; it is zero before.
+	StartedAt time.Time
 }
