spare: decide which VMs are lent and taken back

Cause: peaks last seconds and a move takes minutes, so pools must be sized by a forecast of the mean; nothing decided that.

--- /dev/null
+++ b/internal/control/disruption.go
@@ -0,0 +1,200 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/machine"
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
+	"github.com/mimosawharf/mimosawharf/internal/move"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// PoolLoad is what the dispatchers know of the work of one pool.
+type PoolLoad struct {
+	// Queued is the expected run time of the waiting work that can run, by observed sizes.
+	Queued time.Duration
+}
+
+// Load is what the dispatchers know of the work of the fleet. The zero value is a fleet without work.
+type Load struct {
+	// Urgent is the share of the fleet's slots that urgent work uses or waits for.
+	Urgent fleet.Percent
+	Pools  map[fleet.PoolID]PoolLoad
+}
+
+// disruption is the drain of one VM and what follows it.
+type disruption struct {
+	vm      fleet.VMID
+	purpose fleet.VMPurpose
+	version fleet.Version
+	target  fleet.PoolID
+	wave    fleet.WaveID
+}
+
+// disrupter starts drains for one duty. Each start takes its grants in the same transaction.
+type disrupter struct {
+	table  Table
+	clock  clock.Clock
+	entry  fleet.EntryID
+	duty   fleet.DutyName
+	kind   fleet.HolderKind
+	states *machine.Machine[fleet.VMState, move.Event]
+}
+
+// step is the transaction that starts the drains of VMs of one pool.
+type step struct {
+	transaction platform.Transaction
+	vms         []fleet.VM
+}
+
+// audit returns the audit row of a change that the duty makes by itself.
+func (d *disrupter) audit(action fleet.AuditAction, subjects ...fleet.AuditSubject) *fleet.Audit {
+	return &fleet.Audit{
+		OperationID: fleet.NewOperationID(), At: d.clock.Now(), Actor: string(d.entry) + "/" + string(d.duty),
+		Action: action, Subjects: subjects, Outcome: "done", Entry: d.entry,
+	}
+}
+
+// lease is the precondition that the entry still holds the lease of the duty.
+func (d *disrupter) lease(held Held) platform.Precondition {
+	return platform.Precondition{Key: wire.KeyLease(d.duty), Version: held.RowVersion}
+}
+
+// prepare reads the pool's configuration, ledger and VMs afresh and returns the transaction that
+// starts the drains that the budget allows. The versions of all rows read are its preconditions.
+func (d *disrupter) prepare(ctx context.Context, view *fleet.View, held Held, pool fleet.PoolID, holder string, list []disruption) (step, error) {
+	rows, capacity, err := d.read(ctx, view, pool, list)
+	if err != nil {
+		return step{}, trace.Wrap(err)
+	}
+	audit := d.audit(fleet.AuditActionVMDrain, fleet.SubjectPool(pool))
+	s := step{transaction: platform.Transaction{Audit: audit, Preconditions: []platform.Precondition{
+		d.lease(held), {Key: wire.KeyPool(pool), Version: rows.poolVersion}, {Key: wire.KeyLedger(pool), Version: rows.ledger.RowVersion},
+	}}}
+	for i, one := range list {
+		vm := rows.vms[i]
+		state, err := d.states.Next(vm.State, move.EventDrain)
+		if err != nil || vm.Pool != pool || !capacity.Take(vm) {
+			continue
+		}
+		version := vm.RowVersion
+		vm = move.Apply(vm, move.EventDrain, state, audit.OperationID, audit.At)
+		vm.Purpose, vm.TargetVersion, vm.TargetPool, vm.Wave = one.purpose, one.version, one.target, one.wave
+		// A transaction may start several drains, so a grant is named after its VM too.
+		vm.GrantID = fleet.GrantID(string(audit.OperationID) + "/" + string(vm.ID))
+		if one.target != "" && vm.HomePool == "" {
+			vm.HomePool = pool
+		}
+		rows.ledger.Grants = append(rows.ledger.Grants, fleet.Grant{
+			ID: vm.GrantID, VM: vm.ID, Zone: vm.Zone, Slots: vm.Slots, HolderKind: d.kind, Holder: holder,
+			OperationID: audit.OperationID, GrantedAt: audit.At,
+		})
+		audit.Subjects = append(audit.Subjects, fleet.SubjectVM(vm.ID))
+		s.transaction.Preconditions = append(s.transaction.Preconditions, platform.Precondition{Key: wire.KeyVM(vm.ID), Version: version})
+		s.transaction.Puts = append(s.transaction.Puts, platform.Put{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)})
+		s.vms = append(s.vms, vm)
+	}
+	audit.From, audit.To = string(fleet.VMStateServing), string(fleet.VMStateDraining)
+	rows.ledger.OperationID = audit.OperationID
+	s.transaction.Puts = append(s.transaction.Puts, platform.Put{Key: wire.KeyLedger(pool), Value: wire.EncodeLedger(rows.ledger)})
+	return s, nil
+}
+
+// poolRows are the rows that a step is decided on.
+type poolRows struct {
+	poolVersion fleet.RowVersion
+	ledger      fleet.Ledger
+	vms         []fleet.VM
+}
+
+// read returns the rows of a step and the capacity of its pool. VMs of the pool that are not part of
+// the step come from the view; those that the ledger names count as disrupted.
+func (d *disrupter) read(ctx context.Context, view *fleet.View, pool fleet.PoolID, list []disruption) (poolRows, maintenance.Capacity, error) {
+	keys := []fleet.TableKey{wire.KeyPool(pool), wire.KeyLedger(pool)}
+	for _, one := range list {
+		keys = append(keys, wire.KeyVM(one.vm))
+	}
+	rows, err := d.table.Read(ctx, keys...)
+	if err != nil {
+		return poolRows{}, nil, trace.Wrap(err)
+	}
+	out := poolRows{poolVersion: rows[0].Version, ledger: fleet.Ledger{Pool: pool}}
+	config := fleet.NewConfiguration()
+	if item, err := wire.DecodeItem(rows[0].Value); err != nil {
+		return poolRows{}, nil, trace.Wrap(err)
+	} else if item.Pool != nil {
+		config.Pools[pool] = *item.Pool
+	}
+	if rows[1].Exists() {
+		if out.ledger, err = wire.DecodeLedger(rows[1].Value); err != nil {
+			return poolRows{}, nil, trace.Wrap(err)
+		}
+		out.ledger.RowVersion = rows[1].Version
+	}
+	vms := poolVMs(view, pool)
+	for _, row := range rows[2:] {
+		vm, err := wire.DecodeVM(row.Value)
+		if err != nil {
+			return poolRows{}, nil, trace.Wrap(err)
+		}
+		vm.RowVersion = row.Version
+		out.vms = append(out.vms, vm)
+		vms[vm.ID] = vm
+	}
+	lost := lostVMs(view)
+	for _, g := range out.ledger.Grants {
+		lost[g.VM] = true
+	}
+	return out, maintenance.NewCapacity(config, vms, lost), nil
+}
+
+func poolVMs(view *fleet.View, pool fleet.PoolID) map[fleet.VMID]fleet.VM {
+	vms := map[fleet.VMID]fleet.VM{}
+	for id, vm := range view.VMs {
+		if vm.Pool == pool {
+			vms[id] = vm
+		}
+	}
+	return vms
+}
+
+// lostVMs returns the VMs that the platform's list does not show as live.
+func lostVMs(view *fleet.View) map[fleet.VMID]bool {
+	live := map[fleet.VMID]bool{}
+	for _, v := range view.List.VMs {
+		live[v.ID] = v.State == fleet.PlatformVMStateLive
+	}
+	lost := map[fleet.VMID]bool{}
+	for id := range view.VMs {
+		if !live[id] || view.Leaving[id] {
+			lost[id] = true
+		}
+	}
+	return lost
+}
+
+// isListFresh reports whether the list of VMs is recent enough for new grants.
+func isListFresh(view *fleet.View, now time.Time, bound time.Duration) bool {
+	return now.Sub(view.ListReadAt) <= bound && now.Sub(view.List.AsOf) <= bound
+}
+
+// groupByPool groups VMs by the pool that their rows name, in the order of their first VM.
+func groupByPool(view *fleet.View, ids []fleet.VMID) ([]fleet.PoolID, map[fleet.PoolID][]fleet.VMID) {
+	var order []fleet.PoolID
+	groups := map[fleet.PoolID][]fleet.VMID{}
+	for _, id := range ids {
+		pool := view.VMs[id].Pool
+		if !slices.Contains(order, pool) {
+			order = append(order, pool)
+		}
+		groups[pool] = append(groups[pool], id)
+	}
+	return order, groups
+}
--- /dev/null
+++ b/internal/control/sparedriver.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/move"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/spare"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// SpareDriver is the duty that lends VMs of the spare pools and takes them back. It acts only while
+// this entry holds its lease. The fleet driver carries the moves through.
+type SpareDriver struct {
+	// The fields are set before Run.
+	Entry      fleet.EntryID
+	Table      Table
+	View       *ring.Latest[*fleet.View]
+	Held       *ring.Latest[Leases]
+	Load       *ring.Latest[Load]
+	Poller     *ring.Ring[PollerEvent]
+	Clock      clock.Clock
+	Log        *zap.Logger
+	ListMaxAge time.Duration
+
+	disrupter disrupter
+	planner   *spare.Planner
+}
+
+// Name implements duty.Duty.
+func (*SpareDriver) Name() fleet.DutyName { return fleet.DutySpareDriver }
+
+// Run implements duty.Duty.
+func (d *SpareDriver) Run(ctx context.Context) error {
+	options := spare.DefaultOptions()
+	d.disrupter = disrupter{
+		table: d.Table, clock: d.Clock, entry: d.Entry, duty: fleet.DutySpareDriver, kind: fleet.HolderKindSpare, states: move.NewMachine(),
+	}
+	for {
+		held, ok := d.Held.Get()[fleet.DutySpareDriver]
+		switch {
+		case !ok:
+			// What was learned before the lease was lost is old when it is taken again.
+			d.planner = nil
+		case d.planner == nil:
+			d.planner = &spare.Planner{Options: options}
+			fallthrough
+		default:
+			d.drive(ctx, held)
+		}
+		if err := clock.Wait(ctx, d.Clock, options.Interval); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+func (d *SpareDriver) drive(ctx context.Context, held Held) {
+	view, now := d.View.Get(), d.Clock.Now()
+	if view == nil || !isListFresh(view, now, d.ListMaxAge) {
+		return
+	}
+	moves := d.planner.Decide(now, sparePools(view, d.Load.Get()))
+	for _, m := range moves {
+		err := d.start(ctx, held, view, m)
+		var conflict *platform.ConflictError
+		if err != nil && !errors.As(err, &conflict) {
+			d.Log.Warn("spare-driver: move was not started", zap.String("vm", string(m.VM)), zap.Error(err))
+		}
+	}
+	if len(moves) > 0 {
+		_ = d.Poller.Push(PollerEvent{PollNow: true})
+	}
+}
+
+// start drains a VM for its move, with a grant of the pool that it leaves.
+func (d *SpareDriver) start(ctx context.Context, held Held, view *fleet.View, m spare.Move) error {
+	s, err := d.disrupter.prepare(ctx, view, held, m.From, string(fleet.DutySpareDriver), []disruption{
+		{vm: m.VM, purpose: fleet.VMPurposeMove, target: m.To},
+	})
+	if err != nil || len(s.vms) == 0 {
+		return trace.Wrap(err)
+	}
+	s.transaction.Audit.Subjects = append(s.transaction.Audit.Subjects, fleet.SubjectPool(m.To))
+	if _, err = d.Table.Commit(ctx, s.transaction); err != nil {
+		return trace.Wrap(err)
+	}
+	d.Log.Info("spare-driver: move started", zap.String("vm", string(m.VM)), zap.String("from", string(m.From)), zap.String("to", string(m.To)))
+	return nil
+}
+
+// sparePools returns the pools as the planner needs them, by id.
+func sparePools(view *fleet.View, load Load) []spare.Pool {
+	usage := map[fleet.VMID]fleet.Percent{}
+	for _, v := range view.List.VMs {
+		usage[v.ID] = v.Usage
+	}
+	lost := lostVMs(view)
+	pools := map[fleet.PoolID]*spare.Pool{}
+	for id, config := range view.Configuration.Pools {
+		pools[id] = &spare.Pool{
+			ID: id, Lender: config.Spare, MaxVMs: config.MaxVMs, BusyAt: view.List.AsOf, Queued: load.Pools[id].Queued,
+		}
+	}
+	for _, vm := range wire.SortedVMs(view) {
+		if p := pools[vm.TargetPool]; p != nil && vm.IsDisrupted() {
+			p.Arriving++
+		}
+		if p := pools[vm.Pool]; p != nil && !lost[vm.ID] {
+			addVM(p, vm, usage[vm.ID])
+		}
+	}
+	var list []spare.Pool
+	for _, id := range slices.Sorted(maps.Keys(pools)) {
+		list = append(list, *pools[id])
+	}
+	return list
+}
+
+// addVM counts a VM of the pool. A draining VM takes no new work but still does its old work.
+func addVM(p *spare.Pool, vm fleet.VM, usage fleet.Percent) {
+	p.Busy += spare.VMs(usage) / 100
+	switch {
+	case vm.State != fleet.VMStateServing:
+	case isLent(vm):
+		p.Borrowed = append(p.Borrowed, vm)
+	default:
+		p.Home = append(p.Home, vm)
+	}
+	p.SlotsPerVM = vm.Slots
+}
+
+// isLent reports whether the VM serves another pool than the one that lent it.
+func isLent(vm fleet.VM) bool {
+	return vm.HomePool != "" && vm.HomePool != vm.Pool
+}
--- /dev/null
+++ b/internal/control/wavedriver.go
@@ -0,0 +1,198 @@
+package control
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/machine"
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
+	"github.com/mimosawharf/mimosawharf/internal/move"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// WaveDriver is the duty that takes maintenance waves forward. It acts only while this entry holds
+// its lease. The fleet driver takes the VMs that it drains through their action.
+type WaveDriver struct {
+	// The fields are set before Run.
+	Entry      fleet.EntryID
+	Table      Table
+	View       *ring.Latest[*fleet.View]
+	Held       *ring.Latest[Leases]
+	Load       *ring.Latest[Load]
+	Poller     *ring.Ring[PollerEvent]
+	Clock      clock.Clock
+	Log        *zap.Logger
+	Interval   time.Duration
+	ListMaxAge time.Duration
+
+	disrupter disrupter
+	states    *machine.Machine[fleet.WaveState, maintenance.Event]
+}
+
+// Name implements duty.Duty.
+func (*WaveDriver) Name() fleet.DutyName { return fleet.DutyWaveDriver }
+
+// Run implements duty.Duty.
+func (d *WaveDriver) Run(ctx context.Context) error {
+	d.states = maintenance.NewMachine()
+	d.disrupter = disrupter{
+		table: d.Table, clock: d.Clock, entry: d.Entry, duty: fleet.DutyWaveDriver, kind: fleet.HolderKindWave, states: move.NewMachine(),
+	}
+	for {
+		if held, ok := d.Held.Get()[fleet.DutyWaveDriver]; ok {
+			d.drive(ctx, held)
+		}
+		if err := clock.Wait(ctx, d.Clock, d.Interval); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+func (d *WaveDriver) drive(ctx context.Context, held Held) {
+	view := d.View.Get()
+	// Without a fresh list nobody knows which VMs are available, so no wave is judged or taken forward.
+	if view == nil || !isListFresh(view, d.Clock.Now(), d.ListMaxAge) {
+		return
+	}
+	changed := false
+	for _, id := range slices.Sorted(maps.Keys(view.Waves)) {
+		acted, err := d.advance(ctx, held, view, view.Waves[id])
+		changed = changed || acted
+		d.note(id, err)
+	}
+	acted, err := d.schedule(ctx, held, view)
+	d.note("", err)
+	if changed || acted {
+		_ = d.Poller.Push(PollerEvent{PollNow: true})
+	}
+}
+
+// note logs a failed step. A conflict means that the view was old; the next round decides again.
+func (d *WaveDriver) note(id fleet.WaveID, err error) {
+	var conflict *platform.ConflictError
+	if err != nil && !errors.As(err, &conflict) {
+		d.Log.Warn("wave-driver: step failed", zap.String("wave", string(id)), zap.Error(err))
+	}
+}
+
+// advance takes one wave as far as it can go now. It reports whether a row was written.
+func (d *WaveDriver) advance(ctx context.Context, held Held, view *fleet.View, wave fleet.Wave) (bool, error) {
+	if wave.State.IsFinal() || wave.State == fleet.WaveStatePlanned {
+		return false, nil
+	}
+	lost := lostVMs(view)
+	decision := maintenance.Next(wave, maintenance.Facts{
+		VMs: view.VMs, Lost: lost, Urgent: d.Load.Get().Urgent,
+		Budget: maintenance.NewCapacity(view.Configuration, view.VMs, lost),
+	}, d.Clock.Now())
+	next := decision.Wave
+	if decision.Event != "" {
+		state, err := d.states.Next(wave.State, decision.Event)
+		if err != nil {
+			return false, trace.Wrap(err)
+		}
+		next.State = state
+	}
+	wrote := false
+	if !bytes.Equal(wire.EncodeWave(wave), wire.EncodeWave(next)) {
+		audit := d.disrupter.audit(fleet.AuditActionWaveStep, fleet.SubjectWave(wave.ID))
+		audit.From, audit.To, audit.Reason = string(wave.State), string(next.State), next.Reason
+		if err := d.write(ctx, held, &next, platform.Transaction{Audit: audit}); err != nil {
+			return false, trace.Wrap(err)
+		}
+		d.logChange(wave, next)
+		wrote = true
+	}
+	order, groups := groupByPool(view, decision.Start)
+	for _, pool := range order {
+		if err := d.start(ctx, held, view, &next, pool, groups[pool]); err != nil {
+			return wrote, trace.Wrap(err)
+		}
+		wrote = true
+	}
+	return wrote, nil
+}
+
+func (d *WaveDriver) logChange(from, to fleet.Wave) {
+	if from.State != to.State {
+		d.Log.Info("wave-driver: wave changed", zap.String("wave", string(to.ID)), zap.String("from", string(from.State)),
+			zap.String("to", string(to.State)), zap.String("reason", to.Reason))
+	}
+	if to.Late && !from.Late {
+		d.Log.Warn("wave-driver: wave is late", zap.String("wave", string(to.ID)), zap.Time("deadline", to.Spec.Deadline))
+	}
+}
+
+// start drains VMs of one pool. The grants, the VM rows and the wave's row change together.
+func (d *WaveDriver) start(ctx context.Context, held Held, view *fleet.View, wave *fleet.Wave, pool fleet.PoolID, ids []fleet.VMID) error {
+	var list []disruption
+	for _, id := range ids {
+		purpose, version := maintenance.Disruption(*wave, id)
+		list = append(list, disruption{vm: id, purpose: purpose, version: version, wave: wave.ID})
+	}
+	s, err := d.disrupter.prepare(ctx, view, held, pool, string(wave.ID), list)
+	if err != nil || len(s.vms) == 0 {
+		return trace.Wrap(err)
+	}
+	var started []fleet.VMID
+	for _, vm := range s.vms {
+		started = append(started, vm.ID)
+	}
+	next := maintenance.Started(*wave, started, s.transaction.Audit.At)
+	s.transaction.Audit.Subjects = append(s.transaction.Audit.Subjects, fleet.SubjectWave(wave.ID))
+	if err := d.write(ctx, held, &next, s.transaction); err != nil {
+		return trace.Wrap(err)
+	}
+	*wave = next
+	return nil
+}
+
+// write commits the row of a wave with the rest of a transaction and takes over its new version.
+func (d *WaveDriver) write(ctx context.Context, held Held, wave *fleet.Wave, t platform.Transaction) error {
+	wave.ChangedAt, wave.OperationID = t.Audit.At, t.Audit.OperationID
+	if !slices.Contains(t.Preconditions, d.disrupter.lease(held)) {
+		t.Preconditions = append(t.Preconditions, d.disrupter.lease(held))
+	}
+	t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyWave(wave.ID), Version: wave.RowVersion})
+	t.Puts = append(t.Puts, platform.Put{Key: wire.KeyWave(wave.ID), Value: wire.EncodeWave(*wave)})
+	revision, err := d.Table.Commit(ctx, t)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	wave.RowVersion = fleet.RowVersion(revision)
+	return nil
+}
+
+// schedule creates and starts today's wave of the standing schedule when VMs are due.
+func (d *WaveDriver) schedule(ctx context.Context, held Held, view *fleet.View) (bool, error) {
+	now := d.Clock.Now()
+	vms := wire.SortedVMs(view)
+	id, spec, due := maintenance.Standing(view.Configuration.Pools, vms, view.Waves, now)
+	if !due {
+		return false, nil
+	}
+	plan, err := maintenance.New(maintenance.Request{
+		ID: id, Spec: spec, VMs: vms, StepTime: maintenance.DefaultStepTime,
+		Parallel: maintenance.NewCapacity(view.Configuration, view.VMs, lostVMs(view)).Parallel(),
+	}, now)
+	if err != nil {
+		return false, trace.Wrap(err)
+	}
+	if plan.Wave.State, err = d.states.Next(plan.Wave.State, maintenance.EventStart); err != nil {
+		return false, trace.Wrap(err)
+	}
+	audit := d.disrupter.audit(fleet.AuditActionWaveCreate, fleet.SubjectWave(id))
+	audit.To, audit.Reason = string(plan.Wave.State), "standing schedule"
+	return true, d.write(ctx, held, &plan.Wave, platform.Transaction{Audit: audit})
+}
--- /dev/null
+++ b/internal/maintenance/policy_test.go
@@ -0,0 +1,81 @@
+package maintenance_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// bound returns the time of a planner with perfect information: it knows how long each step takes,
+// keeps every VM that the budget allows under way, and needs no canary, soak or failure domain.
+func bound(s size, seed uint64) time.Duration {
+	w, begun := newWorld(s, seed), map[fleet.VMID]bool{}
+	for at := time.Duration(0); ; at += tick {
+		now := start.Add(at)
+		w.advance(now)
+		facts := w.facts()
+		for _, vm := range w.list() {
+			if !begun[vm.ID] && facts.Budget.Take(vm) {
+				begun[vm.ID] = true
+				w.drain(vm.ID, "v2", now)
+			}
+		}
+		if len(begun) == len(w.vms) && len(w.until) == 0 {
+			return at
+		}
+	}
+}
+
+// BenchmarkPolicyWave compares a roll-out with one VM at a time and with the shortest that the budgets
+// allow, at today's sizes and at a tenth of the pools of two years, with steps of 4 to 6 minutes and seeds 1 to 3.
+func BenchmarkPolicyWave(b *testing.B) {
+	cases := []struct {
+		name string
+		size size
+	}{
+		{"newsroom", size{pools: 5, vms: 10, zones: 4, limit: 1}},
+		{"ikirere", size{pools: 5, vms: 10, zones: 3, limit: 2}},
+		{"two-years-tenth", size{pools: 40, vms: 19, zones: 3, limit: 1}},
+		{"two-years-tenth-wide", size{pools: 40, vms: 19, zones: 3, limit: 2}},
+	}
+	for _, c := range cases {
+		b.Run(c.name, func(b *testing.B) {
+			for range b.N {
+				measure(b, c.size)
+			}
+		})
+	}
+}
+
+func measure(b *testing.B, s size) {
+	is := is.New(b)
+	var wave, single, shortest time.Duration
+	violations := 0
+	for seed := range uint64(3) {
+		w := newWorld(s, seed+1)
+		end, took := w.run(planned(is, w, rollOut(fleet.WaveLimits{Soak: time.Minute})), 1000*time.Hour, ignore)
+		is.Equal(end.State, fleet.WaveStateFinished)
+		wave, violations = wave+took, violations+w.violations
+		shortest += bound(s, seed+1)
+	}
+	for range s.pools * s.vms * 3 {
+		single += 5 * time.Minute // the mean of a step
+	}
+	b.ReportMetric(wave.Minutes()/3, "wave:rollout-minutes")
+	b.ReportMetric(single.Minutes()/3, "one-at-a-time:rollout-minutes")
+	b.ReportMetric(shortest.Minutes()/3, "perfect:rollout-minutes")
+	b.ReportMetric(float64(wave)/float64(shortest), "wave:ratio")
+	b.ReportMetric(float64(violations), "budget-violations")
+}
+
+// Guards against a roll-out that takes more than 1.2 times the shortest that the budgets allow.
+func TestRollOutTime(t *testing.T) {
+	is := is.New(t)
+	s := size{pools: 5, vms: 10, zones: 4, limit: 1}
+	w := newWorld(s, 1)
+	_, took := w.run(planned(is, w, rollOut(fleet.WaveLimits{Soak: time.Minute})), 100*time.Hour, ignore)
+	is.True(took <= bound(s, 1)*12/10)
+}
--- /dev/null
+++ b/internal/spare/fake_test.go
@@ -0,0 +1,153 @@
+package spare_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/spare"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+var start = time.Date(2026, 3, 2, 0, 0, 0, 0, time.UTC)
+
+const (
+	simulated = 72 * time.Hour
+	// learning is left out of the figures of every policy.
+	learning  = time.Hour
+	slot      = 5 * time.Minute
+	usageLag  = time.Minute
+	moveTime  = 5 * time.Minute
+	utilised  = 0.75
+	moveHours = 1.0 // buffer that costs as much as one move, in VM-hours
+)
+
+// mean returns the mean demand of a pool: a day's rise and fall, and storms that nobody announces.
+func mean(pool int, storms []time.Duration, at time.Duration) float64 {
+	day := math.Sin(2 * math.Pi * (at.Hours()/24 + float64(pool)/5))
+	m := 7 + 2.5*day
+	for _, s := range storms {
+		if at >= s && at < s+2*time.Hour {
+			m += 2
+		}
+	}
+	return m
+}
+
+// traffic is one pool's demand in VMs at every second: peaks of five times the mean for some seconds,
+// and a twentieth of it in between.
+type traffic struct {
+	pool      int
+	storms    []time.Duration
+	random    *rand.Rand
+	peakUntil time.Duration
+	nextPeak  time.Duration
+}
+
+func newTraffic(pool int, seed uint64) *traffic {
+	t := &traffic{pool: pool, random: rand.New(rand.NewPCG(seed, uint64(pool)))}
+	for day := range 3 {
+		at := time.Duration(day)*24*time.Hour + time.Duration(t.random.Int64N(int64(20*time.Hour)))
+		t.storms = append(t.storms, at+2*time.Hour)
+	}
+	return t
+}
+
+func (t *traffic) demand(at time.Duration) float64 {
+	m := mean(t.pool, t.storms, at)
+	if at >= t.nextPeak {
+		length := time.Duration(2+t.random.IntN(3)) * time.Second
+		t.peakUntil = at + length
+		// Peaks take 19.2% of the time, so that the mean over peaks and pauses is m.
+		t.nextPeak += time.Duration(float64(length) / 0.192)
+	}
+	if at < t.peakUntil {
+		return 5 * m
+	}
+	return m / 20
+}
+
+// figures are the results of one policy.
+type figures struct {
+	buffer     float64
+	moves      int
+	waitP99    float64
+	violations int
+	// waits holds the work that waited, by milliseconds.
+	waits [maxWait]float64
+}
+
+// maxWait bounds the waits that are told apart, in milliseconds.
+const maxWait = 120_000
+
+// queue is the fluid queue of one pool.
+type queue struct {
+	size    int
+	backlog float64
+	// used holds the busy capacity of the last two minutes, by second.
+	used []float64
+}
+
+func (q *queue) second(demand float64) float64 {
+	done := min(float64(q.size), q.backlog+demand)
+	q.backlog += demand - done
+	q.used = append(q.used, done)
+	return q.backlog / float64(max(1, q.size))
+}
+
+// usage returns the mean use of a minute, as it was known a minute later. The size before the first
+// minute is known stands for it.
+func (q *queue) usage() float64 {
+	end := max(0, len(q.used)-int(usageLag.Seconds()))
+	begin := max(0, end-60)
+	if end-begin < 60 {
+		return utilised * float64(q.size)
+	}
+	sum := 0.0
+	for _, u := range q.used[begin:end] {
+		sum += u
+	}
+	return sum / float64(end-begin)
+}
+
+// p99 returns the 99th percentile of the waits in milliseconds, weighted by work.
+func (f *figures) p99() float64 {
+	total, below := 0.0, 0.0
+	for _, w := range f.waits {
+		total += w
+	}
+	for ms, w := range f.waits {
+		if below += w; below >= 0.99*total {
+			return float64(ms)
+		}
+	}
+	return maxWait
+}
+
+func vm(pool string, i int) fleet.VM {
+	return fleet.VM{
+		ID: fleet.VMID(fmt.Sprintf("%s-%02d", pool, i)), Pool: fleet.PoolID(pool), State: fleet.VMStateServing,
+		Zone: fleet.ZoneID(fmt.Sprintf("zone-%d", i%4)), Slots: 8,
+	}
+}
+
+func vms(pool string, n int) []fleet.VM {
+	var list []fleet.VM
+	for i := range n {
+		list = append(list, vm(pool, i))
+	}
+	return list
+}
+
+func borrowed(pool string, n int) []fleet.VM {
+	list := vms("spare", n)
+	for i := range list {
+		list[i].Pool, list[i].HomePool = fleet.PoolID(pool), "spare"
+	}
+	return list
+}
+
+func newPlanner() *spare.Planner {
+	return &spare.Planner{Options: spare.DefaultOptions()}
+}
--- /dev/null
+++ b/internal/spare/policy_test.go
@@ -0,0 +1,248 @@
+package spare_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/spare"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+const (
+	pools     = 5
+	homeVMs   = 6
+	spareVMs  = 60
+	spareNeed = 10 // the lender's own work, in VMs with its buffer
+)
+
+// resize is a change of size that is under way.
+type resize struct {
+	pool, by int
+	done     time.Duration
+}
+
+// simulation runs the queues of all pools under one policy.
+type simulation struct {
+	queues  []*queue
+	traffic []*traffic
+	pending []resize
+	figures figures
+}
+
+func newSimulation(seed uint64, sizes []int) *simulation {
+	s := &simulation{}
+	for p := range pools {
+		s.traffic = append(s.traffic, newTraffic(p, seed))
+		s.queues = append(s.queues, &queue{size: sizes[p]})
+	}
+	return s
+}
+
+// run calls decide every 30 s. It returns the wanted changes of sizes.
+func (s *simulation) run(decide func(at time.Duration) []resize) figures {
+	for at := time.Duration(0); at < simulated; at += time.Second {
+		if at%(30*time.Second) == 0 {
+			s.resize(at, decide(at))
+		}
+		lent := 0
+		for p, q := range s.queues {
+			demand := s.traffic[p].demand(at)
+			wait := q.second(demand)
+			if at < learning {
+				continue
+			}
+			s.figures.waits[min(int(1000*wait), maxWait-1)] += demand
+			s.figures.buffer += (float64(q.size) - mean(p, s.traffic[p].storms, at)) / 3600
+			lent += q.size - homeVMs
+		}
+		if spareVMs-lent < spareNeed && s.figures.moves > 0 {
+			s.figures.violations++
+		}
+	}
+	s.figures.waitP99 = s.figures.p99()
+	return s.figures
+}
+
+// resize starts changes. A VM that leaves stops at once; one that arrives serves after the move.
+func (s *simulation) resize(at time.Duration, list []resize) {
+	for _, r := range list {
+		if at >= learning {
+			s.figures.moves += max(r.by, -r.by)
+		}
+		if r.by < 0 {
+			s.queues[r.pool].size += r.by
+			continue
+		}
+		r.done = at + moveTime
+		s.pending = append(s.pending, r)
+	}
+	var rest []resize
+	for _, r := range s.pending {
+		if at < r.done {
+			rest = append(rest, r)
+			continue
+		}
+		s.queues[r.pool].size += r.by
+	}
+	s.pending = rest
+}
+
+func (s *simulation) arriving(pool int) int {
+	n := 0
+	for _, r := range s.pending {
+		if r.pool == pool {
+			n += r.by
+		}
+	}
+	return n
+}
+
+// needs returns the sizes that the true mean demand asks for, for every slot of time.
+func needs(t *traffic) []int {
+	var list []int
+	for at := time.Duration(0); at < simulated; at += slot {
+		list = append(list, int(math.Ceil(max(mean(t.pool, t.storms, at), mean(t.pool, t.storms, at+slot))/utilised)))
+	}
+	return list
+}
+
+// perfect returns the sizes of a planner that knows the mean demand in advance: the sequence that never
+// falls below the need and costs least, by dynamic programming from the end.
+func perfect(need []int) []int {
+	const largest = 32
+	cost := make([][largest]float64, len(need)+1)
+	next := make([][largest]int, len(need))
+	for i := len(need) - 1; i >= 0; i-- {
+		for from := range largest {
+			cost[i][from] = math.Inf(1)
+			for to := need[i]; to < largest; to++ {
+				c := float64(to-need[i])*slot.Hours() + moveHours*math.Abs(float64(to-from)) + cost[i+1][to]
+				if c < cost[i][from] {
+					cost[i][from], next[i][from] = c, to
+				}
+			}
+		}
+	}
+	sizes, size := make([]int, len(need)), need[0]
+	for i := range need {
+		size = next[i][size]
+		sizes[i] = size
+	}
+	return sizes
+}
+
+func runPerfect(seed uint64) figures {
+	var paths [][]int
+	var first []int
+	for p := range pools {
+		path := perfect(needs(newTraffic(p, seed)))
+		paths, first = append(paths, path), append(first, path[0])
+	}
+	s := newSimulation(seed, first)
+	return s.run(func(at time.Duration) []resize {
+		var list []resize
+		for p, path := range paths {
+			// It starts a growth early enough for the VM to serve in time.
+			ahead := path[min(len(path)-1, int((at+moveTime)/slot))]
+			now := path[int(at/slot)]
+			have := s.queues[p].size + s.arriving(p)
+			if ahead > have {
+				list = append(list, resize{pool: p, by: ahead - have})
+			} else if max(now, ahead) < have {
+				list = append(list, resize{pool: p, by: max(now, ahead) - have})
+			}
+		}
+		return list
+	})
+}
+
+func runFixed(seed uint64) figures {
+	var sizes []int
+	for p := range pools {
+		most := 0.0
+		t := newTraffic(p, seed)
+		for at := time.Duration(0); at < simulated; at += slot {
+			most = max(most, mean(p, t.storms, at))
+		}
+		sizes = append(sizes, int(math.Ceil(1.3*most)))
+	}
+	return newSimulation(seed, sizes).run(func(time.Duration) []resize { return nil })
+}
+
+func runFollowing(seed uint64) figures {
+	s := newSimulation(seed, []int{9, 9, 9, 9, 9})
+	return s.run(func(time.Duration) []resize {
+		var list []resize
+		for p, q := range s.queues {
+			if by := max(1, int(math.Ceil((q.usage()+q.backlog/300)/utilised))) - q.size - s.arriving(p); by != 0 {
+				list = append(list, resize{pool: p, by: by})
+			}
+		}
+		return list
+	})
+}
+
+func runPlanner(seed uint64) figures {
+	s := newSimulation(seed, []int{9, 9, 9, 9, 9})
+	p := newPlanner()
+	names := map[fleet.PoolID]int{"a": 0, "b": 1, "c": 2, "d": 3, "e": 4}
+	return s.run(func(at time.Duration) []resize {
+		now := start.Add(at)
+		lent := 0
+		var list []spare.Pool
+		for id, i := range names {
+			q := s.queues[i]
+			lent += q.size - homeVMs + s.arriving(i)
+			list = append(list, spare.Pool{
+				ID: id, Home: vms(string(id), min(q.size, homeVMs)), Borrowed: borrowed(string(id), max(0, q.size-homeVMs)),
+				Arriving: fleet.VMCount(s.arriving(i)), Busy: spare.VMs(q.usage()), BusyAt: now.Add(-usageLag),
+				Queued: time.Duration(q.backlog * 8 * float64(time.Second)), SlotsPerVM: 8,
+			})
+		}
+		list = append(list, spare.Pool{
+			ID: "spare", Lender: true, Home: vms("spare", spareVMs-lent), Busy: spareNeed * utilised, BusyAt: now.Add(-usageLag),
+		})
+		var changes []resize
+		for _, m := range p.Decide(now, list) {
+			if i, ok := names[m.To]; ok {
+				changes = append(changes, resize{pool: i, by: 1})
+			} else {
+				changes = append(changes, resize{pool: names[m.From], by: -1})
+			}
+		}
+		return changes
+	})
+}
+
+// BenchmarkPolicySpare compares the planner with the baselines over the same traffic, seeds 1 to 3.
+func BenchmarkPolicySpare(b *testing.B) {
+	for range b.N {
+		ideal := sum(runPerfect)
+		report(b, "planner", sum(runPlanner), ideal)
+		report(b, "perfect", ideal, ideal)
+		report(b, "fixed-30pct", sum(runFixed), ideal)
+		report(b, "following", sum(runFollowing), ideal)
+	}
+}
+
+func sum(run func(seed uint64) figures) figures {
+	var total figures
+	for seed := range uint64(3) {
+		f := run(seed + 1)
+		total.buffer += f.buffer
+		total.moves += f.moves
+		total.violations += f.violations
+		total.waitP99 = max(total.waitP99, f.waitP99)
+	}
+	return total
+}
+
+func report(b *testing.B, name string, f, ideal figures) {
+	b.ReportMetric(f.buffer, name+":buffer-cost-vm-hours")
+	b.ReportMetric(float64(f.moves), name+":vm-moves")
+	b.ReportMetric(f.waitP99, name+":short-wait-p99-ms")
+	b.ReportMetric(float64(f.violations), name+":budget-violations")
+	b.ReportMetric(f.buffer/ideal.buffer, name+":buffer-ratio")
+	b.ReportMetric(float64(f.moves)/float64(ideal.moves), name+":moves-ratio")
+}
