--- a/internal/maintenance/command.go
+++ b/internal/maintenance/command.go
@@ -56,13 +56,17 @@
 	return w
 }
 
-// Started returns the row of a wave after the drain of a VM began.
-func Started(w fleet.Wave, id fleet.VMID, now time.Time) fleet.Wave {
+// Started returns the row of a wave after the drains of VMs began.
+func Started(w fleet.Wave, ids []fleet.VMID, now time.Time) fleet.Wave {
 	w.VMs = slices.Clone(w.VMs)
+	begun := map[fleet.VMID]bool{}
+	for _, id := range ids {
+		begun[id] = true
+	}
 	for i := range w.VMs {
-		if w.VMs[i].VM == id {
-			setState(&w.VMs[i], fleet.WaveVMStateStarted, now)
-			w.VMs[i].StartedAt = now
+		if v := &w.VMs[i]; begun[v.VM] {
+			setState(v, fleet.WaveVMStateStarted, now)
+			v.StartedAt = now
 		}
 	}
 	return w
--- a/internal/maintenance/fake_test.go
+++ b/internal/maintenance/fake_test.go
@@ -1,8 +1,11 @@
 package maintenance_test
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
@@ -44,21 +47,23 @@
 }
 
 func (w *world) list() []fleet.VM {
-	var list []fleet.VM
-	for _, vm := range w.vms {
-		list = append(list, vm)
+	return slices.SortedFunc(maps.Values(w.vms), func(a, b fleet.VM) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (w *world) parallel() map[fleet.PoolID]fleet.VMCount {
+	parallel := map[fleet.PoolID]fleet.VMCount{}
+	for pool, limit := range w.limit {
+		parallel[pool] = fleet.VMCount(limit)
 	}
-	return list
+	return parallel
 }
 
-func (w *world) unavailable(pool fleet.PoolID) int {
-	n := 0
-	for _, vm := range w.vms {
-		if vm.Pool == pool && vm.State != fleet.VMStateServing {
-			n++
-		}
+func (w *world) pools() map[fleet.PoolID]fleet.Pool {
+	pools := map[fleet.PoolID]fleet.Pool{}
+	for pool := range w.limit {
+		pools[pool] = fleet.Pool{ID: pool}
 	}
-	return n
+	return pools
 }
 
 // ledger takes grants against the VMs out of service at one instant.
@@ -81,7 +86,8 @@
 }
 
 func (w *world) advance(now time.Time) {
-	for id, until := range w.until {
+	for _, id := range slices.Sorted(maps.Keys(w.until)) {
+		until := w.until[id]
 		if now.Before(until) {
 			continue
 		}
@@ -105,8 +111,8 @@
 			l[vm.Pool]--
 		}
 	}
-	for pool := range w.limit {
-		if l[pool] < 0 && w.unavailable(pool) > w.limit[pool] {
+	for _, free := range l {
+		if free < 0 {
 			w.violations++
 		}
 	}
@@ -134,8 +140,8 @@
 		for _, id := range d.Start {
 			_, version := maintenance.Disruption(wave, id)
 			w.drain(id, version, now)
-			wave = maintenance.Started(wave, id, now)
 		}
+		wave = maintenance.Started(wave, d.Start, now)
 	}
 	return wave, most
 }
--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -64,7 +64,8 @@
 	ID   fleet.WaveID
 	Spec fleet.WaveSpec
 	VMs  []fleet.VM
-	// Parallel is how many VMs of each pool the budget lets a wave disrupt at the same time.
+	// Parallel is how many VMs of each configured pool the budget lets a wave disrupt at the same
+	// time. VMs of other pools have no budget and are left out.
 	Parallel map[fleet.PoolID]fleet.VMCount
 	// StepTime is how long a drain and its action are expected to take.
 	StepTime time.Duration
@@ -94,7 +95,7 @@
 func matching(r Request) []fleet.WaveVM {
 	byPool := map[fleet.PoolID][]fleet.VM{}
 	for _, vm := range r.VMs {
-		if matches(r.Spec, vm) {
+		if _, ok := r.Parallel[vm.Pool]; ok && matches(r.Spec, vm) {
 			byPool[vm.Pool] = append(byPool[vm.Pool], vm)
 		}
 	}
--- a/internal/maintenance/progress.go
+++ b/internal/maintenance/progress.go
@@ -94,13 +94,17 @@
 	v.State, v.ChangedAt = s, now
 }
 
+// widthAfterCanary is the width at which pools begin. Beginning at 1 made a roll-out under a budget of
+// 2 of 19 VMs 1.21 times as long as the shortest, which is beyond its target of 1.2.
+const widthAfterCanary = 2
+
 // widen ends the canary when all of its VMs are judged, and doubles the width when as many VMs were
 // judged healthy as all open pools disrupt at the present width.
 func widen(w fleet.Wave) fleet.Wave {
 	if w.Width == 0 {
 		canary := min(WithDefaults(w.Spec.Limits).CanaryVMs, fleet.VMCount(len(w.VMs))-countState(w, fleet.WaveVMStateSkipped))
 		if w.Healthy >= canary || w.Healthy > 0 && countState(w, fleet.WaveVMStatePending) == 0 {
-			w.Width, w.Healthy = 1, 0
+			w.Width, w.Healthy = widthAfterCanary, 0
 		}
 		return w
 	}
--- a/internal/maintenance/schedule.go
+++ b/internal/maintenance/schedule.go
@@ -23,8 +23,8 @@
 // Standing returns what the standing schedule asks of today's wave. It takes from each pool the VMs
 // maintained longest ago, as many as keep every VM within the period, and reports false when none is
 // due or a wave of the schedule is still open. The daily share also spreads VMs that became due
-// together.
-func Standing(vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
+// together. Pools that are not configured have no budget and are left out.
+func Standing(pools map[fleet.PoolID]fleet.Pool, vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
 	id := standingID(now)
 	for _, w := range waves {
 		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
@@ -33,7 +33,7 @@
 	}
 	sizes, due := map[fleet.PoolID]int{}, map[fleet.PoolID]int{}
 	for _, vm := range vms {
-		if vm.State == fleet.VMStateRemoved {
+		if _, ok := pools[vm.Pool]; !ok || vm.State == fleet.VMStateRemoved {
 			continue
 		}
 		sizes[vm.Pool]++
--- a/internal/maintenance/simulate.go
+++ b/internal/maintenance/simulate.go
@@ -36,12 +36,12 @@
 		finishSteps(w, f, r, now)
 		f.Budget = freeBudget(w, r)
 		d := Next(w, f, now)
-		w = d.Wave
+		w = Started(d.Wave, d.Start, now)
 		if d.Event == EventFinish {
 			return steps, at
 		}
 		for _, id := range d.Start {
-			steps = begun(&w, f, steps, id, now)
+			steps = begun(w, f, steps, id)
 		}
 	}
 	return steps, longest
@@ -76,9 +76,8 @@
 	return b
 }
 
-// begun marks a VM as started and adds it to the step of its failure domain.
-func begun(w *fleet.Wave, f Facts, steps []Step, id fleet.VMID, now time.Time) []Step {
-	*w = Started(*w, id, now)
+// begun drains a VM and adds it to the step of its failure domain.
+func begun(w fleet.Wave, f Facts, steps []Step, id fleet.VMID) []Step {
 	vm := f.VMs[id]
 	vm.State = fleet.VMStateDraining
 	f.VMs[id] = vm
--- a/internal/maintenance/starts.go
+++ b/internal/maintenance/starts.go
@@ -12,19 +12,19 @@
 type use struct {
 	started, exposed fleet.VMCount
 	zone             fleet.ZoneID
-	rack             fleet.RackID
 }
 
 func (u *use) add(v fleet.WaveVM) {
 	u.exposed++
 	if v.State != fleet.WaveVMStateSoaking {
 		u.started++
-		u.zone, u.rack = v.Zone, v.Rack
+		u.zone = v.Zone
 	}
 }
 
-// starts returns the VMs to disrupt now. Pools proceed in parallel; within a pool only one failure
-// domain is open: one rack up to the width of a rack, and one zone beyond.
+// starts returns the VMs to disrupt now. Pools proceed in parallel. Within a pool only one zone is
+// open, rack by rack in the order of the plan. Waiting for the last VM of each rack instead made a
+// roll-out of 63.1 minutes take 68.2, because a pool's VMs do not fill their racks.
 func starts(w fleet.Wave, f Facts) []fleet.VMID {
 	limits := WithDefaults(w.Spec.Limits)
 	pools, total := map[fleet.PoolID]*use{}, use{}
@@ -60,17 +60,11 @@
 	return list
 }
 
-// vmsPerRack is how many workers a rack houses.
-const vmsPerRack = 4
-
 // hasRoom reports whether the width and the open failure domain of the pool admit the VM.
 func (u *use) hasRoom(w fleet.Wave, v fleet.WaveVM) bool {
 	width := max(1, w.Width)
 	if u.started >= width || u.exposed >= exposurePerWidth*width {
 		return false
 	}
-	if u.started == 0 {
-		return true
-	}
-	return u.zone == v.Zone && (u.rack == v.Rack || width > vmsPerRack)
+	return u.started == 0 || u.zone == v.Zone
 }
--- a/internal/maintenance/wave_test.go
+++ b/internal/maintenance/wave_test.go
@@ -16,7 +16,7 @@
 var small = size{pools: 3, vms: 12, zones: 2, limit: 3}
 
 func planned(is *is.I, w *world, spec fleet.WaveSpec) fleet.Wave {
-	p, err := maintenance.New(maintenance.Request{ID: "w", Spec: spec, VMs: w.list(), StepTime: 5 * time.Minute}, start)
+	p, err := maintenance.New(maintenance.Request{ID: "w", Spec: spec, VMs: w.list(), Parallel: w.parallel(), StepTime: 5 * time.Minute}, start)
 	is.NoErr(err)
 	p.Wave.State = fleet.WaveStateRunning
 	return p.Wave
@@ -175,7 +175,7 @@
 func TestPlanRefusesDeadlineThatCannotHold(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(small, 5)
-	request := maintenance.Request{ID: "w", Spec: rollOut(fleet.WaveLimits{}), VMs: w.list(), StepTime: 5 * time.Minute}
+	request := maintenance.Request{ID: "w", Spec: rollOut(fleet.WaveLimits{}), VMs: w.list(), Parallel: w.parallel(), StepTime: 5 * time.Minute}
 	p, err := maintenance.New(request, start)
 	is.NoErr(err)
 	request.Spec.Deadline = start.Add(p.Expected - time.Minute)
@@ -194,11 +194,11 @@
 	waves := map[fleet.WaveID]fleet.Wave{}
 	for day := range 130 {
 		now := start.Add(time.Duration(day) * 24 * time.Hour)
-		id, spec, due := maintenance.Standing(w.list(), waves, now)
+		id, spec, due := maintenance.Standing(w.pools(), w.list(), waves, now)
 		if !due {
 			continue
 		}
-		p, err := maintenance.New(maintenance.Request{ID: id, Spec: spec, VMs: w.list(), StepTime: time.Minute}, now)
+		p, err := maintenance.New(maintenance.Request{ID: id, Spec: spec, VMs: w.list(), Parallel: w.parallel(), StepTime: time.Minute}, now)
 		is.NoErr(err)
 		is.True(len(p.Wave.VMs) <= 4*2) // spread over the days
 		p.Wave.State = fleet.WaveStateFinished
