--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -43,6 +43,7 @@
 	status      ring.Latest[dispatch.Status]
 	readiness   ring.Latest[balancer.Readiness]
 	held        ring.Latest[control.Leases]
+	load        ring.Latest[control.Load]
 	events      *ring.Ring[dispatch.Event]
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
@@ -107,6 +108,14 @@
 			Entry: s.EntryID, Table: client, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
 		},
+		&control.WaveDriver{
+			Entry: s.EntryID, Table: client, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
+			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, ListMaxAge: s.VMListMaxAge,
+		},
+		&control.SpareDriver{
+			Entry: s.EntryID, Table: client, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
+			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
+		},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: client, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
@@ -153,7 +162,7 @@
 		Entry: fleet.Entry{
 			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
 		},
-		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
+		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver},
 		Table:  client, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
