--- a/internal/control/disruption.go
+++ b/internal/control/disruption.go
@@ -6,12 +6,14 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
 	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -29,6 +31,23 @@
 	Pools  map[fleet.PoolID]PoolLoad
 }
 
+// Disruptive holds what the duties share that disrupt VMs by themselves. The fields are set before Run.
+type Disruptive struct {
+	Entry      fleet.EntryID
+	Table      Table
+	View       *ring.Latest[*fleet.View]
+	Held       *ring.Latest[Leases]
+	Load       *ring.Latest[Load]
+	Poller     *ring.Ring[PollerEvent]
+	Clock      clock.Clock
+	Log        *zap.Logger
+	ListMaxAge time.Duration
+}
+
+func (d *Disruptive) newDisrupter(duty fleet.DutyName, kind fleet.HolderKind) disrupter {
+	return disrupter{table: d.Table, clock: d.Clock, entry: d.Entry, duty: duty, kind: kind, states: move.NewMachine()}
+}
+
 // disruption is the drain of one VM and what follows it.
 type disruption struct {
 	vm      fleet.VMID
--- a/internal/control/sparedriver.go
+++ b/internal/control/sparedriver.go
@@ -5,15 +5,12 @@
 	"errors"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
-	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
-	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/spare"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -23,15 +20,7 @@
 // this entry holds its lease. The fleet driver carries the moves through.
 type SpareDriver struct {
 	// The fields are set before Run.
-	Entry      fleet.EntryID
-	Table      Table
-	View       *ring.Latest[*fleet.View]
-	Held       *ring.Latest[Leases]
-	Load       *ring.Latest[Load]
-	Poller     *ring.Ring[PollerEvent]
-	Clock      clock.Clock
-	Log        *zap.Logger
-	ListMaxAge time.Duration
+	Disruptive
 
 	disrupter disrupter
 	planner   *spare.Planner
@@ -43,9 +32,7 @@
 // Run implements duty.Duty.
 func (d *SpareDriver) Run(ctx context.Context) error {
 	options := spare.DefaultOptions()
-	d.disrupter = disrupter{
-		table: d.Table, clock: d.Clock, entry: d.Entry, duty: fleet.DutySpareDriver, kind: fleet.HolderKindSpare, states: move.NewMachine(),
-	}
+	d.disrupter = d.newDisrupter(fleet.DutySpareDriver, fleet.HolderKindSpare)
 	for {
 		held, ok := d.Held.Get()[fleet.DutySpareDriver]
 		switch {
--- a/internal/control/wavedriver.go
+++ b/internal/control/wavedriver.go
@@ -14,9 +14,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
-	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
-	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -25,16 +23,8 @@
 // its lease. The fleet driver takes the VMs that it drains through their action.
 type WaveDriver struct {
 	// The fields are set before Run.
-	Entry      fleet.EntryID
-	Table      Table
-	View       *ring.Latest[*fleet.View]
-	Held       *ring.Latest[Leases]
-	Load       *ring.Latest[Load]
-	Poller     *ring.Ring[PollerEvent]
-	Clock      clock.Clock
-	Log        *zap.Logger
-	Interval   time.Duration
-	ListMaxAge time.Duration
+	Disruptive
+	Interval time.Duration
 
 	disrupter disrupter
 	states    *machine.Machine[fleet.WaveState, maintenance.Event]
@@ -46,9 +36,7 @@
 // Run implements duty.Duty.
 func (d *WaveDriver) Run(ctx context.Context) error {
 	d.states = maintenance.NewMachine()
-	d.disrupter = disrupter{
-		table: d.Table, clock: d.Clock, entry: d.Entry, duty: fleet.DutyWaveDriver, kind: fleet.HolderKindWave, states: move.NewMachine(),
-	}
+	d.disrupter = d.newDisrupter(fleet.DutyWaveDriver, fleet.HolderKindWave)
 	for {
 		if held, ok := d.Held.Get()[fleet.DutyWaveDriver]; ok {
 			d.drive(ctx, held)
--- a/internal/control/wavedriver_test.go
+++ b/internal/control/wavedriver_test.go
@@ -103,11 +103,11 @@
 			clock := clockwork.NewFakeClock()
 			table, view := newTable(clock.Now())
 			table.race = c.race
-			d := &control.WaveDriver{
+			d := &control.WaveDriver{Interval: time.Second, Disruptive: control.Disruptive{
 				Entry: "entry-1", Table: table, View: &ring.Latest[*fleet.View]{}, Held: &ring.Latest[control.Leases]{},
 				Load: &ring.Latest[control.Load]{}, Poller: ring.New[control.PollerEvent]("poller", 4),
-				Clock: clock, Log: zap.NewNop(), Interval: time.Second, ListMaxAge: time.Minute,
-			}
+				Clock: clock, Log: zap.NewNop(), ListMaxAge: time.Minute,
+			}}
 			d.View.Set(view)
 			d.Held.Set(control.Leases{fleet.DutyWaveDriver: {RowVersion: leaseVersion}})
 			ctx, cancel := context.WithCancel(context.Background())
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -97,6 +97,10 @@
 func (d *Daemon) duties(stopAsked context.Context, stopped func()) []duty.Duty {
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
+	disruptive := control.Disruptive{
+		Entry: s.EntryID, Table: client, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
+		Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
+	}
 	list := []duty.Duty{
 		d.dispatcher(),
 		&control.Poller{
@@ -108,14 +112,8 @@
 			Entry: s.EntryID, Table: client, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
 		},
-		&control.WaveDriver{
-			Entry: s.EntryID, Table: client, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
-			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, ListMaxAge: s.VMListMaxAge,
-		},
-		&control.SpareDriver{
-			Entry: s.EntryID, Table: client, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
-			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
-		},
+		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval},
+		&control.SpareDriver{Disruptive: disruptive},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: client, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
