maintenance: refuse to start a wave that cannot end in time

Excluded: a full plan at the start; the operator may want a late wave to begin when it can still do most of its work, and the row says that it is late.

Change: a start is refused when the canary alone would end after the deadline.

Checked: go test -race ./... passes.

Conclusion: deadlines are refused at plan and start, and shown as late while a wave runs.

--- a/internal/maintenance/command.go
+++ b/internal/maintenance/command.go
@@ -21,10 +21,17 @@
 }
 
 // Command returns the row of a wave after an operator's command, which is applied as an event of the
-// same name. It returns *RollBackError. The caller has checked that the state allows the event.
+// same name. It returns *RollBackError, or *DeadlineError for the start of a wave whose canary alone
+// would end too late. The caller has checked that the state allows the event.
 func Command(w fleet.Wave, c fleet.WaveCommand, now time.Time) (fleet.Wave, error) {
 	w.Reason = ""
 	switch c {
+	case fleet.WaveCommandStart:
+		// The plan kept the deadline when it was made; this catches a plan that lay for too long.
+		end := now.Add(DefaultStepTime + WithDefaults(w.Spec.Limits).Soak)
+		if !w.Spec.Deadline.IsZero() && end.After(w.Spec.Deadline) {
+			return w, trace.Wrap(&DeadlineError{Wave: w.ID, Deadline: w.Spec.Deadline, Expected: end})
+		}
 	case fleet.WaveCommandHalt:
 		w.Reason = ReasonOperator
 	case fleet.WaveCommandResume:
