--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	status      ring.Latest[dispatch.Status]
 	readiness   ring.Latest[balancer.Readiness]
 	held        ring.Latest[control.Leases]
+	load        ring.Latest[control.Load]
 	events      *ring.Ring[dispatch.Event]
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
@@ -103,6 +104,10 @@
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
 	table := &platform.Limited{Client: client, Writes: d.writes, Reads: d.reads}
+	disruptive := control.Disruptive{
+		Entry: s.EntryID, Table: table, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
+		Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
+	}
 	list := []duty.Duty{
 		d.dispatcher(),
 		&platform.Lane{Duty: "table-writer", Inbox: d.writes, Clock: d.Clock, PerSecond: float64(s.TableWritesPerSecond)},
@@ -117,6 +122,8 @@
 			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
 		},
+		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval},
+		&control.SpareDriver{Disruptive: disruptive},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
@@ -170,7 +177,7 @@
 		Entry: fleet.Entry{
 			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
 		},
-		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
+		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
