ticket: keep refusals and forgotten tickets from running again

Cause: a ticket whose record was forgotten ran again after the wall clock stepped back, a refusal for an unknown service left its ticket unused, and outcomes grew without a bound in bytes.

Excluded: refusing tickets when the memory of outcomes is full, because a refusal needs a record too; a heap of expiries, because tickets of one lifetime arrive almost in order.

Change: each incarnation has a watermark of forgotten expiries. Memory is bounded in bytes; answer bodies are dropped first. A refusal is final and carries a fresh ticket. The ticket is used up before the request is classified. A closed book hands its tickets over, and a book merges those of other incarnations.

--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -33,7 +33,7 @@
 	view     *fleet.View
 	states   *machine.Machine[request.State, request.Event]
 	work     map[workKey]*request.Work
-	tickets  map[fleet.TicketSequence]*request.Work
+	tickets  map[ticket.Name]*request.Work
 	calls    map[CallID]*call
 	lastCall CallID
 	stopping bool
@@ -63,7 +63,7 @@
 		view:        fleet.NewView(),
 		states:      request.NewMachine(),
 		work:        map[workKey]*request.Work{},
-		tickets:     map[fleet.TicketSequence]*request.Work{},
+		tickets:     map[ticket.Name]*request.Work{},
 		calls:       map[CallID]*call{},
 	}
 }
@@ -85,11 +85,13 @@
 // Submit takes a request of a caller.
 func (e *Engine) Submit(now time.Time, r *request.Request, reply request.ReplyID) {
 	w := &request.Work{Request: r, State: request.StateReceived, Replies: []request.ReplyID{reply}}
-	if reason := e.classify(r); reason != "" {
-		e.refuse(w, reason, 0)
+	reason := e.classify(r)
+	// The ticket is used up first, so that a refusal for any reason stays true.
+	if !e.redeem(now, w, reason) {
 		return
 	}
-	if !r.Repeatable && !e.redeem(now, w) {
+	if reason != "" {
+		e.refuse(w, reason, 0)
 		return
 	}
 	e.admit(now, w)
@@ -169,13 +171,14 @@
 		Request:    w.Request,
 		Attempt:    w.Attempts,
 		Checkpoint: w.Checkpoint,
-		Timeout:    w.Request.Deadline.Sub(now),
+		Timeout:    callTimeout(now, w),
 	})
 }
 
 // Tick takes work whose deadline has passed off the queues and forgets old tickets.
 func (e *Engine) Tick(now time.Time) {
 	e.Tickets.Expire(now)
+	e.loseOverdue(now)
 	late := e.Queues.Remove(func(w *request.Work) bool { return !now.Before(w.Request.Deadline) })
 	for _, w := range late {
 		e.end(w, request.EventRefuse, request.NotRun(request.ReasonDeadline, refusalRetry))
@@ -218,11 +221,7 @@
 	if e.work[key] == w {
 		delete(e.work, key)
 	}
-	if w.Sequence != 0 && e.tickets[w.Sequence] == w {
-		delete(e.tickets, w.Sequence)
-		e.Tickets.End(w.Sequence, o)
-	}
-	e.reply(w.Replies, o)
+	e.reply(w.Replies, e.endTicket(w, o))
 }
 
 func (e *Engine) reply(ids []request.ReplyID, o request.Outcome) {
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -18,6 +18,11 @@
 	if result.Load != nil {
 		e.Reported(c.target.Endpoint, *result.Load)
 	}
+	if c.work.State == request.StateUnknown {
+		e.takeLate(c.work, result)
+		e.dispatch(now)
+		return
+	}
 	switch result.Kind {
 	case request.ResultAnswered:
 		e.end(c.work, request.EventAnswer, request.Answered(request.AnswerStatusOK, result.Body))
--- a/internal/request/outcome.go
+++ b/internal/request/outcome.go
@@ -64,6 +64,8 @@
 	ReasonTicketExpired     Reason = "ticket-expired"
 	ReasonStopRequested     Reason = "stop-requested"
 	ReasonEndpointFailed    Reason = "endpoint-failed"
+	// ReasonOutcomeDropped means that the answer was dropped to bound the memory of outcomes.
+	ReasonOutcomeDropped Reason = "outcome-dropped"
 )
 
 // Outcome is what the caller is told, once per request.
--- a/internal/request/work.go
+++ b/internal/request/work.go
@@ -31,6 +31,8 @@
 	Replies []ReplyID
 	// Sequence is the sequence of the request's ticket, 0 without one.
 	Sequence fleet.TicketSequence
+	// Incarnation is the incarnation that issued the request's ticket, empty without one.
+	Incarnation fleet.Incarnation
 	// NotBefore is when a retry may be sent.
 	NotBefore time.Time
 	// CancelRequested says that the endpoint was asked to stop the running attempt.
--- /dev/null
+++ b/internal/ticket/book_test.go
@@ -0,0 +1,138 @@
+package ticket_test
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/internal/ticket"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+const account fleet.ClientAccountID = "newsroom"
+
+var start = time.Unix(1e9, 0)
+
+func newBook(incarnation fleet.Incarnation, maxBytes fleet.Bytes) *ticket.Book {
+	return &ticket.Book{
+		Issuer: "entry", Incarnation: incarnation, Key: []byte("key of " + incarnation), Lifetime: time.Minute, MaxBytes: maxBytes,
+	}
+}
+
+// Guards against a forgotten or refused ticket that runs again.
+func TestRedeem(t *testing.T) {
+	refused := request.NotRun(request.ReasonQueueFull, 0)
+	answer := request.Answered(request.AnswerStatusOK, []byte("done"))
+	cases := []struct {
+		name    string
+		prepare func(b *ticket.Book, data []byte, name ticket.Name)
+		account fleet.ClientAccountID
+		at      time.Duration
+		want    ticket.Verdict
+		kind    request.OutcomeKind
+	}{
+		{"joins while it runs", func(*ticket.Book, []byte, ticket.Name) {}, account, 0, ticket.VerdictJoin, ""},
+		{"joins after its expiry", func(b *ticket.Book, _ []byte, _ ticket.Name) { b.Expire(start.Add(time.Hour)) }, account, time.Hour, ticket.VerdictJoin, ""},
+		{"remembers", func(b *ticket.Book, _ []byte, n ticket.Name) { b.End(n, answer) }, account, 0, ticket.VerdictEnded, request.OutcomeAnswer},
+		{"keeps a refusal", func(b *ticket.Book, _ []byte, n ticket.Name) { b.End(n, refused); b.End(n, answer) }, account, 0, ticket.VerdictEnded, request.OutcomeNotRun},
+		{"keeps an answer", func(b *ticket.Book, _ []byte, n ticket.Name) {
+			b.End(n, answer)
+			b.End(n, request.Unknown(request.ReasonTimeout))
+		}, account, 0, ticket.VerdictEnded, request.OutcomeAnswer},
+		{"takes a late answer", func(b *ticket.Book, _ []byte, n ticket.Name) {
+			b.End(n, request.Unknown(request.ReasonTimeout))
+			b.End(n, answer)
+		}, account, 0, ticket.VerdictEnded, request.OutcomeAnswer},
+		{"expires after the clock stepped back", func(b *ticket.Book, _ []byte, n ticket.Name) {
+			b.End(n, answer)
+			b.Expire(start.Add(time.Hour))
+		}, account, 0, ticket.VerdictExpired, ""},
+		{"refuses another account", func(*ticket.Book, []byte, ticket.Name) {}, "other", 0, ticket.VerdictInvalid, ""},
+		{"refuses an altered ticket", func(_ *ticket.Book, data []byte, _ ticket.Name) { data[len(data)-1] ^= 1 }, account, 0, ticket.VerdictInvalid, ""},
+		{"is foreign after the hand-over", func(b *ticket.Book, _ []byte, _ ticket.Name) { b.Close() }, account, 0, ticket.VerdictForeign, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			b := newBook("one", 0)
+			data := b.Issue(start, account)
+			verdict, name, _ := b.Redeem(start, data, account)
+			is.Equal(verdict, ticket.VerdictRun)
+			c.prepare(b, data, name)
+			verdict, _, outcome := b.Redeem(start.Add(c.at), data, c.account)
+			is.Equal(verdict, c.want)
+			is.Equal(outcome.Kind, c.kind)
+		})
+	}
+}
+
+// Guards against memory that grows with the number and the size of outcomes, and against a dropped
+// outcome whose ticket runs again.
+func TestMemoryOfOutcomesIsBounded(t *testing.T) {
+	is := is.New(t)
+	const limit = 20_000
+	b := newBook("one", limit)
+	var list [][]byte
+	for i := range 300 {
+		data := b.Issue(start.Add(time.Duration(i)*time.Millisecond), account)
+		list = append(list, data)
+		_, name, _ := b.Redeem(start, data, account)
+		b.End(name, request.Answered(request.AnswerStatusOK, bytes.Repeat([]byte("x"), 1000)))
+		is.True(b.Bytes() <= limit)
+	}
+	seen := map[ticket.Verdict]int{}
+	for _, data := range list {
+		verdict, _, _ := b.Redeem(start, data, account)
+		seen[verdict]++
+	}
+	is.Equal(seen[ticket.VerdictRun], 0)
+	is.True(seen[ticket.VerdictEnded] > 0 && seen[ticket.VerdictExpired] > 0)
+	fresh := b.Issue(start.Add(-time.Minute), account) // the clock stepped back below the watermark
+	verdict, _, _ := b.Redeem(start.Add(-time.Minute), fresh, account)
+	is.Equal(verdict, ticket.VerdictRun)
+}
+
+// Guards against a hand-over that loses outcomes, runs a ticket again or merges two books wrongly.
+func TestHandOverMergesBooks(t *testing.T) {
+	is := is.New(t)
+	old, heir := newBook("one", 0), newBook("two", 0)
+	ended, unused, own := old.Issue(start, account), old.Issue(start, account), heir.Issue(start, account)
+	_, name, _ := old.Redeem(start, ended, account)
+	old.End(name, request.Answered(request.AnswerStatusOK, []byte("done")))
+	for _, shelf := range old.Close() {
+		is.True(heir.Adopt(shelf))
+		is.True(heir.Adopt(shelf)) // a repeated hand-over changes nothing
+	}
+	is.Equal(heir.Adopted(), []fleet.Incarnation{"one"})
+	for _, data := range [][]byte{unused, own} {
+		verdict, _, _ := heir.Redeem(start, data, account)
+		is.Equal(verdict, ticket.VerdictRun)
+		verdict, _, _ = old.Redeem(start, data, account)
+		is.Equal(verdict, ticket.VerdictForeign)
+	}
+	verdict, _, outcome := heir.Redeem(start, ended, account)
+	is.Equal(verdict, ticket.VerdictEnded)
+	is.Equal(string(outcome.Body), "done")
+	next := newBook("three", 0) // the heir stops too and hands both incarnations on
+	for _, shelf := range heir.Close() {
+		is.True(next.Adopt(shelf))
+	}
+	verdict, _, _ = next.Redeem(start, ended, account)
+	is.Equal(verdict, ticket.VerdictEnded)
+}
+
+// Guards against external bytes that make the decoder panic or pass for a ticket.
+func FuzzDecode(f *testing.F) {
+	f.Add(newBook("one", 0).Issue(start, account))
+	f.Add([]byte{1})
+	f.Fuzz(func(t *testing.T, data []byte) {
+		if decoded, err := ticket.Decode(data); err == nil {
+			is.New(t).True(len(decoded.Account) <= len(data))
+			verdict, _, _ := newBook("one", 0).Redeem(start, data, "nobody")
+			is.New(t).True(verdict != ticket.VerdictRun)
+		}
+	})
+}
