peer: link entries over QUIC and pass ticketed requests on

Cause: a ticket that reached another entry than its issuer answered unknown, a cancellation and a drain stayed at one entry, an entry could not start while the store was down, and a graceful stop voided its tickets.

Excluded: one connection per pair, which needs a rule for who dials and a goroutine per frame; each entry dials every peer and sends on one stream, and a fixed number of readers takes the peers' streams. A second heir after a lost confirmation, because both could run the same ticket.

Change: package peer with a hub, a link per peer and readers; mutual TLS in which a certificate names its entry; frames up to 2 MiB, 32 MiB queued per link, bytes per second by x/time/rate. The caller adapter forwards foreign tickets, passes cancellations on, bounds the waiting requests per account and refuses with a typed detail. A ticketed request that does not reach the book is answered unknown, because another copy may run. The supervisor hands the tickets over and lets the server finish its responses.

Conclusion: each kind of message crosses a real loopback link.

--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -3,10 +3,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
-	"strings"
 	"time"
 
 	"connectrpc.com/connect"
@@ -23,13 +20,6 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Headers that carry the credential of a client account.
-const (
-	HeaderAccount = "Mimosawharf-Account"
-	HeaderSecret  = "Authorization"
-	secretScheme  = "Bearer "
-)
-
 // Inbox takes events for the dispatcher. Push returns *ring.FullError when there is no room.
 type Inbox interface {
 	Push(dispatch.Event) error
@@ -45,8 +35,24 @@
 	DefaultTimeout time.Duration
 	MaxBody        fleet.Bytes
 	TicketLifetime time.Duration
+	// MaxWaiting bounds the requests of one account that wait at this entry.
+	MaxWaiting int
+	// Peers is nil for an entry without peers.
+	Peers Peers
+
+	waiting waiting
 }
 
+// Peers passes on what concerns other entries. Forward returns false for a request that this entry
+// takes itself, and gives the reply its outcome otherwise.
+type Peers interface {
+	Forward(*request.Request, dispatch.OutcomeReceiver) bool
+	Cancel(dispatch.Cancelled) error
+}
+
+// refusalRetry is the retry hint of a request that the dispatcher did not take.
+const refusalRetry = time.Second
+
 // New returns the path and the HTTP handler of the caller service.
 func (h *Handler) New() (string, http.Handler) {
 	// The message around the body needs some room of its own.
@@ -56,54 +62,56 @@
 // envelopeBytes bounds a message without its body.
 const envelopeBytes = 16 << 10
 
-// CredentialError reports an unknown account or a wrong secret. Nothing ran.
-type CredentialError struct{}
-
-// Error implements error.
-func (*CredentialError) Error() string { return "unknown client account or wrong secret; not run" }
-
 // Submit implements the caller service.
 func (h *Handler) Submit(ctx context.Context, r *connect.Request[callerv1.SubmitRequest]) (*connect.Response[callerv1.SubmitResponse], error) {
 	account, err := h.authenticate(r.Header())
 	if err != nil {
 		return nil, err
 	}
-	if err := r.Msg.Check(); err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	if err := h.check(r.Msg); err != nil {
+		return nil, err
 	}
 	req := h.request(account, r.Msg)
+	waiting := h.waiting.of(account)
+	defer waiting.Add(-1)
+	if waiting.Add(1) > int64(h.MaxWaiting) {
+		return connect.NewResponse(wire.SubmitResponse(req.ID, notTaken(req, request.ReasonQuota))), nil
+	}
 	reply := ring.New[request.Outcome]("caller-reply", 1)
-	if h.Inbox.Push(dispatch.Submitted{Request: req, Reply: reply}) != nil {
-		return connect.NewResponse(wire.SubmitResponse(req.ID, request.NotRun(request.ReasonOverloaded, time.Second))), nil
+	if !h.forward(req, reply) && h.Inbox.Push(dispatch.Submitted{Request: req, Reply: reply}) != nil {
+		return connect.NewResponse(wire.SubmitResponse(req.ID, notTaken(req, request.ReasonOverloaded))), nil
 	}
 	outcome, err := reply.Pop(ctx)
 	if err != nil {
+		// A ticketed request goes on, and its outcome is kept for the ticket.
+		if len(req.Ticket) == 0 {
+			_ = h.Inbox.Push(dispatch.CallerGone{Account: account, ID: req.ID})
+		}
 		return nil, connect.NewError(connect.CodeCanceled, trace.Wrap(err))
 	}
 	return connect.NewResponse(wire.SubmitResponse(req.ID, outcome)), nil
 }
 
+// forward passes a request whose ticket another entry redeems to that entry.
+func (h *Handler) forward(r *request.Request, reply dispatch.OutcomeReceiver) bool {
+	return len(r.Ticket) > 0 && h.Peers != nil && h.Peers.Forward(r, reply)
+}
+
+// notTaken is the outcome of a request that did not get as far as the dispatcher. Its ticket is not
+// used up, so that another copy of a ticketed request may have run or may still run.
+func notTaken(r *request.Request, reason request.Reason) request.Outcome {
+	if len(r.Ticket) > 0 {
+		return request.Unknown(reason)
+	}
+	return request.NotRun(reason, refusalRetry)
+}
+
 func (h *Handler) request(account fleet.ClientAccountID, m *callerv1.SubmitRequest) *request.Request {
-	now := h.Clock.Now()
-	timeout := wire.FromDuration(m.GetTimeout())
-	if timeout <= 0 {
-		timeout = h.DefaultTimeout
-	}
-	id := fleet.RequestID(m.GetRequestId())
-	if id == "" {
-		id = fleet.RequestID(uuid.NewString())
-	}
-	return &request.Request{
-		ID:       id,
-		Account:  account,
-		Service:  fleet.ServiceID(m.GetService()),
-		Type:     fleet.RequestType(m.GetRequestType()),
-		Group:    fleet.RequestGroup(m.GetGroup()),
-		Ticket:   m.GetTicket(),
-		Body:     m.GetBody(),
-		Received: now,
-		Deadline: now.Add(timeout),
+	r := wire.FromSubmitRequest(h.Clock.Now(), account, m, h.DefaultTimeout)
+	if r.ID == "" {
+		r.ID = fleet.RequestID(uuid.NewString())
 	}
+	return r
 }
 
 // IssueTickets implements the caller service.
@@ -113,7 +121,7 @@
 		return nil, err
 	}
 	if err := r.Msg.Check(); err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return nil, refusal(connect.CodeInvalidArgument, request.ReasonMalformed, err)
 	}
 	reply := ring.New[[][]byte]("caller-tickets", 1)
 	if err := h.Inbox.Push(dispatch.TicketsWanted{Account: account, Count: int(r.Msg.GetCount()), Reply: reply}); err != nil {
@@ -133,15 +141,15 @@
 		return nil, err
 	}
 	if err := r.Msg.Check(); err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return nil, refusal(connect.CodeInvalidArgument, request.ReasonMalformed, err)
 	}
-	event := dispatch.Cancelled{
-		Account: account,
-		Group:   fleet.RequestGroup(r.Msg.GetGroup()),
-		Reply:   ring.New[dispatch.CancelCount]("caller-cancel", 1),
-	}
-	for _, id := range r.Msg.GetRequestIds() {
-		event.IDs = append(event.IDs, fleet.RequestID(id))
+	event := wire.FromCancelRequest(account, r.Msg)
+	event.Reply = ring.New[dispatch.CancelCount]("caller-cancel", 1)
+	if h.Peers != nil {
+		// The caller does not know which entry holds the request.
+		if err := h.Peers.Cancel(event); err != nil {
+			return nil, connect.NewError(connect.CodeResourceExhausted, err)
+		}
 	}
 	if err := h.Inbox.Push(event); err != nil {
 		return nil, connect.NewError(connect.CodeResourceExhausted, err)
@@ -152,19 +160,3 @@
 	}
 	return connect.NewResponse(&callerv1.CancelResponse{Dequeued: uint32(count.Dequeued), Stopping: uint32(count.Stopping)}), nil
 }
-
-// authenticate returns the account whose secret the headers carry.
-func (h *Handler) authenticate(header http.Header) (fleet.ClientAccountID, error) {
-	id := fleet.ClientAccountID(header.Get(HeaderAccount))
-	secret := strings.TrimPrefix(header.Get(HeaderSecret), secretScheme)
-	hash := sha256.Sum256([]byte(secret))
-	view := h.View.Get()
-	if view == nil {
-		return "", connect.NewError(connect.CodeUnavailable, trace.Wrap(&CredentialError{}))
-	}
-	account, ok := view.Configuration.Accounts[id]
-	if !ok || subtle.ConstantTimeCompare(hash[:], account.CredentialHash) != 1 {
-		return "", connect.NewError(connect.CodeUnauthenticated, trace.Wrap(&CredentialError{}))
-	}
-	return id, nil
-}
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -38,6 +38,8 @@
 	List *fleet.VMList
 	// PollNow asks for a poll without waiting for the interval.
 	PollNow bool
+	// Rows are configuration and VM rows of a peer.
+	Rows *PeerRows
 }
 
 // Poller is the duty that owns the entry's view of the fleet.
@@ -50,11 +52,15 @@
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Interval   time.Duration
+	// Peers takes the rows that were read, for the other entries; it may be nil.
+	Peers RowReceiver
 
 	view    *fleet.View
 	config  configuration.Copy
 	history platform.History
 	failing bool
+	// fromPeers is the revision up to which configuration and VMs are complete thanks to peers.
+	fromPeers fleet.TableRevision
 }
 
 // Name implements duty.Duty.
@@ -73,6 +79,9 @@
 		if ok && ev.List != nil {
 			p.takeList(*ev.List)
 		}
+		if ok && ev.Rows != nil {
+			p.takePeerRows(*ev.Rows)
+		}
 		if !ok || ev.PollNow {
 			p.poll(ctx)
 			timer.Reset(p.Interval)
@@ -99,6 +108,7 @@
 		for _, row := range changes.Rows {
 			p.absorb(next, row)
 		}
+		p.passOn(next.Revision, changes)
 		next.Revision = changes.Revision
 		if !changes.More {
 			break
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"time"
@@ -22,6 +23,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/endpoint"
 	"github.com/mimosawharf/mimosawharf/internal/operation"
 	"github.com/mimosawharf/mimosawharf/internal/operator"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/routing"
@@ -36,6 +38,9 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *zap.Logger
+	// PeerTLS holds the certificate of this entry and the authorities of its peers. It may be nil
+	// with the setting insecure.
+	PeerTLS *tls.Config
 
 	incarnation fleet.Incarnation
 	listeners   listeners
@@ -47,6 +52,12 @@
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
 	operations  *ring.Ring[operation.Operation]
+	hub         *ring.Ring[peer.HubEvent]
+	directory   ring.Latest[*peer.Directory]
+	forwarder   *peer.Forwarder
+	socket      *peer.Socket
+	closing     context.Context
+	closed      *ring.Ring[ServerClosed]
 }
 
 type listeners struct {
@@ -62,7 +73,12 @@
 	d.incarnation = fleet.NewIncarnation()
 	d.makeRings()
 	group, running := duty.NewGroup(context.WithoutCancel(ctx))
-	for _, one := range d.duties(ctx, group.Stop) {
+	defer d.socket.Close()
+	closing, closeCallers := context.WithCancel(running)
+	defer closeCallers()
+	d.closing = closing
+	list := append(d.duties(ctx, group.Stop, closeCallers), d.peerDuties(func(one duty.Duty) { group.Start(running, one) })...)
+	for _, one := range list {
 		group.Start(running, one)
 	}
 	d.Log.Info("daemon: started", zap.String("entry", string(d.Settings.EntryID)), zap.String("incarnation", string(d.incarnation)))
@@ -79,8 +95,10 @@
 	if d.listeners.operator, err = Listen(d.Settings.OperatorAddress); err != nil {
 		return trace.Wrap(err)
 	}
-	d.listeners.health, err = Listen(d.Settings.HealthAddress)
-	return trace.Wrap(err)
+	if d.listeners.health, err = Listen(d.Settings.HealthAddress); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(d.listenPeers())
 }
 
 func (d *Daemon) makeRings() {
@@ -90,16 +108,20 @@
 	d.jobs = ring.New[endpoint.Job]("calls", 2*d.Settings.CallWorkers)
 	d.polls = ring.New[control.PollerEvent]("poller", capacity)
 	d.operations = ring.New[operation.Operation]("operator", capacity)
+	d.hub = ring.New[peer.HubEvent]("peers", capacity)
+	d.forwarder = &peer.Forwarder{Directory: &d.directory, Hub: d.hub}
+	d.closed = ring.New[ServerClosed]("server-closed", 1)
 }
 
 // duties returns all duties of the daemon.
-func (d *Daemon) duties(stopAsked context.Context, stopped func()) []duty.Duty {
+func (d *Daemon) duties(stopAsked context.Context, stopped, closeCallers func()) []duty.Duty {
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
 	list := []duty.Duty{
 		d.dispatcher(),
 		&control.Poller{
 			Table: client, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Peers: d.forwarder,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(client),
@@ -114,6 +136,7 @@
 		&Supervisor{
 			View: &d.view, Readiness: &d.readiness, Status: &d.status, Dispatcher: d.events, Clock: d.Clock, Log: d.Log,
 			SettleTime: s.SettleTime, DrainTimeout: s.DrainTimeout, StopAsked: stopAsked, Stopped: stopped,
+			Peers: d.forwarder, CloseCallers: closeCallers, Closed: d.closed,
 		},
 	}
 	list = append(list, d.calls()...)
@@ -148,11 +171,8 @@
 const ticketKeyBytes = 32
 
 func (d *Daemon) leaseHolder(client *platform.Client) *control.LeaseHolder {
-	s := d.Settings
 	return &control.LeaseHolder{
-		Entry: fleet.Entry{
-			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
-		},
+		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
 		Table:  client, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
@@ -184,11 +204,12 @@
 	s := d.Settings
 	callers := &caller.Handler{
 		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
+		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder,
 	}
 	operators := &operator.Handler{Inbox: d.operations, View: &d.view}
 	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
-		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout},
+		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout, Closing: d.closing, Closed: d.closed},
 		&Server{Duty: "http-operator", Listener: d.listeners.operator, Handler: mount(operators.New()), HeaderTimeout: s.HeaderTimeout},
 		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout},
 	}
--- /dev/null
+++ b/internal/daemon/peers.go
@@ -0,0 +1,87 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// entry returns this entry as its row shows it at first.
+func (d *Daemon) entry() fleet.Entry {
+	s := d.Settings
+	return fleet.Entry{
+		ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: d.socket.Address(), VM: s.VMID, Duration: s.LeaseDuration,
+	}
+}
+
+// listenPeers opens the UDP socket for the peers.
+func (d *Daemon) listenPeers() error {
+	config, err := d.peerTLS()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.socket, err = peer.Listen(d.Settings.PeerAddress, config)
+	return trace.Wrap(err)
+}
+
+// peerTLS returns the TLS configuration towards peers. With the setting insecure, the entry makes a
+// throw-away certificate and does not verify.
+func (d *Daemon) peerTLS() (*tls.Config, error) {
+	s := d.Settings
+	switch {
+	case d.PeerTLS != nil:
+		return d.PeerTLS, nil
+	case s.Insecure:
+		config, err := peer.ThrowAway(d.Clock.Now(), s.EntryID)
+		return config, trace.Wrap(err)
+	}
+	certificate, err := tls.LoadX509KeyPair(string(s.TLSCertFile), string(s.TLSKeyFile))
+	if err != nil {
+		return nil, trace.Wrap(&CertificateError{Cause: err})
+	}
+	authorities, err := os.ReadFile(string(s.TLSCAFile))
+	if err != nil {
+		return nil, trace.Wrap(&CertificateError{Cause: err})
+	}
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(authorities)
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool, ClientCAs: pool}, nil
+}
+
+// CertificateError reports certificate files that cannot be used.
+type CertificateError struct {
+	Cause error
+}
+
+// Error implements error.
+func (e *CertificateError) Error() string { return "certificate for peers: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CertificateError) Unwrap() error { return e.Cause }
+
+// peerDuties returns the hub and the readers; the hub starts the links.
+func (d *Daemon) peerDuties(start func(duty.Duty)) []duty.Duty {
+	s := d.Settings
+	neighbors, _ := s.PeerList() // checked by Parse
+	hub := &peer.Hub{
+		Entry: d.entry(), Inbox: d.hub, View: &d.view, Status: &d.status, Directory: &d.directory, Dialer: d.socket,
+		Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.ReportInterval, Rate: s.PeerBytesPerSecond, Start: start,
+	}
+	for _, n := range neighbors {
+		hub.Neighbors = append(hub.Neighbors, peer.Neighbor{ID: n.ID, Zone: n.Zone, Address: n.Address})
+	}
+	list := []duty.Duty{hub}
+	for i := range peer.MaxPeers {
+		list = append(list, &peer.Reader{
+			Number: i, Own: s.EntryID, Acceptor: d.socket, Dispatcher: d.events, Poller: d.polls, Hub: d.hub,
+			Directory: &d.directory, Clock: d.Clock, Log: d.Log, DefaultTimeout: s.DefaultTimeout,
+		})
+	}
+	return list
+}
--- a/internal/daemon/supervisor.go
+++ b/internal/daemon/supervisor.go
@@ -11,7 +11,9 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/ticket"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -31,6 +33,11 @@
 	DrainTimeout time.Duration
 	// StopAsked ends when the daemon is asked to stop.
 	StopAsked context.Context
+	// Peers takes the tickets over; it may be nil.
+	Peers Heirs
+	// CloseCallers makes the caller's server finish its responses; Closed gets one item then.
+	CloseCallers func()
+	Closed       *ring.Ring[ServerClosed]
 	// Stopped is called when nothing is in flight any more.
 	Stopped func()
 
@@ -38,6 +45,14 @@
 	state  State
 }
 
+// Heirs are the entries that may take the tickets of this entry over.
+type Heirs interface {
+	// Waiting returns how many requests of own callers wait for other entries.
+	Waiting() int
+	// HandOver gives the tickets to one peer. It returns *ring.FullError when nobody takes them now.
+	HandOver([]ticket.Shelf, peer.HandOverReceiver) error
+}
+
 // Name implements duty.Duty.
 func (*Supervisor) Name() fleet.DutyName { return "supervisor" }
 
@@ -61,13 +76,16 @@
 		return trace.Wrap(err)
 	}
 	s.fire(EventDrained)
+	if err := s.handOver(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	s.fire(EventHandedOver)
 	return s.stop(ctx)
 }
 
 func (s *Supervisor) hasConfiguration() bool {
 	view := s.View.Get()
-	return view != nil && view.Revision > 0
+	return view != nil && (view.Revision > 0 || view.Configuration.Revision > 0)
 }
 
 // waitFor waits until the condition holds. It returns false when the daemon is asked to stop first.
@@ -86,14 +104,12 @@
 // drain refuses new work and waits until nothing is in flight, at most for the drain timeout.
 func (s *Supervisor) drain(ctx context.Context) error {
 	started := s.Clock.Now()
-	for s.Dispatcher.Push(dispatch.StopRequested{}) != nil {
-		if err := clock.Wait(ctx, s.Clock, checkInterval); err != nil {
-			return trace.Wrap(err)
-		}
+	if err := s.tell(ctx, dispatch.StopRequested{}); err != nil {
+		return trace.Wrap(err)
 	}
 	for {
 		status := s.Status.Get()
-		if status.Stopping && status.InFlight == 0 {
+		if status.Stopping && status.InFlight == 0 && (s.Peers == nil || s.Peers.Waiting() == 0) {
 			return nil
 		}
 		if s.Clock.Now().Sub(started) > s.DrainTimeout {
@@ -106,6 +122,64 @@
 	}
 }
 
+// tell pushes an event for the dispatcher as soon as there is room.
+func (s *Supervisor) tell(ctx context.Context, ev dispatch.Event) error {
+	for s.Dispatcher.Push(ev) != nil {
+		if err := clock.Wait(ctx, s.Clock, checkInterval); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// handOverTimeout bounds the wait for the peer that takes the tickets over. Without its confirmation
+// they may be redeemed there all the same, so they are never redeemed here again.
+const handOverTimeout = 30 * time.Second
+
+// handOver stops redeeming, gives the tickets to a peer and lets the callers' server finish its
+// responses.
+func (s *Supervisor) handOver(ctx context.Context) error {
+	if s.Peers != nil {
+		shelves := ring.New[[]ticket.Shelf]("supervisor-tickets", 1)
+		if err := s.tell(ctx, dispatch.HandOverWanted{Reply: shelves}); err != nil {
+			return trace.Wrap(err)
+		}
+		list, err := shelves.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if err := s.passTickets(ctx, list); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	if s.CloseCallers == nil {
+		return nil
+	}
+	s.CloseCallers()
+	_, err := s.Closed.Pop(ctx)
+	return trace.Wrap(err)
+}
+
+func (s *Supervisor) passTickets(ctx context.Context, list []ticket.Shelf) error {
+	reply := ring.New[peer.HandOverResult]("supervisor-hand-over", 1)
+	if err := s.Peers.HandOver(list, reply); err != nil {
+		s.Log.Error("supervisor: tickets were not handed over", zap.Error(err))
+		return nil
+	}
+	timer := s.Clock.NewTimer(handOverTimeout)
+	defer timer.Stop()
+	result, ok, err := reply.PopUntil(ctx, timer.Chan())
+	switch {
+	case err != nil:
+		return trace.Wrap(err)
+	case !ok || result.To == "":
+		s.Log.Warn("supervisor: no peer confirmed the tickets, they answer unknown")
+	default:
+		s.Log.Info("supervisor: tickets were handed over", zap.String("peer", string(result.To)))
+	}
+	return nil
+}
+
 func (s *Supervisor) stop(ctx context.Context) error {
 	s.Stopped()
 	<-ctx.Done()
--- a/internal/demo/site.go
+++ b/internal/demo/site.go
@@ -146,6 +146,7 @@
 	s, err := settings.Defaults(func(s *settings.Settings) {
 		s.EntryID, s.Zone = id, zone
 		s.CallerAddress, s.OperatorAddress, s.HealthAddress = addresses[0], addresses[1], addresses[2]
+		s.PeerAddress = "127.0.0.1:0"
 		s.PlatformAddress = "http://" + string(platformAddress)
 		s.Insecure = true
 		s.CallWorkers = 64
--- a/internal/dispatch/cancel.go
+++ b/internal/dispatch/cancel.go
@@ -28,3 +28,13 @@
 	}
 	return count
 }
+
+// Leave takes a queued request without a ticket off its queue, because nobody waits for it any more.
+func (e *Engine) Leave(account fleet.ClientAccountID, id fleet.RequestID) {
+	gone := e.Queues.Remove(func(w *request.Work) bool {
+		return w.Request.Account == account && w.Request.ID == id && w.Sequence == 0
+	})
+	for _, w := range gone {
+		e.end(w, request.EventRefuse, request.NotRun(request.ReasonCancelled, 0))
+	}
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -27,6 +27,10 @@
 	Acknowledged fleet.TableRevision
 	InFlight     int
 	Stopping     bool
+	// Services is the load of each service, for the peers.
+	Services []ServiceLoad
+	// Leaving holds the VMs that this entry heard to be leaving.
+	Leaving []fleet.VMID
 }
 
 // Dispatcher is the duty that owns the engine.
@@ -42,7 +46,7 @@
 	EntriesInZone int
 	Status        *ring.Latest[Status]
 
-	replies   map[request.ReplyID]*ring.Ring[request.Outcome]
+	replies   map[request.ReplyID]OutcomeReceiver
 	lastReply request.ReplyID
 	stopping  bool
 }
@@ -52,7 +56,7 @@
 
 // Run implements duty.Duty.
 func (d *Dispatcher) Run(ctx context.Context) error {
-	d.replies = map[request.ReplyID]*ring.Ring[request.Outcome]{}
+	d.replies = map[request.ReplyID]OutcomeReceiver{}
 	timer := d.Clock.NewTimer(tickInterval)
 	defer timer.Stop()
 	for {
@@ -87,6 +91,8 @@
 		if v.Reply != nil {
 			_ = v.Reply.Push(count)
 		}
+	case CallerGone:
+		d.Engine.Leave(v.Account, v.ID)
 	case ViewChanged:
 		if view := d.View.Get(); view != nil {
 			d.Engine.SetView(now, view, d.EntriesInZone)
@@ -96,6 +102,8 @@
 	case StopRequested:
 		d.stopping = true
 		d.Engine.Stop()
+	default:
+		d.handlePeer(now, ev)
 	}
 }
 
@@ -131,5 +139,6 @@
 		Acknowledged: d.Engine.AcknowledgedRevision(),
 		InFlight:     d.Engine.InFlight(),
 		Stopping:     d.stopping,
+		Leaving:      d.Engine.LeavingVMs(),
 	})
 }
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -37,6 +37,7 @@
 	calls    map[CallID]*call
 	lastCall CallID
 	stopping bool
+	leaving  []fleet.VMID
 	out      Actions
 }
 
@@ -78,6 +79,7 @@
 // SetView replaces what the engine knows of the fleet.
 func (e *Engine) SetView(now time.Time, view *fleet.View, entriesInZone int) {
 	e.view = view
+	e.forgetLeaving()
 	e.Router.Update(view, entriesInZone)
 	e.dispatch(now)
 }
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -18,7 +18,7 @@
 // Submitted is a request of a caller. Exactly one outcome is pushed on Reply.
 type Submitted struct {
 	Request *request.Request
-	Reply   *ring.Ring[request.Outcome]
+	Reply   OutcomeReceiver
 }
 
 // Called is the result of an attempt.
@@ -49,6 +49,13 @@
 	Stopping int
 }
 
+// CallerGone says that the caller of a request without a ticket no longer waits. The request leaves
+// its queue if it has not started.
+type CallerGone struct {
+	Account fleet.ClientAccountID
+	ID      fleet.RequestID
+}
+
 // ViewChanged says that a new view of the fleet was published.
 type ViewChanged struct{}
 
@@ -65,6 +72,7 @@
 func (Called) isEvent()           {}
 func (TicketsWanted) isEvent()    {}
 func (Cancelled) isEvent()        {}
+func (CallerGone) isEvent()       {}
 func (ViewChanged) isEvent()      {}
 func (EndpointReported) isEvent() {}
 func (StopRequested) isEvent()    {}
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/request"
@@ -55,7 +56,28 @@
 
 // Reported takes an endpoint's own statement about itself.
 func (e *Engine) Reported(id fleet.EndpointID, load request.Load) {
+	vm := fleet.VMID(id)
+	known := slices.Contains(e.leaving, vm)
+	switch {
+	case load.Leaving && !known:
+		e.leaving = append(slices.Clip(e.leaving), vm)
+	case !load.Leaving && known:
+		e.leaving = slices.DeleteFunc(slices.Clone(e.leaving), func(v fleet.VMID) bool { return v == vm })
+	}
 	if load.Leaving {
 		e.Router.SetLeaving(id)
 	}
 }
+
+// LeavingVMs returns the VMs whose endpoints told this entry that they leave while the view still
+// shows them as serving. Nobody modifies the list.
+func (e *Engine) LeavingVMs() []fleet.VMID { return e.leaving }
+
+// forgetLeaving drops the VMs that no longer serve according to the view, which peers learn from the
+// table.
+func (e *Engine) forgetLeaving() {
+	e.leaving = slices.DeleteFunc(slices.Clone(e.leaving), func(id fleet.VMID) bool {
+		vm, ok := e.view.VMs[id]
+		return !ok || vm.State != fleet.VMStateServing
+	})
+}
--- /dev/null
+++ b/internal/peer/link_test.go
@@ -0,0 +1,302 @@
+package peer_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"io"
+	"math/big"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
+	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/ticket"
+	peerv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/peer/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// authority signs the certificates of a test's entries.
+type authority struct {
+	key  *ecdsa.PrivateKey
+	cert *x509.Certificate
+	pool *x509.CertPool
+}
+
+func newAuthority(is *is.I) *authority {
+	a := &authority{pool: x509.NewCertPool()}
+	a.cert, a.key = a.sign(is, "authority", true)
+	a.pool.AddCert(a.cert)
+	return a
+}
+
+func (a *authority) sign(is *is.I, name string, root bool) (*x509.Certificate, *ecdsa.PrivateKey) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	is.NoErr(err)
+	now := clock.Real().Now() // QUIC verifies by the real clock
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), DNSNames: []string{name}, NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour),
+		IsCA: root, BasicConstraintsValid: true,
+	}
+	parent, signer := a.cert, a.key
+	if root {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
+	is.NoErr(err)
+	cert, err := x509.ParseCertificate(der)
+	is.NoErr(err)
+	return cert, key
+}
+
+func (a *authority) config(is *is.I, entry fleet.EntryID) *tls.Config {
+	cert, key := a.sign(is, string(entry), false)
+	return &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{cert.Raw}, PrivateKey: key}}, RootCAs: a.pool, ClientCAs: a.pool,
+	}
+}
+
+// node is the peer side of one entry on loopback.
+type node struct {
+	socket    *peer.Socket
+	events    *ring.Ring[dispatch.Event]
+	rows      *ring.Ring[control.PollerEvent]
+	view      ring.Latest[*fleet.View]
+	status    ring.Latest[dispatch.Status]
+	directory ring.Latest[*peer.Directory]
+	forwarder *peer.Forwarder
+	stop      func()
+}
+
+func newNode(t *testing.T, id fleet.EntryID, config *tls.Config, view *fleet.View) *node {
+	is := is.New(t)
+	n := &node{events: ring.New[dispatch.Event]("dispatcher", 4096), rows: ring.New[control.PollerEvent]("poller", 64)}
+	socket, err := peer.Listen("127.0.0.1:0", config)
+	is.NoErr(err)
+	n.socket = socket
+	n.view.Set(view)
+	hub := ring.New[peer.HubEvent]("peers", 1024)
+	n.forwarder = &peer.Forwarder{Directory: &n.directory, Hub: hub}
+	group, ctx := duty.NewGroup(context.Background())
+	group.Start(ctx, &peer.Hub{
+		Entry: fleet.Entry{ID: id, Incarnation: "incarnation-" + fleet.Incarnation(id), Zone: "a"},
+		Inbox: hub, View: &n.view, Status: &n.status, Directory: &n.directory, Dialer: socket, Dispatcher: n.events,
+		Clock: clock.Real(), Log: zap.NewNop(), Interval: 10 * time.Millisecond, Rate: 1 << 24,
+		Start: func(d duty.Duty) { group.Start(ctx, d) },
+	})
+	for i := range 3 {
+		group.Start(ctx, &peer.Reader{
+			Number: i, Own: id, Acceptor: socket, Dispatcher: n.events, Poller: n.rows, Hub: hub, Directory: &n.directory,
+			Clock: clock.Real(), Log: zap.NewNop(), DefaultTimeout: time.Second,
+		})
+	}
+	n.stop = func() {
+		group.Stop()
+		_ = group.Wait()
+		socket.Close()
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+// next returns the next event of one type.
+func next[E dispatch.Event](ctx context.Context, is *is.I, n *node) E {
+	for {
+		ev, err := n.events.Pop(ctx)
+		is.NoErr(err)
+		if e, ok := ev.(E); ok {
+			return e
+		}
+	}
+}
+
+func viewOf(entries map[fleet.EntryID]*node, revision fleet.ConfigRevision) *fleet.View {
+	v := fleet.NewView()
+	for id, n := range entries {
+		v.Entries[id] = fleet.Entry{ID: id, Zone: "a", PeerAddress: n.socket.Address()}
+	}
+	v.Configuration.Revision = revision
+	v.Configuration.Pools["desk"] = fleet.Pool{ID: "desk", Revision: revision}
+	v.VMs["vm-1"] = fleet.VM{ID: "vm-1", RowVersion: 5}
+	return v
+}
+
+// pair returns two linked entries that have exchanged hellos.
+func pair(ctx context.Context, t *testing.T) (a, b *node) {
+	is := is.New(t)
+	authority := newAuthority(is)
+	a = newNode(t, "a", authority.config(is, "a"), nil)
+	b = newNode(t, "b", authority.config(is, "b"), viewOf(map[fleet.EntryID]*node{"a": a}, 3))
+	a.view.Set(viewOf(map[fleet.EntryID]*node{"b": b}, 0))
+	is.Equal(next[dispatch.PeerReported](ctx, is, a).Peer, fleet.EntryID("b"))
+	is.Equal(next[dispatch.PeerReported](ctx, is, b).Peer, fleet.EntryID("a"))
+	for a.directory.Get().Tickets.Live["incarnation-b"] == "" {
+		next[dispatch.PeerReported](ctx, is, a) // reports repeat the hello
+	}
+	return a, b
+}
+
+func ticketOf(entry fleet.EntryID) []byte {
+	return ticket.Encode(ticket.Ticket{
+		Issuer: entry, Incarnation: "incarnation-" + fleet.Incarnation(entry), Account: "newsroom", Sequence: 1, Expires: time.Unix(4e9, 0),
+	}, []byte("key"))
+}
+
+func swap(entry fleet.EntryID) *request.Request {
+	return &request.Request{
+		ID: "swap-1", Account: "newsroom", Service: "shifts", Type: "swap", Ticket: ticketOf(entry),
+		Deadline: clock.Real().Now().Add(time.Minute),
+	}
+}
+
+// Guards against messages between entries that are lost, altered or given to the wrong owner.
+func TestLinkCarriesEachMessage(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	a, b := pair(ctx, t)
+
+	rows, err := a.rows.Pop(ctx) // a has no configuration and asks for it
+	is.NoErr(err)
+	is.Equal(len(rows.Rows.Rows), 3) // pool, VM and head
+
+	reply := ring.New[request.Outcome]("reply", 1)
+	is.True(a.forwarder.Forward(swap("b"), reply))
+	submitted := next[dispatch.Submitted](ctx, is, b)
+	is.Equal(submitted.Request.Account, fleet.ClientAccountID("newsroom"))
+	answer := request.Answered(request.AnswerStatusOK, bytes.Repeat([]byte("x"), 1<<20))
+	is.NoErr(submitted.Reply.Push(answer))
+	is.NoErr(submitted.Reply.Push(request.Unknown(request.ReasonTimeout))) // a second outcome is dropped
+	outcome, err := reply.Pop(ctx)
+	is.NoErr(err)
+	is.Equal(outcome, answer)
+
+	is.NoErr(a.forwarder.Cancel(dispatch.Cancelled{Account: "newsroom", Group: "night"}))
+	is.Equal(next[dispatch.Cancelled](ctx, is, b).Group, fleet.RequestGroup("night"))
+	is.NoErr(b.forwarder.Lend("a", dispatch.SlotLoan{ID: 7, Report: 1, Duration: time.Second, Endpoints: map[fleet.EndpointID]fleet.Slots{"vm-1": 2}}))
+	loan := next[dispatch.SlotsLent](ctx, is, a)
+	is.Equal(loan.Loan.Endpoints["vm-1"], fleet.Slots(2))
+	is.NoErr(a.forwarder.Return("b", 7, loan.Loan.Endpoints))
+	is.Equal(next[dispatch.SlotsReturned](ctx, is, b).Loan, dispatch.LoanID(7))
+
+	done := ring.New[peer.HandOverResult]("done", 1)
+	is.NoErr(b.forwarder.HandOver(shelves(), done))
+	handed := next[dispatch.TicketsHandedOver](ctx, is, a)
+	is.Equal(handed.Shelves[0].Key, []byte("key"))
+	total := 0
+	for _, s := range handed.Shelves {
+		total += len(s.Records)
+	}
+	is.Equal(total, 40)
+	is.NoErr(handed.Reply.Push([]fleet.Incarnation{"incarnation-b"}))
+	result, err := done.Pop(ctx)
+	is.NoErr(err)
+	is.Equal(result.To, fleet.EntryID("a"))
+	holder, _ := b.directory.Get().Tickets.Holder(ticketOf("b"))
+	is.Equal(holder, fleet.EntryID("a")) // the old issuer passes its tickets on from now on
+}
+
+func shelves() []ticket.Shelf {
+	s := ticket.Shelf{Incarnation: "incarnation-b", Key: []byte("key"), Watermark: time.Unix(5, 0).UTC()}
+	for i := range 40 {
+		s.Records = append(s.Records, ticket.Record{
+			Sequence: fleet.TicketSequence(i + 1), Outcome: request.Answered(request.AnswerStatusOK, make([]byte, 50<<10)),
+		})
+	}
+	return []ticket.Shelf{s}
+}
+
+// Guards against a caller who waits for ever, or is told not run, when the issuer dies.
+func TestForwardedRequestIsUnknownWhenTheLinkBreaks(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	a, b := pair(ctx, t)
+	reply := ring.New[request.Outcome]("reply", 1)
+	is.True(a.forwarder.Forward(swap("b"), reply))
+	next[dispatch.Submitted](ctx, is, b)
+	b.stop()
+	outcome, err := reply.Pop(ctx)
+	is.NoErr(err)
+	is.Equal(outcome.Kind, request.OutcomeUnknown)
+	is.True(a.forwarder.Forward(swap("b"), reply)) // with the link down
+	outcome, err = reply.Pop(ctx)
+	is.NoErr(err)
+	is.Equal(outcome.Reason, request.ReasonIssuerUnreachable)
+	is.Equal(a.forwarder.Waiting(), 0)
+}
+
+// Guards against an entry that speaks for another one with its own certificate.
+func TestSocketChecksWhoThePeerIs(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	one, other := newAuthority(is), newAuthority(is)
+	server, err := peer.Listen("127.0.0.1:0", one.config(is, "server"))
+	is.NoErr(err)
+	defer server.Close()
+	client, err := peer.Listen("127.0.0.1:0", one.config(is, "client"))
+	is.NoErr(err)
+	defer client.Close()
+	conn, err := client.Dial(ctx, "server", server.Address())
+	is.NoErr(err)
+	_, err = conn.Write([]byte("x"))
+	is.NoErr(err)
+	in, err := server.Accept(ctx)
+	is.NoErr(err)
+	is.True(in.Certifies("client"))
+	is.True(!in.Certifies("server"))
+	_, err = client.Dial(ctx, "someone-else", server.Address())
+	is.True(err != nil) // the server has no certificate for that name
+	stranger, err := peer.Listen("127.0.0.1:0", other.config(is, "client"))
+	is.NoErr(err)
+	defer stranger.Close()
+	_, err = stranger.Dial(ctx, "server", server.Address())
+	is.True(err != nil)
+}
+
+// Guards against frames that make the reader allocate or accept what no peer sends.
+func TestReadFrame(t *testing.T) {
+	whole, err := peer.EncodeFrame(&peerv1.Frame{Message: &peerv1.Frame_Hello{Hello: &peerv1.Hello{Entry: "a"}}})
+	is.New(t).NoErr(err)
+	cases := []struct {
+		name string
+		data []byte
+		want error
+	}{
+		{"closed before the frame", nil, io.EOF},
+		{"closed within the length", whole[:2], io.ErrUnexpectedEOF},
+		{"closed within the body", whole[:len(whole)-1], io.ErrUnexpectedEOF},
+		{"above the limit", []byte{0xff, 0, 0, 0}, &peer.FrameError{}},
+		{"not a message", []byte{0, 0, 0, 1, 0xff}, &peer.FrameError{}},
+		{"whole", whole, nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := peer.ReadFrame(bytes.NewReader(c.data))
+			var problem *peer.FrameError
+			if errors.As(c.want, &problem) {
+				is.True(errors.As(err, &problem))
+				return
+			}
+			is.True(errors.Is(err, c.want))
+		})
+	}
+	_, err = peer.EncodeFrame(&peerv1.Frame{Message: &peerv1.Frame_HandOver{HandOver: &peerv1.HandOver{Key: make([]byte, peer.MaxFrameBytes)}}})
+	var problem *peer.FrameError
+	is.New(t).True(errors.As(err, &problem))
+}
