endpoint: prove what was not sent, bound connections and probe

Cause: an attempt on a connection that had died before the first byte counted as lost, connections were not bounded, an endpoint that got no work was never heard from, and controls waited behind long work.

Excluded: telling by the errors of net/http whether bytes were written, because it hides them; the connection counts the bytes itself and is sealed when none went out. Probing endpoints of other zones, because it grows with the zones and peers report their drains.

Change: a client that net/http cannot make send again (no rewindable body, no Idempotency-Key, no redirect), connections per endpoint divided by the entries, a size limit on answers, a prober duty, eight call duties for controls and probes. The stand-in gets faults.

Conclusion: a request is sent once, and not-run is given only when no byte went out or the endpoint said so.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -7,7 +7,6 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/justinas/alice"
@@ -52,6 +51,7 @@
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
 	operations  *ring.Ring[operation.Operation]
+	heard       *ring.Ring[endpoint.Heard]
 	hub         *ring.Ring[peer.HubEvent]
 	directory   ring.Latest[*peer.Directory]
 	forwarder   *peer.Forwarder
@@ -108,6 +108,7 @@
 	d.jobs = ring.New[endpoint.Job]("calls", 2*d.Settings.CallWorkers)
 	d.polls = ring.New[control.PollerEvent]("poller", capacity)
 	d.operations = ring.New[operation.Operation]("operator", capacity)
+	d.heard = ring.New[endpoint.Heard]("prober", capacity)
 	d.hub = ring.New[peer.HubEvent]("peers", capacity)
 	d.forwarder = &peer.Forwarder{Directory: &d.directory, Hub: d.hub}
 	d.closed = ring.New[ServerClosed]("server-closed", 1)
@@ -178,23 +179,18 @@
 	}
 }
 
-// endpointIdleTimeout closes connections to endpoints that are not used.
-const endpointIdleTimeout = 90 * time.Second
-
-// dialTimeout bounds the opening of a connection to an endpoint.
-const dialTimeout = time.Second
+// controlCalls is how many call duties there are beyond the attempts in flight, so that controls and
+// probes do not wait behind long work.
+const controlCalls = 8
 
 func (d *Daemon) calls() []duty.Duty {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     endpointIdleTimeout,
-		DisableCompression:  true,
+	client := endpoint.NewClient(d.endpointConnections())
+	list := []duty.Duty{&endpoint.Prober{
+		Zone: d.Settings.Zone, Inbox: d.heard, View: &d.view, Jobs: d.jobs, Clock: d.Clock, Interval: d.Settings.ProbeInterval,
 	}}
-	var list []duty.Duty
-	for i := range d.Settings.CallWorkers {
+	for i := range d.Settings.CallWorkers + controlCalls {
 		list = append(list, &endpoint.Call{
-			Number: i, Jobs: d.jobs, Results: d.events, Client: client, Scheme: "http", Clock: d.Clock,
+			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: "http", Clock: d.Clock,
 		})
 	}
 	return list
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -85,3 +85,19 @@
 	}
 	return list
 }
+
+// Connections of one endpoint, and the entries that share them when the settings name none.
+const (
+	endpointConnections fleet.Connections = 64
+	usualEntries        fleet.Connections = 8
+)
+
+// endpointConnections returns the part of an endpoint's connections that this entry may open.
+func (d *Daemon) endpointConnections() fleet.Connections {
+	neighbors, _ := d.Settings.PeerList() // checked by Parse
+	entries := fleet.Connections(len(neighbors) + 1)
+	if len(neighbors) == 0 {
+		entries = usualEntries
+	}
+	return max(endpointConnections/entries, 1)
+}
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -17,6 +17,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/request"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/routing"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	endpointv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/endpoint/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/endpoint/v1/endpointv1connect"
@@ -29,10 +30,21 @@
 	PushReserved(dispatch.Event) error
 }
 
+// Statements takes what endpoints say of themselves outside attempts.
+type Statements interface {
+	Push(dispatch.Event) error
+}
+
+// Listener learns which endpoints were heard from.
+type Listener interface {
+	Push(Heard) error
+}
+
 // Job is an attempt, a control or a probe.
 type Job struct {
 	Send    *dispatch.Send
 	Control *dispatch.Control
+	Probe   *routing.Target
 }
 
 // Pool hands jobs to a fixed number of call duties. It implements dispatch.Sender.
@@ -53,9 +65,12 @@
 	Number  int
 	Jobs    *ring.Ring[Job]
 	Results Results
-	Client  *http.Client
-	Scheme  string
-	Clock   clock.Clock
+	// Statements and Heard may be nil.
+	Statements Statements
+	Heard      Listener
+	Client     *http.Client
+	Scheme     string
+	Clock      clock.Clock
 }
 
 // Name implements duty.Duty.
@@ -76,31 +91,101 @@
 			}
 		case job.Control != nil:
 			c.control(ctx, *job.Control)
+		case job.Probe != nil:
+			c.probe(ctx, *job.Probe)
 		}
 	}
 }
 
+// maxAnswerBytes bounds the response to an attempt. Larger ones are not read to the end.
+const maxAnswerBytes = 1<<20 + 64<<10
+
+func (c *Call) client(t routing.Target) endpointv1connect.EndpointServiceClient {
+	return endpointv1connect.NewEndpointServiceClient(c.Client, c.Scheme+"://"+string(t.Address), connect.WithReadMaxBytes(maxAnswerBytes))
+}
+
+// transit remembers the connection that an attempt got. net/http sets it before the attempt returns
+// or not at all.
+type transit struct {
+	conn  atomic.Pointer[guardedConn]
+	since atomic.Int64
+	// unguarded says that the attempt got a connection of another client, which proves nothing.
+	unguarded atomic.Bool
+}
+
+func (t *transit) got(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*guardedConn)
+	if !ok {
+		t.unguarded.Store(true)
+		return
+	}
+	t.since.Store(conn.written.Load())
+	if !t.conn.CompareAndSwap(nil, conn) {
+		// The attempt was given up before it got this connection.
+		conn.seal()
+	}
+}
+
+// isUnsent reports whether certainly no byte of the attempt was sent and none will be.
+func (t *transit) isUnsent() bool {
+	if t.unguarded.Load() {
+		return false
+	}
+	if t.conn.CompareAndSwap(nil, &guardedConn{}) {
+		return true
+	}
+	return t.conn.Load().sealIfUnused(t.since.Load())
+}
+
 // send carries out one attempt. Whether a byte may have reached the endpoint decides between a
 // result of not-run and one of lost.
 func (c *Call) send(ctx context.Context, s dispatch.Send) request.Result {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	var connected atomic.Bool
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
-	})
+	var t transit
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.got})
 	started := c.Clock.Now()
-	client := endpointv1connect.NewEndpointServiceClient(c.Client, c.Scheme+"://"+string(s.Target.Address))
-	response, err := client.Run(ctx, connect.NewRequest(runRequest(s)))
+	response, err := c.client(s.Target).Run(ctx, connect.NewRequest(runRequest(s)))
 	elapsed := c.Clock.Now().Sub(started)
 	if err != nil {
-		return failedCall(err, connected.Load(), elapsed)
+		return failedCall(err, &t, elapsed)
 	}
 	result := wire.FromRunResponse(s.Request.ID, response.Msg)
 	result.Elapsed = elapsed
+	if result.Load != nil {
+		c.heard(s.Target)
+	}
 	return result
 }
 
+// heard tells the prober that an endpoint spoke. When there is no room, the endpoint is probed.
+func (c *Call) heard(t routing.Target) {
+	if c.Heard != nil {
+		_ = c.Heard.Push(Heard{Endpoint: t.Endpoint})
+	}
+}
+
+// report passes an endpoint's statement about itself on. A statement that is lost comes again with
+// the next probe.
+func (c *Call) report(t routing.Target, load *endpointv1.Load) {
+	if load == nil || c.Statements == nil {
+		return
+	}
+	c.heard(t)
+	_ = c.Statements.Push(dispatch.EndpointReported{Endpoint: t.Endpoint, Load: *wire.FromLoad(load)})
+}
+
+func (c *Call) probe(ctx context.Context, t routing.Target) {
+	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
+	defer cancel()
+	response, err := c.client(t).Probe(ctx, connect.NewRequest(&endpointv1.ProbeRequest{
+		Pool: string(t.Pool), AssignmentEpoch: uint64(t.AssignmentEpoch),
+	}))
+	if err == nil {
+		c.report(t, response.Msg.GetLoad())
+	}
+}
+
 func runRequest(s dispatch.Send) *endpointv1.RunRequest {
 	r := s.Request
 	return &endpointv1.RunRequest{
@@ -118,28 +203,32 @@
 	}
 }
 
-// failedCall classifies a call without a response. Only a call that never got a connection is known
-// not to have run.
-func failedCall(err error, connected bool, elapsed time.Duration) request.Result {
+// failedCall classifies a call without a response. Only a call of which no byte was sent is known not
+// to have run.
+func failedCall(err error, t *transit, elapsed time.Duration) request.Result {
 	switch {
-	case !connected:
+	case t.isUnsent():
 		return request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalUnreachable, Elapsed: elapsed}
 	case errors.Is(err, context.DeadlineExceeded):
 		return request.Result{Kind: request.ResultLost, Reason: request.ReasonTimeout, Elapsed: elapsed}
+	case connect.CodeOf(err) == connect.CodeResourceExhausted:
+		return request.Result{Kind: request.ResultLost, Reason: request.ReasonIncompleteAnswer, Elapsed: elapsed}
 	default:
 		return request.Result{Kind: request.ResultLost, Reason: request.ReasonConnectionLost, Elapsed: elapsed}
 	}
 }
 
-// controlTimeout bounds a control, which endpoints answer at once.
+// controlTimeout bounds a control or a probe, which endpoints answer at once.
 const controlTimeout = 2 * time.Second
 
 func (c *Call) control(ctx context.Context, control dispatch.Control) {
 	ctx, cancel := context.WithTimeout(ctx, controlTimeout)
 	defer cancel()
-	client := endpointv1connect.NewEndpointServiceClient(c.Client, c.Scheme+"://"+string(control.Target.Address))
 	// The result of a control shows in the result of the attempt that it concerns.
-	_, _ = client.Control(ctx, connect.NewRequest(&endpointv1.ControlRequest{
+	response, err := c.client(control.Target).Control(ctx, connect.NewRequest(&endpointv1.ControlRequest{
 		RequestId: string(control.Request), Action: string(control.Action),
 	}))
+	if err == nil {
+		c.report(control.Target, response.Msg.GetLoad())
+	}
 }
--- /dev/null
+++ b/internal/endpoint/transport.go
@@ -0,0 +1,101 @@
+package endpoint
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Times of connections to endpoints.
+const (
+	dialTimeout = time.Second
+	idleTimeout = 90 * time.Second
+)
+
+// NewClient returns an HTTP client that sends each request at most once and opens at most the given
+// number of connections to one endpoint. It speaks HTTP/1.1, where one connection carries one request
+// at a time.
+func NewClient(connections fleet.Connections) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{
+		Transport: &singleSend{next: &http.Transport{
+			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				conn, err := dialer.DialContext(ctx, network, address)
+				if err != nil {
+					return nil, trace.Wrap(err)
+				}
+				return &guardedConn{Conn: conn}, nil
+			},
+			MaxConnsPerHost:     int(connections),
+			MaxIdleConnsPerHost: int(connections),
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		}},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
+}
+
+// singleSend keeps net/http from sending a request again when a connection dies: the body cannot be
+// rewound and no header declares the request idempotent.
+type singleSend struct {
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (s *singleSend) RoundTrip(r *http.Request) (*http.Response, error) {
+	once := r.Clone(r.Context())
+	once.GetBody = nil
+	once.Header.Del("Idempotency-Key")
+	once.Header.Del("X-Idempotency-Key")
+	if r.Body != nil {
+		once.Body = struct{ io.ReadCloser }{r.Body}
+	}
+	// The error goes to net/http unchanged, which tells timeouts apart by its type.
+	return s.next.RoundTrip(once)
+}
+
+// sealed is the state of a connection that takes no more bytes.
+const sealed = -1
+
+// guardedConn counts the bytes that were passed to the network. It can be closed on the condition that
+// nothing was passed since a point in time, which proves that a request was not sent.
+type guardedConn struct {
+	net.Conn
+	written atomic.Int64
+}
+
+// Write implements net.Conn.
+func (g *guardedConn) Write(p []byte) (int, error) {
+	for {
+		before := g.written.Load()
+		if before == sealed {
+			return 0, net.ErrClosed
+		}
+		if g.written.CompareAndSwap(before, before+int64(len(p))) {
+			return g.Conn.Write(p)
+		}
+	}
+}
+
+// sealIfUnused closes the connection for good and returns true when nothing was written since the
+// given count.
+func (g *guardedConn) sealIfUnused(since int64) bool {
+	if !g.written.CompareAndSwap(since, sealed) {
+		return false
+	}
+	_ = g.Close()
+	return true
+}
+
+// seal closes the connection for good.
+func (g *guardedConn) seal() {
+	g.written.Store(sealed)
+	_ = g.Close()
+}
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -29,7 +29,8 @@
 	// RunTime returns how long a request runs. It is called by the duty only.
 	RunTime func(*endpointv1.RunRequest) time.Duration
 
-	inbox *ring.Ring[event]
+	inbox       *ring.Ring[event]
+	misbehavior ring.Latest[Misbehavior]
 
 	// The fields below belong to the duty.
 	running map[string]*run
@@ -46,6 +47,8 @@
 	request *endpointv1.RunRequest
 	reply   *ring.Ring[*endpointv1.RunResponse]
 	ends    time.Time
+	// throttled says that the run takes throttleFactor times as long from now on.
+	throttled bool
 }
 
 // event is one input of the duty.
@@ -133,7 +136,16 @@
 		return
 	}
 	e.runs[r.GetRequestId()]++
-	e.running[r.GetRequestId()] = &run{request: r, reply: reply, ends: e.Clock.Now().Add(e.RunTime(r))}
+	m := e.misbehavior.Get()
+	if m.Fault == FaultFailFast {
+		_ = reply.Push(&endpointv1.RunResponse{
+			RequestId: r.GetRequestId(),
+			Result:    &endpointv1.RunResponse_Failure{Failure: &endpointv1.Failure{Blame: string(request.BlameEndpoint), Detail: "fails everything"}},
+			Load:      e.load(),
+		})
+		return
+	}
+	e.running[r.GetRequestId()] = &run{request: r, reply: reply, ends: e.Clock.Now().Add(e.RunTime(r) + m.slowness())}
 	e.peak = max(e.peak, len(e.running))
 }
 
@@ -143,6 +155,8 @@
 		return request.RefusalWrongAssignment
 	case e.leaving:
 		return request.RefusalLeaving
+	case e.misbehavior.Get().Fault == FaultBusy:
+		return request.RefusalBusy
 	case len(e.running) >= int(e.Slots) || e.running[r.GetRequestId()] != nil:
 		return request.RefusalBusy
 	case r.GetBodyDigest() != uint64(request.DigestOf(r.GetBody())):
@@ -162,7 +176,7 @@
 		delete(e.running, id)
 		body := r.request.GetBody()
 		_ = r.reply.Push(&endpointv1.RunResponse{
-			RequestId: id,
+			RequestId: e.misbehavior.Get().requestID(id),
 			Result: &endpointv1.RunResponse_Answer{Answer: &endpointv1.Answer{
 				Body: body, Length: uint64(len(body)), Digest: uint64(request.DigestOf(body)),
 			}},
@@ -173,7 +187,7 @@
 
 func (e *Endpoint) control(c *endpointv1.ControlRequest) *endpointv1.ControlResponse {
 	r := e.running[c.GetRequestId()]
-	if r == nil {
+	if r == nil || e.misbehavior.Get().Fault == FaultIgnoreControls {
 		return &endpointv1.ControlResponse{Load: e.load()}
 	}
 	response := &endpointv1.RunResponse{RequestId: c.GetRequestId()}
@@ -183,6 +197,7 @@
 	case "stop":
 		response.Result = &endpointv1.RunResponse_Failure{Failure: &endpointv1.Failure{Blame: string(request.BlameRequest), Detail: "stopped"}}
 	default:
+		e.setPace(r, c.GetAction() == "throttle")
 		return &endpointv1.ControlResponse{Applied: true, Load: e.load()}
 	}
 	delete(e.running, c.GetRequestId())
@@ -199,7 +214,7 @@
 func (e *Endpoint) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(endpointv1connect.NewEndpointServiceHandler(handler{endpoint: e}))
-	return mux
+	return faulty{next: mux, misbehavior: &e.misbehavior, clock: e.Clock}
 }
 
 // Observation is what tests and the demo check.
