--- /dev/null
+++ b/internal/caller/handler_test.go
@@ -0,0 +1,135 @@
+package caller_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/caller"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/request"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	callerv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/caller/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/caller/v1/callerv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/client"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// peers is another entry that redeems every ticket that starts with "foreign".
+type peers struct {
+	cancelled *ring.Ring[dispatch.Cancelled]
+}
+
+func (peers) Forward(r *request.Request, reply dispatch.OutcomeReceiver) bool {
+	if string(r.Ticket) != "foreign" {
+		return false
+	}
+	_ = reply.Push(request.Answered(request.AnswerStatusOK, []byte("from the issuer")))
+	return true
+}
+
+func (p peers) Cancel(c dispatch.Cancelled) error { return p.cancelled.Push(c) }
+
+func start(t *testing.T, inbox *ring.Ring[dispatch.Event], maxWaiting int, secret string) (callerv1connect.CallerServiceClient, peers) {
+	view := fleet.NewView()
+	hash := sha256.Sum256([]byte("secret"))
+	view.Configuration.Accounts["newsroom"] = fleet.ClientAccount{ID: "newsroom", CredentialHash: hash[:]}
+	p := peers{cancelled: ring.New[dispatch.Cancelled]("cancelled", 1)}
+	h := &caller.Handler{
+		Inbox: inbox, View: &ring.Latest[*fleet.View]{}, Clock: clockwork.NewFakeClock(), DefaultTimeout: time.Second,
+		MaxBody: 100, MaxWaiting: maxWaiting, Peers: p,
+	}
+	h.View.Set(view)
+	mux := http.NewServeMux()
+	mux.Handle(h.New())
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return client.NewCaller(server.URL, client.CallerOptions{Account: "newsroom", Secret: secret}), p
+}
+
+// Guards against a refusal that says not run although another copy of the ticketed request may run, and
+// against refusals whose type does not say that nothing ran.
+func TestRequestsThatTheDispatcherDoesNotTake(t *testing.T) {
+	swap := func(ticket string, body int) *callerv1.SubmitRequest {
+		return &callerv1.SubmitRequest{Service: "shifts", RequestType: "swap", Ticket: []byte(ticket), Body: make([]byte, body)}
+	}
+	cases := []struct {
+		name       string
+		maxWaiting int
+		secret     string
+		request    *callerv1.SubmitRequest
+		want       string
+		code       connect.Code
+	}{
+		{"ring full", 9, "secret", swap("", 1), "not-run overloaded", 0},
+		{"ring full, with a ticket", 9, "secret", swap("own", 1), "unknown overloaded", 0},
+		{"account waits too often", 0, "secret", swap("", 1), "not-run quota", 0},
+		{"account waits too often, with a ticket", 0, "secret", swap("own", 1), "unknown quota", 0},
+		{"ticket of another issuer", 9, "secret", swap("foreign", 1), "answer", 0},
+		{"body too large", 9, "secret", swap("", 101), "refused body-too-large", connect.CodeInvalidArgument},
+		{"malformed", 9, "secret", &callerv1.SubmitRequest{}, "refused malformed", connect.CodeInvalidArgument},
+		{"wrong secret", 9, "guess", swap("", 1), "refused not-permitted", connect.CodeUnauthenticated},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			inbox := ring.New[dispatch.Event]("dispatcher", 1)
+			is.NoErr(inbox.Push(dispatch.ViewChanged{}))
+			api, _ := start(t, inbox, c.maxWaiting, c.secret)
+			response, err := api.Submit(context.Background(), connect.NewRequest(c.request))
+			is.Equal(describe(response, err), c.want)
+			if c.code != 0 {
+				is.Equal(connect.CodeOf(err), c.code)
+			}
+		})
+	}
+}
+
+func describe(response *connect.Response[callerv1.SubmitResponse], err error) string {
+	if problem, ok := err.(*connect.Error); ok {
+		for _, d := range problem.Details() {
+			if v, err := d.Value(); err == nil {
+				return "refused " + v.(*callerv1.Refusal).GetReason()
+			}
+		}
+		return "error without detail"
+	}
+	switch o := response.Msg.GetOutcome().(type) {
+	case *callerv1.SubmitResponse_NotRun:
+		return "not-run " + o.NotRun.GetReason()
+	case *callerv1.SubmitResponse_Unknown:
+		return "unknown " + o.Unknown.GetReason()
+	}
+	return "answer"
+}
+
+// Guards against queued work that nobody waits for, and a cancellation that stays at one entry.
+func TestCallerLeavesAndCancels(t *testing.T) {
+	is := is.New(t)
+	inbox := ring.New[dispatch.Event]("dispatcher", 8)
+	api, p := start(t, inbox, 9, "secret")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		_, _ = inbox.Pop(context.Background()) // the request
+		cancel()
+	}()
+	_, err := api.Submit(ctx, connect.NewRequest(&callerv1.SubmitRequest{Service: "shifts", RequestType: "plan", RequestId: "plan-1"}))
+	is.Equal(connect.CodeOf(err), connect.CodeCanceled)
+	ev, err := inbox.Pop(context.Background())
+	is.NoErr(err)
+	is.Equal(ev, dispatch.CallerGone{Account: "newsroom", ID: "plan-1"})
+	go func() {
+		ev, _ := inbox.Pop(context.Background())
+		_ = ev.(dispatch.Cancelled).Reply.Push(dispatch.CancelCount{Dequeued: 1})
+	}()
+	_, err = api.Cancel(context.Background(), connect.NewRequest(&callerv1.CancelRequest{Group: "night"}))
+	is.NoErr(err)
+	is.Equal(p.cancelled.Depth(), 1)
+}
