--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		// A ticketed request goes on, and its outcome is kept for the ticket.
 		if len(req.Ticket) == 0 {
-			_ = h.Inbox.Push(dispatch.CallerGone{Account: account, ID: req.ID})
+			_ = h.Inbox.Push(dispatch.CallerLeft{Account: account, ID: req.ID})
 		}
 		return nil, connect.NewError(connect.CodeCanceled, trace.Wrap(err))
 	}
--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -124,7 +124,7 @@
 	is.Equal(connect.CodeOf(err), connect.CodeCanceled)
 	ev, err := inbox.Pop(context.Background())
 	is.NoErr(err)
-	is.Equal(ev, dispatch.CallerGone{Account: "newsroom", ID: "plan-1"})
+	is.Equal(ev, dispatch.CallerLeft{Account: "newsroom", ID: "plan-1"})
 	go func() {
 		ev, _ := inbox.Pop(context.Background())
 		_ = ev.(dispatch.Cancelled).Reply.Push(dispatch.CancelCount{Dequeued: 1})
--- a/internal/control/peerrows.go
+++ b/internal/control/peerrows.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"github.com/mimosawharf/mimosawharf/internal/configuration"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -37,32 +38,6 @@
 	}
 }
 
-// takePeerRows takes rows of a peer that are newer than the known ones. The revision of the view stays,
-// because rows of other kinds come from the table only.
-func (p *Poller) takePeerRows(in PeerRows) {
-	if p.history != "" && in.History != "" && in.History != p.history {
-		return
-	}
-	next := p.copyView()
-	complete := max(next.Revision, p.fromPeers) >= in.After
-	for _, row := range in.Rows {
-		switch {
-		case row.Key == wire.KeyHead && !complete:
-			// The head counts only once all items up to it are known.
-		case wire.HasPrefix(row.Key, wire.PrefixVM):
-			if row.Version > next.VMs[fleet.VMID(wire.IDOf(row.Key, wire.PrefixVM))].RowVersion {
-				p.absorb(next, row)
-			}
-		case wire.HasPrefix(row.Key, wire.PrefixConfig):
-			p.absorb(next, row)
-		}
-	}
-	if complete {
-		p.fromPeers = max(p.fromPeers, in.Revision)
-	}
-	p.publish(next)
-}
-
 // RowsOf returns the configuration and VM rows of a view, for an entry that has none.
 func RowsOf(v *fleet.View) PeerRows {
 	out := PeerRows{Revision: v.Revision}
@@ -70,17 +45,17 @@
 		out.Rows = append(out.Rows, platform.Row{Key: key, Value: value, Version: version})
 	}
 	for id, pool := range v.Configuration.Pools {
-		add(wire.KeyPool(id), wire.EncodeItem(wire.Item{Revision: pool.Revision, Pool: &pool}), 1)
+		add(wire.KeyPool(id), wire.EncodeItem(configuration.Item{Revision: pool.Revision, Pool: &pool}), 1)
 	}
 	for id, service := range v.Configuration.Services {
-		add(wire.KeyService(id), wire.EncodeItem(wire.Item{Revision: service.Revision, Service: &service}), 1)
+		add(wire.KeyService(id), wire.EncodeItem(configuration.Item{Revision: service.Revision, Service: &service}), 1)
 	}
 	for id, account := range v.Configuration.Accounts {
-		add(wire.KeyAccount(id), wire.EncodeItem(wire.Item{Revision: account.Revision, Account: &account}), 1)
+		add(wire.KeyAccount(id), wire.EncodeItem(configuration.Item{Revision: account.Revision, Account: &account}), 1)
 	}
 	for id, vm := range v.VMs {
 		add(wire.KeyVM(id), wire.EncodeVM(vm), vm.RowVersion)
 	}
-	add(wire.KeyHead, wire.EncodeHead(wire.Head{Revision: v.Configuration.Revision}), 1)
+	add(wire.KeyHead, wire.EncodeHead(configuration.Head{Revision: v.Configuration.Revision}), 1)
 	return out
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/tls"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 
@@ -24,6 +25,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/operator"
 	"github.com/mimosawharf/mimosawharf/internal/peer"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/retry"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/routing"
 	"github.com/mimosawharf/mimosawharf/internal/settings"
@@ -58,6 +60,8 @@
 	socket      *peer.Socket
 	closing     context.Context
 	closed      *ring.Ring[ServerClosed]
+	writes      *ring.Ring[*platform.Call]
+	reads       *ring.Ring[*platform.Call]
 }
 
 type listeners struct {
@@ -112,26 +116,31 @@
 	d.hub = ring.New[peer.HubEvent]("peers", capacity)
 	d.forwarder = &peer.Forwarder{Directory: &d.directory, Hub: d.hub}
 	d.closed = ring.New[ServerClosed]("server-closed", 1)
+	d.writes = ring.New[*platform.Call]("table-writer", capacity)
+	d.reads = ring.New[*platform.Call]("table-reader", capacity)
 }
 
 // duties returns all duties of the daemon.
 func (d *Daemon) duties(stopAsked context.Context, stopped, closeCallers func()) []duty.Duty {
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
+	table := &platform.Limited{Client: client, Writes: d.writes, Reads: d.reads}
 	list := []duty.Duty{
 		d.dispatcher(),
+		&platform.Lane{Duty: "table-writer", Inbox: d.writes, Clock: d.Clock, PerSecond: float64(s.TableWritesPerSecond)},
+		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
-			Table: client, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
-			Peers: d.forwarder,
+			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Zone: s.Zone, HoldTime: s.HoldTime, Peers: d.forwarder,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
-		d.leaseHolder(client),
+		d.leaseHolder(table),
 		&control.FleetDriver{
-			Entry: s.EntryID, Table: client, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
-			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
+			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
+			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
 		},
 		&operation.Executor{
-			Entry: s.EntryID, Inbox: d.operations, Table: client, Platform: client, View: &d.view, PollNow: d.pollNow,
+			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
 		},
 		&Supervisor{
@@ -149,33 +158,40 @@
 	key := make([]byte, ticketKeyBytes)
 	_, _ = rand.Read(key) // never fails
 	engine := dispatch.NewEngine(
-		&admission.Queues{Capacity: s.QueueCapacity, MaxBytes: s.QueueBytes},
-		&routing.Router{Zone: s.Zone},
+		&admission.Queues{Capacity: s.QueueCapacity, MaxBytes: s.QueueBytes, NormalPercent: s.NormalPercent},
+		&routing.Router{
+			Zone: s.Zone, Entry: s.EntryID, Reserved: s.ShortReservedSlots, EjectPercent: s.EjectPercent,
+			LoanLife: s.SlotLoan, ZoneLatency: s.ZoneLatency,
+		},
 		&ticket.Book{Issuer: s.EntryID, Incarnation: d.incarnation, Key: key, Lifetime: s.TicketLifetime},
 		s.CallWorkers,
 	)
 	engine.MaxAttempts = s.MaxAttempts
+	engine.LongPercent, engine.LongLag = s.LongSlotsPercent, s.LongLag
+	engine.Quotas.MaxInFlight = s.MaxConnectionsPerAccount
+	engine.Retries = &retry.Budget{Percent: s.RetryPercent, Random: mathrand.New(mathrand.NewPCG(mathrand.Uint64(), mathrand.Uint64()))}
 	peers, _ := s.PeerList() // checked by Parse
-	entriesInZone := 1
+	entries := []fleet.EntryID{s.EntryID}
 	for _, p := range peers {
 		if p.Zone == s.Zone {
-			entriesInZone++
+			entries = append(entries, p.ID)
 		}
 	}
+	engine.SetEntries(d.Clock.Now(), entries, len(peers)+1)
 	return &dispatch.Dispatcher{
 		Engine: engine, Inbox: d.events, Sender: &endpoint.Pool{Jobs: d.jobs}, Clock: d.Clock, Log: d.Log,
-		View: &d.view, EntriesInZone: entriesInZone, Status: &d.status,
+		View: &d.view, EntriesInZone: len(entries), Status: &d.status,
 	}
 }
 
 // ticketKeyBytes is the size of the key that signs tickets.
 const ticketKeyBytes = 32
 
-func (d *Daemon) leaseHolder(client *platform.Client) *control.LeaseHolder {
+func (d *Daemon) leaseHolder(table *platform.Limited) *control.LeaseHolder {
 	return &control.LeaseHolder{
 		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
-		Table:  client, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
+		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
 
@@ -202,7 +218,10 @@
 		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
 		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder,
 	}
-	operators := &operator.Handler{Inbox: d.operations, View: &d.view}
+	operators := &operator.Handler{
+		Inbox: d.operations, View: &d.view, Clock: d.Clock,
+		Bounds: operation.StatusBounds{StoreMaxAge: missedPolls*s.PollInterval + s.PlatformTimeout, ListMaxAge: s.VMListMaxAge},
+	}
 	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
 		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout, Closing: d.closing, Closed: d.closed},
@@ -211,6 +230,9 @@
 	}
 }
 
+// missedPolls is how many polls of the table may fail before the status calls it unreachable.
+const missedPolls = 3
+
 // mount serves a handler under its path, behind the common middleware.
 func mount(path string, handler http.Handler) http.Handler {
 	mux := http.NewServeMux()
--- a/internal/dispatch/peer_event.go
+++ b/internal/dispatch/peer_event.go
@@ -92,8 +92,8 @@
 func (HandOverWanted) isEvent()    {}
 func (TicketsHandedOver) isEvent() {}
 
-// handlePeer takes an event of a peer.
-func (d *Dispatcher) handlePeer(now time.Time, ev Event) {
+// handleTickets takes drains and tickets of peers.
+func (d *Dispatcher) handleTickets(now time.Time, ev Event) {
 	switch v := ev.(type) {
 	case PeerReported:
 		for _, vm := range v.Leaving {
--- a/internal/dispatch/ticket_schedule_test.go
+++ b/internal/dispatch/ticket_schedule_test.go
@@ -1,7 +1,6 @@
 package dispatch_test
 
 import (
-	"flag"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -18,8 +17,6 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-var schedules = flag.Int("schedules", 300, "random schedules of each property test")
-
 const (
 	scheduleEntries = 4
 	scheduleSteps   = 250
--- a/internal/dispatch/tickets.go
+++ b/internal/dispatch/tickets.go
@@ -75,6 +75,7 @@
 			continue
 		}
 		e.fire(w, request.EventLose)
+		e.timers.remove(w)
 		e.reply(w.Replies, e.Tickets.End(name, request.Unknown(request.ReasonTimeout)))
 		w.Replies = nil
 	}
@@ -92,7 +93,7 @@
 		return
 	}
 	// Callers were told unknown once, so nothing but an answer replaces it.
-	delete(e.work, workKey{w.Request.Account, w.Request.ID})
+	e.unregister(w)
 	e.endTicket(w, request.Unknown(request.ReasonTimeout))
 }
 
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -36,6 +36,10 @@
 	// The fields are set before the first request.
 	Inbox Inbox
 	View  *ring.Latest[*fleet.View]
+	Clock Now
+	// Loads may be nil; then the status shows no queues.
+	Loads  Loads
+	Bounds operation.StatusBounds
 }
 
 // maxMessage bounds a message of an operator; a whole configuration fits.
@@ -46,34 +50,6 @@
 	return operatorv1connect.NewOperatorServiceHandler(h, connect.WithReadMaxBytes(maxMessage))
 }
 
-// ApplyConfiguration implements the operator service.
-func (h *Handler) ApplyConfiguration(ctx context.Context, r *connect.Request[operatorv1.ApplyConfigurationRequest]) (*connect.Response[operatorv1.ApplyConfigurationResponse], error) {
-	if err := r.Msg.Check(); err != nil {
-		return nil, toConnect(err)
-	}
-	o := operation.ApplyConfig{
-		Identity: identity(r.Header(), r.Msg.GetOperation()),
-		Base:     fleet.ConfigRevision(r.Msg.GetBaseRevision()),
-		DryRun:   r.Msg.GetDryRun(),
-		Reply:    ring.New[operation.Result[operation.Applied]]("operator-apply", 1),
-	}
-	for _, c := range r.Msg.GetChanges() {
-		o.Changes = append(o.Changes, wire.FromChange(c))
-	}
-	applied, err := run(ctx, h.Inbox, o, o.Reply)
-	if err != nil {
-		return nil, toConnect(err)
-	}
-	return connect.NewResponse(&operatorv1.ApplyConfigurationResponse{Revision: uint64(applied.Revision)}), nil
-}
-
-// GetConfiguration implements the operator service.
-func (h *Handler) GetConfiguration(context.Context, *connect.Request[operatorv1.GetConfigurationRequest]) (*connect.Response[operatorv1.GetConfigurationResponse], error) {
-	return connect.NewResponse(&operatorv1.GetConfigurationResponse{
-		Configuration: wire.Configuration(h.view().Configuration),
-	}), nil
-}
-
 // ListVMs implements the operator service.
 func (h *Handler) ListVMs(_ context.Context, r *connect.Request[operatorv1.ListVMsRequest]) (*connect.Response[operatorv1.ListVMsResponse], error) {
 	if err := r.Msg.Check(); err != nil {
@@ -147,21 +123,30 @@
 		notFound    *operation.NotFoundError
 		state       *operation.InvalidStateError
 		revision    *operation.RevisionError
+		used        *platform.OperationReusedError
 		conflict    *platform.ConflictError
 		unavailable *platform.UnavailableError
+		undecoded   *wire.DecodeError
+		rate        *platform.RateExceededError
+		stale       *budget.StaleListError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
-	case errors.As(err, &full):
+	case errors.As(err, &full), errors.As(err, &rate):
 		code = connect.CodeResourceExhausted
 	case errors.As(err, &notFound):
 		code = connect.CodeNotFound
 	case errors.As(err, &exceeded), errors.As(err, &state), errors.As(err, &revision):
 		code = connect.CodeFailedPrecondition
+	case errors.As(err, &used):
+		code = connect.CodeAlreadyExists
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
-	case errors.As(err, &unavailable):
+	case errors.As(err, &unavailable), errors.As(err, &stale), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
+	case errors.As(err, &undecoded):
+		code = connect.CodeInternal
 	case errors.As(err, &invalid):
 		code = connect.CodeInvalidArgument
 	}
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -171,7 +171,7 @@
 
 	rows, err := a.rows.Pop(ctx) // a has no configuration and asks for it
 	is.NoErr(err)
-	is.Equal(len(rows.Rows.Rows), 3) // pool, VM and head
+	is.Equal(len(rows.Rows), 3) // pool, VM and head
 
 	reply := ring.New[request.Outcome]("reply", 1)
 	is.True(a.forwarder.Forward(swap("b"), reply))
--- a/internal/peer/reader.go
+++ b/internal/peer/reader.go
@@ -152,7 +152,7 @@
 		_ = r.Hub.Push(reported{hello: fromHello(r.hello), stopping: m.Report.GetStopping()})
 		_ = r.Dispatcher.Push(fromReport(r.hello, m.Report))
 	case *peerv1.Frame_Rows:
-		_ = r.Poller.Push(control.PollerEvent{Rows: fromRows(m.Rows)})
+		_ = r.Poller.Push(control.PollerEvent{Rows: fromRows(m.Rows).Rows})
 	case *peerv1.Frame_RowsWanted:
 		_ = r.Hub.Push(rowsWanted{entry: peer})
 	case *peerv1.Frame_Forward:
