--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -52,7 +52,9 @@
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Interval   time.Duration
-	Zone       fleet.ZoneID
+	// Peers takes the rows that were read, for the other entries; it may be nil.
+	Peers RowReceiver
+	Zone  fleet.ZoneID
 	// HoldTime is how long after the lease of this entry lapsed its acknowledgement is waited for in
 	// other zones. The entry stops using VMs of other zones at half of it.
 	HoldTime time.Duration
@@ -138,6 +140,7 @@
 			return // a stale read confirms nothing
 		}
 		d.history = changes.History
+		p.passOn(d.view.Revision, changes)
 		for _, row := range changes.Rows {
 			p.absorb(d, row, false)
 		}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,10 +4,10 @@
 import (
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	mathrand "math/rand/v2"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/gravitational/trace"
 	"github.com/justinas/alice"
@@ -23,6 +23,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/endpoint"
 	"github.com/mimosawharf/mimosawharf/internal/operation"
 	"github.com/mimosawharf/mimosawharf/internal/operator"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/retry"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -38,6 +39,9 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *zap.Logger
+	// PeerTLS holds the certificate of this entry and the authorities of its peers. It may be nil
+	// with the setting insecure.
+	PeerTLS *tls.Config
 
 	incarnation fleet.Incarnation
 	listeners   listeners
@@ -50,6 +54,13 @@
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
 	operations  *ring.Ring[operation.Operation]
+	heard       *ring.Ring[endpoint.Heard]
+	hub         *ring.Ring[peer.HubEvent]
+	directory   ring.Latest[*peer.Directory]
+	forwarder   *peer.Forwarder
+	socket      *peer.Socket
+	closing     context.Context
+	closed      *ring.Ring[ServerClosed]
 	writes      *ring.Ring[*platform.Call]
 	reads       *ring.Ring[*platform.Call]
 }
@@ -67,7 +78,12 @@
 	d.incarnation = fleet.NewIncarnation()
 	d.makeRings()
 	group, running := duty.NewGroup(context.WithoutCancel(ctx))
-	for _, one := range d.duties(ctx, group.Stop) {
+	defer d.socket.Close()
+	closing, closeCallers := context.WithCancel(running)
+	defer closeCallers()
+	d.closing = closing
+	list := append(d.duties(ctx, group.Stop, closeCallers), d.peerDuties(func(one duty.Duty) { group.Start(running, one) })...)
+	for _, one := range list {
 		group.Start(running, one)
 	}
 	d.Log.Info("daemon: started", zap.String("entry", string(d.Settings.EntryID)), zap.String("incarnation", string(d.incarnation)))
@@ -84,8 +100,10 @@
 	if d.listeners.operator, err = Listen(d.Settings.OperatorAddress); err != nil {
 		return trace.Wrap(err)
 	}
-	d.listeners.health, err = Listen(d.Settings.HealthAddress)
-	return trace.Wrap(err)
+	if d.listeners.health, err = Listen(d.Settings.HealthAddress); err != nil {
+		return trace.Wrap(err)
+	}
+	return trace.Wrap(d.listenPeers())
 }
 
 func (d *Daemon) makeRings() {
@@ -95,12 +113,16 @@
 	d.jobs = ring.New[endpoint.Job]("calls", 2*d.Settings.CallWorkers)
 	d.polls = ring.New[control.PollerEvent]("poller", capacity)
 	d.operations = ring.New[operation.Operation]("operator", capacity)
+	d.heard = ring.New[endpoint.Heard]("prober", capacity)
+	d.hub = ring.New[peer.HubEvent]("peers", capacity)
+	d.forwarder = &peer.Forwarder{Directory: &d.directory, Hub: d.hub}
+	d.closed = ring.New[ServerClosed]("server-closed", 1)
 	d.writes = ring.New[*platform.Call]("table-writer", capacity)
 	d.reads = ring.New[*platform.Call]("table-reader", capacity)
 }
 
 // duties returns all duties of the daemon.
-func (d *Daemon) duties(stopAsked context.Context, stopped func()) []duty.Duty {
+func (d *Daemon) duties(stopAsked context.Context, stopped, closeCallers func()) []duty.Duty {
 	s := d.Settings
 	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
 	table := &platform.Limited{Client: client, Writes: d.writes, Reads: d.reads}
@@ -114,7 +136,7 @@
 		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
 			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
-			Zone: s.Zone, HoldTime: s.HoldTime,
+			Zone: s.Zone, HoldTime: s.HoldTime, Peers: d.forwarder,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(table),
@@ -131,6 +153,7 @@
 		&Supervisor{
 			View: &d.view, Readiness: &d.readiness, Status: &d.status, Dispatcher: d.events, Clock: d.Clock, Log: d.Log,
 			SettleTime: s.SettleTime, DrainTimeout: s.DrainTimeout, StopAsked: stopAsked, Stopped: stopped,
+			Peers: d.forwarder, CloseCallers: closeCallers, Closed: d.closed,
 		},
 	}
 	list = append(list, d.calls()...)
@@ -172,33 +195,25 @@
 const ticketKeyBytes = 32
 
 func (d *Daemon) leaseHolder(table *platform.Limited) *control.LeaseHolder {
-	s := d.Settings
 	return &control.LeaseHolder{
-		Entry: fleet.Entry{
-			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
-		},
+		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
 
-// endpointIdleTimeout closes connections to endpoints that are not used.
-const endpointIdleTimeout = 90 * time.Second
-
-// dialTimeout bounds the opening of a connection to an endpoint.
-const dialTimeout = time.Second
+// controlCalls is how many call duties there are beyond the attempts in flight, so that controls and
+// probes do not wait behind long work.
+const controlCalls = 8
 
 func (d *Daemon) calls() []duty.Duty {
-	client := &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		MaxIdleConnsPerHost: 8,
-		IdleConnTimeout:     endpointIdleTimeout,
-		DisableCompression:  true,
+	client := endpoint.NewClient(d.endpointConnections())
+	list := []duty.Duty{&endpoint.Prober{
+		Zone: d.Settings.Zone, Inbox: d.heard, View: &d.view, Jobs: d.jobs, Clock: d.Clock, Interval: d.Settings.ProbeInterval,
 	}}
-	var list []duty.Duty
-	for i := range d.Settings.CallWorkers {
+	for i := range d.Settings.CallWorkers + controlCalls {
 		list = append(list, &endpoint.Call{
-			Number: i, Jobs: d.jobs, Results: d.events, Client: client, Scheme: "http", Clock: d.Clock,
+			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: "http", Clock: d.Clock,
 		})
 	}
 	return list
@@ -208,6 +223,7 @@
 	s := d.Settings
 	callers := &caller.Handler{
 		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
+		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder,
 	}
 	operators := &operator.Handler{
 		Inbox: d.operations, View: &d.view, Clock: d.Clock,
@@ -215,7 +231,7 @@
 	}
 	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
-		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout},
+		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout, Closing: d.closing, Closed: d.closed},
 		&Server{Duty: "http-operator", Listener: d.listeners.operator, Handler: mount(operators.New()), HeaderTimeout: s.HeaderTimeout},
 		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout},
 	}
--- a/internal/dispatch/engine.go
+++ b/internal/dispatch/engine.go
@@ -46,12 +46,13 @@
 	states   *machine.Machine[request.State, request.Event]
 	work     map[workKey]*request.Work
 	groups   map[groupKey]map[*request.Work]bool
-	tickets  map[fleet.TicketSequence]*request.Work
+	tickets  map[ticket.Name]*request.Work
 	calls    map[CallID]*call
 	running  map[*request.Work]*call
 	timers   *timers
 	lastCall CallID
 	stopping bool
+	leaving  []fleet.VMID
 	out      Actions
 }
 
@@ -97,7 +98,7 @@
 		states:      request.NewMachine(),
 		work:        map[workKey]*request.Work{},
 		groups:      map[groupKey]map[*request.Work]bool{},
-		tickets:     map[fleet.TicketSequence]*request.Work{},
+		tickets:     map[ticket.Name]*request.Work{},
 		calls:       map[CallID]*call{},
 		running:     map[*request.Work]*call{},
 		timers:      newTimers(),
@@ -114,6 +115,7 @@
 // SetView replaces what the engine knows of the fleet.
 func (e *Engine) SetView(now time.Time, view *fleet.View, entriesInZone int) {
 	e.view = view
+	e.forgetLeaving()
 	e.Quotas.Entries = max(e.Quotas.Entries, entriesInZone)
 	e.Router.Update(view, entriesInZone)
 	for _, p := range e.pools {
@@ -139,11 +141,13 @@
 // Submit takes a request of a caller.
 func (e *Engine) Submit(now time.Time, r *request.Request, reply request.ReplyID) {
 	w := &request.Work{Request: r, State: request.StateReceived, Replies: []request.ReplyID{reply}}
-	if reason := e.classify(r); reason != "" {
-		e.refuse(w, reason, 0)
+	reason := e.classify(r)
+	// The ticket is used up first, so that a refusal for any reason stays true.
+	if !e.redeem(now, w, reason) {
 		return
 	}
-	if !r.Repeatable && !e.redeem(now, w) {
+	if reason != "" {
+		e.refuse(w, reason, 0)
 		return
 	}
 	e.admit(now, w)
@@ -262,13 +266,14 @@
 		Request:    w.Request,
 		Attempt:    w.Attempts,
 		Checkpoint: w.Checkpoint,
-		Timeout:    w.Request.Deadline.Sub(now),
+		Timeout:    callTimeout(now, w),
 	})
 }
 
 // Tick acts on deadlines, retries, stragglers, loans and probes that are due, and forgets old tickets.
 func (e *Engine) Tick(now time.Time) {
 	e.Tickets.Expire(now)
+	e.loseOverdue(now)
 	e.Router.Tick(now)
 	for w := e.timers.due(now); w != nil; w = e.timers.due(now) {
 		switch {
--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -18,7 +18,7 @@
 // Submitted is a request of a caller. Exactly one outcome is pushed on Reply.
 type Submitted struct {
 	Request *request.Request
-	Reply   *ring.Ring[request.Outcome]
+	Reply   OutcomeReceiver
 }
 
 // Called is the result of an attempt.
--- a/internal/dispatch/outcome.go
+++ b/internal/dispatch/outcome.go
@@ -78,11 +78,7 @@
 func (e *Engine) end(w *request.Work, event request.Event, o request.Outcome) {
 	e.fire(w, event)
 	e.unregister(w)
-	if w.Sequence != 0 && e.tickets[w.Sequence] == w {
-		delete(e.tickets, w.Sequence)
-		e.Tickets.End(w.Sequence, o)
-	}
-	e.reply(w.Replies, o)
+	e.reply(w.Replies, e.endTicket(w, o))
 }
 
 func (e *Engine) reply(ids []request.ReplyID, o request.Outcome) {
--- a/internal/dispatch/results.go
+++ b/internal/dispatch/results.go
@@ -29,6 +29,11 @@
 	if result.Load != nil {
 		e.Reported(now, c.target.Endpoint, *result.Load)
 	}
+	if c.work.State == request.StateUnknown {
+		e.takeLate(c.work, result)
+		e.dispatchPool(now, p)
+		return
+	}
 	ran := result.Elapsed
 	if ran <= 0 {
 		ran = now.Sub(c.started)
@@ -182,8 +187,29 @@
 
 // Reported takes an endpoint's own statement about itself.
 func (e *Engine) Reported(now time.Time, id fleet.EndpointID, load request.Load) {
+	vm := fleet.VMID(id)
+	known := slices.Contains(e.leaving, vm)
+	switch {
+	case load.Leaving && !known:
+		e.leaving = append(slices.Clip(e.leaving), vm)
+	case !load.Leaving && known:
+		e.leaving = slices.DeleteFunc(slices.Clone(e.leaving), func(v fleet.VMID) bool { return v == vm })
+	}
 	if load.Leaving {
 		e.Router.SetLeaving(id)
 	}
 	e.Router.Stated(now, id, load.Running)
 }
+
+// LeavingVMs returns the VMs whose endpoints told this entry that they leave while the view still
+// shows them as serving. Nobody modifies the list.
+func (e *Engine) LeavingVMs() []fleet.VMID { return e.leaving }
+
+// forgetLeaving drops the VMs that no longer serve according to the view, which peers learn from the
+// table.
+func (e *Engine) forgetLeaving() {
+	e.leaving = slices.DeleteFunc(slices.Clone(e.leaving), func(id fleet.VMID) bool {
+		vm, ok := e.view.VMs[id]
+		return !ok || vm.State != fleet.VMStateServing
+	})
+}
