maintenance: plan and decide faster for waves of the whole fleet

Cause: a decision looked up the row of every VM of the wave twice and its pool up to four times, and the simulated plan made a decision every minute although nothing changes between the ends of steps. The benchmark of a full wave did not end in 200 s: 45% of its time at 2,280 VMs went into sorting all VMs at each tick for the planner with perfect information (-cpuprofile of CapacityRollOut), and the rest mostly into the simulated fleet and its decisions.

Excluded: the halt rule, which sorts only when a VM failed.

Change: rows are looked up only for VMs that can change or have room; VMs that no longer count are left out; pools are counted along the order of the plan; the plan leaves out ticks at which nothing changes; NewCapacity allocates the list of each pool once; the planner with perfect information keeps its sorted list.

A plan of one large pool with a budget of one VM still takes seconds in the executor duty.

--- a/internal/maintenance/capacity.go
+++ b/internal/maintenance/capacity.go
@@ -11,18 +11,28 @@
 // NewCapacity returns the capacity of the pools of a configuration. Lost holds the VMs that are not
 // known to be available.
 func NewCapacity(c fleet.Configuration, vms map[fleet.VMID]fleet.VM, lost map[fleet.VMID]bool) Capacity {
-	capacity := Capacity{}
+	sizes := map[fleet.PoolID]int{}
+	for _, vm := range vms {
+		sizes[vm.Pool]++
+	}
+	pools := make(map[fleet.PoolID]*budget.Pool, len(c.Pools))
 	for id, pool := range c.Pools {
-		capacity[id] = budget.Pool{Config: pool, Lost: map[fleet.VMID]bool{}}
+		// Growing the list of each pool took most of the time at 7,400 VMs.
+		pools[id] = &budget.Pool{Config: pool, VMs: make([]fleet.VM, 0, sizes[id]), Lost: map[fleet.VMID]bool{}}
 	}
 	for _, vm := range vms {
-		p, ok := capacity[vm.Pool]
-		if !ok || vm.State == fleet.VMStateRemoved {
+		p := pools[vm.Pool]
+		if p == nil || vm.State == fleet.VMStateRemoved {
 			continue
 		}
 		p.VMs = append(p.VMs, vm)
-		p.Lost[vm.ID] = lost[vm.ID]
-		capacity[vm.Pool] = p
+		if lost[vm.ID] {
+			p.Lost[vm.ID] = true
+		}
+	}
+	capacity := make(Capacity, len(pools))
+	for id, p := range pools {
+		capacity[id] = *p
 	}
 	return capacity
 }
--- a/internal/maintenance/policy_test.go
+++ b/internal/maintenance/policy_test.go
@@ -1,6 +1,7 @@
 package maintenance_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -12,18 +13,21 @@
 // bound returns the time of a planner with perfect information: it knows how long each step takes,
 // keeps every VM that the budget allows under way, and needs no canary, soak or failure domain.
 func bound(s size, seed uint64) time.Duration {
-	w, begun := newWorld(s, seed), map[fleet.VMID]bool{}
+	w := newWorld(s, seed)
+	// Sorting all VMs at each tick took half of the benchmark at 7,486 VMs.
+	waiting := w.list()
 	for at := time.Duration(0); ; at += tick {
 		now := start.Add(at)
 		w.advance(now)
 		facts := w.facts()
-		for _, vm := range w.list() {
-			if !begun[vm.ID] && facts.Budget.Take(vm) {
-				begun[vm.ID] = true
-				w.drain(vm.ID, "v2", now)
+		waiting = slices.DeleteFunc(waiting, func(vm fleet.VM) bool {
+			if !facts.Budget.Take(vm) {
+				return false
 			}
-		}
-		if len(begun) == len(w.vms) && len(w.until) == 0 {
+			w.drain(vm.ID, "v2", now)
+			return true
+		})
+		if len(waiting)+len(w.until) == 0 {
 			return at
 		}
 	}
--- a/internal/maintenance/progress.go
+++ b/internal/maintenance/progress.go
@@ -9,6 +9,9 @@
 // progress takes what happened to one VM of the wave into the row.
 func progress(w *fleet.Wave, i int, f Facts, now time.Time) {
 	v := &w.VMs[i]
+	if isJudged(v, now) {
+		return
+	}
 	vm, known := f.VMs[v.VM]
 	gone := !known || vm.State == fleet.VMStateRemoved
 	broken := gone || vm.State == fleet.VMStateFailed || f.Lost[v.VM] && vm.State == fleet.VMStateServing
@@ -46,6 +49,19 @@
 	}
 }
 
+// isJudged reports whether nothing that happens to the VM counts for the wave any more. In a long wave
+// that holds for most VMs.
+func isJudged(v *fleet.WaveVM, now time.Time) bool {
+	switch v.State {
+	case fleet.WaveVMStateFailed, fleet.WaveVMStateSkipped:
+		return true
+	case fleet.WaveVMStateDone:
+		return now.Sub(v.ChangedAt) >= watchTime
+	default:
+		return false
+	}
+}
+
 // isHeld reports whether an operator has held the VM drained for longer than a step may take.
 func isHeld(vm fleet.VM, stepTimeout time.Duration, now time.Time) bool {
 	return vm.State == fleet.VMStateDrained && vm.Purpose == fleet.VMPurposeHold && now.Sub(vm.Since) > stepTimeout
@@ -82,8 +98,8 @@
 
 func countState(w fleet.Wave, s fleet.WaveVMState) fleet.VMCount {
 	var n fleet.VMCount
-	for _, v := range w.VMs {
-		if v.State == s {
+	for i := range w.VMs {
+		if w.VMs[i].State == s {
 			n++
 		}
 	}
@@ -108,14 +124,20 @@
 		}
 		return w
 	}
-	open := map[fleet.PoolID]bool{}
-	for _, v := range w.VMs {
-		if v.State == fleet.WaveVMStatePending {
-			open[v.Pool] = true
-		}
-	}
-	if w.Healthy >= w.Width*fleet.VMCount(max(1, len(open))) && w.Width < maxWidth {
+	if w.Width < maxWidth && w.Healthy >= w.Width*max(1, openPools(w)) {
 		w.Width, w.Healthy = 2*w.Width, 0
 	}
 	return w
 }
+
+// openPools counts the pools with VMs that the wave has not begun. The VMs of a pool follow each other.
+func openPools(w fleet.Wave) fleet.VMCount {
+	var n fleet.VMCount
+	var last fleet.PoolID
+	for i := range w.VMs {
+		if v := &w.VMs[i]; v.State == fleet.WaveVMStatePending && (n == 0 || v.Pool != last) {
+			n, last = n+1, v.Pool
+		}
+	}
+	return n
+}
--- a/internal/maintenance/schedule.go
+++ b/internal/maintenance/schedule.go
@@ -25,11 +25,8 @@
 // due or a wave of the schedule is still open. The daily share also spreads VMs that became due
 // together. Pools that are not configured have no budget and are left out.
 func Standing(pools map[fleet.PoolID]fleet.Pool, vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
-	id := standingID(now)
-	for _, w := range waves {
-		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
-			return "", fleet.WaveSpec{}, false
-		}
+	if IsStandingDone(waves, now) {
+		return "", fleet.WaveSpec{}, false
 	}
 	sizes, due := map[fleet.PoolID]int{}, map[fleet.PoolID]int{}
 	for _, vm := range vms {
@@ -52,7 +49,18 @@
 	}
 	slices.SortFunc(spec.Pools, func(a, b fleet.PoolID) int { return cmp.Compare(a, b) })
 	spec.Limits.MaxVMsPerPool = fleet.VMCount(share)
-	return id, spec, true
+	return standingID(now), spec, true
+}
+
+// IsStandingDone reports whether today's wave of the standing schedule exists or an earlier one is still open.
+func IsStandingDone(waves map[fleet.WaveID]fleet.Wave, now time.Time) bool {
+	id := standingID(now)
+	for _, w := range waves {
+		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
+			return true
+		}
+	}
+	return false
 }
 
 const standingPrefix = "standing-"
--- a/internal/maintenance/simulate.go
+++ b/internal/maintenance/simulate.go
@@ -31,15 +31,23 @@
 	}
 	var steps []Step
 	longest := time.Duration(len(w.VMs)+2) * (r.StepTime + limits.Soak + 2*tick)
-	for at := time.Duration(0); at < longest; at += tick {
-		now := begin.Add(at)
+	for at := time.Duration(0); at < longest; {
+		now, width := begin.Add(at), w.Width
+		changes := !nextEnd(w, r).After(now)
 		finishSteps(w, f, r, now)
 		f.Budget = freeBudget(w, r)
 		d := Next(w, f, now)
-		w = Started(d.Wave, d.Start, now)
+		w = d.Wave
 		if d.Event == EventFinish {
 			return steps, at
 		}
+		at += tick
+		if !changes && len(d.Start) == 0 && w.Width == width {
+			// Nothing changes before the next step or soak ends, so the ticks until then are left out.
+			at = max(at, ceilTick(nextEnd(w, r).Sub(begin), tick))
+			continue
+		}
+		w = Started(w, d.Start, now)
 		for _, id := range d.Start {
 			steps = begun(w, f, steps, id)
 		}
@@ -47,9 +55,35 @@
 	return steps, longest
 }
 
+// ceilTick rounds up to a whole number of ticks.
+func ceilTick(d, tick time.Duration) time.Duration { return (d + tick - 1) / tick * tick }
+
+// nextEnd returns when the first step or soak under way ends, or the zero time when none is.
+func nextEnd(w fleet.Wave, r Request) time.Time {
+	soak := WithDefaults(w.Spec.Limits).Soak
+	var first time.Time
+	for i := range w.VMs {
+		v := &w.VMs[i]
+		var end time.Time
+		switch v.State {
+		case fleet.WaveVMStateStarted:
+			end = v.StartedAt.Add(r.StepTime)
+		case fleet.WaveVMStateSoaking:
+			end = v.ChangedAt.Add(soak)
+		default:
+			continue
+		}
+		if first.IsZero() || end.Before(first) {
+			first = end
+		}
+	}
+	return first
+}
+
 // finishSteps brings back the VMs whose step has lasted its time.
 func finishSteps(w fleet.Wave, f Facts, r Request, now time.Time) {
-	for _, v := range w.VMs {
+	for i := range w.VMs {
+		v := &w.VMs[i]
 		if v.State == fleet.WaveVMStateStarted && now.Sub(v.StartedAt) >= r.StepTime {
 			vm := f.VMs[v.VM]
 			vm.State, vm.LastMaintained = fleet.VMStateServing, now
@@ -63,13 +97,14 @@
 
 func freeBudget(w fleet.Wave, r Request) simulatedBudget {
 	b := simulatedBudget{}
-	for _, v := range w.VMs {
-		if _, ok := b[v.Pool]; !ok {
-			b[v.Pool] = max(1, r.Parallel[v.Pool])
+	for i := range w.VMs {
+		// The VMs of a pool follow each other, so each pool is set once.
+		if pool := w.VMs[i].Pool; i == 0 || pool != w.VMs[i-1].Pool {
+			b[pool] = max(1, r.Parallel[pool])
 		}
 	}
-	for _, v := range w.VMs {
-		if v.State == fleet.WaveVMStateStarted && b[v.Pool] > 0 {
+	for i := range w.VMs {
+		if v := &w.VMs[i]; v.State == fleet.WaveVMStateStarted && b[v.Pool] > 0 {
 			b[v.Pool]--
 		}
 	}
--- a/internal/maintenance/starts.go
+++ b/internal/maintenance/starts.go
@@ -28,19 +28,26 @@
 func starts(w fleet.Wave, f Facts) []fleet.VMID {
 	limits := WithDefaults(w.Spec.Limits)
 	pools, total := map[fleet.PoolID]*use{}, use{}
-	for _, v := range w.VMs {
-		if pools[v.Pool] == nil {
-			pools[v.Pool] = &use{}
-		}
-		if isExposed(v) {
-			pools[v.Pool].add(v)
-			total.add(v)
+	for i := range w.VMs {
+		if v := &w.VMs[i]; isExposed(*v) {
+			if pools[v.Pool] == nil {
+				pools[v.Pool] = &use{}
+			}
+			pools[v.Pool].add(*v)
+			total.add(*v)
 		}
 	}
 	var list []fleet.VMID
-	for _, v := range w.VMs {
-		u := pools[v.Pool]
-		if v.State != fleet.WaveVMStatePending || f.VMs[v.VM].State != fleet.VMStateServing || f.Lost[v.VM] {
+	var u *use
+	for i, v := range w.VMs {
+		// The VMs of a pool follow each other, so its use is looked up once.
+		if i == 0 || v.Pool != w.VMs[i-1].Pool {
+			if u = pools[v.Pool]; u == nil {
+				u = &use{}
+			}
+		}
+		// Most VMs find no room, so their rows are not looked up.
+		if v.State != fleet.WaveVMStatePending || !u.hasRoom(w, v) || f.VMs[v.VM].State != fleet.VMStateServing || f.Lost[v.VM] {
 			continue
 		}
 		if w.Width == 0 && total.exposed+w.Healthy >= limits.CanaryVMs {
@@ -49,7 +56,7 @@
 		if limits.MaxParallelVMs > 0 && total.started >= limits.MaxParallelVMs {
 			break
 		}
-		if !u.hasRoom(w, v) || !f.Budget.Take(f.VMs[v.VM]) {
+		if !f.Budget.Take(f.VMs[v.VM]) {
 			continue
 		}
 		v.State = fleet.WaveVMStateStarted
--- a/internal/maintenance/step.go
+++ b/internal/maintenance/step.go
@@ -131,8 +131,8 @@
 // newFailures counts the failed VMs that no operator has accepted by resuming the wave.
 func newFailures(w fleet.Wave) fleet.VMCount {
 	var n fleet.VMCount
-	for _, v := range w.VMs {
-		if v.State == fleet.WaveVMStateFailed && v.ChangedAt.After(w.JudgedFrom) {
+	for i := range w.VMs {
+		if v := &w.VMs[i]; v.State == fleet.WaveVMStateFailed && v.ChangedAt.After(w.JudgedFrom) {
 			n++
 		}
 	}
@@ -140,7 +140,12 @@
 }
 
 func hasOpenVMs(w fleet.Wave) bool {
-	return slices.ContainsFunc(w.VMs, func(v fleet.WaveVM) bool { return v.State == fleet.WaveVMStatePending || isExposed(v) })
+	for i := range w.VMs {
+		if v := &w.VMs[i]; v.State == fleet.WaveVMStatePending || isExposed(*v) {
+			return true
+		}
+	}
+	return false
 }
 
 // isExposed reports whether the VM has begun its step and is not judged yet.
