--- /dev/null
+++ b/internal/endpoint/capacity_test.go
@@ -0,0 +1,81 @@
+package endpoint_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/endpoint"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/routing"
+	standin "github.com/mimosawharf/mimosawharf/internal/standin/endpoint"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// countedConn counts the bytes of a connection in both directions.
+type countedConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(p []byte) (int, error) {
+	c.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+type countedListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	return countedConn{c, l.bytes}, err
+}
+
+// BenchmarkCapacityProbe measures a probe of an endpoint: its bytes on the connection, and its time with
+// both sides of the connection.
+func BenchmarkCapacityProbe(b *testing.B) {
+	is, bytes := is.New(b), &atomic.Int64{}
+	group, ctx := duty.NewGroup(context.Background())
+	e := standin.New(clockwork.NewFakeClock(), 8, 0)
+	group.Start(ctx, e)
+	server := httptest.NewUnstartedServer(e.Handler())
+	server.Listener = countedListener{server.Listener, bytes}
+	server.Start()
+	jobs, results := ring.New[endpoint.Job]("calls", 8), ring.New[dispatch.Event]("dispatcher", 8)
+	heard := ring.New[endpoint.Heard]("prober", 8)
+	group.Start(ctx, &endpoint.Call{
+		Jobs: jobs, Results: results, Statements: results, Heard: heard, Client: endpoint.NewClient(2), Scheme: "http", Clock: clock.Real(),
+	})
+	target := routing.Target{Endpoint: "vm-1", Address: fleet.Address(server.Listener.Addr().String()), Pool: "desk", AssignmentEpoch: 1}
+	probes := 0
+	for b.Loop() {
+		probes++
+		is.NoErr(jobs.Push(endpoint.Job{Probe: &target}))
+		_, err := heard.Pop(ctx)
+		is.NoErr(err)
+		_, _ = results.TryPop()
+	}
+	b.ReportMetric(float64(bytes.Load())/float64(probes), "wire-bytes/op")
+	server.CloseClientConnections()
+	group.Stop()
+	_ = group.Wait()
+	http.DefaultClient.CloseIdleConnections()
+	server.Close()
+}
