--- a/internal/endpoint/capacity_test.go
+++ b/internal/endpoint/capacity_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -17,46 +16,20 @@
 	"github.com/mimosawharf/mimosawharf/internal/endpoint"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/routing"
-	standin "github.com/mimosawharf/mimosawharf/internal/standin/endpoint"
+	"github.com/mimosawharf/mimosawharf/internal/standin"
+	standinendpoint "github.com/mimosawharf/mimosawharf/internal/standin/endpoint"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	c.bytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countedConn{c, l.bytes}, err
-}
-
 // BenchmarkCapacityProbe measures a probe of an endpoint: its bytes on the connection, and its time with
 // both sides of the connection.
 func BenchmarkCapacityProbe(b *testing.B) {
 	is, bytes := is.New(b), &atomic.Int64{}
 	group, ctx := duty.NewGroup(context.Background())
-	e := standin.New(clockwork.NewFakeClock(), 8, 0)
+	e := standinendpoint.New(clockwork.NewFakeClock(), 8, 0)
 	group.Start(ctx, e)
 	server := httptest.NewUnstartedServer(e.Handler())
-	server.Listener = countedListener{server.Listener, bytes}
+	server.Listener = standin.CountedListener{Listener: server.Listener, Bytes: bytes}
 	server.Start()
 	jobs, results := ring.New[endpoint.Job]("calls", 8), ring.New[dispatch.Event]("dispatcher", 8)
 	heard := ring.New[endpoint.Heard]("prober", 8)
--- a/internal/platform/capacity_test.go
+++ b/internal/platform/capacity_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -16,6 +15,7 @@
 	"google.golang.org/protobuf/types/known/timestamppb"
 
 	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/standin"
 	standinplatform "github.com/mimosawharf/mimosawharf/internal/standin/platform"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
@@ -45,33 +45,6 @@
 	return connect.NewResponse(out), nil
 }
 
-// countedListener counts the bytes of its connections in both directions.
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countedConn{c, l.bytes}, err
-}
-
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	c.bytes.Add(int64(len(p)))
-	return c.Conn.Write(p)
-}
-
 func newCapacityPlatform(b *testing.B, vms int) (*capacityPlatform, *platform.Client) {
 	c := clockwork.NewFakeClock()
 	p := &capacityPlatform{Store: standinplatform.NewStore(c, time.Second, time.Second), vms: &platformv1.ListVMsResponse{AsOf: timestamppb.New(c.Now())}}
@@ -88,7 +61,7 @@
 	mux.Handle(platformv1connect.NewTableServiceHandler(p))
 	mux.Handle(platformv1connect.NewVMServiceHandler(p))
 	server := httptest.NewUnstartedServer(mux)
-	server.Listener = countedListener{server.Listener, &p.bytes}
+	server.Listener = standin.CountedListener{Listener: server.Listener, Bytes: &p.bytes}
 	server.Start()
 	b.Cleanup(server.Close)
 	return p, platform.NewClient(&http.Client{}, server.URL, 20*time.Second)
