budget: count the disruption of a VM that a late list does not show

Cause: a VM that came back from a reboot was still "rebooting" in the late list and counted as out already, so it could be drained while another VM of the pool was out.

Excluded: waiting until the list shows the VM, which blocks the drain of a VM that is really lost.

Change: only the VM's own row exempts it from the limits.

TestLateListGrantsNothing covers the case, and each limit has a case.

Conclusion: an uncertain VM counts against the budget on both sides.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -41,10 +41,11 @@
 	slots                  fleet.Slots
 }
 
-// Allow returns nil when the VM may be disrupted, and *ExceededError otherwise. A VM that is
-// unavailable already may always be disrupted.
+// Allow returns nil when the VM may be disrupted, and *ExceededError otherwise. A VM whose row shows that
+// it is out of service already may always be disrupted. A VM that only the late list does not show as
+// live may be up again, so its disruption counts.
 func Allow(p Pool, vm fleet.VM) error {
-	if !p.isAvailable(vm) {
+	if vm.State != fleet.VMStateServing {
 		return nil
 	}
 	all, zone := p.count(vm)
--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,71 @@
+package budget_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/budget"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+func poolOf(b fleet.Budget) budget.Pool {
+	p := budget.Pool{Config: fleet.Pool{ID: "rota", Budget: b}, Lost: map[fleet.VMID]bool{}}
+	for i, zone := range []fleet.ZoneID{"a", "a", "b", "b"} {
+		p.VMs = append(p.VMs, fleet.VM{ID: fleet.VMID(rune('0' + i)), Zone: zone, Slots: 8, State: fleet.VMStateServing})
+	}
+	return p
+}
+
+// Guards against a limit that is not applied, in VMs and in slots, over all and per zone.
+func TestEachLimitBinds(t *testing.T) {
+	cases := map[string]struct {
+		budget fleet.Budget
+		lost   []fleet.VMID
+	}{
+		"min-available-vms":        {fleet.Budget{MinAvailableVMs: 3}, []fleet.VMID{"3"}},
+		"max-unavailable-vms":      {fleet.Budget{MaxUnavailableVMs: 1}, []fleet.VMID{"3"}},
+		"min-available-slots":      {fleet.Budget{MinAvailableSlots: 24}, []fleet.VMID{"3"}},
+		"max-unavailable-per-zone": {fleet.Budget{MaxUnavailablePerZone: 1}, []fleet.VMID{"1"}},
+		"min-available-per-zone":   {fleet.Budget{MinAvailablePerZone: 1}, []fleet.VMID{"1"}},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := poolOf(c.budget)
+			is.NoErr(budget.Allow(p, p.VMs[0]))
+			for _, id := range c.lost {
+				p.Lost[id] = true
+			}
+			var exceeded *budget.ExceededError
+			is.True(errors.As(budget.Allow(p, p.VMs[0]), &exceeded))
+			is.Equal(exceeded.Limit, name)
+		})
+	}
+}
+
+// Guards against a VM that the late list still shows as rebooting being drained beyond the budget.
+func TestLateListGrantsNothing(t *testing.T) {
+	is := is.New(t)
+	p := poolOf(fleet.Budget{MaxUnavailableVMs: 1})
+	p.Lost["0"] = true
+	p.Grants = []fleet.Grant{{VM: "1"}}
+	is.True(budget.Allow(p, p.VMs[0]) != nil)
+}
+
+// Guards against grants that rest on an old list, by the platform's instant or by that of the read.
+func TestOldListIsNoEvidence(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1000, 0)
+	list := fleet.VMList{AsOf: now, VMs: []fleet.PlatformVM{{ID: "0", State: fleet.PlatformVMStateLive}, {ID: "1", State: fleet.PlatformVMStateLeaving}}}
+	lost, err := budget.Lost(poolOf(fleet.Budget{}).VMs, list, now, now.Add(time.Minute), time.Minute)
+	is.NoErr(err)
+	is.Equal(lost, map[fleet.VMID]bool{"0": false, "1": true, "2": true, "3": true})
+	var stale *budget.StaleListError
+	_, err = budget.Lost(nil, list, now.Add(time.Second), now.Add(time.Minute+1), time.Minute)
+	is.True(errors.As(err, &stale))
+	_, err = budget.Lost(nil, fleet.VMList{AsOf: now.Add(time.Hour)}, now, now.Add(time.Minute+1), time.Minute)
+	is.True(errors.As(err, &stale))
+}
