--- /dev/null
+++ b/internal/control/poller_test.go
@@ -0,0 +1,107 @@
+package control_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/operation"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	standinplatform "github.com/mimosawharf/mimosawharf/internal/standin/platform"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// calm keeps the schedule of the fleet test from running other entries between calls.
+func calm(t *testing.T) (*is.I, *site) {
+	is := is.New(t)
+	s := newSite(is, 1)
+	for _, e := range s.entries {
+		e.busy = true
+		e.poller.Poll(t.Context())
+	}
+	return is, s
+}
+
+// Guards against a view that goes back with a stale read, an old row of a peer or a restored table.
+func TestViewOnlyMovesForward(t *testing.T) {
+	is, s := calm(t)
+	e := s.entries[0]
+	before := e.view.Get()
+	s.store.Faults = standinplatform.Faults{StaleReads: 1, StaleBy: 3}
+	s.clock.Advance(time.Second)
+	e.poller.Poll(t.Context())
+	is.Equal(e.view.Get(), before) // a stale read confirms nothing
+	old := before.VMs["vm-0"]
+	old.Pool = "old"
+	rows := func(version fleet.RowVersion) control.PollerEvent {
+		return control.PollerEvent{Rows: []platform.Row{{Key: wire.KeyVM("vm-0"), Value: wire.EncodeVM(old), Version: version}}}
+	}
+	e.poller.Handle(t.Context(), rows(before.VMs["vm-0"].RowVersion-1))
+	is.Equal(e.view.Get().VMs["vm-0"].Pool, fleet.PoolID("rota"))
+	e.poller.Handle(t.Context(), rows(1000))
+	is.Equal(e.view.Get().VMs["vm-0"].Pool, fleet.PoolID("old")) // a newer row of a peer counts at once
+	s.store.Restore()
+	e.poller.Poll(t.Context())
+	is.Equal(len(e.view.Get().VMs), 0)
+	is.Equal(e.view.Get().Configuration, before.Configuration) // the configuration stays in force
+	is.Equal(before.VMs["vm-0"].Pool, fleet.PoolID("rota"))    // a published view is never modified
+}
+
+// Guards against an entry that uses VMs of other zones while their zone may give them away.
+func TestOldViewLeavesOutOtherZones(t *testing.T) {
+	is, s := calm(t)
+	e := s.entries[0]
+	list, err := e.client.ListVMs(t.Context())
+	is.NoErr(err)
+	e.poller.Handle(t.Context(), control.PollerEvent{List: &list})
+	is.Equal(len(e.view.Get().Leaving), 0)
+	e.cut = true
+	for _, c := range []struct {
+		wait    time.Duration
+		leaving int
+	}{{holdTime / 2, 0}, {time.Millisecond, vms / 2}} {
+		s.clock.Advance(c.wait)
+		e.poller.Poll(t.Context())
+		is.Equal(len(e.view.Get().Leaving), c.leaving)
+	}
+	is.True(e.view.Get().Leaving["vm-1"])
+	e.cut = false
+	e.poller.Poll(t.Context())
+	is.Equal(len(e.view.Get().Leaving), 0)
+}
+
+// Guards against a holder that changes rows after it was paused and another entry took its lease.
+func TestPausedHolderChangesNothing(t *testing.T) {
+	is, s := calm(t)
+	first, second := s.entries[0], s.entries[2]
+	step := func(e *entry) {
+		e.holder.Step(t.Context())
+		e.poller.Poll(t.Context())
+		e.status.Set(dispatch.Status{Acknowledged: e.view.Get().Revision})
+	}
+	step(first)
+	step(first)
+	s.change(second, operation.VMCommandDrain, "vm-0", "", fleet.NewOperationID()) // refused: no list yet
+	list, err := second.client.ListVMs(t.Context())
+	is.NoErr(err)
+	second.poller.Handle(t.Context(), control.PollerEvent{List: &list})
+	s.change(second, operation.VMCommandDrain, "vm-0", "", fleet.NewOperationID())
+	step(first)
+	step(first) // acknowledges the drain and pauses before its driver runs
+	step(second)
+	step(second)
+	is.Equal(second.view.Get().Leases[fleet.DutyFleetDriver].Holder, first.holder.Entry.ID)
+	s.clock.Advance(leaseTime + time.Millisecond)
+	step(second)
+	is.Equal(second.view.Get().Leases[fleet.DutyFleetDriver].Holder, second.holder.Entry.ID)
+	first.driver.Step(t.Context())
+	rows, err := second.client.Read(t.Context(), wire.KeyVM("vm-0"))
+	is.NoErr(err)
+	vm, err := wire.DecodeVM(rows[0].Value)
+	is.NoErr(err)
+	is.Equal(vm.State, fleet.VMStateDraining) // the late holder released nothing
+}
--- a/internal/operation/operation.go
+++ b/internal/operation/operation.go
@@ -71,16 +71,23 @@
 
 // Run implements duty.Duty.
 func (x *Executor) Run(ctx context.Context) error {
-	x.states = move.NewMachine()
 	for {
 		op, err := x.Inbox.Pop(ctx)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		op.execute(ctx, x)
+		x.Execute(ctx, op)
 	}
 }
 
+// Execute carries one operation out and answers it. Only the duty calls it, or a test in its place.
+func (x *Executor) Execute(ctx context.Context, op Operation) {
+	if x.states == nil {
+		x.states = move.NewMachine()
+	}
+	op.execute(ctx, x)
+}
+
 // Result is the answer to an operation.
 type Result[T any] struct {
 	Value T
