--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -52,7 +52,9 @@
 	Clock      clock.Clock
 	Log        *zap.Logger
 	Interval   time.Duration
-	Zone       fleet.ZoneID
+	// Objects holds the snapshot for a start without the table; nil does without.
+	Objects ObjectReader
+	Zone    fleet.ZoneID
 	// HoldTime is how long after the lease of this entry lapsed its acknowledgement is waited for in
 	// other zones. The entry stops using VMs of other zones at half of it.
 	HoldTime time.Duration
@@ -122,6 +124,7 @@
 			wire.PrefixConfig, wire.PrefixVM, wire.PrefixLedger, wire.PrefixWave, wire.PrefixLease, wire.PrefixEntry)
 		if err != nil {
 			p.noteFailure(err)
+			p.loadSnapshot(ctx)
 			p.publishAge()
 			return
 		}
--- a/internal/control/poller_test.go
+++ b/internal/control/poller_test.go
@@ -10,6 +10,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/operation"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	standinplatform "github.com/mimosawharf/mimosawharf/internal/standin/platform"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -105,3 +106,24 @@
 	is.NoErr(err)
 	is.Equal(vm.State, fleet.VMStateDraining) // the late holder released nothing
 }
+
+// Guards against an entry that cannot start, or uses other zones, while the table is down.
+func TestStartFromSnapshot(t *testing.T) {
+	is, s := calm(t)
+	held := &ring.Latest[control.Leases]{}
+	writer := &control.Snapshot{Table: s.entries[0].client, Objects: s.entries[0].client, Held: held, Clock: s.clock}
+	is.NoErr(writer.Step(t.Context()))
+	data, err := s.entries[0].client.GetObject(t.Context(), platform.ObjectSnapshot)
+	is.NoErr(err)
+	is.Equal(data, nil) // no lease, no snapshot
+	held.Set(control.Leases{fleet.DutySnapshot: {}})
+	is.NoErr(writer.Step(t.Context()))
+	late := s.newEntry("late", "z0")
+	late.busy, late.cut = true, true
+	late.poller.Objects = late.client
+	late.poller.Poll(t.Context())
+	view := late.view.Get()
+	is.Equal(view.Configuration.Pools, s.entries[0].view.Get().Configuration.Pools)
+	is.Equal(len(view.VMs), vms)
+	is.Equal(len(view.Leaving), vms/2) // the other zone is left out
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -107,7 +107,7 @@
 		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
 			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
-			Zone: s.Zone, HoldTime: s.HoldTime,
+			Objects: client, Zone: s.Zone, HoldTime: s.HoldTime,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(table),
@@ -115,6 +115,7 @@
 			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
 		},
+		&control.Snapshot{Table: table, Objects: client, Held: &d.held, Clock: d.Clock, Log: d.Log, Interval: s.SnapshotInterval},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
@@ -161,7 +162,7 @@
 		Entry: fleet.Entry{
 			ID: s.EntryID, Incarnation: d.incarnation, Zone: s.Zone, PeerAddress: s.PeerAddress, VM: s.VMID, Duration: s.LeaseDuration,
 		},
-		Duties: []fleet.DutyName{fleet.DutyFleetDriver},
+		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutySnapshot},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
