--- a/internal/operation/linearizable_test.go
+++ b/internal/operation/linearizable_test.go
@@ -142,23 +142,27 @@
 		})
 	}
 	wait.Wait()
-	var all []porcupine.Operation
-	counts := map[verdict]int{}
+	all, counts := drained(history)
+	t.Log(counts)
+	is.True(counts[verdictDone] > 0)
+	is.Equal(porcupine.CheckOperationsTimeout(model, all, 30*time.Second), porcupine.Ok)
+}
+
+func vmID(i int) fleet.VMID { return fleet.VMID(fmt.Sprint("vm-", i)) }
+
+// drained returns the recorded operations and how often each verdict came.
+func drained(history *ring.Ring[porcupine.Operation]) (all []porcupine.Operation, counts map[verdict]int) {
+	counts = map[verdict]int{}
 	for {
 		o, ok := history.TryPop()
 		if !ok {
-			break
+			return all, counts
 		}
 		all = append(all, o)
 		counts[o.Output.(verdict)]++
 	}
-	t.Log(counts)
-	is.True(counts[verdictDone] > 0)
-	is.Equal(porcupine.CheckOperationsTimeout(model, all, 30*time.Second), porcupine.Ok)
 }
 
-func vmID(i int) fleet.VMID { return fleet.VMID(fmt.Sprint("vm-", i)) }
-
 // prepare makes the pool and adopts its VMs.
 func prepare(ctx context.Context, is *is.I, e *operation.Executor, run func(*operation.Executor, operation.ChangeVM) error) {
 	reply := ring.New[operation.Result[operation.Applied]]("r", 1)
