--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"context"
 	"fmt"
 	"runtime"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/control"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -71,6 +73,28 @@
 	})
 }
 
+// objects keeps one object.
+type objects struct{ data []byte }
+
+func (o *objects) PutObject(_ context.Context, _ platform.ObjectName, data []byte) error {
+	o.data = data
+	return nil
+}
+
+// BenchmarkCapacitySnapshot measures the writing of a snapshot.
+func BenchmarkCapacitySnapshot(b *testing.B) {
+	eachSize(b, func(b *testing.B, _ capacitySize, f *capacityFleet) {
+		rows, stored := f.rows, &objects{}
+		s := &control.Snapshot{Table: f, Objects: stored, Held: held(fleet.DutySnapshot), Clock: f.clock, Log: zap.NewNop(), Interval: time.Minute}
+		for b.Loop() {
+			f.rows = rows
+			is.New(b).NoErr(s.Step(b.Context()))
+		}
+		b.ReportMetric(float64(len(stored.data)), "bytes")
+		b.ReportMetric(float64(len(stored.data))/s.Pause().Seconds(), "bytes/s")
+	})
+}
+
 // BenchmarkCapacityState measures the memory of the view per item of one kind, with one item of each other kind.
 func BenchmarkCapacityState(b *testing.B) {
 	for _, c := range []struct {
--- a/internal/control/listing_test.go
+++ b/internal/control/listing_test.go
@@ -89,3 +89,13 @@
 	}
 	is.True(passers > 0 && passers <= 24) // 8 are expected
 }
+
+// Guards against a snapshot of a large fleet that takes more bytes per second than control may.
+func TestSnapshotIsWrittenByItsSize(t *testing.T) {
+	is := is.New(t)
+	f := newCapacityFleet(capacitySizes[2])
+	s := &control.Snapshot{Table: f, Objects: &objects{}, Held: held(fleet.DutySnapshot), Clock: f.clock, Log: zap.NewNop(), Interval: time.Minute}
+	is.Equal(s.Pause(), time.Minute)
+	is.NoErr(s.Step(context.Background()))
+	is.True(s.Pause() > 5*time.Minute)
+}
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -34,6 +34,18 @@
 	Clock    clock.Clock
 	Log      *zap.Logger
 	Interval time.Duration
+
+	// size is the size of the last snapshot.
+	size int
+}
+
+// snapshotRate bounds the bytes of snapshots per second. A snapshot of 7,400 VMs every minute took 31 KB/s of
+// the 12 KB/s that control may take; at this rate it is written every 10 minutes.
+const snapshotRate = 3 << 10
+
+// Pause returns how long to wait before the next snapshot.
+func (s *Snapshot) Pause() time.Duration {
+	return max(s.Interval, time.Duration(s.size)*time.Second/snapshotRate)
 }
 
 // Name implements duty.Duty.
@@ -42,7 +54,7 @@
 // Run implements duty.Duty.
 func (s *Snapshot) Run(ctx context.Context) error {
 	for {
-		if err := clock.Wait(ctx, s.Clock, s.Interval); err != nil {
+		if err := clock.Wait(ctx, s.Clock, s.Pause()); err != nil {
 			return trace.Wrap(err)
 		}
 		if err := s.Step(ctx); err != nil {
@@ -75,6 +87,7 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
+	s.size = len(data)
 	return trace.Wrap(s.Objects.PutObject(ctx, platform.ObjectSnapshot, data))
 }
 
