control: do not count budgets for pools whose grants use them up

Cause: in a full wave most pools have room by the width of the wave but none by their budget, and the first of them made the wave driver count the budgets of all VMs each second, 60% of its time in a profile.

Excluded: reusing the count of the last round, because heartbeats change the revision of the view each second.

Change: a pool with as many grants as VMs may be unavailable admits nothing without a count. Starts of drains count grants as disrupted anyway, so no start that was possible is left out.

Budgets by min-available still need the count.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -254,6 +254,7 @@
 			vm := view.VMs[v.VM]
 			vm.State, vm.Wave = fleet.VMStateRebooting, w.ID
 			f.put(wire.KeyVM(vm.ID), wire.EncodeVM(vm))
+			f.put(wire.KeyLedger(vm.Pool), wire.EncodeLedger(fleet.Ledger{Pool: vm.Pool, Grants: []fleet.Grant{{ID: "g", VM: vm.ID}}}))
 		}
 	}
 	return w
--- a/internal/control/wavedriver.go
+++ b/internal/control/wavedriver.go
@@ -132,6 +132,12 @@
 
 // Take implements maintenance.Budget.
 func (v *viewBudget) Take(vm fleet.VM) bool {
+	// A pool whose grants use up its budget admits nothing. In a wave that holds for most pools, and the
+	// start of a drain counts grants as disrupted too.
+	most := v.view.Configuration.Pools[vm.Pool].Budget.MaxUnavailableVMs
+	if most > 0 && len(v.view.Ledgers[vm.Pool].Grants) >= int(most) {
+		return false
+	}
 	if v.capacity == nil {
 		v.capacity = maintenance.NewCapacity(v.view.Configuration, v.view.VMs, v.view.Leaving)
 	}
