caller: read messages within bounds and type each refusal

Cause: Connect itself refuses a message above its read limit, or one that cannot be decoded, without a detail, so that a caller cannot tell whether the request ran. A slow sender holds a request for ever, and a message is read before the account is known. Excluded: http.Server.ReadTimeout, whose deadline also ends the context of a request that waits for its outcome; a limit in Connect's codec, whose errors lose their details. Change: Guard admits a request by its headers, reads the message within a time, a size and a sum of bytes over all readers, and bounds the time to write the response. A refusal that Connect makes before the service is entered gets a detail that says not-run. Connections are counted per account. Conclusion: each transport refusal of the caller service says not-run.

--- a/internal/caller/waiting.go
+++ b/internal/caller/counters.go
@@ -7,16 +7,16 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// waiting counts the requests of each account that wait. Counters are made once per account that has
-// shown its secret, so that their number is bounded by the configuration.
-type waiting struct {
-	counters atomic.Pointer[map[fleet.ClientAccountID]*atomic.Int64]
+// counters count something of each account. They are made once per account that has shown its secret,
+// so that their number is bounded by the configuration.
+type counters struct {
+	byAccount atomic.Pointer[map[fleet.ClientAccountID]*atomic.Int64]
 }
 
 // of returns the counter of an account. The map is replaced as a whole when an account is new.
-func (w *waiting) of(account fleet.ClientAccountID) *atomic.Int64 {
+func (c *counters) of(account fleet.ClientAccountID) *atomic.Int64 {
 	for {
-		old := w.counters.Load()
+		old := c.byAccount.Load()
 		next := map[fleet.ClientAccountID]*atomic.Int64{}
 		if old != nil {
 			if counter := (*old)[account]; counter != nil {
@@ -25,7 +25,7 @@
 			maps.Copy(next, *old)
 		}
 		next[account] = &atomic.Int64{}
-		if w.counters.CompareAndSwap(old, &next) {
+		if c.byAccount.CompareAndSwap(old, &next) {
 			return next[account]
 		}
 	}
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -35,12 +35,13 @@
 	DefaultTimeout time.Duration
 	MaxBody        fleet.Bytes
 	TicketLifetime time.Duration
-	// MaxWaiting bounds the requests of one account that wait at this entry.
+	// MaxWaiting bounds the requests of one account that wait at this entry, and its connections.
 	MaxWaiting int
 	// Peers is nil for an entry without peers.
 	Peers Peers
 
-	waiting waiting
+	// waiting counts requests, connections counts connections.
+	waiting, connections counters
 }
 
 // Peers passes on what concerns other entries. Forward returns false for a request that this entry
@@ -54,11 +55,14 @@
 const refusalRetry = time.Second
 
 // New returns the path and the HTTP handler of the caller service.
-func (h *Handler) New() (string, http.Handler) {
-	// The message around the body needs some room of its own.
-	return callerv1connect.NewCallerServiceHandler(h, connect.WithReadMaxBytes(2*int(h.MaxBody)+envelopeBytes))
+func (h *Handler) New(options ...connect.HandlerOption) (string, http.Handler) {
+	return callerv1connect.NewCallerServiceHandler(h, append(options, connect.WithReadMaxBytes(int(h.MaxMessage())))...)
 }
 
+// MaxMessage returns the size up to which a message is read. A body in JSON takes a third more bytes,
+// and the message around it needs some room of its own.
+func (h *Handler) MaxMessage() fleet.Bytes { return 2*h.MaxBody + envelopeBytes }
+
 // envelopeBytes bounds a message without its body.
 const envelopeBytes = 16 << 10
 
--- a/internal/caller/refusal.go
+++ b/internal/caller/refusal.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"time"
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
@@ -21,6 +22,44 @@
 	return fmt.Sprintf("request body has %d bytes, at most %d are allowed; not run", e.Size, e.Limit)
 }
 
+// ConnectionsError reports an account with too many connections. Nothing ran.
+type ConnectionsError struct {
+	Limit int
+}
+
+// Error implements error.
+func (e *ConnectionsError) Error() string {
+	return fmt.Sprintf("client account has more than %d connections to this entry; not run", e.Limit)
+}
+
+// ReadingError reports that too many messages are read at the same time. Nothing ran.
+type ReadingError struct {
+	Limit fleet.Bytes
+}
+
+// Error implements error.
+func (e *ReadingError) Error() string {
+	return fmt.Sprintf("messages that are read at the same time exceed %d bytes; not run", e.Limit)
+}
+
+// SlowError reports a message that was not sent in time. Nothing ran.
+type SlowError struct {
+	Timeout time.Duration
+}
+
+// Error implements error.
+func (e *SlowError) Error() string {
+	return fmt.Sprintf("message was not complete within %s; not run", e.Timeout)
+}
+
+// MessageError reports a message that did not reach the service. Nothing ran.
+type MessageError struct {
+	Problem string
+}
+
+// Error implements error.
+func (e *MessageError) Error() string { return e.Problem + "; not run" }
+
 // check refuses a request that is malformed or too large.
 func (h *Handler) check(m *callerv1.SubmitRequest) error {
 	if err := m.Check(); err != nil {
