daemon, credential: verify both ends of every connection

Cause: servers had no TLS, the roles of operators were not checked, the platform and the endpoints were called without TLS, and the peer socket took the InsecureSkipVerify of credential.Source for "verify nothing". Excluded: tls.Config with ClientCAs and RootCAs, which are fixed when the server starts, so that a renewed authority needs a restart. Change: the daemon loads the credentials before it opens a port and reads the files again every 10 s. Callers get TLS; operators, peers, the platform and endpoints mutual TLS with a role. The peer socket takes a source, and a certificate names its entry as a DNS name that is compared as it stands. Access lets viewers make dry runs and checks the role again behind the decoding of the message. Servers bound connections, streams, headers and pings; HTTP/2 without TLS is served only with the setting insecure. The stand-ins take TLS files as flags. The peer tests use the authority of internal/credential in place of their own; their checks stay as they were. Conclusion: without insecure nothing is served or called in the clear, but for health and metrics.

--- a/internal/credential/access.go
+++ b/internal/credential/access.go
@@ -1,6 +1,7 @@
 package credential
 
 import (
+	"context"
 	"net/http"
 	"path"
 
@@ -22,6 +23,9 @@
 type Access struct {
 	// Required holds the role that each RPC needs, by name. An RPC without an entry needs RoleAdmin.
 	Required map[string]Role
+	// DryRuns names the RPCs that need only RoleViewer for a message that asks for a dry run. Their
+	// messages are checked by Interceptor.
+	DryRuns map[string]bool
 	// Insecure trusts the headers of the client; it is for trials on loopback.
 	Insecure bool
 	Log      *zap.Logger
@@ -32,21 +36,51 @@
 func (a *Access) Middleware(next http.Handler) http.Handler {
 	writer := connect.NewErrorWriter()
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		rpc := path.Base(r.URL.Path)
+		want := a.requiredFor(rpc)
+		if a.DryRuns[rpc] {
+			want = RoleViewer
+		}
 		identity, err := a.identify(r)
 		if err == nil {
-			err = require(identity, a.requiredFor(r))
+			err = require(identity, want)
 		}
 		if err != nil {
-			a.Log.Warn("operator: call refused", zap.String("rpc", path.Base(r.URL.Path)), zap.Error(err))
-			_ = writer.Write(w, r, connect.NewError(connect.CodePermissionDenied, trace.Unwrap(err)))
+			_ = writer.Write(w, r, a.refuse(rpc, err))
 			return
 		}
-		// Handlers read the operator from the header, which only this middleware may set.
+		// What is behind reads the operator from the headers, which only this middleware may set.
 		r.Header.Set(HeaderOperator, string(identity.Name))
+		r.Header.Set(HeaderRole, string(identity.Role))
 		next.ServeHTTP(w, r)
 	})
 }
 
+// dryRunner is a message that may ask for a dry run.
+type dryRunner interface{ GetDryRun() bool }
+
+// Interceptor checks the messages of the RPCs in DryRuns. It goes behind Middleware.
+func (a *Access) Interceptor() connect.UnaryInterceptorFunc {
+	return func(next connect.UnaryFunc) connect.UnaryFunc {
+		return func(ctx context.Context, r connect.AnyRequest) (connect.AnyResponse, error) {
+			rpc := path.Base(r.Spec().Procedure)
+			if m, ok := r.Any().(dryRunner); ok && m.GetDryRun() {
+				return next(ctx, r)
+			}
+			identity := Identity{Name: fleet.OperatorName(r.Header().Get(HeaderOperator)), Role: Role(r.Header().Get(HeaderRole))}
+			if err := require(identity, a.requiredFor(rpc)); err != nil {
+				return nil, a.refuse(rpc, err)
+			}
+			return next(ctx, r)
+		}
+	}
+}
+
+func (a *Access) refuse(rpc string, err error) *connect.Error {
+	a.Log.Warn("operator: call refused", zap.String("rpc", rpc), zap.Error(err))
+	return connect.NewError(connect.CodePermissionDenied, trace.Unwrap(err))
+}
+
 func (a *Access) identify(r *http.Request) (Identity, error) {
 	if !a.Insecure {
 		return IdentityOf(r.TLS)
@@ -58,8 +92,8 @@
 	return i, nil
 }
 
-func (a *Access) requiredFor(r *http.Request) Role {
-	if role, ok := a.Required[path.Base(r.URL.Path)]; ok {
+func (a *Access) requiredFor(rpc string) Role {
+	if role, ok := a.Required[rpc]; ok {
 		return role
 	}
 	return RoleAdmin
--- a/internal/credential/authority.go
+++ b/internal/credential/authority.go
@@ -53,6 +53,7 @@
 }
 
 // Issue returns a certificate and its key as PEM, for a name, a role and loopback addresses.
+// The certificate of an entry has the entry as its DNS name.
 func (a *Authority) Issue(now time.Time, name fleet.OperatorName, role Role) (certificate, key []byte, err error) {
 	pair, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
@@ -65,6 +66,9 @@
 	template.KeyUsage = x509.KeyUsageDigitalSignature
 	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth}
 	template.IPAddresses = []net.IP{net.IPv4(127, 0, 0, 1)}
+	if role == RoleEntry {
+		template.DNSNames = []string{string(name)}
+	}
 	der, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &pair.PublicKey, a.key)
 	if err != nil {
 		return nil, nil, trace.Wrap(err)
--- a/internal/credential/role.go
+++ b/internal/credential/role.go
@@ -23,6 +23,8 @@
 	RoleAdmin Role = "admin"
 	// RoleEntry is the role of an entry towards other entries, operators and callers.
 	RoleEntry Role = "entry"
+	// RoleEndpoint is the role of an endpoint.
+	RoleEndpoint Role = "endpoint"
 	// RolePlatform is the role of the platform's services.
 	RolePlatform Role = "platform"
 )
@@ -65,6 +67,14 @@
 // Error implements error.
 func (*MissingError) Error() string { return "no certificate was presented" }
 
+// NameError reports a certificate that does not name the entry that was asked for.
+type NameError struct {
+	Entry fleet.EntryID
+}
+
+// Error implements error.
+func (e *NameError) Error() string { return "certificate does not name entry " + string(e.Entry) }
+
 // identityOf returns the holder of a certificate. A certificate without exactly one organizational
 // unit has no role.
 func identityOf(c *x509.Certificate) Identity {
--- a/internal/credential/tls.go
+++ b/internal/credential/tls.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"slices"
 
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
 // Source gives the current material to each new connection, so that a renewed certificate takes
@@ -47,6 +49,31 @@
 	}
 }
 
+// PeerServer returns the configuration of the server for other entries.
+func (s *Source) PeerServer() *tls.Config { return s.Server(RoleEntry) }
+
+// PeerClient returns the configuration towards one other entry, whose certificate must name it.
+func (s *Source) PeerClient(entry fleet.EntryID) *tls.Config {
+	c := s.Client(RoleEntry)
+	verify := c.VerifyConnection
+	c.VerifyConnection = func(state tls.ConnectionState) error {
+		if err := verify(state); err != nil {
+			return trace.Wrap(err)
+		}
+		if !s.Certifies(state, entry) {
+			return trace.Wrap(&NameError{Entry: entry})
+		}
+		return nil
+	}
+	return c
+}
+
+// Certifies reports whether the certificate at the other end of a verified connection names an entry
+// as a DNS name. The name is compared as it stands, so that a wildcard speaks for nobody.
+func (s *Source) Certifies(state tls.ConnectionState, entry fleet.EntryID) bool {
+	return len(state.PeerCertificates) > 0 && slices.Contains(state.PeerCertificates[0].DNSNames, string(entry))
+}
+
 func (s *Source) certificate(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 	m := s.Material.Get()
 	if m == nil {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,13 +4,10 @@
 import (
 	"context"
 	"crypto/rand"
-	"crypto/tls"
 	mathrand "math/rand/v2"
 	"net"
-	"net/http"
 
 	"github.com/gravitational/trace"
-	"github.com/justinas/alice"
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/admission"
@@ -18,6 +15,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/caller"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/credential"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/endpoint"
@@ -39,9 +37,9 @@
 	Settings settings.Settings
 	Clock    clock.Clock
 	Log      *zap.Logger
-	// PeerTLS holds the certificate of this entry and the authorities of its peers. It may be nil
-	// with the setting insecure.
-	PeerTLS *tls.Config
+	// Credentials are those of this entry. When they are nil, they are read from the files that the
+	// settings name. The setting insecure leaves them out.
+	Credentials *credential.Source
 
 	incarnation fleet.Incarnation
 	listeners   listeners
@@ -70,8 +68,11 @@
 }
 
 // Run runs the daemon until the context ends and then stops it gracefully: requests in flight finish.
-// It returns *ListenError when a port cannot be opened and *duty.StoppedError when a duty fails.
+// It returns *credential.MaterialError, *PlainAddressError, *ListenError or, when a duty fails, *duty.StoppedError.
 func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.loadCredentials(); err != nil {
+		return trace.Wrap(err)
+	}
 	if err := d.listen(); err != nil {
 		return trace.Wrap(err)
 	}
@@ -124,7 +125,7 @@
 // duties returns all duties of the daemon.
 func (d *Daemon) duties(stopAsked context.Context, stopped, closeCallers func()) []duty.Duty {
 	s := d.Settings
-	client := platform.NewClient(&http.Client{}, s.PlatformAddress, s.PlatformTimeout)
+	client := platform.NewClient(d.platformClient(), s.PlatformAddress, s.PlatformTimeout)
 	table := &platform.Limited{Client: client, Writes: d.writes, Reads: d.reads}
 	disruptive := control.Disruptive{
 		Entry: s.EntryID, Table: table, View: &d.view, Held: &d.held, Load: &d.load, Poller: d.polls,
@@ -156,6 +157,7 @@
 			Peers: d.forwarder, CloseCallers: closeCallers, Closed: d.closed,
 		},
 	}
+	list = append(list, d.renewal()...)
 	list = append(list, d.calls()...)
 	return append(list, d.servers()...)
 }
@@ -207,13 +209,14 @@
 const controlCalls = 8
 
 func (d *Daemon) calls() []duty.Duty {
-	client := endpoint.NewClient(d.endpointConnections())
+	scheme, config := d.endpointTLS()
+	client := endpoint.NewClient(d.endpointConnections(), config)
 	list := []duty.Duty{&endpoint.Prober{
 		Zone: d.Settings.Zone, Inbox: d.heard, View: &d.view, Jobs: d.jobs, Clock: d.Clock, Interval: d.Settings.ProbeInterval,
 	}}
 	for i := range d.Settings.CallWorkers + controlCalls {
 		list = append(list, &endpoint.Call{
-			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: "http", Clock: d.Clock,
+			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: scheme, Clock: d.Clock,
 		})
 	}
 	return list
@@ -231,30 +234,22 @@
 	}
 	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
-		&Server{Duty: "http-caller", Listener: d.listeners.caller, Handler: mount(callers.New()), HeaderTimeout: s.HeaderTimeout, Closing: d.closing, Closed: d.closed},
-		&Server{Duty: "http-operator", Listener: d.listeners.operator, Handler: mount(operators.New()), HeaderTimeout: s.HeaderTimeout},
-		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout},
+		&Server{
+			Duty: "http-caller", Listener: d.listeners.caller, Handler: d.callerHandler(callers), HeaderTimeout: s.HeaderTimeout, Log: d.Log,
+			TLS: d.callerTLS(), PlainHTTP2: s.Insecure, MaxConnections: callerConnections, CountAccounts: true,
+			Closing: d.closing, Closed: d.closed,
+		},
+		&Server{
+			Duty: "http-operator", Listener: d.listeners.operator, Handler: d.operatorHandler(operators), HeaderTimeout: s.HeaderTimeout, Log: d.Log,
+			TLS: d.operatorTLS(), PlainHTTP2: s.Insecure,
+		},
+		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout, Log: d.Log},
 	}
 }
 
 // missedPolls is how many polls of the table may fail before the status calls it unreachable.
 const missedPolls = 3
 
-// mount serves a handler under its path, behind the common middleware.
-func mount(path string, handler http.Handler) http.Handler {
-	mux := http.NewServeMux()
-	mux.Handle(path, handler)
-	return alice.New(noSniff).Then(mux)
-}
-
-// noSniff tells browsers to keep to the content type, because bodies come from callers.
-func noSniff(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("X-Content-Type-Options", "nosniff")
-		next.ServeHTTP(w, r)
-	})
-}
-
 // pollNow asks the poller to read the table at once. The next poll follows soon anyway.
 func (d *Daemon) pollNow() {
 	_ = d.polls.Push(control.PollerEvent{PollNow: true})
--- a/internal/daemon/peers.go
+++ b/internal/daemon/peers.go
@@ -1,10 +1,6 @@
 package daemon
 
 import (
-	"crypto/tls"
-	"crypto/x509"
-	"os"
-
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/internal/duty"
@@ -22,49 +18,14 @@
 
 // listenPeers opens the UDP socket for the peers.
 func (d *Daemon) listenPeers() error {
-	config, err := d.peerTLS()
+	source, err := d.peerSource()
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	d.socket, err = peer.Listen(d.Settings.PeerAddress, config)
+	d.socket, err = peer.Listen(d.Settings.PeerAddress, source)
 	return trace.Wrap(err)
 }
 
-// peerTLS returns the TLS configuration towards peers. With the setting insecure, the entry makes a
-// throw-away certificate and does not verify.
-func (d *Daemon) peerTLS() (*tls.Config, error) {
-	s := d.Settings
-	switch {
-	case d.PeerTLS != nil:
-		return d.PeerTLS, nil
-	case s.Insecure:
-		config, err := peer.ThrowAway(d.Clock.Now(), s.EntryID)
-		return config, trace.Wrap(err)
-	}
-	certificate, err := tls.LoadX509KeyPair(string(s.TLSCertFile), string(s.TLSKeyFile))
-	if err != nil {
-		return nil, trace.Wrap(&CertificateError{Cause: err})
-	}
-	authorities, err := os.ReadFile(string(s.TLSCAFile))
-	if err != nil {
-		return nil, trace.Wrap(&CertificateError{Cause: err})
-	}
-	pool := x509.NewCertPool()
-	pool.AppendCertsFromPEM(authorities)
-	return &tls.Config{Certificates: []tls.Certificate{certificate}, RootCAs: pool, ClientCAs: pool}, nil
-}
-
-// CertificateError reports certificate files that cannot be used.
-type CertificateError struct {
-	Cause error
-}
-
-// Error implements error.
-func (e *CertificateError) Error() string { return "certificate for peers: " + e.Cause.Error() }
-
-// Unwrap returns the cause.
-func (e *CertificateError) Unwrap() error { return e.Cause }
-
 // peerDuties returns the hub and the readers; the hub starts the links.
 func (d *Daemon) peerDuties(start func(duty.Duty)) []duty.Duty {
 	s := d.Settings
--- /dev/null
+++ b/internal/daemon/security.go
@@ -0,0 +1,164 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net/http"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+	"github.com/justinas/alice"
+
+	"github.com/mimosawharf/mimosawharf/internal/caller"
+	"github.com/mimosawharf/mimosawharf/internal/credential"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/operator"
+	"github.com/mimosawharf/mimosawharf/internal/peer"
+)
+
+// renewalInterval is how often the files of the credentials are read again.
+const renewalInterval = 10 * time.Second
+
+// schemeHTTPS starts the addresses that are reached with TLS.
+const schemeHTTPS = "https"
+
+// PlainAddressError reports an address without TLS in an entry that has to verify the other end.
+type PlainAddressError struct {
+	Address string
+}
+
+// Error implements error.
+func (e *PlainAddressError) Error() string {
+	return "--platform-address " + e.Address + ": want https://, or --insecure for a trial on loopback"
+}
+
+// loadCredentials reads the files of the credentials before the first port is opened. It returns
+// *credential.MaterialError or *PlainAddressError.
+func (d *Daemon) loadCredentials() error {
+	s := d.Settings
+	if s.Insecure {
+		d.Credentials = nil
+		return nil
+	}
+	if !strings.HasPrefix(s.PlatformAddress, schemeHTTPS+"://") {
+		return trace.Wrap(&PlainAddressError{Address: s.PlatformAddress})
+	}
+	if d.Credentials != nil {
+		return nil
+	}
+	material, err := d.credentialFiles().Load()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	d.Credentials = &credential.Source{Clock: d.Clock}
+	d.Credentials.Material.Set(material)
+	return nil
+}
+
+func (d *Daemon) credentialFiles() credential.Files {
+	s := d.Settings
+	return credential.Files{Certificate: string(s.TLSCertFile), Key: string(s.TLSKeyFile), Authorities: string(s.TLSCAFile)}
+}
+
+// renewal returns the duty that reads renewed credentials, when they come from files.
+func (d *Daemon) renewal() []duty.Duty {
+	if d.Credentials == nil || d.Settings.TLSCertFile == "" {
+		return nil
+	}
+	return []duty.Duty{&credential.Renewal{
+		Loader: d.credentialFiles(), Source: d.Credentials, Clock: d.Clock, Log: d.Log, Interval: renewalInterval,
+	}}
+}
+
+// peerSource returns the credentials towards peers. With the setting insecure, the entry makes a
+// throw-away certificate and does not verify.
+func (d *Daemon) peerSource() (peer.Source, error) {
+	if d.Credentials == nil {
+		source, err := peer.ThrowAway(d.Clock.Now(), d.Settings.EntryID)
+		return source, trace.Wrap(err)
+	}
+	return d.Credentials, nil
+}
+
+// callerTLS returns the configuration of the server for callers, or nil.
+func (d *Daemon) callerTLS() *tls.Config {
+	if d.Credentials == nil {
+		return nil
+	}
+	return d.Credentials.CallerServer()
+}
+
+// operatorTLS returns the configuration of the server for operators, or nil. What each of them may
+// do is checked per RPC.
+func (d *Daemon) operatorTLS() *tls.Config {
+	if d.Credentials == nil {
+		return nil
+	}
+	return d.Credentials.Server(credential.RoleViewer)
+}
+
+// access returns what checks the roles of operators.
+func (d *Daemon) access() *credential.Access {
+	return &credential.Access{Required: operator.Roles(), DryRuns: operator.DryRuns(), Insecure: d.Credentials == nil, Log: d.Log}
+}
+
+// platformClient returns the HTTP client towards the platform.
+func (d *Daemon) platformClient() *http.Client {
+	if d.Credentials == nil {
+		return &http.Client{}
+	}
+	return &http.Client{Transport: &http.Transport{
+		TLSClientConfig: d.Credentials.Client(credential.RolePlatform), ForceAttemptHTTP2: true,
+		// A connection that dies without a word would otherwise hang every call.
+		HTTP2: &http.HTTP2Config{SendPingTimeout: d.Settings.PlatformTimeout, PingTimeout: d.Settings.PlatformTimeout},
+	}}
+}
+
+// endpointTLS returns the scheme and the TLS configuration towards endpoints.
+func (d *Daemon) endpointTLS() (string, *tls.Config) {
+	if d.Credentials == nil {
+		return "http", nil
+	}
+	return schemeHTTPS, d.Credentials.Client(credential.RoleEndpoint)
+}
+
+// callerConnections bounds the connections of all callers together.
+const callerConnections = 4096
+
+// readTimeout bounds the time to read one message, so that slow senders do not hold a place for long.
+const readTimeout = 10 * time.Second
+
+// operatorReading bounds the messages of operators that are read at the same time: four of the largest.
+const operatorReading = 4 * operator.MaxMessage
+
+// callerHandler returns the handler of the caller service behind its guard.
+func (d *Daemon) callerHandler(h *caller.Handler) http.Handler {
+	guard := &caller.Guard{
+		Admission: h, Clock: d.Clock, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		MaxMessage: h.MaxMessage(), MaxReading: d.Settings.QueueBytes,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(h.New(connect.WithInterceptors(guard.Interceptor())))
+	return alice.New(noSniff, guard.Middleware).Then(mux)
+}
+
+// operatorHandler returns the handler of the operator service behind its guard and the check of roles.
+func (d *Daemon) operatorHandler(h *operator.Handler) http.Handler {
+	access := d.access()
+	guard := &caller.Guard{
+		Clock: d.Clock, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		MaxMessage: operator.MaxMessage, MaxReading: operatorReading,
+	}
+	mux := http.NewServeMux()
+	mux.Handle(h.New(connect.WithInterceptors(guard.Interceptor(), access.Interceptor())))
+	return alice.New(noSniff, access.Middleware, guard.Middleware).Then(mux)
+}
+
+// noSniff tells browsers to keep to the content type, because bodies come from callers.
+func noSniff(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Content-Type-Options", "nosniff")
+		next.ServeHTTP(w, r)
+	})
+}
--- a/internal/daemon/server.go
+++ b/internal/daemon/server.go
@@ -1,14 +1,20 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
+	"crypto/tls"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
+	"github.com/mimosawharf/mimosawharf/internal/caller"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -34,6 +40,17 @@
 	Listener      net.Listener
 	Handler       http.Handler
 	HeaderTimeout time.Duration
+	// TLS is nil for a server without TLS. HTTP/2 is served with TLS, and without it only when
+	// PlainHTTP2 is set.
+	TLS        *tls.Config
+	PlainHTTP2 bool
+	// MaxConnections bounds the open connections; 0 stands for defaultConnections. Further clients
+	// wait until a connection is closed.
+	MaxConnections int
+	// CountAccounts counts connections for the accounts that use them.
+	CountAccounts bool
+	// Log may be nil.
+	Log *zap.Logger
 	// Closing, when it is not nil, ends before the daemon does: the server then takes no more
 	// connections and finishes the requests that it has, and says so on Closed.
 	Closing context.Context
@@ -64,15 +81,25 @@
 // Name implements duty.Duty.
 func (s *Server) Name() fleet.DutyName { return s.Duty }
 
+// Connections that servers hold open by default, and streams of one HTTP/2 connection.
+const (
+	defaultConnections = 256
+	maxStreams         = 256
+)
+
+// Bounds of HTTP/2. A client that answers no ping or reads nothing loses its connection.
+const (
+	pingAfter    = 30 * time.Second
+	pingTimeout  = 15 * time.Second
+	writeTimeout = 30 * time.Second
+	// receiveBytes bounds what one connection may send before it is read.
+	receiveBytes = 1 << 20
+)
+
 // Run implements duty.Duty. It closes the listener and all connections when the context ends. The
 // supervisor ends it only when no request is in flight and, for callers, after Closed.
 func (s *Server) Run(ctx context.Context) error {
-	server := &http.Server{
-		Handler:           s.Handler,
-		ReadHeaderTimeout: s.HeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+	server := s.server()
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if s.Closing != nil {
@@ -84,10 +111,62 @@
 		})
 		defer stopClosing()
 	}
-	err := server.Serve(s.Listener)
+	err := s.serve(server)
 	if errors.Is(err, http.ErrServerClosed) {
 		<-ctx.Done()
 		return trace.Wrap(ctx.Err())
 	}
 	return trace.Wrap(err)
 }
+
+func (s *Server) server() *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(s.TLS != nil)
+	protocols.SetUnencryptedHTTP2(s.TLS == nil && s.PlainHTTP2)
+	server := &http.Server{
+		Handler:           s.Handler,
+		TLSConfig:         s.TLS,
+		Protocols:         protocols,
+		ReadHeaderTimeout: s.HeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          log.New(errorLog{log: s.Log}, "", 0),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxStreams, MaxReceiveBufferPerConnection: receiveBytes, MaxReceiveBufferPerStream: receiveBytes,
+			SendPingTimeout: pingAfter, PingTimeout: pingTimeout, WriteByteTimeout: writeTimeout,
+		},
+	}
+	if s.CountAccounts {
+		server.ConnContext = caller.ConnContext
+	}
+	return server
+}
+
+// errorLog logs failed connections, each line as a value because it may quote bytes from outside.
+type errorLog struct {
+	log *zap.Logger
+}
+
+// Write implements io.Writer.
+func (e errorLog) Write(line []byte) (int, error) {
+	if e.log != nil {
+		e.log.Debug("server: connection failed", zap.ByteString("detail", bytes.TrimSpace(line)))
+	}
+	return len(line), nil
+}
+
+func (s *Server) serve(server *http.Server) error {
+	limit := s.MaxConnections
+	if limit == 0 {
+		limit = defaultConnections
+	}
+	listener := netutil.LimitListener(s.Listener, limit)
+	if s.CountAccounts {
+		listener = caller.Listener{Listener: listener}
+	}
+	if s.TLS != nil {
+		return server.ServeTLS(listener, "", "")
+	}
+	return server.Serve(listener)
+}
--- a/internal/endpoint/fault_test.go
+++ b/internal/endpoint/fault_test.go
@@ -43,7 +43,7 @@
 		group:   group, ctx: ctx,
 	}
 	group.Start(ctx, &endpoint.Call{
-		Jobs: b.pool.Jobs, Results: b.results, Statements: b.results, Heard: b.heard, Client: endpoint.NewClient(2), Scheme: "http", Clock: clock.Real(),
+		Jobs: b.pool.Jobs, Results: b.results, Statements: b.results, Heard: b.heard, Client: endpoint.NewClient(2, nil), Scheme: "http", Clock: clock.Real(),
 	})
 	t.Cleanup(func() { group.Stop(); _ = group.Wait() })
 	return b
@@ -175,7 +175,7 @@
 	for _, client := range []struct {
 		http *http.Client
 		want int
-	}{{endpoint.NewClient(2), 2}, {&http.Client{Transport: &http.Transport{}}, 3}} {
+	}{{endpoint.NewClient(2, nil), 2}, {&http.Client{Transport: &http.Transport{}}, 3}} {
 		for s.seen.Depth() > 0 {
 			_, _ = s.seen.TryPop()
 		}
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -21,9 +22,10 @@
 
 // NewClient returns an HTTP client that sends each request at most once and opens at most the given
 // number of connections to one endpoint. It speaks HTTP/1.1, where one connection carries one request
-// at a time.
-func NewClient(connections fleet.Connections) *http.Client {
+// at a time. The TLS configuration is for addresses with https and may be nil.
+func NewClient(connections fleet.Connections, config *tls.Config) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
+	secure := &tls.Dialer{NetDialer: dialer, Config: config}
 	return &http.Client{
 		Transport: &singleSend{next: &http.Transport{
 			DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -33,6 +35,16 @@
 				}
 				return &guardedConn{Conn: conn}, nil
 			},
+			// The bytes of the request are counted above TLS, because the handshake is not part of it.
+			DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+				bounded, cancel := context.WithTimeout(ctx, dialTimeout)
+				defer cancel()
+				conn, err := secure.DialContext(bounded, network, address)
+				if err != nil {
+					return nil, trace.Wrap(err)
+				}
+				return &guardedConn{Conn: conn}, nil
+			},
 			MaxConnsPerHost:     int(connections),
 			MaxIdleConnsPerHost: int(connections),
 			IdleConnTimeout:     idleTimeout,
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -42,12 +42,12 @@
 	Bounds operation.StatusBounds
 }
 
-// maxMessage bounds a message of an operator; a whole configuration fits.
-const maxMessage = 16 << 20
+// MaxMessage bounds a message of an operator; a whole configuration fits.
+const MaxMessage = 16 << 20
 
 // New returns the path and the HTTP handler of the operator service.
-func (h *Handler) New() (string, http.Handler) {
-	return operatorv1connect.NewOperatorServiceHandler(h, connect.WithReadMaxBytes(maxMessage))
+func (h *Handler) New(options ...connect.HandlerOption) (string, http.Handler) {
+	return operatorv1connect.NewOperatorServiceHandler(h, append(options, connect.WithReadMaxBytes(MaxMessage))...)
 }
 
 // ListVMs implements the operator service.
--- a/internal/peer/certificate.go
+++ b/internal/peer/certificate.go
@@ -17,9 +17,14 @@
 // throwAwayLifetime is how long a throw-away certificate is valid. Nobody verifies it.
 const throwAwayLifetime = 30 * 24 * time.Hour
 
-// ThrowAway returns a configuration with a new self-signed certificate that verifies no peer. It is
-// for the setting insecure.
-func ThrowAway(now time.Time, entry fleet.EntryID) (*tls.Config, error) {
+// throwAway is a self-signed certificate of an entry that verifies no peer.
+type throwAway struct {
+	certificate tls.Certificate
+}
+
+// ThrowAway returns a source with a new self-signed certificate that verifies no peer. It is for the
+// setting insecure.
+func ThrowAway(now time.Time, entry fleet.EntryID) (Source, error) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return nil, trace.Wrap(err)
@@ -34,8 +39,18 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	return &tls.Config{
-		Certificates:       []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		InsecureSkipVerify: true,
-	}, nil
+	return &throwAway{certificate: tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key}}, nil
+}
+
+// PeerServer implements Source.
+func (t *throwAway) PeerServer() *tls.Config {
+	return &tls.Config{Certificates: []tls.Certificate{t.certificate}, ClientAuth: tls.RequireAnyClientCert}
 }
+
+// PeerClient implements Source.
+func (t *throwAway) PeerClient(fleet.EntryID) *tls.Config {
+	return &tls.Config{Certificates: []tls.Certificate{t.certificate}, InsecureSkipVerify: true}
+}
+
+// Certifies implements Source.
+func (*throwAway) Certifies(tls.ConnectionState, fleet.EntryID) bool { return true }
--- a/internal/peer/link_test.go
+++ b/internal/peer/link_test.go
@@ -3,14 +3,8 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
 	"errors"
 	"io"
-	"math/big"
 	"testing"
 	"time"
 
@@ -19,6 +13,7 @@
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/credential"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/peer"
@@ -31,42 +26,23 @@
 
 // authority signs the certificates of a test's entries.
 type authority struct {
-	key  *ecdsa.PrivateKey
-	cert *x509.Certificate
-	pool *x509.CertPool
+	signer *credential.Authority
+	now    time.Time
 }
 
 func newAuthority(is *is.I) *authority {
-	a := &authority{pool: x509.NewCertPool()}
-	a.cert, a.key = a.sign(is, "authority", true)
-	a.pool.AddCert(a.cert)
-	return a
-}
-
-func (a *authority) sign(is *is.I, name string, root bool) (*x509.Certificate, *ecdsa.PrivateKey) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	is.NoErr(err)
-	now := clock.Real().Now() // QUIC verifies by the real clock
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), DNSNames: []string{name}, NotBefore: now.Add(-time.Hour), NotAfter: now.Add(time.Hour),
-		IsCA: root, BasicConstraintsValid: true,
-	}
-	parent, signer := a.cert, a.key
-	if root {
-		parent, signer = template, key
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, parent, key.Public(), signer)
-	is.NoErr(err)
-	cert, err := x509.ParseCertificate(der)
+	now := clock.Real().Now()
+	signer, err := credential.NewAuthority(now, time.Hour)
 	is.NoErr(err)
-	return cert, key
+	return &authority{signer: signer, now: now}
 }
 
-func (a *authority) config(is *is.I, entry fleet.EntryID) *tls.Config {
-	cert, key := a.sign(is, string(entry), false)
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{cert.Raw}, PrivateKey: key}}, RootCAs: a.pool, ClientCAs: a.pool,
-	}
+func (a *authority) source(is *is.I, entry fleet.EntryID) *credential.Source {
+	m, err := a.signer.Material(a.now, fleet.OperatorName(entry), credential.RoleEntry)
+	is.NoErr(err)
+	s := &credential.Source{Clock: clock.Real()}
+	s.Material.Set(m)
+	return s
 }
 
 // node is the peer side of one entry on loopback.
@@ -81,10 +57,10 @@
 	stop      func()
 }
 
-func newNode(t *testing.T, id fleet.EntryID, config *tls.Config, view *fleet.View) *node {
+func newNode(t *testing.T, id fleet.EntryID, source peer.Source, view *fleet.View) *node {
 	is := is.New(t)
 	n := &node{events: ring.New[dispatch.Event]("dispatcher", 4096), rows: ring.New[control.PollerEvent]("poller", 64)}
-	socket, err := peer.Listen("127.0.0.1:0", config)
+	socket, err := peer.Listen("127.0.0.1:0", source)
 	is.NoErr(err)
 	n.socket = socket
 	n.view.Set(view)
@@ -138,8 +114,8 @@
 func pair(ctx context.Context, t *testing.T) (a, b *node) {
 	is := is.New(t)
 	authority := newAuthority(is)
-	a = newNode(t, "a", authority.config(is, "a"), nil)
-	b = newNode(t, "b", authority.config(is, "b"), viewOf(map[fleet.EntryID]*node{"a": a}, 3))
+	a = newNode(t, "a", authority.source(is, "a"), nil)
+	b = newNode(t, "b", authority.source(is, "b"), viewOf(map[fleet.EntryID]*node{"a": a}, 3))
 	a.view.Set(viewOf(map[fleet.EntryID]*node{"b": b}, 0))
 	is.Equal(next[dispatch.PeerReported](ctx, is, a).Peer, fleet.EntryID("b"))
 	is.Equal(next[dispatch.PeerReported](ctx, is, b).Peer, fleet.EntryID("a"))
@@ -245,10 +221,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
 	one, other := newAuthority(is), newAuthority(is)
-	server, err := peer.Listen("127.0.0.1:0", one.config(is, "server"))
+	server, err := peer.Listen("127.0.0.1:0", one.source(is, "server"))
 	is.NoErr(err)
 	defer server.Close()
-	client, err := peer.Listen("127.0.0.1:0", one.config(is, "client"))
+	client, err := peer.Listen("127.0.0.1:0", one.source(is, "client"))
 	is.NoErr(err)
 	defer client.Close()
 	conn, err := client.Dial(ctx, "server", server.Address())
@@ -261,7 +237,7 @@
 	is.True(!in.Certifies("server"))
 	_, err = client.Dial(ctx, "someone-else", server.Address())
 	is.True(err != nil) // the server has no certificate for that name
-	stranger, err := peer.Listen("127.0.0.1:0", other.config(is, "client"))
+	stranger, err := peer.Listen("127.0.0.1:0", other.source(is, "client"))
 	is.NoErr(err)
 	defer stranger.Close()
 	_, err = stranger.Dial(ctx, "server", server.Address())
--- a/internal/peer/socket.go
+++ b/internal/peer/socket.go
@@ -40,13 +40,21 @@
 	Close()
 }
 
+// Source gives the credentials of this entry to each new connection, and tells whom a certificate names.
+type Source interface {
+	// PeerServer returns the configuration of the server for peers.
+	PeerServer() *tls.Config
+	// PeerClient returns the configuration towards one peer. The handshake fails for another server.
+	PeerClient(peer fleet.EntryID) *tls.Config
+	// Certifies reports whether the other end of a connection may speak for an entry.
+	Certifies(state tls.ConnectionState, entry fleet.EntryID) bool
+}
+
 // Socket is the UDP socket of this entry.
 type Socket struct {
 	transport *quic.Transport
 	listener  *quic.Listener
-	config    *tls.Config
-	// verifies says that certificates name their entries.
-	verifies bool
+	source    Source
 }
 
 // SocketError reports an address that cannot be listened on.
@@ -63,10 +71,8 @@
 // Unwrap returns the cause.
 func (e *SocketError) Unwrap() error { return e.Cause }
 
-// Listen opens the socket. The configuration holds the certificate of this entry, which names it as
-// a DNS name, and the authorities of the others; with InsecureSkipVerify, peers are not verified. It
-// returns *SocketError.
-func Listen(address fleet.Address, config *tls.Config) (*Socket, error) {
+// Listen opens the socket. It returns *SocketError.
+func Listen(address fleet.Address, source Source) (*Socket, error) {
 	udp, err := net.ResolveUDPAddr("udp", string(address))
 	if err != nil {
 		return nil, trace.Wrap(&SocketError{Address: address, Cause: err})
@@ -75,21 +81,22 @@
 	if err != nil {
 		return nil, trace.Wrap(&SocketError{Address: address, Cause: err})
 	}
-	c := config.Clone()
-	c.NextProtos = []string{protocol}
-	c.MinVersion = tls.VersionTLS13
-	c.ClientAuth = tls.RequireAndVerifyClientCert
-	if c.InsecureSkipVerify {
-		c.ClientAuth = tls.RequireAnyClientCert
-	}
-	s := &Socket{transport: &quic.Transport{Conn: conn}, config: c, verifies: !c.InsecureSkipVerify}
-	if s.listener, err = s.transport.Listen(c, quicConfig()); err != nil {
+	s := &Socket{transport: &quic.Transport{Conn: conn}, source: source}
+	if s.listener, err = s.transport.Listen(withProtocol(source.PeerServer()), quicConfig()); err != nil {
 		_ = conn.Close()
 		return nil, trace.Wrap(&SocketError{Address: address, Cause: err})
 	}
 	return s, nil
 }
 
+// withProtocol returns a configuration for the protocol between entries.
+func withProtocol(config *tls.Config) *tls.Config {
+	c := config.Clone()
+	c.NextProtos = []string{protocol}
+	c.MinVersion = tls.VersionTLS13
+	return c
+}
+
 func quicConfig() *quic.Config {
 	return &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout, MaxIdleTimeout: idleTimeout, KeepAlivePeriod: keepAlive,
@@ -113,9 +120,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	c := s.config.Clone()
-	c.ServerName = string(peer)
-	conn, err := s.transport.Dial(ctx, udp, c, quicConfig())
+	conn, err := s.transport.Dial(ctx, udp, withProtocol(s.source.PeerClient(peer)), quicConfig())
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -140,7 +145,7 @@
 		_ = conn.CloseWithError(0, "")
 		return nil, trace.Wrap(err)
 	}
-	return &incoming{ReceiveStream: stream, conn: conn, verifies: s.verifies}, nil
+	return &incoming{ReceiveStream: stream, conn: conn, source: s.source}, nil
 }
 
 type outgoing struct {
@@ -156,17 +161,13 @@
 
 type incoming struct {
 	*quic.ReceiveStream
-	conn     *quic.Conn
-	verifies bool
+	conn   *quic.Conn
+	source Source
 }
 
 // Certifies implements Incoming.
 func (i *incoming) Certifies(id fleet.EntryID) bool {
-	if !i.verifies {
-		return true
-	}
-	certificates := i.conn.ConnectionState().TLS.PeerCertificates
-	return len(certificates) > 0 && certificates[0].VerifyHostname(string(id)) == nil
+	return i.source.Certifies(i.conn.ConnectionState().TLS, id)
 }
 
 // Close implements Incoming.
--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io"
@@ -12,8 +13,10 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 	"github.com/peterbourgon/ff/v4/ffhelp"
+	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/credential"
 	"github.com/mimosawharf/mimosawharf/internal/daemon"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/standin/endpoint"
@@ -50,6 +53,7 @@
 	address := set.StringLong("address", "127.0.0.1:7300", "Address to serve on, as ip:port.")
 	lag := set.DurationLong("list-lag", 2*time.Second, "How far the list of VMs lags.")
 	reboot := set.DurationLong("reboot-time", 3*time.Second, "How long an action on a VM takes.")
+	files := tlsFlags(set)
 	list := set.StringLong("vms", "", "Listed VMs, as id@zone@rack@ip:port,...")
 	return &ff.Command{
 		Name: "platform", Usage: "platform [flags]", ShortHelp: "serve table, object store and VMs", Flags: set,
@@ -59,7 +63,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(ctx, output, fleet.Address(*address), p, func(ctx context.Context) (*daemon.Server, error) {
+			return serve(ctx, output, fleet.Address(*address), files, p, func(ctx context.Context) (*daemon.Server, error) {
 				for _, vm := range vms {
 					if err := p.PutVM(ctx, vm); err != nil {
 						return nil, err
@@ -75,37 +79,73 @@
 	set := ff.NewFlagSet("endpoint")
 	address := set.StringLong("address", "127.0.0.1:7500", "Address to serve on, as ip:port.")
 	slots := set.IntLong("slots", 8, "Requests that run at the same time.")
+	files := tlsFlags(set)
 	runTime := set.DurationLong("run-time", 50*time.Millisecond, "How long each request runs.")
 	return &ff.Command{
 		Name: "endpoint", Usage: "endpoint [flags]", ShortHelp: "run requests and echo their bodies", Flags: set,
 		Exec: func(ctx context.Context, _ []string) error {
 			e := endpoint.New(clock.Real(), fleet.Slots(*slots), *runTime)
-			return serve(ctx, output, fleet.Address(*address), e, func(context.Context) (*daemon.Server, error) {
+			return serve(ctx, output, fleet.Address(*address), files, e, func(context.Context) (*daemon.Server, error) {
 				return &daemon.Server{Duty: "http-endpoint", Handler: e.Handler(), HeaderTimeout: headerTimeout}, nil
 			})
 		},
 	}
 }
 
+// tlsFlags adds the flags of the TLS files. Without them, a stand-in serves without TLS.
+func tlsFlags(set *ff.FlagSet) *credential.Files {
+	files := &credential.Files{}
+	set.StringVar(&files.Certificate, 0, "tls-cert-file", "", "Certificate of the stand-in, PEM; read again when it changes.")
+	set.StringVar(&files.Key, 0, "tls-key-file", "", "Private key of the stand-in, PEM.")
+	set.StringVar(&files.Authorities, 0, "tls-ca-file", "", "Authorities trusted for entries, PEM.")
+	return files
+}
+
+// renewalInterval is how often the TLS files are read again.
+const renewalInterval = 10 * time.Second
+
+// secure loads the TLS files, if there are any, and starts their renewal. Only entries may connect.
+func secure(ctx context.Context, group *duty.Group, files credential.Files) (*tls.Config, error) {
+	if files == (credential.Files{}) {
+		return nil, nil
+	}
+	material, err := files.Load()
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	source := &credential.Source{Clock: clock.Real()}
+	source.Material.Set(material)
+	group.Start(ctx, &credential.Renewal{Loader: files, Source: source, Clock: clock.Real(), Log: zap.NewNop(), Interval: renewalInterval})
+	return source.Server(credential.RoleEntry), nil
+}
+
 // serve runs a stand-in and its HTTP server until the context ends.
-func serve(ctx context.Context, output io.Writer, address fleet.Address, d duty.Duty, prepare func(context.Context) (*daemon.Server, error)) error {
+func serve(ctx context.Context, output io.Writer, address fleet.Address, files *credential.Files, d duty.Duty, prepare func(context.Context) (*daemon.Server, error)) error {
 	listener, err := daemon.Listen(address)
 	if err != nil {
 		return trace.Wrap(err)
 	}
 	group, running := duty.NewGroup(ctx)
+	config, err := secure(running, group, *files)
+	if err != nil {
+		group.Stop()
+		return trace.Wrap(err)
+	}
 	group.Start(running, d)
 	server, err := prepare(running)
 	if err != nil {
 		group.Stop()
 		return trace.Wrap(err)
 	}
-	server.Listener = listener
+	server.Listener, server.TLS, server.MaxConnections = listener, config, maxConnections
 	group.Start(running, server)
 	_, _ = fmt.Fprintf(output, "%s: serving on %s\n", d.Name(), listener.Addr())
 	return trace.Wrap(group.Wait())
 }
 
+// maxConnections bounds the open connections of a stand-in, which serves all entries of a trial.
+const maxConnections = 4096
+
 // Sizes of the VMs that the stand-in lists.
 const (
 	vmSlots       = 8
