endpoint: name runs by account and request id

Cause: endpoints knew a run by the id that its caller chose. An account that guessed the id of another account's running request had its own one refused by the endpoint, could block the other one in the same way, and a control for one of them reached the other. Excluded: an id chosen by the entry, which would no longer identify the request in the logs of the endpoint. Change: runs and controls carry account/id. Neither part contains a slash. Conclusion: a caller's id names a request of that account only.

--- a/internal/dispatch/event.go
+++ b/internal/dispatch/event.go
@@ -133,6 +133,7 @@
 // Control asks an endpoint to act on a running request.
 type Control struct {
 	Target  routing.Target
+	Account fleet.ClientAccountID
 	Request fleet.RequestID
 	Action  ControlAction
 }
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -256,7 +256,7 @@
 }
 
 func (e *Engine) control(c *call, action ControlAction) {
-	e.out.Controls = append(e.out.Controls, Control{Target: c.target, Request: c.work.Request.ID, Action: action})
+	e.out.Controls = append(e.out.Controls, Control{Target: c.target, Account: c.work.Request.Account, Request: c.work.Request.ID, Action: action})
 }
 
 // reclassify counts a running request as long from now on, because it has run longer than the
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return failedCall(err, &t, elapsed)
 	}
-	result := wire.FromRunResponse(s.Request.ID, response.Msg)
+	result := wire.FromRunResponse(runID(s.Request.Account, s.Request.ID), response.Msg)
 	result.Elapsed = elapsed
 	if result.Load != nil {
 		c.heard(s.Target)
@@ -186,10 +186,16 @@
 	}
 }
 
+// runID returns the id under which an endpoint knows a request. Callers choose their ids, so without the
+// account in it a request could block or stop one of another account. Neither part contains a slash.
+func runID(account fleet.ClientAccountID, id fleet.RequestID) fleet.RequestID {
+	return fleet.RequestID(string(account) + "/" + string(id))
+}
+
 func runRequest(s dispatch.Send) *endpointv1.RunRequest {
 	r := s.Request
 	return &endpointv1.RunRequest{
-		RequestId:       string(r.ID),
+		RequestId:       string(runID(r.Account, r.ID)),
 		Service:         string(r.Service),
 		RequestType:     string(r.Type),
 		Account:         string(r.Account),
@@ -226,7 +232,7 @@
 	defer cancel()
 	// The result of a control shows in the result of the attempt that it concerns.
 	response, err := c.client(control.Target).Control(ctx, connect.NewRequest(&endpointv1.ControlRequest{
-		RequestId: string(control.Request), Action: string(control.Action),
+		RequestId: string(runID(control.Account, control.Request)), Action: string(control.Action),
 	}))
 	if err == nil {
 		c.report(control.Target, response.Msg.GetLoad())
--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/http"
+	"path"
 	"time"
 
 	"connectrpc.com/connect"
@@ -38,8 +39,9 @@
 	// epoch is the highest assignment epoch seen; requests of an older one are refused.
 	epoch   uint64
 	leaving bool
-	runs    map[string]int
-	peak    int
+	// runs counts the starts of each request by the id that its caller gave it.
+	runs map[string]int
+	peak int
 }
 
 // run is one request in a slot.
@@ -135,7 +137,7 @@
 		})
 		return
 	}
-	e.runs[r.GetRequestId()]++
+	e.runs[path.Base(r.GetRequestId())]++
 	m := e.misbehavior.Get()
 	if m.Fault == FaultFailFast {
 		_ = reply.Push(&endpointv1.RunResponse{
