--- a/internal/caller/handler_test.go
+++ b/internal/caller/handler_test.go
@@ -37,7 +37,8 @@
 
 func (p peers) Cancel(c dispatch.Cancelled) error { return p.cancelled.Push(c) }
 
-func start(t *testing.T, inbox *ring.Ring[dispatch.Event], maxWaiting int, secret string) (callerv1connect.CallerServiceClient, peers) {
+// handler returns a handler that knows one account.
+func handler(inbox *ring.Ring[dispatch.Event], maxWaiting int) (*caller.Handler, peers) {
 	view := fleet.NewView()
 	hash := sha256.Sum256([]byte("secret"))
 	view.Configuration.Accounts["newsroom"] = fleet.ClientAccount{ID: "newsroom", CredentialHash: hash[:]}
@@ -47,6 +48,11 @@
 		MaxBody: 100, MaxWaiting: maxWaiting, Peers: p,
 	}
 	h.View.Set(view)
+	return h, p
+}
+
+func start(t *testing.T, inbox *ring.Ring[dispatch.Event], maxWaiting int, secret string) (callerv1connect.CallerServiceClient, peers) {
+	h, p := handler(inbox, maxWaiting)
 	mux := http.NewServeMux()
 	mux.Handle(h.New())
 	server := httptest.NewServer(mux)
--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -128,8 +128,13 @@
 
 // operator returns a client with a certificate of a role.
 func (s *site) operator(source *credential.Source) operatorv1connect.OperatorServiceClient {
-	config := source.Client(credential.RoleEntry)
-	return client.NewOperator("https://"+string(s.settings.OperatorAddress), client.OperatorOptions{Name: "mallory", HTTP: httpClient(config, true)})
+	return s.operatorWith(source, headers{})
+}
+
+// operatorWith returns a client that also sets headers.
+func (s *site) operatorWith(source *credential.Source, h headers) operatorv1connect.OperatorServiceClient {
+	c := httpClient(source.Client(credential.RoleEntry), true)
+	return operatorv1connect.NewOperatorServiceClient(c, "https://"+string(s.settings.OperatorAddress), connect.WithInterceptors(h.interceptor()))
 }
 
 func (s *site) callerTLS() *tls.Config {
