--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 TOOLS := google.golang.org/protobuf/cmd/protoc-gen-go connectrpc.com/connect/cmd/protoc-gen-connect-go \
 	github.com/bufbuild/buf/cmd/buf mvdan.cc/gofumpt github.com/mgechev/revive honnef.co/go/tools/cmd/staticcheck
 
-.PHONY: check demo build generate tools format lint test race bench
+.PHONY: check demo build generate tools format lint test race bench fuzz
 check: lint test
 
 build:
@@ -37,3 +37,13 @@
 
 bench:
 	go test -run '^$$' -bench . -benchtime 1x ./...
+
+# Runs each fuzz target for a short time. A failing input lands in testdata/fuzz of its package.
+FUZZTIME ?= 5s
+fuzz:
+	@for file in $$(git grep -l '^func Fuzz' -- '*_test.go'); do \
+		for target in $$(sed -n 's/^func \(Fuzz[A-Za-z]*\)(.*/\1/p' $$file); do \
+			echo "$$file $$target"; \
+			go test -run '^$$' -fuzz "^$$target\$$" -fuzztime $(FUZZTIME) ./$$(dirname $$file) || exit 1; \
+		done; \
+	done
--- a/internal/wire/fuzz_test.go
+++ b/internal/wire/fuzz_test.go
@@ -4,14 +4,17 @@
 	"bytes"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	callerv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/caller/v1"
 	configv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/config/v1"
 	endpointv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/endpoint/v1"
+	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
 )
 
 // Each fuzz target guards against bytes from the table, a peer, a caller or an endpoint that make a
@@ -58,6 +61,67 @@
 	})
 }
 
+// checked is a message with bounds.
+type checked interface {
+	proto.Message
+	Check() error
+}
+
+// decoded reports whether the bytes are a message within its bounds, in binary or in JSON.
+func decoded(data []byte, m checked) bool {
+	if proto.Unmarshal(data, m) != nil && (protojson.UnmarshalOptions{DiscardUnknown: true}).Unmarshal(data, m) != nil {
+		return false
+	}
+	return m.Check() == nil
+}
+
+// Guards against a request of a caller that makes the conversion panic, or whose deadline has passed or
+// lies so far away that it is no deadline.
+func FuzzFromCaller(f *testing.F) {
+	now := time.Unix(1_700_000_000, 0)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		is := is.New(t)
+		var submit callerv1.SubmitRequest
+		if decoded(data, &submit) {
+			r := wire.FromSubmitRequest(now, "newsroom", &submit, time.Second)
+			is.Equal(string(r.ID), submit.GetRequestId())
+			is.True(!r.Deadline.Before(now))
+		}
+		var cancel callerv1.CancelRequest
+		if decoded(data, &cancel) {
+			is.Equal(len(wire.FromCancelRequest("newsroom", &cancel).IDs), len(cancel.GetRequestIds()))
+		}
+	})
+}
+
+// Guards against a message of an operator, or a configuration file, that makes the conversion panic.
+func FuzzFromOperator(f *testing.F) {
+	f.Fuzz(func(t *testing.T, data []byte) {
+		is := is.New(t)
+		var apply operatorv1.ApplyConfigurationRequest
+		if decoded(data, &apply) && wire.CheckUnique(apply.GetReplace()) == nil {
+			for _, c := range apply.GetChanges() {
+				_ = wire.FromChange(c).Subject()
+			}
+			if whole := apply.GetReplace(); whole != nil {
+				is.Equal(len(wire.FromConfiguration(whole).Services), len(whole.GetServices()))
+			}
+		}
+		var file configv1.Configuration
+		if protojson.Unmarshal(data, &file) == nil && file.Check() == nil && wire.CheckUnique(&file) == nil {
+			is.Equal(len(wire.FromConfiguration(&file).Accounts), len(file.GetAccounts()))
+		}
+		var wave operatorv1.CreateWaveRequest
+		if decoded(data, &wave) {
+			is.Equal(len(wire.FromWaveSpec(wave.GetSpec()).Pools), len(wave.GetSpec().GetPools()))
+		}
+		var audit operatorv1.ListAuditRequest
+		if decoded(data, &audit) {
+			_ = wire.FromTime(audit.GetSince()).Before(wire.FromTime(audit.GetUntil()))
+		}
+	})
+}
+
 // Guards against an outcome that is taken for a complete answer although length or digest do not match.
 func FuzzFromResponse(f *testing.F) {
 	f.Fuzz(func(t *testing.T, data []byte) {
