--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -46,6 +46,10 @@
 	EntriesInZone int
 	Status        *ring.Latest[Status]
 
+	// Observer may be nil.
+	Observer Observer
+
+	countedAt time.Time
 	replies   map[request.ReplyID]OutcomeReceiver
 	lastReply request.ReplyID
 	stopping  bool
@@ -69,6 +73,7 @@
 			d.handle(now, ev)
 		} else {
 			d.Engine.Tick(now)
+			d.count(now)
 			timer.Reset(tickInterval)
 		}
 		d.carryOut(now)
@@ -145,6 +150,7 @@
 			}
 		}
 		for _, s := range actions.Sends {
+			d.observe(now, s)
 			if err := d.Sender.Send(s); err != nil {
 				// The entry itself has no room, which says nothing about the endpoint.
 				d.Engine.Called(now, s.Call, request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalBusy})
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -33,18 +35,28 @@
 
 // New returns a registry. Its owner calls Close.
 func New() *Registry {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	// A registry of its own, because several entries may run in one process.
+	registry := prom.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:         prefix,
-		CachedReporter: reporter,
-		Separator:      prometheus.DefaultSeparator,
-		// Names with dots are not valid in the text format.
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		Prefix:                 prefix,
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        sanitize(),
 		OmitCardinalityMetrics: true,
 	}, reportInterval)
 	return &Registry{Scope: scope, Page: reporter.HTTPHandler(), closer: closer}
 }
 
+// sanitize returns the characters of the text format. Values, unlike names, may hold the dots and dashes
+// of identifiers.
+func sanitize() *tally.SanitizeOptions {
+	o := prometheus.DefaultSanitizerOpts
+	o.ValueCharacters.Characters = tally.UnderscoreDashDotCharacters
+	return &o
+}
+
 // Close ends the reports.
 func (r *Registry) Close() error { return trace.Wrap(r.closer.Close()) }
 
@@ -55,11 +67,21 @@
 	Read func() float64
 }
 
-// Sampler is the duty that reads the gauges.
+// Counter is a count that only grows and is read from time to time. Read is safe for concurrent use.
+type Counter struct {
+	Name string
+	Tags map[string]string
+	Read func() uint64
+
+	last uint64
+}
+
+// Sampler is the duty that reads the gauges and the counters.
 type Sampler struct {
 	// The fields are set before Run.
 	Scope    tally.Scope
 	Gauges   []Gauge
+	Counters []*Counter
 	Clock    clock.Clock
 	Interval time.Duration
 }
@@ -73,6 +95,11 @@
 		for _, g := range s.Gauges {
 			s.Scope.Tagged(g.Tags).Gauge(g.Name).Update(g.Read())
 		}
+		for _, c := range s.Counters {
+			value := c.Read()
+			s.Scope.Tagged(c.Tags).Counter(c.Name).Inc(int64(value - c.last))
+			c.last = value
+		}
 		if err := clock.Wait(ctx, s.Clock, s.Interval); err != nil {
 			return trace.Wrap(err)
 		}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -34,6 +35,9 @@
 	// reserve is how many places only PushReserved may fill.
 	reserve int
 
+	// popped and refused count items since the ring was made.
+	popped, refused atomic.Uint64
+
 	mu sync.Mutex
 	// items is used as a circular buffer; its length is the capacity.
 	items  []T
@@ -73,6 +77,7 @@
 	r.mu.Lock()
 	if r.length >= limit {
 		r.mu.Unlock()
+		r.refused.Add(1)
 		return trace.Wrap(&FullError{Ring: r.name, Capacity: len(r.items)})
 	}
 	r.items[(r.head+r.length)%len(r.items)] = item
@@ -96,6 +101,7 @@
 	r.length--
 	more := r.length > 0
 	r.mu.Unlock()
+	r.popped.Add(1)
 	if more {
 		r.signal()
 	}
@@ -139,6 +145,12 @@
 	return r.length
 }
 
+// Popped returns how many items were taken since the ring was made.
+func (r *Ring[T]) Popped() uint64 { return r.popped.Load() }
+
+// Refused returns how many items were not taken because the ring was full.
+func (r *Ring[T]) Refused() uint64 { return r.refused.Load() }
+
 // Capacity returns how many items fit.
 func (r *Ring[T]) Capacity() int { return len(r.items) }
 
