daemon, balancer: show metrics, causes and stuck duties

Cause: there was no metrics page, readiness named one cause, health was always ok, and a request could not be followed in the logs. Excluded: heartbeats of every duty, since a duty without work is parked in its ring; liveness of duties that wait for the platform, because a store outage would then make the balancer replace healthy entries. Change: /metrics shows rings, requests by outcome and reason, and the metrics of the last commit. Readiness lists what the entry lacks. Health fails when a duty that never waits for outside systems leaves items in its ring for 30 s; it compares the counts of items taken, without locks. Debug lines of caller, peer and endpoint carry the request id and the account. Verdicts (go test -race ./internal/daemon ./internal/balancer): pass. The test of attacks also finds no secret in the debug log of its run, and the test of log lines that each one begins with the prefix of its part. Conclusion: an entry says what it does and what it lacks.

--- a/internal/balancer/health.go
+++ b/internal/balancer/health.go
@@ -2,7 +2,7 @@
 package balancer
 
 import (
-	"io"
+	"fmt"
 	"net/http"
 
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -15,26 +15,52 @@
 	Reason string
 }
 
-// Health serves the pages that the balancer reads.
+// Health serves the pages that the balancer and scrapers read.
 type Health struct {
-	// Readiness is set before the first request.
+	// The fields are set before the first request.
 	Readiness *ring.Latest[Readiness]
+	// Stuck holds the inboxes of duties that do not go on; it may be nil.
+	Stuck *ring.Latest[[]ring.Name]
+	// Causes returns what the entry lacks, one line each; it may be nil.
+	Causes func() []string
+	// Metrics is the page of metrics; it may be nil.
+	Metrics http.Handler
 }
 
-// Handler returns the HTTP handler of the pages /healthz and /readyz.
+// Handler returns the HTTP handler of the pages /healthz, /readyz and /metrics.
 func (h *Health) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "ok\n")
-	})
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		r := h.Readiness.Get()
-		if !r.Ready {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			_, _ = io.WriteString(w, "not ready: "+r.Reason+"\n")
-			return
-		}
-		_, _ = io.WriteString(w, "ready\n")
-	})
+	mux.HandleFunc("GET /healthz", h.serveHealth)
+	mux.HandleFunc("GET /readyz", h.serveReadiness)
+	if h.Metrics != nil {
+		mux.Handle("GET /metrics", h.Metrics)
+	}
 	return mux
 }
+
+func (h *Health) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	if h.Stuck == nil || len(h.Stuck.Get()) == 0 {
+		_, _ = fmt.Fprintln(w, "ok")
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	for _, name := range h.Stuck.Get() {
+		_, _ = fmt.Fprintf(w, "stuck: %s takes nothing from its ring\n", name)
+	}
+}
+
+func (h *Health) serveReadiness(w http.ResponseWriter, _ *http.Request) {
+	r := h.Readiness.Get()
+	if r.Ready {
+		_, _ = fmt.Fprintln(w, "ready")
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+	_, _ = fmt.Fprintln(w, "not ready: "+r.Reason)
+	if h.Causes == nil {
+		return
+	}
+	for _, cause := range h.Causes() {
+		_, _ = fmt.Fprintln(w, cause)
+	}
+}
--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -27,8 +27,9 @@
 // Guard reads a whole message within bounds before the service behind it sees any of it, and gives each
 // refusal of the transport a detail that says not-run.
 type Guard struct {
-	// The fields are set before the first request. Admission may be nil.
+	// The fields are set before the first request. Admission and Observer may be nil.
 	Admission Admission
+	Observer  Observer
 	Clock     clock.Clock
 	// ReadTimeout bounds the time to read a message, WriteTimeout the time to write a response.
 	ReadTimeout, WriteTimeout time.Duration
@@ -44,6 +45,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		guarded := &guardedWriter{ResponseWriter: w, deadline: g.writeDeadline(w)}
 		if err := g.prepare(w, r); err != nil {
+			countRefusal(g.Observer, err)
 			guarded.deadline()
 			if r.ProtoMajor == 1 {
 				// The rest of the message is not read.
@@ -54,6 +56,7 @@
 		}
 		next.ServeHTTP(guarded, r.WithContext(context.WithValue(r.Context(), guardKey{}, guarded)))
 		if err := guarded.refusal(); err != nil {
+			countRefusal(g.Observer, err)
 			clear(w.Header())
 			guarded.deadline()
 			_ = writer.Write(w, r, err)
--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -9,6 +9,7 @@
 	"connectrpc.com/connect"
 	"github.com/google/uuid"
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
@@ -37,6 +38,9 @@
 	TicketLifetime time.Duration
 	// MaxWaiting bounds the requests of one account that wait at this entry, and its connections.
 	MaxWaiting int
+	// Observer and Log may be nil.
+	Observer Observer
+	Log      *zap.Logger
 	// Peers is nil for an entry without peers.
 	Peers Peers
 
@@ -69,31 +73,44 @@
 // Submit implements the caller service.
 func (h *Handler) Submit(ctx context.Context, r *connect.Request[callerv1.SubmitRequest]) (*connect.Response[callerv1.SubmitResponse], error) {
 	account, err := h.authenticate(r.Header())
-	if err != nil {
-		return nil, err
+	if err == nil {
+		err = h.check(r.Msg)
 	}
-	if err := h.check(r.Msg); err != nil {
+	if err != nil {
+		countRefusal(h.Observer, err)
 		return nil, err
 	}
 	req := h.request(account, r.Msg)
-	waiting := h.waiting.of(account)
+	outcome, err := h.run(ctx, req)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeCanceled, trace.Wrap(err))
+	}
+	if h.Observer != nil {
+		h.Observer.Ended(outcome.Kind, outcome.Reason)
+	}
+	h.logEnd(req, outcome)
+	return connect.NewResponse(wire.SubmitResponse(req.ID, outcome)), nil
+}
+
+// run passes a request on and waits for its outcome. It returns the error of the context when the
+// caller leaves first.
+func (h *Handler) run(ctx context.Context, req *request.Request) (request.Outcome, error) {
+	waiting := h.waiting.of(req.Account)
 	defer waiting.Add(-1)
 	if waiting.Add(1) > int64(h.MaxWaiting) {
-		return connect.NewResponse(wire.SubmitResponse(req.ID, notTaken(req, request.ReasonQuota))), nil
+		return notTaken(req, request.ReasonQuota), nil
 	}
+	h.logStart(req)
 	reply := ring.New[request.Outcome]("caller-reply", 1)
 	if !h.forward(req, reply) && h.Inbox.Push(dispatch.Submitted{Request: req, Reply: reply}) != nil {
-		return connect.NewResponse(wire.SubmitResponse(req.ID, notTaken(req, request.ReasonOverloaded))), nil
+		return notTaken(req, request.ReasonOverloaded), nil
 	}
 	outcome, err := reply.Pop(ctx)
-	if err != nil {
+	if err != nil && len(req.Ticket) == 0 {
 		// A ticketed request goes on, and its outcome is kept for the ticket.
-		if len(req.Ticket) == 0 {
-			_ = h.Inbox.Push(dispatch.CallerLeft{Account: account, ID: req.ID})
-		}
-		return nil, connect.NewError(connect.CodeCanceled, trace.Wrap(err))
+		_ = h.Inbox.Push(dispatch.CallerLeft{Account: req.Account, ID: req.ID})
 	}
-	return connect.NewResponse(wire.SubmitResponse(req.ID, outcome)), nil
+	return outcome, trace.Wrap(err)
 }
 
 // forward passes a request whose ticket another entry redeems to that entry.
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/endpoint"
+	"github.com/mimosawharf/mimosawharf/internal/metrics"
 	"github.com/mimosawharf/mimosawharf/internal/operation"
 	"github.com/mimosawharf/mimosawharf/internal/operator"
 	"github.com/mimosawharf/mimosawharf/internal/peer"
@@ -61,6 +62,8 @@
 	closed      *ring.Ring[ServerClosed]
 	writes      *ring.Ring[*platform.Call]
 	reads       *ring.Ring[*platform.Call]
+
+	observability observability
 }
 
 type listeners struct {
@@ -78,6 +81,8 @@
 	}
 	d.incarnation = fleet.NewIncarnation()
 	d.makeRings()
+	d.observability.registry = metrics.New()
+	defer func() { _ = d.observability.registry.Close() }()
 	group, running := duty.NewGroup(context.WithoutCancel(ctx))
 	defer d.socket.Close()
 	closing, closeCallers := context.WithCancel(running)
@@ -158,6 +163,7 @@
 		},
 	}
 	list = append(list, d.renewal()...)
+	list = append(list, d.observe()...)
 	list = append(list, d.calls()...)
 	return append(list, d.servers()...)
 }
@@ -189,7 +195,7 @@
 	engine.SetEntries(d.Clock.Now(), entries, len(peers)+1)
 	return &dispatch.Dispatcher{
 		Engine: engine, Inbox: d.events, Sender: &endpoint.Pool{Jobs: d.jobs}, Clock: d.Clock, Log: d.Log,
-		View: &d.view, EntriesInZone: len(entries), Status: &d.status,
+		View: &d.view, EntriesInZone: len(entries), Status: &d.status, Observer: d.dispatchObserver(),
 	}
 }
 
@@ -216,7 +222,7 @@
 	}}
 	for i := range d.Settings.CallWorkers + controlCalls {
 		list = append(list, &endpoint.Call{
-			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: scheme, Clock: d.Clock,
+			Number: i, Jobs: d.jobs, Results: d.events, Statements: d.events, Heard: d.heard, Client: client, Scheme: scheme, Clock: d.Clock, Log: d.Log,
 		})
 	}
 	return list
@@ -226,13 +232,12 @@
 	s := d.Settings
 	callers := &caller.Handler{
 		Inbox: d.events, View: &d.view, Clock: d.Clock, DefaultTimeout: s.DefaultTimeout, MaxBody: s.MaxBodyBytes, TicketLifetime: s.TicketLifetime,
-		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder,
+		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder, Observer: d.outcomes(), Log: d.Log,
 	}
 	operators := &operator.Handler{
 		Inbox: d.operations, View: &d.view, Clock: d.Clock,
 		Bounds: operation.StatusBounds{StoreMaxAge: missedPolls*s.PollInterval + s.PlatformTimeout, ListMaxAge: s.VMListMaxAge},
 	}
-	health := &balancer.Health{Readiness: &d.readiness}
 	return []duty.Duty{
 		&Server{
 			Duty: "http-caller", Listener: d.listeners.caller, Handler: d.callerHandler(callers), HeaderTimeout: s.HeaderTimeout, Log: d.Log,
@@ -243,7 +248,7 @@
 			Duty: "http-operator", Listener: d.listeners.operator, Handler: d.operatorHandler(operators), HeaderTimeout: s.HeaderTimeout, Log: d.Log,
 			TLS: d.operatorTLS(), PlainHTTP2: s.Insecure,
 		},
-		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: health.Handler(), HeaderTimeout: s.HeaderTimeout, Log: d.Log},
+		&Server{Duty: "http-health", Listener: d.listeners.health, Handler: d.health().Handler(), HeaderTimeout: s.HeaderTimeout, Log: d.Log},
 	}
 }
 
--- a/internal/daemon/security.go
+++ b/internal/daemon/security.go
@@ -135,7 +135,7 @@
 // callerHandler returns the handler of the caller service behind its guard.
 func (d *Daemon) callerHandler(h *caller.Handler) http.Handler {
 	guard := &caller.Guard{
-		Admission: h, Clock: d.Clock, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
+		Admission: h, Observer: h.Observer, Clock: d.Clock, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		MaxMessage: h.MaxMessage(), MaxReading: d.Settings.QueueBytes,
 	}
 	mux := http.NewServeMux()
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
@@ -71,6 +72,8 @@
 	Client     *http.Client
 	Scheme     string
 	Clock      clock.Clock
+	// Log may be nil.
+	Log *zap.Logger
 }
 
 // Name implements duty.Duty.
@@ -86,6 +89,7 @@
 		switch {
 		case job.Send != nil:
 			result := c.send(ctx, *job.Send)
+			c.logAttempt(*job.Send, result)
 			if err := c.Results.PushReserved(dispatch.Called{Call: job.Send.Call, Result: result}); err != nil {
 				return trace.Wrap(err)
 			}
@@ -158,6 +162,14 @@
 	return result
 }
 
+// logAttempt lets an operator follow a request to its endpoints.
+func (c *Call) logAttempt(s dispatch.Send, r request.Result) {
+	if c.Log != nil {
+		c.Log.Debug("endpoint: attempt ended", zap.String("request", string(s.Request.ID)), zap.String("account", string(s.Request.Account)),
+			zap.String("endpoint", string(s.Target.Endpoint)), zap.Int("attempt", int(s.Attempt)), zap.String("result", string(r.Kind)))
+	}
+}
+
 // heard tells the prober that an endpoint spoke. When there is no room, the endpoint is probed.
 func (c *Call) heard(t routing.Target) {
 	if c.Heard != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -194,6 +194,7 @@
 		l.last++
 		l.pending[l.last] = *ev.forward
 		r := ev.forward.request
+		l.Log.Debug("peer: request forwarded", zap.String("request", string(r.ID)), zap.String("account", string(r.Account)), zap.String("peer", string(l.Peer)))
 		return &peerv1.Frame{Message: &peerv1.Frame_Forward{Forward: &peerv1.Forward{
 			Call: l.last, Account: string(r.Account), Request: wire.SubmitRequest(l.Clock.Now(), r),
 		}}}
--- a/internal/peer/reader.go
+++ b/internal/peer/reader.go
@@ -184,6 +184,7 @@
 		return
 	}
 	req := wire.FromSubmitRequest(r.Clock.Now(), fleet.ClientAccountID(m.GetAccount()), m.GetRequest(), r.DefaultTimeout)
+	r.Log.Debug("peer: request taken", zap.String("request", string(req.ID)), zap.String("account", string(req.Account)), zap.String("peer", string(peer)))
 	if r.Dispatcher.Push(dispatch.Submitted{Request: req, Reply: reply}) != nil {
 		_ = reply.Push(request.Unknown(request.ReasonOverloaded))
 	}
