--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -54,7 +54,9 @@
 	Interval   time.Duration
 	// Peers takes the rows that were read, for the other entries; it may be nil.
 	Peers RowReceiver
-	Zone  fleet.ZoneID
+	// Objects holds the snapshot for a start without the table; nil does without.
+	Objects ObjectReader
+	Zone    fleet.ZoneID
 	// HoldTime is how long after the lease of this entry lapsed its acknowledgement is waited for in
 	// other zones. The entry stops using VMs of other zones at half of it.
 	HoldTime time.Duration
@@ -126,6 +128,7 @@
 			wire.PrefixConfig, wire.PrefixVM, wire.PrefixLedger, wire.PrefixWave, wire.PrefixLease, wire.PrefixEntry)
 		if err != nil {
 			p.noteFailure(err)
+			p.loadSnapshot(ctx)
 			p.publishAge()
 			return
 		}
