--- a/internal/daemon/protocol_test.go
+++ b/internal/daemon/protocol_test.go
@@ -7,9 +7,11 @@
 	"crypto/x509"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -156,3 +158,42 @@
 	s.is.Equal(run(viewer, "submit", "--account", "newsroom", "--secret", "wrong", "--service", "shifts", "--type", "plan"), command.ExitRefused)
 	s.is.True(run(credential.Files{Authorities: viewer.Authorities}, "vm", "list") != command.ExitOK) // no certificate
 }
+
+// Guards against a server that waits for slow headers, serves more connections than it should, or speaks
+// HTTP/2 without TLS although the setting insecure is off.
+func TestServerLimits(t *testing.T) {
+	is := is.New(t)
+	group, ctx := duty.NewGroup(context.Background())
+	defer group.Stop()
+	serve := func(plainHTTP2 bool) string {
+		listener, err := daemon.Listen("127.0.0.1:0")
+		is.NoErr(err)
+		group.Start(ctx, &daemon.Server{
+			Duty: "http", Listener: listener, HeaderTimeout: 50 * time.Millisecond, PlainHTTP2: plainHTTP2, MaxConnections: 1, Handler: http.NotFoundHandler(),
+		})
+		return listener.Addr().String()
+	}
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	plain := &http.Client{Transport: &http.Transport{Protocols: protocols}}
+	_, status, err := get(plain, "http://"+serve(true))
+	is.NoErr(err)
+	is.Equal(status, http.StatusNotFound)
+	_, _, err = get(plain, "http://"+serve(false))
+	is.True(err != nil)
+	address := serve(false)
+	slow, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, err = io.WriteString(slow, "GET / HTTP/1.1\r\nHost: ")
+	is.NoErr(err)
+	waiting, err := net.Dial("tcp", address)
+	is.NoErr(err)
+	_, err = io.WriteString(waiting, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+	is.NoErr(err)
+	// The second connection is served only after the slow one was closed.
+	answer, err := io.ReadAll(waiting)
+	is.NoErr(err)
+	is.True(strings.HasPrefix(string(answer), "HTTP/1.1 404"))
+	rest, _ := io.ReadAll(slow)
+	is.True(!strings.Contains(string(rest), "404"))
+}
