credential: refuse operators whose certificate has expired meanwhile

Excluded: closing connections by a timer, which cuts requests off. Change: Access compares the end of the certificate with the clock for each call. Verdicts (go test -run TestAccess ./internal/credential): fails without the comparison (200 in place of 403), passes with it. Conclusion: the right of an operator ends with the certificate. QUIC connections between entries still live until they break.

--- a/internal/credential/access.go
+++ b/internal/credential/access.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -28,6 +29,7 @@
 	DryRuns map[string]bool
 	// Insecure trusts the headers of the client; it is for trials on loopback.
 	Insecure bool
+	Clock    clock.Clock
 	Log      *zap.Logger
 }
 
@@ -83,7 +85,15 @@
 
 func (a *Access) identify(r *http.Request) (Identity, error) {
 	if !a.Insecure {
-		return IdentityOf(r.TLS)
+		identity, err := IdentityOf(r.TLS)
+		if err != nil {
+			return Identity{}, trace.Wrap(err)
+		}
+		// A connection may stay open for longer than its certificate is valid.
+		if until := r.TLS.PeerCertificates[0].NotAfter; a.Clock.Now().After(until) {
+			return Identity{}, trace.Wrap(&ExpiredError{Name: identity.Name, Until: until})
+		}
+		return identity, nil
 	}
 	i := Identity{Name: fleet.OperatorName(r.Header.Get(HeaderOperator)), Role: Role(r.Header.Get(HeaderRole))}
 	if i.Role == "" {
--- a/internal/credential/credential_test.go
+++ b/internal/credential/credential_test.go
@@ -120,7 +120,9 @@
 func TestAccessChecksRolePerRPC(t *testing.T) {
 	authority, err := credential.NewAuthority(start, lifetime)
 	is.New(t).NoErr(err)
+	times := clockwork.NewFakeClockAt(start)
 	access := &credential.Access{
+		Clock:    times,
 		Required: map[string]credential.Role{"ListVMs": credential.RoleViewer, "ChangeVM": credential.RoleOperator},
 		Log:      zap.NewNop(),
 	}
@@ -128,18 +130,22 @@
 		role credential.Role
 		rpc  string
 		want int
+		late time.Duration
 	}{
-		{credential.RoleViewer, "ListVMs", http.StatusOK},
-		{credential.RoleViewer, "ChangeVM", http.StatusForbidden},
-		{credential.RoleOperator, "ChangeVM", http.StatusOK},
-		{credential.RoleOperator, "ApplyConfiguration", http.StatusForbidden},
-		{credential.RoleAdmin, "ApplyConfiguration", http.StatusOK},
-		{credential.RoleEntry, "ListVMs", http.StatusForbidden},
-		{"", "ListVMs", http.StatusForbidden},
+		{credential.RoleViewer, "ListVMs", http.StatusOK, 0},
+		{credential.RoleAdmin, "ListVMs", http.StatusForbidden, lifetime + time.Second},
+		{credential.RoleViewer, "ChangeVM", http.StatusForbidden, 0},
+		{credential.RoleOperator, "ChangeVM", http.StatusOK, 0},
+		{credential.RoleOperator, "ApplyConfiguration", http.StatusForbidden, 0},
+		{credential.RoleAdmin, "ApplyConfiguration", http.StatusOK, 0},
+		{credential.RoleEntry, "ListVMs", http.StatusForbidden, 0},
+		{"", "ListVMs", http.StatusForbidden, 0},
 	}
 	for _, c := range cases {
 		t.Run(string(c.role)+" "+c.rpc, func(t *testing.T) {
 			is := is.New(t)
+			times.Advance(c.late)
+			defer times.Advance(-c.late)
 			seen := ""
 			handler := access.Middleware(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 				seen = r.Header.Get(credential.HeaderOperator)
--- a/internal/credential/role.go
+++ b/internal/credential/role.go
@@ -4,6 +4,7 @@
 
 import (
 	"crypto/x509"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -67,6 +68,17 @@
 // Error implements error.
 func (*MissingError) Error() string { return "no certificate was presented" }
 
+// ExpiredError reports a certificate that expired while its connection was open.
+type ExpiredError struct {
+	Name  fleet.OperatorName
+	Until time.Time
+}
+
+// Error implements error.
+func (e *ExpiredError) Error() string {
+	return "certificate of " + string(e.Name) + " expired at " + e.Until.UTC().Format(time.RFC3339) + "; connect with a new one"
+}
+
 // NameError reports a certificate that does not name the entry that was asked for.
 type NameError struct {
 	Entry fleet.EntryID
--- a/internal/daemon/security.go
+++ b/internal/daemon/security.go
@@ -100,7 +100,7 @@
 
 // access returns what checks the roles of operators.
 func (d *Daemon) access() *credential.Access {
-	return &credential.Access{Required: operator.Roles(), DryRuns: operator.DryRuns(), Insecure: d.Credentials == nil, Log: d.Log}
+	return &credential.Access{Required: operator.Roles(), DryRuns: operator.DryRuns(), Insecure: d.Credentials == nil, Clock: d.Clock, Log: d.Log}
 }
 
 // platformClient returns the HTTP client towards the platform.
