--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -12,6 +12,7 @@
 
 	"connectrpc.com/connect"
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
@@ -71,6 +72,8 @@
 	Client     *http.Client
 	Scheme     string
 	Clock      clock.Clock
+	// Log may be nil.
+	Log *zap.Logger
 }
 
 // Name implements duty.Duty.
@@ -86,6 +89,7 @@
 		switch {
 		case job.Send != nil:
 			result := c.send(ctx, *job.Send)
+			c.logAttempt(*job.Send, result)
 			if err := c.Results.PushReserved(dispatch.Called{Call: job.Send.Call, Result: result}); err != nil {
 				return trace.Wrap(err)
 			}
@@ -150,7 +154,7 @@
 	if err != nil {
 		return failedCall(err, &t, elapsed)
 	}
-	result := wire.FromRunResponse(s.Request.ID, response.Msg)
+	result := wire.FromRunResponse(runID(s.Request.Account, s.Request.ID), response.Msg)
 	result.Elapsed = elapsed
 	if result.Load != nil {
 		c.heard(s.Target)
@@ -158,6 +162,14 @@
 	return result
 }
 
+// logAttempt lets an operator follow a request to its endpoints.
+func (c *Call) logAttempt(s dispatch.Send, r request.Result) {
+	if c.Log != nil {
+		c.Log.Debug("endpoint: attempt ended", zap.String("request", string(s.Request.ID)), zap.String("account", string(s.Request.Account)),
+			zap.String("endpoint", string(s.Target.Endpoint)), zap.Int("attempt", int(s.Attempt)), zap.String("result", string(r.Kind)))
+	}
+}
+
 // heard tells the prober that an endpoint spoke. When there is no room, the endpoint is probed.
 func (c *Call) heard(t routing.Target) {
 	if c.Heard != nil {
@@ -186,10 +198,16 @@
 	}
 }
 
+// runID returns the id under which an endpoint knows a request. Callers choose their ids, so without the
+// account in it a request could block or stop one of another account. Neither part contains a slash.
+func runID(account fleet.ClientAccountID, id fleet.RequestID) fleet.RequestID {
+	return fleet.RequestID(string(account) + "/" + string(id))
+}
+
 func runRequest(s dispatch.Send) *endpointv1.RunRequest {
 	r := s.Request
 	return &endpointv1.RunRequest{
-		RequestId:       string(r.ID),
+		RequestId:       string(runID(r.Account, r.ID)),
 		Service:         string(r.Service),
 		RequestType:     string(r.Type),
 		Account:         string(r.Account),
@@ -226,7 +244,7 @@
 	defer cancel()
 	// The result of a control shows in the result of the attempt that it concerns.
 	response, err := c.client(control.Target).Control(ctx, connect.NewRequest(&endpointv1.ControlRequest{
-		RequestId: string(control.Request), Action: string(control.Action),
+		RequestId: string(runID(control.Account, control.Request)), Action: string(control.Action),
 	}))
 	if err == nil {
 		c.report(control.Target, response.Msg.GetLoad())
