--- a/internal/admission/queues.go
+++ b/internal/admission/queues.go
@@ -175,15 +175,20 @@
 
 // Depth returns how much work of a service and class waits.
 func (q *Queues) Depth(service fleet.ServiceID, class fleet.Class) int {
-	n := 0
-	for _, pinned := range []bool{false, true} {
-		if list := q.queues[queueKey{service, Lane{class, pinned}}]; list != nil {
-			n += list.length
-		}
+	n := q.length(service, Lane{Class: class})
+	if class == fleet.ClassLong {
+		n += q.length(service, LanePinned)
 	}
 	return n
 }
 
+func (q *Queues) length(service fleet.ServiceID, lane Lane) int {
+	if list := q.queues[queueKey{service, lane}]; list != nil {
+		return list.length
+	}
+	return 0
+}
+
 // ShortDepth returns how much short work of a service waits.
 func (q *Queues) ShortDepth(service fleet.ServiceID) int {
 	return q.Depth(service, fleet.ClassUrgent) + q.Depth(service, fleet.ClassNormal)
--- a/internal/dispatch/load.go
+++ b/internal/dispatch/load.go
@@ -109,12 +109,16 @@
 	var list []ServiceLoad
 	for _, id := range e.order {
 		p := e.pools[id]
-		if _, running := e.Router.Slots(id); running == 0 && e.waiting[id] == nil {
+		queued := e.waiting[id] != nil
+		if _, running := e.Router.Slots(id); running == 0 && !queued {
 			continue
 		}
-		wanted := e.wanted(p)
+		var wanted fleet.Slots
+		if queued {
+			wanted = e.wanted(p)
+		}
 		for _, service := range p.services {
-			one := e.serviceLoad(service)
+			one := e.serviceLoad(service, queued)
 			if one.QueuedUrgent+one.QueuedNormal > 0 {
 				one.Wanted, wanted = wanted, 0
 			}
@@ -126,10 +130,12 @@
 	return list
 }
 
-func (e *Engine) serviceLoad(id fleet.ServiceID) ServiceLoad {
-	one := ServiceLoad{
-		Service: id, QueuedUrgent: e.Queues.Depth(id, fleet.ClassUrgent), QueuedNormal: e.Queues.Depth(id, fleet.ClassNormal),
-		QueuedLong: e.Queues.Depth(id, fleet.ClassLong),
+// serviceLoad returns the load of a service, in whose pool requests may be queued or certainly are not.
+func (e *Engine) serviceLoad(id fleet.ServiceID, queued bool) ServiceLoad {
+	one := ServiceLoad{Service: id}
+	if queued {
+		one.QueuedUrgent, one.QueuedNormal = e.Queues.Depth(id, fleet.ClassUrgent), e.Queues.Depth(id, fleet.ClassNormal)
+		one.QueuedLong = e.Queues.Depth(id, fleet.ClassLong)
 	}
 	if s := e.loads.services[id]; s != nil {
 		one.Running = s.running
@@ -142,7 +148,7 @@
 	var list []ServiceStatus
 	for _, id := range e.order {
 		for _, service := range e.pools[id].services {
-			one := ServiceStatus{ServiceLoad: e.serviceLoad(service), Ejected: e.Router.Ejected(id)}
+			one := ServiceStatus{ServiceLoad: e.serviceLoad(service, e.waiting[id] != nil), Ejected: e.Router.Ejected(id)}
 			if s := e.loads.services[service]; s != nil {
 				one.ShortWaitP99 = s.shortWaitP99()
 			}
