--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -136,7 +136,7 @@
 		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
 			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
-			Zone: s.Zone, HoldTime: s.HoldTime, Peers: d.forwarder,
+			Objects: client, Zone: s.Zone, HoldTime: s.HoldTime, Peers: d.forwarder,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(table),
@@ -146,6 +146,7 @@
 		},
 		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval},
 		&control.SpareDriver{Disruptive: disruptive},
+		&control.Snapshot{Table: table, Objects: client, Held: &d.held, Clock: d.Clock, Log: d.Log, Interval: s.SnapshotInterval},
 		&operation.Executor{
 			Entry: s.EntryID, Inbox: d.operations, Table: table, Platform: client, View: &d.view, PollNow: d.pollNow,
 			Clock: d.Clock, Log: d.Log, ListMaxAge: s.VMListMaxAge,
@@ -198,7 +199,7 @@
 func (d *Daemon) leaseHolder(table *platform.Limited) *control.LeaseHolder {
 	return &control.LeaseHolder{
 		Entry:  d.entry(),
-		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver},
+		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver, fleet.DutySnapshot},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
 	}
 }
