--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -60,13 +60,17 @@
 
 // New returns the path and the HTTP handler of the caller service.
 func (h *Handler) New(options ...connect.HandlerOption) (string, http.Handler) {
-	return callerv1connect.NewCallerServiceHandler(h, append(options, connect.WithReadMaxBytes(int(h.MaxMessage())))...)
+	return callerv1connect.NewCallerServiceHandler(h, append(options, connect.WithReadMaxBytes(int(h.MaxMessage())), connect.WithCompressMinBytes(compressMinBytes))...)
 }
 
 // MaxMessage returns the size up to which a message is read. A body in JSON takes a third more bytes,
 // and the message around it needs some room of its own.
 func (h *Handler) MaxMessage() fleet.Bytes { return 2*h.MaxBody + envelopeBytes }
 
+// compressMinBytes is the size from which answers are compressed. For smaller ones, compression takes
+// longer than the rest of the way through the entry.
+const compressMinBytes = 32 << 10
+
 // envelopeBytes bounds a message without its body.
 const envelopeBytes = 16 << 10
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -197,6 +197,7 @@
 	return &dispatch.Dispatcher{
 		Engine: engine, Inbox: d.events, Sender: &endpoint.Pool{Jobs: d.jobs}, Clock: d.Clock, Log: d.Log,
 		View: &d.view, EntriesInZone: len(entries), Status: &d.status, Observer: d.dispatchObserver(),
+		Peers: d.forwarder, Fleet: fleetLoad{&d.load},
 	}
 }
 
@@ -236,7 +237,7 @@
 		MaxWaiting: s.MaxConnectionsPerAccount, Peers: d.forwarder, Observer: d.outcomes(), Log: d.Log,
 	}
 	operators := &operator.Handler{
-		Inbox: d.operations, View: &d.view, Clock: d.Clock,
+		Inbox: d.operations, View: &d.view, Clock: d.Clock, Loads: serviceLoads{&d.status},
 		Bounds: operation.StatusBounds{StoreMaxAge: missedPolls*s.PollInterval + s.PlatformTimeout, ListMaxAge: s.VMListMaxAge},
 	}
 	return []duty.Duty{
