dispatch, routing: join the setups of tests

Excluded: nothing.

Change: smallLoop and pair make what several tests set up.

Conclusion: the checks are the same.

--- a/internal/dispatch/load_test.go
+++ b/internal/dispatch/load_test.go
@@ -11,17 +11,22 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// smallLoop returns a loop of n engines with one endpoint for each pool, its fleet, and what makes short
+// requests of the first service.
+func smallLoop(latency time.Duration, n int) (*fleetLoop, *fleet.View, func(number int) *job) {
+	d, random := deployment{endpoints: 1, latency: latency}, rand.New(rand.NewPCG(1, 1))
+	v, means := d.configuration(random)
+	return newFleetLoop(d, v, n), v, func(number int) *job { return d.job(random, means, 0, 0, 0, number) }
+}
+
 // Guards against waves that go on in a storm, and against a spare driver that sees no queues: the load
 // counts the work of this entry and of its peers, and forgets peers that are silent.
 func TestFleetLoad(t *testing.T) {
 	is := is.New(t)
-	d := deployment{endpoints: 1}
-	random := rand.New(rand.NewPCG(1, 1))
-	v, means := d.configuration(random)
-	f := newFleetLoop(d, v, 1)
+	f, _, newJob := smallLoop(0, 1)
 	e := f.engines[0]
 	for number := range 30 {
-		j := d.job(random, means, 0, 0, 0, number)
+		j := newJob(number)
 		j.request.Account = "account-0" // has a priority grant
 		f.submit(e, j)
 	}
@@ -46,12 +51,9 @@
 // that never comes.
 func TestAcknowledgedRevisionFollowsDrains(t *testing.T) {
 	is := is.New(t)
-	d := deployment{endpoints: 1, latency: time.Millisecond}
-	random := rand.New(rand.NewPCG(1, 1))
-	v, means := d.configuration(random)
-	f := newFleetLoop(d, v, 1)
+	f, v, newJob := smallLoop(time.Millisecond, 1)
 	e := f.engines[0]
-	j := d.job(random, means, 0, 0, 0, 1)
+	j := newJob(1)
 	f.submit(e, j)
 	f.run(epoch)
 	drained := *v
@@ -81,13 +83,10 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			d := deployment{endpoints: 1}
-			random := rand.New(rand.NewPCG(1, 1))
-			v, means := d.configuration(random)
-			f := newFleetLoop(d, v, 2)
+			f, _, newJob := smallLoop(0, 2)
 			e := f.engines[0]
 			for number := range 4 { // its share is half of 8 slots
-				j := d.job(random, means, 0, 0, 0, number)
+				j := newJob(number)
 				j.left = 50 * time.Millisecond
 				f.submit(e, j)
 			}
--- a/internal/routing/router_test.go
+++ b/internal/routing/router_test.go
@@ -42,6 +42,11 @@
 	return r
 }
 
+// pair returns the routers of two entries that share two endpoints.
+func pair() (a, b *routing.Router) {
+	return newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+}
+
 // fill starts attempts until none has room and returns how many each endpoint got.
 func fill(r *routing.Router, a routing.Attempt) map[fleet.EndpointID]fleet.Slots {
 	got := map[fleet.EndpointID]fleet.Slots{}
@@ -103,7 +108,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			a, b := newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+			a, b := pair()
 			loans := a.Grant(now, routing.Ask{Borrower: "entry-1", Pool: "p", Wanted: 5}, 0)
 			b.Borrow(now, now.Add(-c.asked), loans)
 			if c.giveBack {
@@ -161,7 +166,7 @@
 // Guards against a slot used twice: a return that crosses a renewal must not end the renewed loan.
 func TestReturnCrossesRenewal(t *testing.T) {
 	is := is.New(t)
-	a, b := newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+	a, b := pair()
 	ask := routing.Ask{Borrower: "entry-1", Pool: "p", Wanted: 3}
 	b.Borrow(now, now, a.Grant(now, ask, 0))
 	renewed, returned := a.Grant(now, ask, 0), b.Surplus("p", 0)
@@ -356,7 +361,7 @@
 // Guards against a slot used twice: a loan that arrives again after it was given back is not taken.
 func TestLateCopyOfAReturnedLoan(t *testing.T) {
 	is := is.New(t)
-	a, b := newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+	a, b := pair()
 	loans := a.Grant(now, routing.Ask{Borrower: "entry-1", Pool: "p", Wanted: 3}, 0)
 	b.Borrow(now, now, loans)
 	for _, l := range b.Surplus("p", 0) {
@@ -371,7 +376,7 @@
 // Guards against a borrower that counts a loan for longer than its lender: the shorter setting holds.
 func TestLifeOfALoanIsTheLenders(t *testing.T) {
 	is := is.New(t)
-	a, b := newRouter("entry-0", entries(2), view(2, "a")), newRouter("entry-1", entries(2), view(2, "a"))
+	a, b := pair()
 	b.LoanLife = time.Hour
 	b.Borrow(now, now, a.Grant(now, routing.Ask{Borrower: "entry-1", Pool: "p", Wanted: 3}, 0))
 	b.Tick(now.Add(500 * time.Millisecond))
