--- a/internal/endpoint/capacity_test.go
+++ b/internal/endpoint/capacity_test.go
@@ -34,7 +34,7 @@
 	jobs, results := ring.New[endpoint.Job]("calls", 8), ring.New[dispatch.Event]("dispatcher", 8)
 	heard := ring.New[endpoint.Heard]("prober", 8)
 	group.Start(ctx, &endpoint.Call{
-		Jobs: jobs, Results: results, Statements: results, Heard: heard, Client: endpoint.NewClient(2), Scheme: "http", Clock: clock.Real(),
+		Jobs: jobs, Results: results, Statements: results, Heard: heard, Client: endpoint.NewClient(2, nil), Scheme: "http", Clock: clock.Real(),
 	})
 	target := routing.Target{Endpoint: "vm-1", Address: fleet.Address(server.Listener.Addr().String()), Pool: "desk", AssignmentEpoch: 1}
 	probes := 0
