standin: tell how often an endpoint ran each request

A load that runs as a process of its own cannot read the observation of an endpoint stand-in, so it cannot compare outcomes with what ran. Plain HTTP text was excluded because every message between processes comes from the schema.

A resumed run continues the same run and is no longer counted as another one.

--- a/internal/standin/endpoint/endpoint.go
+++ b/internal/standin/endpoint/endpoint.go
@@ -135,7 +135,10 @@
 		})
 		return
 	}
-	e.runs[r.GetRequestId()]++
+	if len(r.GetCheckpoint()) == 0 {
+		// A resumed run continues the same run.
+		e.runs[r.GetRequestId()]++
+	}
 	m := e.misbehavior.Get()
 	if m.Fault == FaultFailFast {
 		_ = reply.Push(&endpointv1.RunResponse{
@@ -214,6 +217,7 @@
 func (e *Endpoint) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(endpointv1connect.NewEndpointServiceHandler(handler{endpoint: e}))
+	mux.Handle(endpointv1connect.NewObservationServiceHandler(observer{endpoint: e}))
 	return faulty{next: mux, misbehavior: &e.misbehavior, clock: e.Clock}
 }
 
