standin: add a load that compares outcomes with what ran

Nothing checked the guarantees of the request path over processes. The load sends urgent, normal and long requests, with and without tickets, through the entries that are ready, each with its own id and content. It checks each answer, asks again with the same ticket, and afterwards compares its records with the runs that the endpoints count. Findings are lies, double runs, wrong answers and requests cut off at an entry that was not killed; the exit code is then 1.

Without the comparison with the runs, the cases lies and double-runs of TestRunFindsWhatAnEntryBreaks fail.

--- a/internal/standin/run.go
+++ b/internal/standin/run.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/standin/endpoint"
 	"github.com/mimosawharf/mimosawharf/internal/standin/platform"
+	endpointv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/endpoint/v1"
 	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -35,8 +37,10 @@
 
 // Run runs the stand-in that the arguments name until the context ends. It returns *UsageError.
 func Run(ctx context.Context, arguments []string, output io.Writer) error {
-	root := &ff.Command{Name: "mimosawharf-standin", Usage: "mimosawharf-standin platform|endpoint [flags]"}
-	root.Subcommands = []*ff.Command{platformCommand(output), endpointCommand(output)}
+	root := &ff.Command{Name: "mimosawharf-standin", Usage: "mimosawharf-standin <command> [flags]"}
+	root.Subcommands = []*ff.Command{
+		platformCommand(output), endpointCommand(output), loadCommand(output), platformFaultCommand(), endpointFaultCommand(),
+	}
 	err := root.ParseAndRun(ctx, arguments)
 	if errors.Is(err, ff.ErrHelp) || errors.Is(err, ff.ErrNoExec) {
 		_, _ = fmt.Fprintln(output, ffhelp.Command(root))
@@ -76,10 +80,19 @@
 	address := set.StringLong("address", "127.0.0.1:7500", "Address to serve on, as ip:port.")
 	slots := set.IntLong("slots", 8, "Requests that run at the same time.")
 	runTime := set.DurationLong("run-time", 50*time.Millisecond, "How long each request runs.")
+	longTime := set.DurationLong("long-run-time", time.Second, "How long each request of the long types runs.")
+	longTypes := set.StringLong("long-types", "", "Request types that run long, separated by commas.")
 	return &ff.Command{
 		Name: "endpoint", Usage: "endpoint [flags]", ShortHelp: "run requests and echo their bodies", Flags: set,
 		Exec: func(ctx context.Context, _ []string) error {
 			e := endpoint.New(clock.Real(), fleet.Slots(*slots), *runTime)
+			long := strings.Split(*longTypes, ",")
+			e.RunTime = func(r *endpointv1.RunRequest) time.Duration {
+				if slices.Contains(long, r.GetRequestType()) {
+					return *longTime
+				}
+				return *runTime
+			}
 			return serve(ctx, output, fleet.Address(*address), e, func(context.Context) (*daemon.Server, error) {
 				return &daemon.Server{Duty: "http-endpoint", Handler: e.Handler(), HeaderTimeout: headerTimeout}, nil
 			})
