--- a/internal/command/local.go
+++ b/internal/command/local.go
@@ -12,7 +12,9 @@
 	"github.com/gravitational/trace"
 	"github.com/peterbourgon/ff/v4"
 
+	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/demo"
+	operatorv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/operator/v1"
 )
 
 func (c *cli) demoCommand(parent *ff.FlagSet) *ff.Command {
@@ -20,9 +22,9 @@
 		path: "demo", help: "run the whole path on loopback and check each step", example: "demo", flags: ff.NewFlagSet("demo").SetParent(parent),
 		run: func(ctx context.Context, _ []string) error {
 			if Format(c.format) == FormatTable {
-				return trace.Wrap(demo.Run(ctx, c.output))
+				return trace.Wrap(demo.Run(ctx, c.output, demoPages{output: c.output}))
 			}
-			if err := demo.Run(ctx, io.Discard); err != nil {
+			if err := demo.Run(ctx, io.Discard, demoPages{output: io.Discard}); err != nil {
 				return trace.Wrap(err)
 			}
 			return c.printValues(map[string]string{"outcome": "all steps hold"}, nil)
@@ -30,6 +32,30 @@
 	}.command()
 }
 
+// demoPages shows the pages of an entry of the demo.
+type demoPages struct {
+	output io.Writer
+}
+
+func (p demoPages) cli(server string) *cli {
+	return &cli{output: p.output, clock: clock.Real(), server: server, name: "demo", format: string(FormatTable)}
+}
+
+// Audit implements demo.Pages.
+func (p demoPages) Audit(ctx context.Context, server string) error {
+	return p.cli(server).listAudit(ctx, &operatorv1.ListAuditRequest{Limit: maxAuditRows})
+}
+
+// Status implements demo.Pages.
+func (p demoPages) Status(ctx context.Context, server string) error {
+	c := p.cli(server)
+	m, err := c.status(ctx)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	return c.print(m, func(w *tabwriter.Writer) { writeStatus(w, m) })
+}
+
 func (c *cli) versionCommand(parent *ff.FlagSet) *ff.Command {
 	return leaf{
 		path: "version", help: "show the version of this program", example: "version --output json", flags: ff.NewFlagSet("version").SetParent(parent),
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -41,9 +41,15 @@
 	run   func(ctx context.Context, f *site) (string, error)
 }
 
-// Run runs the scenario and writes an account of it. It returns *StepError for the first step that
-// does not hold.
-func Run(ctx context.Context, output io.Writer) error {
+// Pages shows what operators read of the entry at a URL.
+type Pages interface {
+	Audit(ctx context.Context, server string) error
+	Status(ctx context.Context, server string) error
+}
+
+// Run runs the scenario and writes an account of it, the audit trail and the status. It returns
+// *StepError for the first step that does not hold.
+func Run(ctx context.Context, output io.Writer, pages Pages) error {
 	ctx, cancel := context.WithTimeout(ctx, timeLimit)
 	defer cancel()
 	started := clock.Real().Now()
@@ -55,12 +61,20 @@
 	for i, s := range scenario() {
 		report, err := s.run(ctx, f)
 		if err != nil {
-			_, _ = fmt.Fprintf(output, "%2d. %-52s FAILED\n", i+1, s.title)
+			_, _ = fmt.Fprintf(output, "%2d. %-58s FAILED\n", i+1, s.title)
 			return trace.Wrap(&StepError{Step: s.title, Cause: err})
 		}
-		_, _ = fmt.Fprintf(output, "%2d. %-52s %s\n", i+1, s.title, report)
+		_, _ = fmt.Fprintf(output, "%2d. %-58s %s\n", i+1, s.title, report)
+	}
+	_, _ = fmt.Fprintf(output, "\naudit trail of %s, newest first\n", f.entries[0].id)
+	if err := pages.Audit(ctx, f.entries[0].server); err != nil {
+		return trace.Wrap(&StepError{Step: "audit trail", Cause: err})
+	}
+	_, _ = fmt.Fprintf(output, "\nstatus of %s\n", f.entries[0].id)
+	if err := pages.Status(ctx, f.entries[0].server); err != nil {
+		return trace.Wrap(&StepError{Step: "status", Cause: err})
 	}
-	_, _ = fmt.Fprintf(output, "all steps hold, %.1f s\n", clock.Real().Now().Sub(started).Seconds())
+	_, _ = fmt.Fprintf(output, "\nall steps hold, %.1f s\n", clock.Real().Now().Sub(started).Seconds())
 	return nil
 }
 
