--- a/internal/standin/load/tally.go
+++ b/internal/standin/load/tally.go
@@ -42,6 +42,9 @@
 	histogramDigits = 3
 )
 
+// timeFormat shows when a finding was made, to compare it with logs.
+const timeFormat = "15:04:05.000"
+
 // Tally is what one worker, or all of them, saw.
 type Tally struct {
 	Records  []Record
@@ -75,9 +78,12 @@
 }
 
 // note counts an attempt and finds what no failure of a killed entry explains.
-func (t *Tally) note(m *callerv1.SubmitRequest, a attempt, killed map[fleet.EntryID]bool) {
+func (t *Tally) note(now time.Time, m *callerv1.SubmitRequest, a attempt, killed map[fleet.EntryID]bool) {
 	t.Attempts[a.Kind]++
-	text := fmt.Sprintf("%s (%s) at %s: %s %s%s", m.GetRequestId(), m.GetRequestType(), a.Entry, a.Kind, a.Reason, a.Detail)
+	// The incarnation tells whether the issuer stopped or had just started.
+	issued, _ := ticket.Decode(m.GetTicket())
+	text := fmt.Sprintf("%s %s (%s) at %s: %s %s%s, issuer %s %s", now.UTC().Format(timeFormat), m.GetRequestId(), m.GetRequestType(),
+		a.Entry, a.Kind, a.Reason, a.Detail, issued.Issuer, issued.Incarnation)
 	switch {
 	case a.Kind == attemptWrong:
 		t.find(FindingWrong, text)
--- a/internal/standin/load/worker.go
+++ b/internal/standin/load/worker.go
@@ -132,7 +132,7 @@
 		answer = response.Msg
 	}
 	a := judge(e.ID, m, answer, err, timeout < callTimeout)
-	w.tally.note(m, a, w.options.Killed)
+	w.tally.note(w.clock.Now(), m, a, w.options.Killed)
 	return a
 }
 
