--- a/internal/dispatch/engine_test.go
+++ b/internal/dispatch/engine_test.go
@@ -70,15 +70,20 @@
 	}
 }
 
-// Guards against a cancellation that leaves queued requests behind or touches another account's.
-func TestCancelTakesOneStep(t *testing.T) {
-	is := is.New(t)
+// oneEndpoint returns a loop with one engine and one endpoint, and what makes its jobs.
+func oneEndpoint() (*fleetLoop, func(number int) *job) {
 	d := deployment{endpoints: 1}
 	random := rand.New(rand.NewPCG(1, 1))
 	v, means := d.configuration(random)
-	f := newFleetLoop(d, v, 1)
+	return newFleetLoop(d, v, 1), func(number int) *job { return d.job(random, means, 0, 0, 0, number) }
+}
+
+// Guards against a cancellation that leaves queued requests behind or touches another account's.
+func TestCancelTakesOneStep(t *testing.T) {
+	is := is.New(t)
+	f, newJob := oneEndpoint()
 	for number := range 30 {
-		j := d.job(random, means, 0, 0, 0, number)
+		j := newJob(number)
 		j.request.Group, j.request.Account = "week", fleet.ClientAccountID([]string{"account-1", "account-2"}[number%2])
 		f.submit(f.engines[0], j)
 	}
@@ -91,12 +96,8 @@
 // Guards against a ticket that is said to have lost its issuer while the issuer hands it over.
 func TestTicketDuringHandOver(t *testing.T) {
 	is := is.New(t)
-	d := deployment{endpoints: 1}
-	random := rand.New(rand.NewPCG(1, 1))
-	v, means := d.configuration(random)
-	f := newFleetLoop(d, v, 1)
-	e := f.engines[0]
-	j := d.job(random, means, 0, 0, 0, 1)
+	f, newJob := oneEndpoint()
+	e, j := f.engines[0], newJob(1)
 	j.request.Ticket = e.IssueTickets(epoch, j.request.Account, 1)[0]
 	e.HandOver()
 	f.submit(e, j)
