peer: pass a ticket of an unknown incarnation to its issuer

The soak test still found tickets told unknown issuer-gone, at an entry that had just started. Loss of the tickets was excluded: asked again later they were answered.

An entry that does not know the holder of a ticket now passes it to the issuer that the ticket names when there is a link, and the issuer decides.

--- a/internal/peer/directory.go
+++ b/internal/peer/directory.go
@@ -51,7 +51,15 @@
 		return false
 	}
 	holder, ok := d.Tickets.Holder(r.Ticket)
-	if !ok || holder == d.Own {
+	if !ok {
+		// The issuer may not have said hello yet, to an entry that has just started. It knows best.
+		t, err := ticket.Decode(r.Ticket)
+		if err != nil || d.link(t.Issuer) == nil {
+			return false
+		}
+		holder = t.Issuer
+	}
+	if holder == d.Own {
 		return false
 	}
 	link := d.link(holder)
