--- a/internal/caller/handler.go
+++ b/internal/caller/handler.go
@@ -105,11 +105,7 @@
 		return notTaken(req, request.ReasonQuota), nil
 	}
 	h.logStart(req)
-	reply := ring.New[request.Outcome]("caller-reply", 1)
-	if !h.forward(req, reply) && h.Inbox.Push(dispatch.Submitted{Request: req, Reply: reply}) != nil {
-		return notTaken(req, request.ReasonOverloaded), nil
-	}
-	outcome, err := reply.Pop(ctx)
+	outcome, err := h.outcome(ctx, req)
 	if err != nil && len(req.Ticket) == 0 {
 		// A ticketed request goes on, and its outcome is kept for the ticket.
 		_ = h.Inbox.Push(dispatch.CallerLeft{Account: req.Account, ID: req.ID})
@@ -117,6 +113,28 @@
 	return outcome, trace.Wrap(err)
 }
 
+// handOverPause is the wait until a ticket that is being handed over is presented again. A hand-over takes
+// as long as its bytes need at the rate between peers, which is some seconds at most.
+const handOverPause = 100 * time.Millisecond
+
+// outcome returns the outcome of a request. A ticket that its issuer is handing over is presented again,
+// so that a planned stop leaves no caller without a certain outcome; it runs at most once all the same.
+func (h *Handler) outcome(ctx context.Context, r *request.Request) (request.Outcome, error) {
+	for {
+		reply := ring.New[request.Outcome]("caller-reply", 1)
+		if !h.forward(r, reply) && h.Inbox.Push(dispatch.Submitted{Request: r, Reply: reply}) != nil {
+			return notTaken(r, request.ReasonOverloaded), nil
+		}
+		o, err := reply.Pop(ctx)
+		if err != nil || o.Reason != request.ReasonHandingOver || !h.Clock.Now().Add(handOverPause).Before(r.Deadline) {
+			return o, trace.Wrap(err)
+		}
+		if err := clock.Wait(ctx, h.Clock, handOverPause); err != nil {
+			return o, trace.Wrap(err)
+		}
+	}
+}
+
 // forward passes a request whose ticket another entry redeems to that entry.
 func (h *Handler) forward(r *request.Request, reply dispatch.OutcomeReceiver) bool {
 	return len(r.Ticket) > 0 && h.Peers != nil && h.Peers.Forward(r, reply)
