daemon: share connections between the callers of a test

TestAttacks failed on a loaded machine with a refusal for the quota of the account (429 in place of 200). Cause: each call of the test opened its own connection, the wait for the first answer opened one per try, and idle connections count against the account's limit of 16. The limit and the expected outcomes stay; the test's callers share one client.

Checked: go test ./internal/daemon passes.

--- a/internal/daemon/site_test.go
+++ b/internal/daemon/site_test.go
@@ -42,6 +42,8 @@
 	authority *credential.Authority
 	settings  settings.Settings
 	endpoint  *endpoint.Endpoint
+	// callers is shared by all callers, because connections count against the limit of an account.
+	callers *http.Client
 	// missing is the metric that the page does not show.
 	missing string
 	// lastErr is the error of the last call of until.
@@ -57,6 +59,7 @@
 	var err error
 	s.authority, err = credential.NewAuthority(now.Add(-time.Hour), 2*time.Hour)
 	s.is.NoErr(err)
+	s.callers = httpClient(s.callerTLS(), true)
 	group, ctx := duty.NewGroup(context.Background())
 	asked, ask := context.WithCancel(ctx)
 	s.ctx, s.stop = ctx, func() { ask(); group.Stop(); _ = group.Wait() }
@@ -146,7 +149,7 @@
 }
 
 func (s *site) caller(account fleet.ClientAccountID, secret string) callerv1connect.CallerServiceClient {
-	return client.NewCaller("https://"+string(s.settings.CallerAddress), client.CallerOptions{Account: account, Secret: secret, HTTP: httpClient(s.callerTLS(), true)})
+	return client.NewCaller("https://"+string(s.settings.CallerAddress), client.CallerOptions{Account: account, Secret: secret, HTTP: s.callers})
 }
 
 // until repeats a step until it succeeds.
