proto: add slots per zone, dead endpoints, histories and generations

Cause: budgets per zone existed only in VMs, dead endpoints had no place to be reported, a row of a restored table could not be told from a present one, and a late action could reach a VM that had moved on.

Excluded: a marker row for a restore. The backup that brings old rows back brings an old marker back too.

Change: Budget has limits in slots per zone and as max-unavailable. EntryRow carries the dead endpoints that an entry sees and the history in which it acknowledges. VMRow carries the history in which it was confirmed and a generation. CommitRequest and ActOnVMRequest carry the history, and an action carries the row that must still stand. ChangeVM knows roll-out. The setting maintenance-period is 0s by default. All additions are optional fields.

Checked: go build ./... and go test ./internal/wire pass.

--- a/internal/settings/settings_gen.go
+++ b/internal/settings/settings_gen.go
@@ -106,6 +106,8 @@
 	DrainTimeout time.Duration
 	// MovesPerHour is the setting --moves-per-hour. Moves of spare VMs per hour. Values: unit VMs/h, from 0 to 10000.
 	MovesPerHour fleet.VMsPerHour
+	// MaintenancePeriod is the setting --maintenance-period. Time within which the standing schedule reboots every VM once; 0s turns the schedule off, 1008h is six weeks. Values: unit duration, from 0s to 8760h.
+	MaintenancePeriod time.Duration
 }
 
 var fields = []field{
@@ -483,4 +485,12 @@
 			return err
 		},
 	},
+	{
+		flag: "maintenance-period", initial: "0s", unit: "duration", help: "Time within which the standing schedule reboots every VM once; 0s turns the schedule off, 1008h is six weeks.",
+		lowest: "0s", highest: "8760h",
+		set: func(s *Settings, f field, text string) (err error) {
+			s.MaintenancePeriod, err = parseDuration(f, text)
+			return err
+		},
+	},
 }
--- a/internal/wire/config.go
+++ b/internal/wire/config.go
@@ -20,6 +20,10 @@
 			MinAvailableSlots:     uint32(p.Budget.MinAvailableSlots),
 			MaxUnavailablePerZone: uint32(p.Budget.MaxUnavailablePerZone),
 			MinAvailablePerZone:   uint32(p.Budget.MinAvailablePerZone),
+
+			MaxUnavailableSlots:        uint32(p.Budget.MaxUnavailableSlots),
+			MaxUnavailableSlotsPerZone: uint32(p.Budget.MaxUnavailableSlotsPerZone),
+			MinAvailableSlotsPerZone:   uint32(p.Budget.MinAvailableSlotsPerZone),
 		},
 		Spare:     p.Spare,
 		TargetVms: uint32(p.TargetVMs),
@@ -39,6 +43,10 @@
 			MinAvailableSlots:     fleet.Slots(b.GetMinAvailableSlots()),
 			MaxUnavailablePerZone: fleet.VMCount(b.GetMaxUnavailablePerZone()),
 			MinAvailablePerZone:   fleet.VMCount(b.GetMinAvailablePerZone()),
+
+			MaxUnavailableSlots:        fleet.Slots(b.GetMaxUnavailableSlots()),
+			MaxUnavailableSlotsPerZone: fleet.Slots(b.GetMaxUnavailableSlotsPerZone()),
+			MinAvailableSlotsPerZone:   fleet.Slots(b.GetMinAvailableSlotsPerZone()),
 		},
 		Spare:     m.GetSpare(),
 		TargetVMs: fleet.VMCount(m.GetTargetVms()),
--- a/internal/wire/keys.go
+++ b/internal/wire/keys.go
@@ -24,6 +24,9 @@
 // KeyHead is the key of the row that holds the configuration's revision.
 const KeyHead fleet.TableKey = "config/head"
 
+// KeyHistory is the conflict of a transaction that was decided on another history of the table.
+const KeyHistory fleet.TableKey = "history"
+
 // KeyPool returns the key of a pool.
 func KeyPool(id fleet.PoolID) fleet.TableKey { return PrefixPool + fleet.TableKey(id) }
 
--- a/internal/wire/rows.go
+++ b/internal/wire/rows.go
@@ -85,6 +85,8 @@
 		Wave:            string(v.Wave),
 		TargetVersion:   string(v.TargetVersion),
 		HomePool:        string(v.HomePool),
+		History:         string(v.History),
+		Generation:      uint64(v.Generation),
 	}
 }
 
@@ -111,6 +113,8 @@
 		Purpose:         fleet.VMPurpose(m.GetPurpose()),
 		Since:           FromTime(m.GetSince()),
 		Wave:            fleet.WaveID(m.GetWave()),
+		History:         fleet.TableHistory(m.GetHistory()),
+		Generation:      fleet.Generation(m.GetGeneration()),
 	}
 }
 
@@ -217,6 +221,8 @@
 		ConfigRevision:       uint64(e.ConfigRevision),
 		ConfigSince:          Time(e.ConfigSince),
 		AcknowledgedRevision: uint64(e.AcknowledgedRevision),
+		History:              string(e.History),
+		DeadEndpoints:        texts(e.DeadEndpoints),
 	})
 }
 
@@ -235,6 +241,8 @@
 		ConfigRevision:       fleet.ConfigRevision(m.GetConfigRevision()),
 		ConfigSince:          FromTime(m.GetConfigSince()),
 		AcknowledgedRevision: fleet.TableRevision(m.GetAcknowledgedRevision()),
+		History:              fleet.TableHistory(m.GetHistory()),
+		DeadEndpoints:        named[fleet.VMID](m.GetDeadEndpoints()),
 	}, err
 }
 
--- a/pkg/api/mimosawharf/config/v1/config_check_gen.go
+++ b/pkg/api/mimosawharf/config/v1/config_check_gen.go
@@ -83,6 +83,15 @@
 	if err := check.AtMost("min-available-per-zone", int64(x.GetMinAvailablePerZone()), 100000); err != nil {
 		return err
 	}
+	if err := check.AtMost("max-unavailable-slots", int64(x.GetMaxUnavailableSlots()), 10000000); err != nil {
+		return err
+	}
+	if err := check.AtMost("max-unavailable-slots-per-zone", int64(x.GetMaxUnavailableSlotsPerZone()), 10000000); err != nil {
+		return err
+	}
+	if err := check.AtMost("min-available-slots-per-zone", int64(x.GetMinAvailableSlotsPerZone()), 10000000); err != nil {
+		return err
+	}
 	return nil
 }
 
--- a/pkg/api/mimosawharf/operator/v1/operator_check_gen.go
+++ b/pkg/api/mimosawharf/operator/v1/operator_check_gen.go
@@ -85,7 +85,7 @@
 	if err := check.Identifier("vm", x.GetVm()); err != nil {
 		return err
 	}
-	if err := check.OneOf("action", x.GetAction(), "adopt", "drain", "move", "reboot", "replace", "cancel", "return", "remove"); err != nil {
+	if err := check.OneOf("action", x.GetAction(), "adopt", "drain", "move", "reboot", "replace", "roll-out", "cancel", "return", "remove"); err != nil {
 		return err
 	}
 	if err := check.Length("pool", len(x.GetPool()), 0, 64); err != nil {
@@ -94,6 +94,9 @@
 	if err := check.Identifier("pool", x.GetPool()); err != nil {
 		return err
 	}
+	if err := check.Length("version", len(x.GetVersion()), 0, 64); err != nil {
+		return err
+	}
 	return nil
 }
 
--- a/pkg/fleet/audit.go
+++ b/pkg/fleet/audit.go
@@ -18,6 +18,10 @@
 	AuditActionVMFail      AuditAction = "vm-fail"
 	AuditActionVMRecover   AuditAction = "vm-recover"
 	AuditActionVMRemove    AuditAction = "vm-remove"
+	// AuditActionVMRestore writes a row again that a restore of the table took back.
+	AuditActionVMRestore AuditAction = "vm-restore"
+	// AuditActionVMConfirm takes a row of a restored table into its present history.
+	AuditActionVMConfirm   AuditAction = "vm-confirm"
 	AuditActionWaveCreate  AuditAction = "wave-create"
 	AuditActionWaveControl AuditAction = "wave-control"
 	AuditActionWaveStep    AuditAction = "wave-step"
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -41,6 +41,10 @@
 	MinAvailableSlots     Slots
 	MaxUnavailablePerZone VMCount
 	MinAvailablePerZone   VMCount
+	// MaxUnavailableSlots and the limits per zone count slots of VMs that are not available.
+	MaxUnavailableSlots        Slots
+	MaxUnavailableSlotsPerZone Slots
+	MinAvailableSlotsPerZone   Slots
 }
 
 // Service runs on the endpoints of one pool.
--- a/pkg/fleet/entry.go
+++ b/pkg/fleet/entry.go
@@ -19,7 +19,12 @@
 	// AcknowledgedRevision is the highest table revision that the entry has applied while it had
 	// nothing in flight on any VM whose drain had begun by then.
 	AcknowledgedRevision TableRevision
-	RowVersion           RowVersion
+	// History is the history of the table to which AcknowledgedRevision belongs, and in which the entry
+	// has written back every newer row that it knew.
+	History TableHistory
+	// DeadEndpoints are the VMs whose endpoint does not answer the entry.
+	DeadEndpoints []VMID
+	RowVersion    RowVersion
 }
 
 // Lease is the row of a lease on a duty that one entry does at a time.
--- a/pkg/fleet/ids.go
+++ b/pkg/fleet/ids.go
@@ -79,5 +79,11 @@
 // BootID changes each time that a VM boots.
 type BootID string
 
+// TableHistory names one uninterrupted history of the platform's table.
+type TableHistory string
+
+// Generation counts the changes of a row over all histories of the table.
+type Generation uint64
+
 // TableKey is the key of a row in the platform's table.
 type TableKey string
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -14,6 +14,8 @@
 	Leases      map[DutyName]Lease
 	// Revision is the table revision up to which the view is complete.
 	Revision TableRevision
+	// History is the history of the table to which Revision belongs; it changes with a restore.
+	History TableHistory
 	// RefreshedAt is when the table, or a peer that reads it, last confirmed the view.
 	RefreshedAt time.Time
 	// Leaving holds the VMs that the platform's list shows as leaving or no longer shows.
--- a/pkg/fleet/vm.go
+++ b/pkg/fleet/vm.go
@@ -81,6 +81,11 @@
 	Since time.Time
 	// Wave is the wave that disrupts the VM, if any.
 	Wave WaveID
+	// History is the history of the table in which the row was confirmed. A row of another history came
+	// from a backup, and no change starts from it.
+	History TableHistory
+	// Generation rises by one with each change of the row, also after a restore of the table.
+	Generation Generation
 	// RowVersion is the version at which the row was read; it is not stored in the row. While the
 	// VM is draining it is the table revision that entries must acknowledge.
 	RowVersion RowVersion
@@ -161,4 +166,8 @@
 	Pool            PoolID
 	AssignmentEpoch AssignmentEpoch
 	OperationID     OperationID
+	// RowVersion and History name the row of the VM that the command was decided on. The platform
+	// accepts the command only while its table still holds that row. A version of 0 asks for no check.
+	RowVersion RowVersion
+	History    TableHistory
 }
