budget: judge loss in one place and bind slots per zone

Cause: the wave and spare drivers judged lost VMs by a rule of their own and operators by another one; budgets per zone existed only in VMs; an endpoint that entries report dead still counted as available.

Excluded: a quorum of entries for a dead endpoint. Loss is judged conservatively, and an entry reports only endpoints of its own zone.

Change: budget.Lost takes the view and is the only rule: a fresh list shows the VM as live, it is not leaving, and no entry row names its endpoint as dead. Budgets have max-unavailable-slots, max-unavailable-slots-per-zone and min-available-slots-per-zone, in the commands and in the status too.

Checked: go test -race ./internal/budget ./internal/configuration passes. The new cases of TestEachLimitBinds do not build without the limits, and TestOldListIsNoEvidence fails when Lost ignores dead endpoints.

Conclusion: drivers and operators agree on which VMs are available.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -38,7 +38,7 @@
 // tally counts the capacity of a pool or of one zone of it.
 type tally struct {
 	available, unavailable fleet.VMCount
-	slots                  fleet.Slots
+	slots, missingSlots    fleet.Slots
 }
 
 // Allow returns nil when the VM may be disrupted, and *ExceededError otherwise. A VM whose row shows that
@@ -61,6 +61,9 @@
 		{"min-available-slots", b.MinAvailableSlots > 0, int(b.MinAvailableSlots), int(all.slots), false},
 		{"max-unavailable-per-zone", b.MaxUnavailablePerZone > 0, int(b.MaxUnavailablePerZone), int(zone.unavailable), true},
 		{"min-available-per-zone", b.MinAvailablePerZone > 0, int(b.MinAvailablePerZone), int(zone.available), false},
+		{"max-unavailable-slots", b.MaxUnavailableSlots > 0, int(b.MaxUnavailableSlots), int(all.missingSlots), true},
+		{"max-unavailable-slots-per-zone", b.MaxUnavailableSlotsPerZone > 0, int(b.MaxUnavailableSlotsPerZone), int(zone.missingSlots), true},
+		{"min-available-slots-per-zone", b.MinAvailableSlotsPerZone > 0, int(b.MinAvailableSlotsPerZone), int(zone.slots), false},
 	}
 	for _, l := range limits {
 		if l.set && (l.atMost && l.got > l.want || !l.atMost && l.got < l.want) {
@@ -85,6 +88,7 @@
 func (t *tally) add(vm fleet.VM, available bool) {
 	if !available {
 		t.unavailable++
+		t.missingSlots += vm.Slots
 		return
 	}
 	t.available++
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"testing"
 	"time"
 
@@ -30,6 +31,10 @@
 		"min-available-slots":      {fleet.Budget{MinAvailableSlots: 24}, []fleet.VMID{"3"}},
 		"max-unavailable-per-zone": {fleet.Budget{MaxUnavailablePerZone: 1}, []fleet.VMID{"1"}},
 		"min-available-per-zone":   {fleet.Budget{MinAvailablePerZone: 1}, []fleet.VMID{"1"}},
+
+		"max-unavailable-slots":          {fleet.Budget{MaxUnavailableSlots: 8}, []fleet.VMID{"3"}},
+		"max-unavailable-slots-per-zone": {fleet.Budget{MaxUnavailableSlotsPerZone: 8}, []fleet.VMID{"1"}},
+		"min-available-slots-per-zone":   {fleet.Budget{MinAvailableSlotsPerZone: 8}, []fleet.VMID{"1"}},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -60,12 +65,19 @@
 	is := is.New(t)
 	now := time.Unix(1000, 0)
 	list := fleet.VMList{AsOf: now, VMs: []fleet.PlatformVM{{ID: "0", State: fleet.PlatformVMStateLive}, {ID: "1", State: fleet.PlatformVMStateLeaving}}}
-	lost, err := budget.Lost(poolOf(fleet.Budget{}).VMs, list, now, now.Add(time.Minute), time.Minute)
+	view := func(list fleet.VMList, readAt time.Time, dead ...fleet.VMID) *fleet.View {
+		return &fleet.View{List: list, ListReadAt: readAt, Entries: map[fleet.EntryID]fleet.Entry{"e": {DeadEndpoints: dead}}}
+	}
+	all, none := slices.Values(poolOf(fleet.Budget{}).VMs), slices.Values([]fleet.VM(nil))
+	lost, err := budget.Lost(all, view(list, now), now.Add(time.Minute), time.Minute)
 	is.NoErr(err)
 	is.Equal(lost, map[fleet.VMID]bool{"0": false, "1": true, "2": true, "3": true})
+	lost, err = budget.Lost(all, view(list, now, "0"), now.Add(time.Minute), time.Minute)
+	is.NoErr(err)
+	is.True(lost["0"]) // live, but its endpoint does not answer an entry
 	var stale *budget.StaleListError
-	_, err = budget.Lost(nil, list, now.Add(time.Second), now.Add(time.Minute+1), time.Minute)
+	_, err = budget.Lost(none, view(list, now.Add(time.Second)), now.Add(time.Minute+1), time.Minute)
 	is.True(errors.As(err, &stale))
-	_, err = budget.Lost(nil, fleet.VMList{AsOf: now.Add(time.Hour)}, now, now.Add(time.Minute+1), time.Minute)
+	_, err = budget.Lost(none, view(fleet.VMList{AsOf: now.Add(time.Hour)}, now), now.Add(time.Minute+1), time.Minute)
 	is.True(errors.As(err, &stale))
 }
--- a/internal/budget/loss.go
+++ b/internal/budget/loss.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"iter"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -20,11 +21,13 @@
 	return fmt.Sprintf("list of VMs is %s old and no grant is given beyond %s: try again when the platform answers", e.Age, e.MaxAge)
 }
 
-// Lost returns the VMs that are not known to be available: only a VM that a fresh list shows as live is
-// known to be. It returns *StaleListError when the list is older than maxAge. The age is the larger of
-// the ages by the platform's instant and by the instant of the read, because the clocks may differ.
-func Lost(vms []fleet.VM, list fleet.VMList, readAt, now time.Time, maxAge time.Duration) (map[fleet.VMID]bool, error) {
-	age := max(now.Sub(list.AsOf), now.Sub(readAt))
+// Lost returns the VMs that are not known to be available: only a VM is known to be that a fresh list
+// shows as live, that is not leaving, and whose endpoint no entry reports dead. It returns
+// *StaleListError when the list is older than maxAge. The age is the larger of the ages by the
+// platform's instant and by the instant of the read, because the clocks may differ.
+func Lost(vms iter.Seq[fleet.VM], view *fleet.View, now time.Time, maxAge time.Duration) (map[fleet.VMID]bool, error) {
+	list := view.List
+	age := max(now.Sub(list.AsOf), now.Sub(view.ListReadAt))
 	if age > maxAge {
 		return nil, trace.Wrap(&StaleListError{Age: age, MaxAge: maxAge})
 	}
@@ -33,8 +36,13 @@
 		live[vm.ID] = vm.State == fleet.PlatformVMStateLive
 	}
 	lost := map[fleet.VMID]bool{}
-	for _, vm := range vms {
-		lost[vm.ID] = !live[vm.ID]
+	for vm := range vms {
+		lost[vm.ID] = !live[vm.ID] || view.Leaving[vm.ID]
+	}
+	for _, entry := range view.Entries {
+		for _, id := range entry.DeadEndpoints {
+			lost[id] = true
+		}
 	}
 	return lost, nil
 }
--- a/internal/command/pool.go
+++ b/internal/command/pool.go
@@ -15,6 +15,7 @@
 type budgetFlags struct {
 	set                                                                          *ff.FlagSet
 	minAvailable, maxUnavailable, minSlots, maxUnavailableZone, minAvailableZone *uint
+	maxMissingSlots, maxMissingSlotsZone, minSlotsZone                           *uint
 }
 
 func newBudgetFlags(set *ff.FlagSet) budgetFlags {
@@ -25,6 +26,10 @@
 		minSlots:           set.UintLong("min-available-slots", 0, "Slots that must stay available; 0 for no limit."),
 		maxUnavailableZone: set.UintLong("max-unavailable-per-zone", 0, "VMs of a zone that may be unavailable; 0 for no limit."),
 		minAvailableZone:   set.UintLong("min-available-per-zone", 0, "VMs of a zone that must stay available; 0 for no limit."),
+
+		maxMissingSlots:     set.UintLong("max-unavailable-slots", 0, "Slots that may be unavailable at the same time; 0 for no limit."),
+		maxMissingSlotsZone: set.UintLong("max-unavailable-slots-per-zone", 0, "Slots of a zone that may be unavailable; 0 for no limit."),
+		minSlotsZone:        set.UintLong("min-available-slots-per-zone", 0, "Slots of a zone that must stay available; 0 for no limit."),
 	}
 }
 
@@ -39,6 +44,10 @@
 		"min-available-slots":      {b.minSlots, &m.MinAvailableSlots},
 		"max-unavailable-per-zone": {b.maxUnavailableZone, &m.MaxUnavailablePerZone},
 		"min-available-per-zone":   {b.minAvailableZone, &m.MinAvailablePerZone},
+
+		"max-unavailable-slots":          {b.maxMissingSlots, &m.MaxUnavailableSlots},
+		"max-unavailable-slots-per-zone": {b.maxMissingSlotsZone, &m.MaxUnavailableSlotsPerZone},
+		"min-available-slots-per-zone":   {b.minSlotsZone, &m.MinAvailableSlotsPerZone},
 	} {
 		if f, ok := b.set.GetFlag(name); ok && f.IsSet() {
 			*one.to = saturated(*one.from)
--- a/internal/configuration/capacity.go
+++ b/internal/configuration/capacity.go
@@ -12,9 +12,11 @@
 	VMs       fleet.VMCount
 	Available fleet.VMCount
 	// Slots are those of available VMs.
-	Slots    fleet.Slots
-	Draining fleet.VMCount
-	Failed   fleet.VMCount
+	Slots fleet.Slots
+	// MissingSlots are those of VMs that are not available.
+	MissingSlots fleet.Slots
+	Draining     fleet.VMCount
+	Failed       fleet.VMCount
 	// Borrowed counts VMs of other pools that are lent to this one, Lent those of this one elsewhere.
 	Borrowed fleet.VMCount
 	Lent     fleet.VMCount
@@ -23,6 +25,7 @@
 
 type zoneCapacity struct {
 	vms, available fleet.VMCount
+	slots, missing fleet.Slots
 }
 
 // Capacities counts the VMs of each pool. Lost holds VMs that are not known to be available.
@@ -55,6 +58,10 @@
 		c.Available++
 		c.Slots += vm.Slots
 		zone.available++
+		zone.slots += vm.Slots
+	} else {
+		c.MissingSlots += vm.Slots
+		zone.missing += vm.Slots
 	}
 	c.zones[vm.Zone] = zone
 	if vm.IsDisrupted() {
@@ -92,10 +99,13 @@
 	atLeast("min-available-vms", "", int(b.MinAvailableVMs), int(c.Available))
 	atMost("max-unavailable-vms", "", int(b.MaxUnavailableVMs), int(c.VMs-c.Available))
 	atLeast("min-available-slots", "", int(b.MinAvailableSlots), int(c.Slots))
+	atMost("max-unavailable-slots", "", int(b.MaxUnavailableSlots), int(c.MissingSlots))
 	for _, id := range slices.Sorted(maps.Keys(c.zones)) {
 		zone := c.zones[id]
 		atMost("max-unavailable-per-zone", id, int(b.MaxUnavailablePerZone), int(zone.vms-zone.available))
 		atLeast("min-available-per-zone", id, int(b.MinAvailablePerZone), int(zone.available))
+		atMost("max-unavailable-slots-per-zone", id, int(b.MaxUnavailableSlotsPerZone), int(zone.missing))
+		atLeast("min-available-slots-per-zone", id, int(b.MinAvailableSlotsPerZone), int(zone.slots))
 	}
 	return list
 }
