--- a/internal/command/vm.go
+++ b/internal/command/vm.go
@@ -21,6 +21,7 @@
 		{"move", "move VMs to another pool", " --pool reporting"},
 		{"reboot", "drain VMs and reboot them", " --reason 'kernel update'"},
 		{"replace", "drain VMs and replace them by new ones", " --reason 'bad disk'"},
+		{"roll-out", "drain VMs, install a version and reboot them", " --version 2.4"},
 		{"cancel", "end drains or moves that are under way", ""},
 		{"return", "put drained VMs back into service", ""},
 		{"remove", "drain VMs and take them out of the fleet", " --reason retired"},
@@ -104,32 +105,38 @@
 
 func (c *cli) vmAction(parent *ff.FlagSet, action, help, example string) leaf {
 	set := ff.NewFlagSet(action).SetParent(parent)
-	how, pool := changeFlags(set), new(string)
+	how, pool, version := changeFlags(set), new(string), new(string)
 	needsPool := action == "adopt" || action == "move"
 	if needsPool {
 		set.StringVar(pool, 0, "pool", "", "Pool that adopts the VMs or that they move to.")
 	}
+	if action == "roll-out" {
+		set.StringVar(version, 0, "version", "", "Version that the roll-out installs.")
+	}
 	return leaf{
 		path: "vm " + action, operands: "<vm>...", least: 1, most: -1, help: help, example: example, flags: set,
 		run: func(ctx context.Context, vms []string) error {
 			switch {
 			case needsPool && *pool == "":
 				return trace.Wrap(&UsageError{Problem: "vm " + action + ": want --pool: for example mimosawharf " + example})
+			case action == "roll-out" && *version == "":
+				return trace.Wrap(&UsageError{Problem: "vm roll-out: want --version: for example mimosawharf " + example})
 			case *how.id != "" && len(vms) > 1:
 				return trace.Wrap(&UsageError{Problem: "--operation-id: names one change: give one VM with it"})
 			}
-			return c.changeVMs(ctx, how, action, *pool, vms)
+			return c.changeVMs(ctx, how, &operatorv1.ChangeVMRequest{Action: action, Pool: *pool, Version: *version}, vms)
 		},
 	}
 }
 
 // changeVMs changes one VM after the other and ends with the first that fails.
-func (c *cli) changeVMs(ctx context.Context, how change, action, pool string, vms []string) error {
+func (c *cli) changeVMs(ctx context.Context, how change, what *operatorv1.ChangeVMRequest, vms []string) error {
 	changed := &operatorv1.ListVMsResponse{}
 	var failed error
 	for _, vm := range vms {
 		one := how.operation()
-		response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ChangeVM, &operatorv1.ChangeVMRequest{Operation: one, Vm: vm, Action: action, Pool: pool})
+		what.Operation, what.Vm = one, vm
+		response, err := ask(ctx, c, operatorv1connect.OperatorServiceClient.ChangeVM, what)
 		if err != nil {
 			failed = failedChange(one, err)
 			break
--- a/internal/control/disruption.go
+++ b/internal/control/disruption.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/budget"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
@@ -45,7 +47,9 @@
 }
 
 func (d *Disruptive) newDisrupter(duty fleet.DutyName, kind fleet.HolderKind) disrupter {
-	return disrupter{table: d.Table, clock: d.Clock, entry: d.Entry, duty: duty, kind: kind, states: move.NewMachine()}
+	return disrupter{
+		table: d.Table, clock: d.Clock, entry: d.Entry, duty: duty, kind: kind, states: move.NewMachine(), listMaxAge: d.ListMaxAge,
+	}
 }
 
 // disruption is the drain of one VM and what follows it.
@@ -65,6 +69,8 @@
 	duty   fleet.DutyName
 	kind   fleet.HolderKind
 	states *machine.Machine[fleet.VMState, move.Event]
+	// listMaxAge is the age from which the list of VMs is no evidence.
+	listMaxAge time.Duration
 }
 
 // step is the transaction that starts the drains of VMs of one pool.
@@ -94,13 +100,13 @@
 		return step{}, trace.Wrap(err)
 	}
 	audit := d.audit(fleet.AuditActionVMDrain, fleet.SubjectPool(pool))
-	s := step{transaction: platform.Transaction{Audit: audit, Preconditions: []platform.Precondition{
+	s := step{transaction: platform.Transaction{Audit: audit, History: view.History, Preconditions: []platform.Precondition{
 		d.lease(held), {Key: wire.KeyPool(pool), Version: rows.poolVersion}, {Key: wire.KeyLedger(pool), Version: rows.ledger.RowVersion},
 	}}}
 	for i, one := range list {
 		vm := rows.vms[i]
 		state, err := d.states.Next(vm.State, move.EventDrain)
-		if err != nil || vm.Pool != pool || !capacity.Take(vm) {
+		if err != nil || vm.Pool != pool || vm.History != view.History || !capacity.Take(vm) {
 			continue
 		}
 		version := vm.RowVersion
@@ -157,6 +163,10 @@
 		}
 		out.ledger.RowVersion = rows[1].Version
 	}
+	// A view older than the ledger may show VMs as serving whose disruption the ledger no longer lists.
+	if fleet.TableRevision(out.ledger.RowVersion) > view.Revision {
+		return poolRows{}, nil, trace.Wrap(&platform.ConflictError{Keys: []fleet.TableKey{wire.KeyLedger(pool)}})
+	}
 	vms := poolVMs(view, pool)
 	for _, row := range rows[2:] {
 		vm, err := wire.DecodeVM(row.Value)
@@ -167,7 +177,10 @@
 		out.vms = append(out.vms, vm)
 		vms[vm.ID] = vm
 	}
-	lost := lostVMs(view)
+	lost, err := budget.Lost(maps.Values(vms), view, d.clock.Now(), d.listMaxAge)
+	if err != nil {
+		return poolRows{}, nil, trace.Wrap(err)
+	}
 	for _, g := range out.ledger.Grants {
 		lost[g.VM] = true
 	}
@@ -184,26 +197,6 @@
 	return vms
 }
 
-// lostVMs returns the VMs that the platform's list does not show as live.
-func lostVMs(view *fleet.View) map[fleet.VMID]bool {
-	live := map[fleet.VMID]bool{}
-	for _, v := range view.List.VMs {
-		live[v.ID] = v.State == fleet.PlatformVMStateLive
-	}
-	lost := map[fleet.VMID]bool{}
-	for id := range view.VMs {
-		if !live[id] || view.Leaving[id] {
-			lost[id] = true
-		}
-	}
-	return lost
-}
-
-// isListFresh reports whether the list of VMs is recent enough for new grants.
-func isListFresh(view *fleet.View, now time.Time, bound time.Duration) bool {
-	return now.Sub(view.ListReadAt) <= bound && now.Sub(view.List.AsOf) <= bound
-}
-
 // groupByPool groups VMs by the pool that their rows name, in the order of their first VM.
 func groupByPool(view *fleet.View, ids []fleet.VMID) ([]fleet.PoolID, map[fleet.PoolID][]fleet.VMID) {
 	var order []fleet.PoolID
--- a/internal/control/draft.go
+++ b/internal/control/draft.go
@@ -44,7 +44,13 @@
 func (d *draft) forget(history platform.History) {
 	d.history, d.restored, d.known = history, true, map[fleet.TableKey]knownRow{}
 	empty := fleet.NewView()
-	d.view.VMs, d.view.Ledgers, d.view.Waves = empty.VMs, empty.Ledgers, empty.Waves
+	d.view.Ledgers, d.view.Waves = empty.Ledgers, empty.Waves
+	d.view.VMs, d.view.Unwritten = maps.Clone(d.view.VMs), map[fleet.VMID]bool{}
+	for id, vm := range d.view.VMs {
+		// Until the table shows another row, it has none.
+		vm.RowVersion = 0
+		d.view.VMs[id], d.view.Unwritten[id] = vm, true
+	}
 	d.view.Entries, d.view.Leases = empty.Entries, empty.Leases
 	for _, prefix := range []fleet.TableKey{wire.PrefixVM, wire.PrefixLedger, wire.PrefixWave, wire.PrefixEntry, wire.PrefixLease} {
 		d.owned[prefix] = true
@@ -60,13 +66,16 @@
 	}
 	var err error
 	v := &d.view
+	if fromPeer && isOfOtherHistory(d.history, row) {
+		return // its version says nothing about the present table
+	}
 	switch {
 	case row.Key == wire.KeyHead:
 		err = p.absorbHead(d, row, fromPeer)
 	case wire.HasPrefix(row.Key, wire.PrefixConfig):
 		err = p.absorbItem(d, row, fromPeer)
 	case wire.HasPrefix(row.Key, wire.PrefixVM):
-		err = absorbRow(d, &v.VMs, wire.PrefixVM, row, wire.DecodeVM, func(vm *fleet.VM) { vm.RowVersion = row.Version })
+		err = absorbRow(d, &v.VMs, wire.PrefixVM, row, wire.DecodeVM, func(vm *fleet.VM) { d.keepNewer(vm, row.Version) })
 	case wire.HasPrefix(row.Key, wire.PrefixLedger):
 		err = absorbRow(d, &v.Ledgers, wire.PrefixLedger, row, wire.DecodeLedger, func(l *fleet.Ledger) { l.RowVersion = row.Version })
 	case wire.HasPrefix(row.Key, wire.PrefixWave):
@@ -83,6 +92,33 @@
 	d.known[row.Key] = knownRow{version: row.Version, fromPeer: fromPeer}
 }
 
+// keepNewer puts the row that this entry knows in place of an older one of a restored table, so that the
+// assignment of a VM does not go back. A row that was confirmed after the restore stands.
+func (d *draft) keepNewer(vm *fleet.VM, version fleet.RowVersion) {
+	known, ok := d.view.VMs[vm.ID]
+	isOlder := ok && vm.History != d.history && known.History != d.history && known.Generation > vm.Generation
+	if isOlder {
+		*vm = known
+	}
+	vm.RowVersion = version
+	if isOlder != d.view.Unwritten[vm.ID] {
+		d.view.Unwritten = maps.Clone(d.view.Unwritten)
+		d.view.Unwritten[vm.ID] = isOlder
+		if !isOlder {
+			delete(d.view.Unwritten, vm.ID)
+		}
+	}
+}
+
+// isOfOtherHistory reports a row of a VM that was confirmed in another history of the table.
+func isOfOtherHistory(history platform.History, row platform.Row) bool {
+	if history == "" || row.Deleted || !wire.HasPrefix(row.Key, wire.PrefixVM) {
+		return false
+	}
+	vm, err := wire.DecodeVM(row.Value)
+	return err == nil && vm.History != history
+}
+
 // absorbRow takes one row into the map of its prefix, which is copied once per draft.
 func absorbRow[K ~string, V any](d *draft, to *map[K]V, prefix fleet.TableKey, row platform.Row, decode func([]byte) (V, error), version func(*V)) error {
 	value, err := decode(row.Value)
--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -34,17 +34,20 @@
 	View     *ring.Latest[*fleet.View]
 	Held     *ring.Latest[Leases]
 	Poller   *ring.Ring[PollerEvent]
-	Clock    clock.Clock
-	Log      *zap.Logger
-	Interval time.Duration
+	// Reconciled tells the lease holder the history in which nothing is left to write back.
+	Reconciled *ring.Latest[fleet.TableHistory]
+	Clock      clock.Clock
+	Log        *zap.Logger
+	Interval   time.Duration
 	// HoldTime is how long after its lease lapsed an entry of another zone is waited for.
 	HoldTime time.Duration
 	// ListMaxAge is the age from which the list of VMs is no evidence.
 	ListMaxAge time.Duration
 
 	// seen remembers since when each entry's row has not changed, by this entry's clock.
-	seen   sightings
-	states *machine.Machine[fleet.VMState, move.Event]
+	seen     sightings
+	restores restores
+	states   *machine.Machine[fleet.VMState, move.Event]
 }
 
 // Name implements duty.Duty.
@@ -71,15 +74,29 @@
 		return
 	}
 	d.seen.observe(d.Clock.Now(), view.Entries)
+	d.restores.observe(d.Clock.Now(), view.History)
+	if len(view.Unwritten) > 0 {
+		d.writeBack(ctx, view)
+		_ = d.Poller.Push(PollerEvent{PollNow: true})
+		return
+	}
+	d.Reconciled.Set(view.History)
 	held, ok := d.Held.Get()[fleet.DutyFleetDriver]
 	if !ok {
 		return
 	}
 	changed := d.returnGrants(ctx, held, view)
 	changed = d.removeEntries(ctx, held, view) || changed
-	facts := d.facts(view)
+	facts, entries := d.facts(view)
 	for _, id := range slices.Sorted(maps.Keys(view.VMs)) {
 		vm := view.VMs[id]
+		if vm.History != view.History {
+			if d.isSettled(d.Clock.Now(), view, vm, entries) {
+				d.note("confirm", string(id), d.confirm(ctx, held, view, vm))
+				changed = true
+			}
+			continue
+		}
 		step := move.Next(vm, facts(vm))
 		if step.Command != nil {
 			d.note("act on VM", string(id), d.Platform.Act(ctx, *step.Command))
@@ -102,8 +119,8 @@
 	}
 }
 
-// facts returns a function that gives the facts of each VM.
-func (d *FleetDriver) facts(view *fleet.View) func(vm fleet.VM) move.Facts {
+// facts returns a function that gives the facts of each VM, and the facts of the entries.
+func (d *FleetDriver) facts(view *fleet.View) (func(vm fleet.VM) move.Facts, []move.EntryFacts) {
 	listed := map[fleet.VMID]*fleet.PlatformVM{}
 	for i := range view.List.VMs {
 		listed[view.List.VMs[i].ID] = &view.List.VMs[i]
@@ -123,7 +140,7 @@
 			ListIsFresh: fresh && view.List.AsOf.After(vm.Since),
 			HolderGone:  vm.Wave != "" && view.Waves[vm.Wave].State.IsFinal(),
 		}
-	}
+	}, entries
 }
 
 func (d *FleetDriver) isListFresh(now time.Time, view *fleet.View) bool {
@@ -140,46 +157,60 @@
 
 // apply makes one transition. The lease's row and the VM's row are preconditions.
 func (d *FleetDriver) apply(ctx context.Context, held Held, view *fleet.View, vm fleet.VM, event move.Event) error {
-	state, err := d.states.Next(vm.State, event)
+	if event == move.EventAttach && vm.TargetPool != vm.Pool {
+		return trace.Wrap(d.attach(ctx, held, view, vm))
+	}
+	t, err := d.transition(held, view, vm, event)
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	now, operation := d.Clock.Now(), fleet.NewOperationID()
-	next := move.Apply(vm, event, state, operation, now)
-	t := d.transaction(held, auditAction(event), fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool))
-	t.Audit.OperationID, t.Audit.From, t.Audit.To = operation, string(vm.State), string(next.State)
-	t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyVM(vm.ID), Version: vm.RowVersion})
-	t.Puts = append(t.Puts, platform.Put{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(next)})
-	if move.ReturnsGrant(event) {
-		returnGrant(&t, view.Ledgers[vm.Pool], vm)
-	}
 	_, err = d.Table.Commit(ctx, t)
 	return trace.Wrap(err)
 }
 
-// returnGrant adds the return of a VM's grant to a transaction.
-func returnGrant(t *platform.Transaction, ledger fleet.Ledger, vm fleet.VM) {
-	if ledger.RowVersion == 0 {
-		return
+// attach makes a VM part of its target pool. It writes the pool's ledger too, which a deletion of the pool
+// has as a precondition. A VM whose target was deleted goes back to its old pool.
+func (d *FleetDriver) attach(ctx context.Context, held Held, view *fleet.View, vm fleet.VM) error {
+	rows, err := d.Table.Read(ctx, wire.KeyPool(vm.TargetPool), wire.KeyLedger(vm.TargetPool))
+	if err != nil {
+		return trace.Wrap(err)
 	}
-	version := ledger.RowVersion
-	ledger.Grants = slices.DeleteFunc(slices.Clone(ledger.Grants), func(g fleet.Grant) bool { return g.VM == vm.ID })
-	ledger.OperationID = t.Audit.OperationID
-	t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyLedger(vm.Pool), Version: version})
-	t.Puts = append(t.Puts, platform.Put{Key: wire.KeyLedger(vm.Pool), Value: wire.EncodeLedger(ledger)})
+	event := move.EventAttach
+	if item, err := wire.DecodeItem(rows[0].Value); err != nil || item.Pool == nil {
+		event = move.EventCancel
+	}
+	t, err := d.transition(held, view, vm, event)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, row := range rows {
+		t.Preconditions = append(t.Preconditions, platform.Precondition{Key: row.Key, Version: row.Version})
+	}
+	if event == move.EventAttach {
+		ledger, err := platform.TouchLedger(vm.TargetPool, rows[1], t.Audit.OperationID)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		t.Puts = append(t.Puts, ledger)
+		t.Audit.Subjects = append(t.Audit.Subjects, fleet.SubjectPool(vm.TargetPool))
+	}
+	_, err = d.Table.Commit(ctx, t)
+	return trace.Wrap(err)
 }
 
-func auditAction(e move.Event) fleet.AuditAction {
-	actions := map[move.Event]fleet.AuditAction{
-		move.EventDrain:   fleet.AuditActionVMDrain,
-		move.EventRelease: fleet.AuditActionVMRelease,
-		move.EventAttach:  fleet.AuditActionVMAttach,
-		move.EventReboot:  fleet.AuditActionVMReboot,
-		move.EventBooted:  fleet.AuditActionVMReturn,
-		move.EventCancel:  fleet.AuditActionVMCancel,
-		move.EventFail:    fleet.AuditActionVMFail,
-		move.EventRecover: fleet.AuditActionVMRecover,
-		move.EventRemove:  fleet.AuditActionVMRemove,
-	}
-	return actions[e]
+// transition returns the transaction of one transition.
+func (d *FleetDriver) transition(held Held, view *fleet.View, vm fleet.VM, event move.Event) (platform.Transaction, error) {
+	state, err := d.states.Next(vm.State, event)
+	if err != nil {
+		return platform.Transaction{}, trace.Wrap(err)
+	}
+	t := d.transaction(held, auditAction(event), fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool))
+	next := move.Apply(vm, event, state, t.Audit.OperationID, t.Audit.At)
+	t.Audit.From, t.Audit.To = string(vm.State), string(next.State)
+	t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyVM(vm.ID), Version: vm.RowVersion})
+	t.Puts = append(t.Puts, platform.Put{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(next)})
+	if move.ReturnsGrant(event) {
+		returnGrant(&t, view.Ledgers[vm.Pool], vm)
+	}
+	return t, nil
 }
--- /dev/null
+++ b/internal/control/fleet_model_test.go
@@ -0,0 +1,362 @@
+package control_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/configuration"
+	"github.com/mimosawharf/mimosawharf/internal/control"
+	"github.com/mimosawharf/mimosawharf/internal/dispatch"
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
+	"github.com/mimosawharf/mimosawharf/internal/operation"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/spare"
+	standinplatform "github.com/mimosawharf/mimosawharf/internal/standin/platform"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// counts tell what a schedule exercised.
+type counts struct {
+	moves, operatorDrains, waveDrains, spareDrains, actions, attempts, losses, restores int
+}
+
+func (c *counts) add(o counts) {
+	c.moves += o.moves
+	c.operatorDrains += o.operatorDrains
+	c.waveDrains += o.waveDrains
+	c.spareDrains += o.spareDrains
+	c.actions += o.actions
+	c.attempts += o.attempts
+	c.losses += o.losses
+	c.restores += o.restores
+}
+
+// model is the truth that the entries cannot see at once.
+type model struct {
+	counts counts
+	// isCalm leaves out losses, restores and changes of budgets, so that budgets hold at every instant.
+	isCalm   bool
+	zonesCut bool
+	lostAt   map[fleet.VMID]time.Time
+	// endpoints hold the newest assignment that each endpoint has run a request for.
+	endpoints map[fleet.VMID]assignment
+	// users hold the entry that ran the first request of that assignment.
+	users    map[fleet.VMID]*entry
+	load     ring.Latest[control.Load]
+	history  fleet.TableHistory
+	revision fleet.TableRevision
+	budgets  map[fleet.PoolID]fleet.Budget
+	rows     map[fleet.TableKey]fleet.VM
+	audits   map[fleet.TableKey]fleet.RowVersion
+	past     []pastChange
+	waves    int
+	backup   bool
+}
+
+type assignment struct {
+	pool  fleet.PoolID
+	epoch fleet.AssignmentEpoch
+}
+
+// attempt is a request in flight. The endpoint ends it when the VM is lost.
+type attempt struct {
+	vm fleet.VMID
+	assignment
+	since time.Time
+}
+
+// pastChange is a call that its client may repeat at any time through any entry.
+type pastChange struct {
+	change operation.ChangeVM
+	id     fleet.OperationID
+}
+
+func newModel(seed uint64) *model {
+	return &model{
+		isCalm: seed%3 == 0, lostAt: map[fleet.VMID]time.Time{}, endpoints: map[fleet.VMID]assignment{},
+		users:   map[fleet.VMID]*entry{},
+		budgets: map[fleet.PoolID]fleet.Budget{},
+		rows:    map[fleet.TableKey]fleet.VM{}, audits: map[fleet.TableKey]fleet.RowVersion{},
+	}
+}
+
+// Decide implements control.MovePlanner: any VM is lent or taken back at any time.
+func (s *site) Decide(_ time.Time, list []spare.Pool) []spare.Move {
+	for _, p := range list {
+		for _, vm := range p.Home {
+			if p.Lender && s.random.IntN(4) == 0 {
+				return []spare.Move{{VM: vm.ID, From: p.ID, To: "rota"}}
+			}
+		}
+		for _, vm := range p.Borrowed {
+			if s.random.IntN(2) == 0 {
+				return []spare.Move{{VM: vm.ID, From: p.ID, To: vm.HomePool}}
+			}
+		}
+	}
+	return nil
+}
+
+// interrupt lets other entries run in the middle of a call.
+func (s *site) interrupt(ctx context.Context) {
+	for s.random.IntN(3) == 0 {
+		s.step(ctx)
+	}
+}
+
+// step lets one entry that is not in the middle of a call do one thing. An entry that is not chosen for
+// long is a paused one.
+func (s *site) step(ctx context.Context) {
+	e := s.entries[s.random.IntN(len(s.entries))]
+	if e.busy {
+		return
+	}
+	e.busy = true
+	defer func() { e.busy = false }()
+	switch s.random.IntN(11) {
+	case 0, 1:
+		e.poll(ctx)
+	case 2:
+		e.holder.Step(ctx)
+	case 3, 4:
+		e.driver.Step(ctx)
+	case 5:
+		e.waves.Step(ctx)
+	case 6:
+		e.spares.Step(ctx)
+	case 7, 8:
+		e.work()
+	case 9:
+		s.operateWave(ctx, e)
+	default:
+		s.operate(e)
+	}
+	if v := e.view.Get(); v != nil {
+		s.is.True(v.Configuration.Revision >= e.lastConfig) // the configuration never reverts
+		e.lastConfig = v.Configuration.Revision
+	}
+}
+
+func (e *entry) poll(ctx context.Context) {
+	for {
+		ev, ok := e.polls.TryPop()
+		if !ok {
+			break
+		}
+		e.poller.Handle(ctx, ev)
+	}
+	e.poller.Poll(ctx)
+	if list, err := e.client.ListVMs(ctx); err == nil {
+		e.poller.Handle(ctx, control.PollerEvent{List: &list})
+	}
+	if e.site.random.IntN(3) > 0 { // the dispatcher may lag behind the poller
+		e.dispatch()
+	}
+}
+
+// dispatch gives the dispatcher its view and publishes its acknowledgement.
+func (e *entry) dispatch() {
+	if view := e.view.Get(); view != nil {
+		e.used = view
+	}
+	revision := e.used.Revision
+	for _, a := range e.attempts {
+		vm, ok := e.used.VMs[a.vm]
+		if ok && vm.State == fleet.VMStateDraining && fleet.TableRevision(vm.RowVersion) <= revision {
+			revision = fleet.TableRevision(vm.RowVersion) - 1
+		}
+	}
+	e.status.Set(dispatch.Status{Acknowledged: revision, History: e.used.History})
+}
+
+// work ends requests or sends one. A request to another zone runs for at most half the hold time; what
+// runs longer is not covered by the rule that an entry of another zone is silent.
+func (e *entry) work() {
+	s, now := e.site, e.site.clock.Now()
+	var rest []attempt
+	for _, a := range e.attempts {
+		isForeign := zoneOfVM(a.vm) != e.zone
+		if isLost := !s.model.lostAt[a.vm].IsZero(); !isLost && (isForeign && now.Sub(a.since) < holdTime/2 || !isForeign) && s.random.IntN(4) > 0 {
+			rest = append(rest, a)
+		}
+	}
+	e.attempts = rest
+	e.dispatch()
+	vm, ok := e.used.VMs[vmID(s.random.IntN(vms))]
+	isOld := zoneOfVM(vm.ID) != e.zone && now.Sub(e.used.RefreshedAt) > holdTime/2
+	if !ok || vm.State != fleet.VMStateServing || e.used.Leaving[vm.ID] || isOld || !s.model.lostAt[vm.ID].IsZero() {
+		return
+	}
+	last, mine := s.model.endpoints[vm.ID], assignment{vm.Pool, vm.AssignmentEpoch}
+	if mine.epoch < last.epoch || mine.epoch == last.epoch && mine.pool != last.pool {
+		s.is.True(mine.epoch < last.epoch) // one epoch is one pool
+		return                             // the endpoint refuses it
+	}
+	for _, other := range s.entries {
+		for _, a := range other.attempts {
+			if a.vm == vm.ID && a.assignment != mine && now.Sub(a.since) < holdTime/2 {
+				s.is.Equal(a.assignment, mine) // a VM runs requests of one assignment only
+			}
+		}
+	}
+	if last != mine {
+		s.model.endpoints[vm.ID], s.model.users[vm.ID] = mine, e
+	}
+	s.model.counts.attempts++
+	e.attempts = append(e.attempts, attempt{vm: vm.ID, assignment: mine, since: now})
+	e.dispatch()
+}
+
+func zoneOfVM(id fleet.VMID) fleet.ZoneID {
+	var i int
+	_, _ = fmt.Sscanf(string(id), "vm-%d", &i)
+	return zoneOf(i)
+}
+
+func (s *site) operate(e *entry) {
+	r, m := s.random, s.model
+	if len(m.past) > 0 && r.IntN(3) == 0 { // a client repeats its call
+		p := m.past[r.IntN(len(m.past))]
+		s.change(e, p.change, p.id)
+		return
+	}
+	if !m.isCalm && r.IntN(6) == 0 {
+		s.apply(e, configuration.Change{PutPool: &fleet.Pool{ID: "rota", Budget: fleet.Budget{MaxUnavailableVMs: fleet.VMCount(1 + r.IntN(2))}}})
+		return
+	}
+	p := pastChange{id: fleet.NewOperationID(), change: operation.ChangeVM{
+		Command: commands[r.IntN(len(commands))], VM: vmID(r.IntN(vms)), Pool: pools[r.IntN(2)],
+	}}
+	if p.change.Command == operation.VMCommandRollOut {
+		p.change.Version = "v2"
+	}
+	m.past = append(m.past, p)
+	s.change(e, p.change, p.id)
+}
+
+// Wave ids are counted, because the order of waves must depend on nothing but the seed.
+func waveID(i int) fleet.WaveID { return fleet.WaveID(fmt.Sprintf("wave-%03d", i)) }
+
+func (s *site) operateWave(ctx context.Context, e *entry) {
+	id := operation.Identity{ID: fleet.NewOperationID(), Actor: "ada"}
+	view := e.view.Get()
+	if view == nil {
+		return
+	}
+	open := 0
+	for _, w := range view.Waves {
+		if !w.State.IsFinal() {
+			open++
+		}
+	}
+	if open < 2 && s.random.IntN(4) == 0 {
+		s.model.waves++
+		o := operation.CreateWave{
+			Identity: id, ID: waveID(s.model.waves), Reply: ring.New[operation.Result[maintenance.Plan]]("r", 1),
+			Spec: fleet.WaveSpec{Action: fleet.WaveActionReboot, Limits: fleet.WaveLimits{Soak: 8 * time.Second}},
+		}
+		e.executor.Execute(ctx, o)
+		return
+	}
+	actions := []fleet.WaveCommand{fleet.WaveCommandStart, fleet.WaveCommandStart, fleet.WaveCommandHalt, fleet.WaveCommandResume, fleet.WaveCommandCancel}
+	e.executor.Execute(ctx, operation.ControlWave{
+		Identity: id, ID: waveID(s.random.IntN(s.model.waves + 1)), Command: actions[s.random.IntN(len(actions))], Reply: ring.New[operation.Result[fleet.Wave]]("r", 1),
+	})
+}
+
+// trouble changes the faults.
+func (s *site) trouble() {
+	f, r, m := &s.store.Faults, s.random, s.model
+	kinds := 18
+	if m.isCalm {
+		kinds = 14
+	}
+	switch r.IntN(kinds) {
+	case 8, 9, 10, 11: // most faults pass
+		*f = standinplatform.Faults{}
+		m.zonesCut = false
+		for _, e := range s.entries {
+			e.cut = false
+		}
+	case 0:
+		f.LoseAnswers = r.IntN(3)
+	case 1:
+		f.StaleReads, f.StaleBy = r.IntN(4), r.IntN(6)
+	case 2:
+		f.Duplicates = r.IntN(3)
+	case 3:
+		f.Conflicts, f.RateExceeded = r.IntN(2), r.IntN(3)
+	case 4:
+		f.Down = r.IntN(4) == 0
+	case 5:
+		f.ListLate = time.Duration(r.IntN(2)) * 30 * time.Second
+	case 6:
+		e := s.entries[r.IntN(len(s.entries))]
+		e.cut = !e.cut
+	case 7: // a new incarnation under the same id; requests of the old one end with their connections
+		if i := r.IntN(len(s.entries)); !s.entries[i].busy {
+			s.entries[i] = s.newEntry(s.entries[i].holder.Entry.ID, s.entries[i].zone)
+		}
+	case 12: // the zones are cut off from each other, and one of them from the platform
+		m.zonesCut = true
+		for _, e := range s.entries {
+			e.cut = e.zone == zoneOf(r.IntN(2))
+		}
+	case 13:
+		m.load.Set(control.Load{Pools: map[fleet.PoolID]control.PoolLoad{"rota": {Queued: time.Duration(r.IntN(60)) * time.Minute}}})
+	case 14, 15:
+		s.loseOrReturn()
+	default:
+		s.restore()
+	}
+}
+
+// loseOrReturn loses a VM or a rack of two, or brings all back.
+func (s *site) loseOrReturn() {
+	m := s.model
+	if len(m.lostAt) > 0 {
+		for i := range vms {
+			if !m.lostAt[vmID(i)].IsZero() {
+				s.putVM(i)
+			}
+		}
+		clear(m.lostAt)
+		return
+	}
+	first, n := s.random.IntN(vms), 1+s.random.IntN(2)
+	for i := range vms {
+		if i == first || n == 2 && i/2 == first/2 {
+			m.lostAt[vmID(i)] = s.clock.Now()
+			s.store.RemoveVM(vmID(i))
+			m.counts.losses++
+			for _, e := range s.entries {
+				e.drop(vmID(i))
+			}
+		}
+	}
+}
+
+func (e *entry) drop(id fleet.VMID) {
+	var rest []attempt
+	for _, a := range e.attempts {
+		if a.vm != id {
+			rest = append(rest, a)
+		}
+	}
+	e.attempts = rest
+}
+
+// restore keeps a backup of the table, or puts the last one back.
+func (s *site) restore() {
+	m := s.model
+	if !m.backup {
+		s.store.Backup()
+		m.backup = true
+		return
+	}
+	m.history, m.backup = fleet.TableHistory(s.store.Restore()), false
+	m.revision, m.rows, m.audits = 0, map[fleet.TableKey]fleet.VM{}, map[fleet.TableKey]fleet.RowVersion{}
+	m.past = nil // a client's call that was restored away may take effect again
+	m.counts.restores++
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -41,9 +41,13 @@
 	Table  Table
 	View   *ring.Latest[*fleet.View]
 	Status *ring.Latest[dispatch.Status]
-	Held   *ring.Latest[Leases]
-	Clock  clock.Clock
-	Log    *zap.Logger
+	// Reconciled is the history of the table in which this entry has nothing to write back.
+	Reconciled *ring.Latest[fleet.TableHistory]
+	// Dead holds the VMs of this entry's zone whose endpoint does not answer it.
+	Dead  *ring.Latest[[]fleet.VMID]
+	Held  *ring.Latest[Leases]
+	Clock clock.Clock
+	Log   *zap.Logger
 
 	version fleet.RowVersion
 	held    Leases
@@ -85,7 +89,12 @@
 func (h *LeaseHolder) renew(ctx context.Context) {
 	now, row := h.Clock.Now(), h.Entry
 	row.RenewedAt = now
-	row.AcknowledgedRevision = h.Status.Get().Acknowledged
+	row.History = h.Reconciled.Get()
+	// The status may lag behind a restore of the table.
+	if status := h.Status.Get(); status.History == row.History {
+		row.AcknowledgedRevision = status.Acknowledged
+	}
+	row.DeadEndpoints = h.Dead.Get()
 	if view := h.View.Get(); view != nil {
 		row.ConfigRevision, row.ConfigSince = view.Configuration.Revision, view.ConfigSince
 	}
@@ -155,6 +164,7 @@
 		},
 		Preconditions: []platform.Precondition{{Key: wire.KeyLease(d), Version: old.RowVersion}},
 		Puts:          []platform.Put{{Key: wire.KeyLease(d), Value: wire.EncodeLease(lease)}},
+		History:       h.View.Get().History,
 	}
 	if holder.ID != "" && holder.ID != h.Entry.ID {
 		t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyEntry(holder.ID), Version: holder.RowVersion})
--- a/internal/control/poller.go
+++ b/internal/control/poller.go
@@ -57,6 +57,9 @@
 	// Objects holds the snapshot for a start without the table; nil does without.
 	Objects ObjectReader
 	Zone    fleet.ZoneID
+	// Entry is this entry. It uses no VM before the table holds its row, because a release does not wait
+	// for an entry that has none. Empty asks for no row.
+	Entry fleet.EntryID
 	// HoldTime is how long after the lease of this entry lapsed its acknowledgement is waited for in
 	// other zones. The entry stops using VMs of other zones at half of it.
 	HoldTime time.Duration
@@ -74,6 +77,10 @@
 	// known holds the version of each row in the view, deleted rows included, so that an older row of
 	// a peer or of a stale read changes nothing.
 	known map[fleet.TableKey]knownRow
+	// registered says that the table has held this entry's row.
+	registered bool
+	// remembers says that this entry knew the rows of the table before its last restore.
+	remembers bool
 }
 
 type knownRow struct {
@@ -175,12 +182,16 @@
 		d.changed = true
 	}
 	if d.restored {
+		p.remembers = true
 		p.known = map[fleet.TableKey]knownRow{}
 	}
 	maps.Copy(p.known, d.known)
-	p.history = d.history
+	p.history, d.view.History = d.history, d.history
 	d.view.Configuration.Revision, d.view.ConfigSince = p.config.Revision()
 	foreign := p.mustAvoidOtherZones(&d.view)
+	if _, ok := d.view.Entries[p.Entry]; ok && !p.registered {
+		p.registered, d.changed = true, true
+	}
 	if d.changed || foreign != p.avoiding {
 		d.view.Leaving = p.leavingVMs(&d.view, foreign)
 		d.changed = true
@@ -206,12 +217,19 @@
 	return p.HoldTime > 0 && p.Clock.Now().Sub(v.RefreshedAt) > p.HoldTime/2
 }
 
+// isDoubtful reports whether the row of a VM came from a backup and the VM may serve another assignment
+// meanwhile. A VM of this zone was not released without the acknowledgement of this entry, if it ran then.
+func (p *Poller) isDoubtful(view *fleet.View, vm fleet.VM) bool {
+	isConfirmed := vm.History == "" || view.History == "" || vm.History == view.History
+	return !isConfirmed && (vm.Zone != p.Zone || !p.remembers)
+}
+
 // leavingVMs returns the VMs that take no new work of this entry: the platform's list shows them as
 // leaving or no longer shows them, or the view is too old to use their zone.
 func (p *Poller) leavingVMs(view *fleet.View, avoidOtherZones bool) map[fleet.VMID]bool {
 	leaving := map[fleet.VMID]bool{}
 	for id, vm := range view.VMs {
-		if avoidOtherZones && vm.Zone != p.Zone {
+		if avoidOtherZones && vm.Zone != p.Zone || !p.registered && p.Entry != "" && !view.RefreshedAt.IsZero() || p.isDoubtful(view, vm) {
 			leaving[id] = true
 		}
 	}
--- a/internal/control/poller_test.go
+++ b/internal/control/poller_test.go
@@ -21,7 +21,7 @@
 	is := is.New(t)
 	s := newSite(is, 1)
 	for _, e := range s.entries {
-		e.busy = true
+		e.busy, e.poller.Entry = true, "" // the tests write no rows of entries
 		e.poller.Poll(t.Context())
 	}
 	return is, s
@@ -47,7 +47,10 @@
 	is.Equal(e.view.Get().VMs["vm-0"].Pool, fleet.PoolID("old")) // a newer row of a peer counts at once
 	s.store.Restore()
 	e.poller.Poll(t.Context())
-	is.Equal(len(e.view.Get().VMs), 0)
+	is.Equal(len(e.view.Get().VMs), vms) // assignments do not go back, and wait to be written again
+	is.Equal(len(e.view.Get().Unwritten), vms)
+	is.Equal(e.view.Get().VMs["vm-1"].RowVersion, fleet.RowVersion(0))
+	is.Equal(e.view.Get().VMs["vm-1"].AssignmentEpoch, before.VMs["vm-1"].AssignmentEpoch)
 	is.Equal(e.view.Get().Configuration, before.Configuration) // the configuration stays in force
 	is.Equal(before.VMs["vm-0"].Pool, fleet.PoolID("rota"))    // a published view is never modified
 }
@@ -82,15 +85,15 @@
 	step := func(e *entry) {
 		e.holder.Step(t.Context())
 		e.poller.Poll(t.Context())
-		e.status.Set(dispatch.Status{Acknowledged: e.view.Get().Revision})
+		e.status.Set(dispatch.Status{Acknowledged: e.view.Get().Revision, History: e.view.Get().History})
 	}
 	step(first)
 	step(first)
-	s.change(second, operation.VMCommandDrain, "vm-0", "", fleet.NewOperationID()) // refused: no list yet
+	s.change(second, operation.ChangeVM{Command: operation.VMCommandDrain, VM: "vm-0"}, fleet.NewOperationID()) // refused: no list yet
 	list, err := second.client.ListVMs(t.Context())
 	is.NoErr(err)
 	second.poller.Handle(t.Context(), control.PollerEvent{List: &list})
-	s.change(second, operation.VMCommandDrain, "vm-0", "", fleet.NewOperationID())
+	s.change(second, operation.ChangeVM{Command: operation.VMCommandDrain, VM: "vm-0"}, fleet.NewOperationID())
 	step(first)
 	step(first) // acknowledges the drain and pauses before its driver runs
 	step(second)
--- a/internal/control/sparedriver.go
+++ b/internal/control/sparedriver.go
@@ -5,10 +5,12 @@
 	"errors"
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/budget"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/spare"
@@ -16,14 +18,21 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// MovePlanner decides which VMs to lend and to take back. What it learns is dropped with the lease.
+type MovePlanner interface {
+	Decide(now time.Time, pools []spare.Pool) []spare.Move
+}
+
 // SpareDriver is the duty that lends VMs of the spare pools and takes them back. It acts only while
 // this entry holds its lease. The fleet driver carries the moves through.
 type SpareDriver struct {
 	// The fields are set before Run.
 	Disruptive
+	// NewPlanner makes a planner that has learned nothing; nil makes a *spare.Planner.
+	NewPlanner func() MovePlanner
 
 	disrupter disrupter
-	planner   *spare.Planner
+	planner   MovePlanner
 }
 
 // Name implements duty.Duty.
@@ -31,32 +40,43 @@
 
 // Run implements duty.Duty.
 func (d *SpareDriver) Run(ctx context.Context) error {
-	options := spare.DefaultOptions()
-	d.disrupter = d.newDisrupter(fleet.DutySpareDriver, fleet.HolderKindSpare)
 	for {
-		held, ok := d.Held.Get()[fleet.DutySpareDriver]
-		switch {
-		case !ok:
-			// What was learned before the lease was lost is old when it is taken again.
-			d.planner = nil
-		case d.planner == nil:
-			d.planner = &spare.Planner{Options: options}
-			fallthrough
-		default:
-			d.drive(ctx, held)
-		}
-		if err := clock.Wait(ctx, d.Clock, options.Interval); err != nil {
+		d.Step(ctx)
+		if err := clock.Wait(ctx, d.Clock, spare.DefaultOptions().Interval); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 }
 
+// Step decides about moves once if this entry holds the lease. Only the duty calls it, or a test in its
+// place.
+func (d *SpareDriver) Step(ctx context.Context) {
+	held, ok := d.Held.Get()[fleet.DutySpareDriver]
+	if !ok {
+		// What was learned before the lease was lost is old when it is taken again.
+		d.planner = nil
+		return
+	}
+	if d.planner == nil {
+		d.disrupter = d.newDisrupter(fleet.DutySpareDriver, fleet.HolderKindSpare)
+		d.planner = &spare.Planner{Options: spare.DefaultOptions()}
+		if d.NewPlanner != nil {
+			d.planner = d.NewPlanner()
+		}
+	}
+	d.drive(ctx, held)
+}
+
 func (d *SpareDriver) drive(ctx context.Context, held Held) {
 	view, now := d.View.Get(), d.Clock.Now()
-	if view == nil || !isListFresh(view, now, d.ListMaxAge) {
+	if view == nil {
 		return
 	}
-	moves := d.planner.Decide(now, sparePools(view, d.Load.Get()))
+	lost, err := budget.Lost(maps.Values(view.VMs), view, now, d.ListMaxAge)
+	if err != nil {
+		return // without a fresh list nobody knows which VMs are available
+	}
+	moves := d.planner.Decide(now, sparePools(view, lost, d.Load.Get()))
 	for _, m := range moves {
 		err := d.start(ctx, held, view, m)
 		var conflict *platform.ConflictError
@@ -86,12 +106,11 @@
 }
 
 // sparePools returns the pools as the planner needs them, by id.
-func sparePools(view *fleet.View, load Load) []spare.Pool {
+func sparePools(view *fleet.View, lost map[fleet.VMID]bool, load Load) []spare.Pool {
 	usage := map[fleet.VMID]fleet.Percent{}
 	for _, v := range view.List.VMs {
 		usage[v.ID] = v.Usage
 	}
-	lost := lostVMs(view)
 	pools := map[fleet.PoolID]*spare.Pool{}
 	for id, config := range view.Configuration.Pools {
 		pools[id] = &spare.Pool{
--- a/internal/control/sweep.go
+++ b/internal/control/sweep.go
@@ -36,7 +36,7 @@
 		ledger := view.Ledgers[pool]
 		for _, g := range ledger.Grants {
 			vm := view.VMs[g.VM]
-			if vm.Pool == pool && vm.GrantID == g.ID {
+			if vm.Pool == pool && vm.GrantID == g.ID || d.mayBeStale(view, vm) {
 				continue
 			}
 			t := d.transaction(held, fleet.AuditActionGrantReturn, fleet.SubjectPool(pool), fleet.SubjectVM(g.VM))
@@ -52,6 +52,14 @@
 	return changed
 }
 
+// mayBeStale reports whether the row of a VM came from a backup or may have been lost with a restore.
+func (d *FleetDriver) mayBeStale(view *fleet.View, vm fleet.VM) bool {
+	if vm.ID != "" {
+		return vm.History != view.History
+	}
+	return d.restores.restored && d.Clock.Now().Sub(d.restores.since) <= d.HoldTime
+}
+
 // removeEntries removes the rows of entries whose VM the platform's list no longer shows.
 func (d *FleetDriver) removeEntries(ctx context.Context, held Held, view *fleet.View) bool {
 	changed := false
@@ -78,5 +86,6 @@
 			Subjects: subjects, Outcome: "done", Entry: d.Entry,
 		},
 		Preconditions: []platform.Precondition{{Key: wire.KeyLease(fleet.DutyFleetDriver), Version: held.RowVersion}},
+		History:       d.restores.history,
 	}
 }
--- a/internal/control/wavedriver.go
+++ b/internal/control/wavedriver.go
@@ -11,6 +11,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/budget"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
@@ -25,6 +26,8 @@
 	// The fields are set before Run.
 	Disruptive
 	Interval time.Duration
+	// Period is within which the standing schedule maintains every VM once; 0 turns the schedule off.
+	Period time.Duration
 
 	disrupter disrupter
 	states    *machine.Machine[fleet.WaveState, maintenance.Event]
@@ -35,31 +38,38 @@
 
 // Run implements duty.Duty.
 func (d *WaveDriver) Run(ctx context.Context) error {
-	d.states = maintenance.NewMachine()
-	d.disrupter = d.newDisrupter(fleet.DutyWaveDriver, fleet.HolderKindWave)
 	for {
-		if held, ok := d.Held.Get()[fleet.DutyWaveDriver]; ok {
-			d.drive(ctx, held)
-		}
+		d.Step(ctx)
 		if err := clock.Wait(ctx, d.Clock, d.Interval); err != nil {
 			return trace.Wrap(err)
 		}
 	}
 }
 
-func (d *WaveDriver) drive(ctx context.Context, held Held) {
+// Step takes every wave as far as it can go now if this entry holds the lease. Only the duty calls it,
+// or a test in its place.
+func (d *WaveDriver) Step(ctx context.Context) {
+	if d.states == nil {
+		d.states = maintenance.NewMachine()
+		d.disrupter = d.newDisrupter(fleet.DutyWaveDriver, fleet.HolderKindWave)
+	}
+	held, ok := d.Held.Get()[fleet.DutyWaveDriver]
 	view := d.View.Get()
+	if !ok || view == nil {
+		return
+	}
 	// Without a fresh list nobody knows which VMs are available, so no wave is judged or taken forward.
-	if view == nil || !isListFresh(view, d.Clock.Now(), d.ListMaxAge) {
+	lost, err := budget.Lost(maps.Values(view.VMs), view, d.Clock.Now(), d.ListMaxAge)
+	if err != nil {
 		return
 	}
 	changed := false
 	for _, id := range slices.Sorted(maps.Keys(view.Waves)) {
-		acted, err := d.advance(ctx, held, view, view.Waves[id])
+		acted, err := d.advance(ctx, held, view, lost, view.Waves[id])
 		changed = changed || acted
 		d.note(id, err)
 	}
-	acted, err := d.schedule(ctx, held, view)
+	acted, err := d.schedule(ctx, held, view, lost)
 	d.note("", err)
 	if changed || acted {
 		_ = d.Poller.Push(PollerEvent{PollNow: true})
@@ -75,11 +85,10 @@
 }
 
 // advance takes one wave as far as it can go now. It reports whether a row was written.
-func (d *WaveDriver) advance(ctx context.Context, held Held, view *fleet.View, wave fleet.Wave) (bool, error) {
+func (d *WaveDriver) advance(ctx context.Context, held Held, view *fleet.View, lost map[fleet.VMID]bool, wave fleet.Wave) (bool, error) {
 	if wave.State.IsFinal() || wave.State == fleet.WaveStatePlanned {
 		return false, nil
 	}
-	lost := lostVMs(view)
 	decision := maintenance.Next(wave, maintenance.Facts{
 		VMs: view.VMs, Lost: lost, Urgent: d.Load.Get().Urgent,
 		Budget: maintenance.NewCapacity(view.Configuration, view.VMs, lost),
@@ -96,7 +105,7 @@
 	if !bytes.Equal(wire.EncodeWave(wave), wire.EncodeWave(next)) {
 		audit := d.disrupter.audit(fleet.AuditActionWaveStep, fleet.SubjectWave(wave.ID))
 		audit.From, audit.To, audit.Reason = string(wave.State), string(next.State), next.Reason
-		if err := d.write(ctx, held, &next, platform.Transaction{Audit: audit}); err != nil {
+		if err := d.write(ctx, held, &next, platform.Transaction{Audit: audit, History: view.History}); err != nil {
 			return false, trace.Wrap(err)
 		}
 		d.logChange(wave, next)
@@ -163,16 +172,16 @@
 }
 
 // schedule creates and starts today's wave of the standing schedule when VMs are due.
-func (d *WaveDriver) schedule(ctx context.Context, held Held, view *fleet.View) (bool, error) {
+func (d *WaveDriver) schedule(ctx context.Context, held Held, view *fleet.View, lost map[fleet.VMID]bool) (bool, error) {
 	now := d.Clock.Now()
 	vms := wire.SortedVMs(view)
-	id, spec, due := maintenance.Standing(view.Configuration.Pools, vms, view.Waves, now)
+	id, spec, due := maintenance.Standing(view.Configuration.Pools, vms, view.Waves, d.Period, now)
 	if !due {
 		return false, nil
 	}
 	plan, err := maintenance.New(maintenance.Request{
 		ID: id, Spec: spec, VMs: vms, StepTime: maintenance.DefaultStepTime,
-		Parallel: maintenance.NewCapacity(view.Configuration, view.VMs, lostVMs(view)).Parallel(),
+		Parallel: maintenance.NewCapacity(view.Configuration, view.VMs, lost).Parallel(),
 	}, now)
 	if err != nil {
 		return false, trace.Wrap(err)
@@ -182,5 +191,5 @@
 	}
 	audit := d.disrupter.audit(fleet.AuditActionWaveCreate, fleet.SubjectWave(id))
 	audit.To, audit.Reason = string(plan.Wave.State), "standing schedule"
-	return true, d.write(ctx, held, &plan.Wave, platform.Transaction{Audit: audit})
+	return true, d.write(ctx, held, &plan.Wave, platform.Transaction{Audit: audit, History: view.History})
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -50,6 +50,8 @@
 	readiness   ring.Latest[balancer.Readiness]
 	held        ring.Latest[control.Leases]
 	load        ring.Latest[control.Load]
+	reconciled  ring.Latest[fleet.TableHistory]
+	dead        ring.Latest[[]fleet.VMID]
 	events      *ring.Ring[dispatch.Event]
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
@@ -136,15 +138,16 @@
 		&platform.Lane{Duty: "table-reader", Inbox: d.reads, Clock: d.Clock, PerSecond: float64(s.TableReadsPerSecond)},
 		&control.Poller{
 			Table: table, Inbox: d.polls, View: &d.view, Dispatcher: d.events, Clock: d.Clock, Log: d.Log, Interval: s.PollInterval,
-			Objects: client, Zone: s.Zone, HoldTime: s.HoldTime, Peers: d.forwarder,
+			Objects: client, Zone: s.Zone, Entry: s.EntryID, HoldTime: s.HoldTime, Peers: d.forwarder,
 		},
 		&control.VMListReader{Platform: client, Poller: d.polls, Clock: d.Clock, Log: d.Log, Interval: s.VMListInterval},
 		d.leaseHolder(table),
 		&control.FleetDriver{
 			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
+			Reconciled: &d.reconciled,
 		},
-		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval},
+		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval, Period: s.MaintenancePeriod},
 		&control.SpareDriver{Disruptive: disruptive},
 		&control.Snapshot{Table: table, Objects: client, Held: &d.held, Clock: d.Clock, Log: d.Log, Interval: s.SnapshotInterval},
 		&operation.Executor{
@@ -200,6 +203,7 @@
 		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver, fleet.DutySnapshot},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
+		Reconciled: &d.reconciled, Dead: &d.dead,
 	}
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -25,8 +25,10 @@
 // Status is what the dispatcher publishes about itself.
 type Status struct {
 	Acknowledged fleet.TableRevision
-	InFlight     int
-	Stopping     bool
+	// History is the history of the table to which Acknowledged belongs.
+	History  fleet.TableHistory
+	InFlight int
+	Stopping bool
 	// Services is the load of each service, for the peers.
 	Services []ServiceLoad
 	// Leaving holds the VMs that this entry heard to be leaving.
@@ -156,6 +158,7 @@
 func (d *Dispatcher) publish() {
 	d.Status.Set(Status{
 		Acknowledged: d.Engine.AcknowledgedRevision(),
+		History:      d.Engine.view.History,
 		InFlight:     d.Engine.InFlight(),
 		Stopping:     d.stopping,
 		Leaving:      d.Engine.LeavingVMs(),
--- a/internal/maintenance/schedule.go
+++ b/internal/maintenance/schedule.go
@@ -8,9 +8,6 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Period is within which every VM is maintained once.
-const Period = 6 * 7 * 24 * time.Hour
-
 // Times of the standing schedule.
 const (
 	// scheduleSlack is kept free at the end of the period for storms, halts and failed VMs.
@@ -18,14 +15,21 @@
 	// minimumAge keeps the schedule from maintaining fresh VMs.
 	minimumAge = 7 * 24 * time.Hour
 	day        = 24 * time.Hour
+	// scheduleParts shortens the slack and the minimum age to a part of the period each when the period
+	// is shorter than six weeks.
+	scheduleParts = 6
 )
 
 // Standing returns what the standing schedule asks of today's wave. It takes from each pool the VMs
 // maintained longest ago, as many as keep every VM within the period, and reports false when none is
 // due or a wave of the schedule is still open. The daily share also spreads VMs that became due
-// together. Pools that are not configured have no budget and are left out.
-func Standing(pools map[fleet.PoolID]fleet.Pool, vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
-	id := standingID(now)
+// together. Pools that are not configured have no budget and are left out. A period of 0 turns the
+// schedule off.
+func Standing(pools map[fleet.PoolID]fleet.Pool, vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, period time.Duration, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
+	if period == 0 {
+		return "", fleet.WaveSpec{}, false
+	}
+	id, youngest := standingID(now), min(minimumAge, period/scheduleParts)
 	for _, w := range waves {
 		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
 			return "", fleet.WaveSpec{}, false
@@ -37,7 +41,7 @@
 			continue
 		}
 		sizes[vm.Pool]++
-		if now.Sub(maintainedAt(vm)) >= minimumAge {
+		if now.Sub(maintainedAt(vm)) >= youngest {
 			due[vm.Pool]++
 		}
 	}
@@ -45,10 +49,11 @@
 		return "", fleet.WaveSpec{}, false
 	}
 	share := 0
-	spec := fleet.WaveSpec{Action: fleet.WaveActionReboot, Filter: fleet.WaveFilter{MaintainedBefore: now.Add(-minimumAge)}}
+	spec := fleet.WaveSpec{Action: fleet.WaveActionReboot, Filter: fleet.WaveFilter{MaintainedBefore: now.Add(-youngest)}}
 	for pool := range due {
 		spec.Pools = append(spec.Pools, pool)
-		share = max(share, ceilDiv(sizes[pool], int((Period-scheduleSlack-minimumAge)/day)))
+		days := (period - min(scheduleSlack, period/scheduleParts) - youngest) / day
+		share = max(share, ceilDiv(sizes[pool], max(1, int(days))))
 	}
 	slices.SortFunc(spec.Pools, func(a, b fleet.PoolID) int { return cmp.Compare(a, b) })
 	spec.Limits.MaxVMsPerPool = fleet.VMCount(share)
--- a/internal/maintenance/wave_test.go
+++ b/internal/maintenance/wave_test.go
@@ -185,11 +185,14 @@
 // Guards against VMs that the standing schedule leaves unmaintained for longer than its period.
 func TestStandingScheduleCoversPeriod(t *testing.T) {
 	is := is.New(t)
+	const period = 6 * 7 * 24 * time.Hour
 	w := newWorld(size{pools: 4, vms: 37, zones: 3, limit: 2}, 6)
+	_, _, due := maintenance.Standing(w.pools(), w.list(), nil, 0, start.Add(period))
+	is.True(!due) // a fleet does not reboot by itself unless it is asked to
 	waves := map[fleet.WaveID]fleet.Wave{}
 	for day := range 130 {
 		now := start.Add(time.Duration(day) * 24 * time.Hour)
-		id, spec, due := maintenance.Standing(w.pools(), w.list(), waves, now)
+		id, spec, due := maintenance.Standing(w.pools(), w.list(), waves, period, now)
 		if !due {
 			continue
 		}
@@ -204,7 +207,7 @@
 			w.vms[v.VM] = vm
 		}
 		for _, vm := range w.vms {
-			is.True(now.Sub(vm.Since) < maintenance.Period || now.Sub(vm.LastMaintained) < maintenance.Period)
+			is.True(now.Sub(vm.Since) < period || now.Sub(vm.LastMaintained) < period)
 		}
 	}
 }
--- a/internal/move/release.go
+++ b/internal/move/release.go
@@ -21,7 +21,8 @@
 // once its lease has been expired for the whole hold time.
 func IsReleased(vm fleet.VM, entries []EntryFacts, holdTime time.Duration) bool {
 	for _, e := range entries {
-		acknowledged := e.Entry.AcknowledgedRevision >= fleet.TableRevision(vm.RowVersion)
+		// Revisions start again below those of the backup when the table is restored.
+		acknowledged := e.Entry.History == vm.History && e.Entry.AcknowledgedRevision >= fleet.TableRevision(vm.RowVersion)
 		silent := e.Entry.Zone != vm.Zone && e.UnchangedFor > e.Entry.Duration+holdTime
 		if !acknowledged && !e.IsGone && !silent {
 			return false
--- a/internal/move/step.go
+++ b/internal/move/step.go
@@ -77,7 +77,9 @@
 
 // command returns what a rebooting VM needs of the platform.
 func command(vm fleet.VM) *fleet.VMCommand {
-	c := &fleet.VMCommand{VM: vm.ID, Action: fleet.VMActionReboot, OperationID: vm.OperationID}
+	c := &fleet.VMCommand{
+		VM: vm.ID, Action: fleet.VMActionReboot, OperationID: vm.OperationID, RowVersion: vm.RowVersion, History: vm.History,
+	}
 	switch vm.Purpose {
 	case fleet.VMPurposeReplace:
 		c.Action = fleet.VMActionReplace
@@ -90,6 +92,7 @@
 // Apply returns the row of the VM after an event. The caller has checked that the state allows it.
 func Apply(vm fleet.VM, event Event, state fleet.VMState, operation fleet.OperationID, now time.Time) fleet.VM {
 	vm.State, vm.OperationID, vm.Since = state, operation, now
+	vm.Generation++
 	switch event {
 	case EventAttach:
 		vm.Pool = vm.TargetPool
--- a/internal/operation/config.go
+++ b/internal/operation/config.go
@@ -92,7 +92,9 @@
 	written     map[fleet.TableKey]configuration.Item
 	head        configuration.Head
 	headVersion fleet.RowVersion
-	current     fleet.ConfigRevision
+	// ledgers are those of the pools that are deleted.
+	ledgers []platform.Row
+	current fleet.ConfigRevision
 }
 
 func (o ApplyConfig) plan(ctx context.Context, x *Executor) (configPlan, error) {
@@ -100,10 +102,6 @@
 	if err != nil {
 		return configPlan{}, trace.Wrap(err)
 	}
-	capacities, err := x.capacities(ctx)
-	if err != nil {
-		return configPlan{}, trace.Wrap(err)
-	}
 	inTable, _ := stored.Latest()
 	current, revision, err := x.newest(inTable)
 	if err != nil {
@@ -116,6 +114,14 @@
 	if o.Replace != nil {
 		changes = configuration.Replace(current, *o.Replace)
 	}
+	ledgers, err := x.readLedgers(ctx, changes)
+	if err != nil {
+		return configPlan{}, trace.Wrap(err)
+	}
+	capacities, err := x.capacities(ctx, ledgers)
+	if err != nil {
+		return configPlan{}, trace.Wrap(err)
+	}
 	if err := configuration.CheckChanges(current, changes, capacities); err != nil {
 		return configPlan{}, trace.Wrap(err)
 	}
@@ -125,6 +131,7 @@
 	}
 	p := configPlan{
 		headVersion: headVersion,
+		ledgers:     ledgers,
 		current:     current.Revision,
 		applied: Applied{
 			Revision: revision, Differences: configuration.Diff(current, next), Warnings: configuration.Warnings(current, next, capacities),
@@ -193,6 +200,12 @@
 		Puts:          []platform.Put{{Key: wire.KeyHead, Value: wire.EncodeHead(p.head)}},
 	}
 	t.Audit.From, t.Audit.To = fmt.Sprint(p.current), fmt.Sprint(p.head.Revision)
+	for _, row := range p.ledgers {
+		t.Preconditions = append(t.Preconditions, platform.Precondition{Key: row.Key, Version: row.Version})
+		// The version must change even where no ledger was, so that an adoption decided before fails.
+		empty := fleet.Ledger{Pool: fleet.PoolID(wire.IDOf(row.Key, wire.PrefixLedger)), OperationID: t.Audit.OperationID}
+		t.Puts = append(t.Puts, platform.Put{Key: row.Key, Value: wire.EncodeLedger(empty)})
+	}
 	for _, key := range slices.Sorted(maps.Keys(p.written)) {
 		t.Puts = append(t.Puts, platform.Put{Key: key, Value: wire.EncodeItem(p.written[key])})
 	}
@@ -222,7 +235,7 @@
 func (x *Executor) readConfiguration(ctx context.Context) (*configuration.Copy, fleet.RowVersion, error) {
 	c := &configuration.Copy{}
 	var headVersion fleet.RowVersion
-	err := x.eachRow(ctx, wire.PrefixConfig, func(row platform.Row) error {
+	_, err := x.eachRow(ctx, wire.PrefixConfig, func(row platform.Row) error {
 		if row.Key != wire.KeyHead {
 			item, err := wire.DecodeItem(row.Value)
 			if err == nil {
@@ -239,42 +252,3 @@
 	})
 	return c, headVersion, trace.Wrap(err)
 }
-
-// capacities reads all VMs and counts them by pool.
-func (x *Executor) capacities(ctx context.Context) (map[fleet.PoolID]configuration.Capacity, error) {
-	vms := map[fleet.VMID]fleet.VM{}
-	err := x.eachRow(ctx, wire.PrefixVM, func(row platform.Row) error {
-		vm, err := wire.DecodeVM(row.Value)
-		if err == nil && !row.Deleted {
-			vms[vm.ID] = vm
-		}
-		return trace.Wrap(err)
-	})
-	lost := map[fleet.VMID]bool{}
-	if view := x.View.Get(); view != nil {
-		lost = view.Leaving
-	}
-	return configuration.Capacities(vms, lost), trace.Wrap(err)
-}
-
-// rowsPerRead bounds the rows of one read.
-const rowsPerRead = 2000
-
-// eachRow passes all rows under a prefix to a function.
-func (x *Executor) eachRow(ctx context.Context, prefix fleet.TableKey, take func(platform.Row) error) error {
-	after := fleet.TableRevision(0)
-	for {
-		changes, err := x.Table.Changes(ctx, after, rowsPerRead, prefix)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		for _, row := range changes.Rows {
-			if err := take(row); err != nil {
-				return trace.Wrap(err)
-			}
-		}
-		if after = changes.Revision; !changes.More {
-			return nil
-		}
-	}
-}
--- /dev/null
+++ b/internal/operation/subject.go
@@ -0,0 +1,111 @@
+package operation
+
+import (
+	"context"
+	"slices"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/budget"
+	"github.com/mimosawharf/mimosawharf/internal/platform"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// subject is a VM with the ledger and the configuration of its pool, all read together.
+type subject struct {
+	vm            fleet.VM
+	ledger        fleet.Ledger
+	pool          fleet.Pool
+	poolVersion   fleet.RowVersion
+	ledgerVersion fleet.RowVersion
+}
+
+func (x *Executor) readSubject(ctx context.Context, id fleet.VMID) (subject, error) {
+	rows, err := x.Table.Read(ctx, wire.KeyVM(id))
+	if err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	if !rows[0].Exists() {
+		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectVM(id)})
+	}
+	s := subject{}
+	if s.vm, err = wire.DecodeVM(rows[0].Value); err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	s.vm.RowVersion = rows[0].Version
+	rows, err = x.Table.Read(ctx, wire.KeyLedger(s.vm.Pool), wire.KeyPool(s.vm.Pool))
+	if err != nil {
+		return subject{}, trace.Wrap(err)
+	}
+	if rows[0].Exists() {
+		if s.ledger, err = wire.DecodeLedger(rows[0].Value); err != nil {
+			return subject{}, trace.Wrap(err)
+		}
+	}
+	item, err := wire.DecodeItem(rows[1].Value)
+	if err != nil || item.Pool == nil {
+		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectPool(s.vm.Pool)})
+	}
+	s.ledger.Pool, s.ledgerVersion, s.pool, s.poolVersion = s.vm.Pool, rows[0].Version, *item.Pool, rows[1].Version
+	return s, nil
+}
+
+// commitVM writes a VM and the ledger of its pool under the versions that the decision was made on.
+func (x *Executor) commitVM(ctx context.Context, s subject, vm fleet.VM, audit *fleet.Audit) error {
+	audit.From, audit.To = string(s.vm.State), string(vm.State)
+	s.ledger.OperationID = audit.OperationID
+	_, err := x.Table.Commit(ctx, platform.Transaction{
+		Audit: audit, History: s.vm.History,
+		Preconditions: []platform.Precondition{
+			{Key: wire.KeyVM(vm.ID), Version: s.vm.RowVersion},
+			{Key: wire.KeyLedger(s.ledger.Pool), Version: s.ledgerVersion},
+			{Key: wire.KeyPool(s.pool.ID), Version: s.poolVersion},
+		},
+		Puts: []platform.Put{
+			{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)},
+			{Key: wire.KeyLedger(s.ledger.Pool), Value: wire.EncodeLedger(s.ledger)},
+		},
+	})
+	return trace.Wrap(err)
+}
+
+// capacity reads the VMs of a pool afresh and judges which of them are available. A read that is older
+// than the ledger may show VMs as serving whose disruption the ledger no longer lists, so it counts as
+// a conflict.
+func (x *Executor) capacity(ctx context.Context, s subject) (budget.Pool, error) {
+	changes, err := x.Table.Changes(ctx, 0, 0, wire.PrefixVM)
+	if err != nil {
+		return budget.Pool{}, trace.Wrap(err)
+	}
+	if changes.Revision < fleet.TableRevision(s.ledgerVersion) {
+		return budget.Pool{}, trace.Wrap(&platform.ConflictError{Keys: []fleet.TableKey{wire.KeyLedger(s.pool.ID)}})
+	}
+	if changes.History != s.vm.History {
+		return budget.Pool{}, trace.Wrap(&UnconfirmedError{VM: s.vm.ID})
+	}
+	p := budget.Pool{Config: s.pool, Grants: s.ledger.Grants}
+	for _, row := range changes.Rows {
+		vm, err := wire.DecodeVM(row.Value)
+		if err != nil || row.Deleted || vm.Pool != s.pool.ID || vm.State == fleet.VMStateRemoved {
+			continue
+		}
+		p.VMs = append(p.VMs, vm)
+	}
+	view := x.View.Get()
+	if view == nil {
+		view = fleet.NewView()
+	}
+	p.Lost, err = budget.Lost(slices.Values(p.VMs), view, x.Clock.Now(), x.ListMaxAge)
+	return p, trace.Wrap(err)
+}
+
+// UnconfirmedError reports a VM whose row came from a backup of the table. Nothing was changed.
+type UnconfirmedError struct {
+	VM fleet.VMID
+}
+
+// Error implements error.
+func (e *UnconfirmedError) Error() string {
+	return "row of VM " + string(e.VM) + " came from a backup of the table and is not confirmed yet: try again in a minute"
+}
--- a/internal/operation/vm.go
+++ b/internal/operation/vm.go
@@ -7,6 +7,7 @@
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/internal/budget"
+	"github.com/mimosawharf/mimosawharf/internal/maintenance"
 	"github.com/mimosawharf/mimosawharf/internal/move"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -26,6 +27,8 @@
 	VMCommandMove    VMCommand = "move"
 	VMCommandReboot  VMCommand = "reboot"
 	VMCommandReplace VMCommand = "replace"
+	// VMCommandRollOut installs a version and reboots the VM.
+	VMCommandRollOut VMCommand = "roll-out"
 	// VMCommandCancel ends a drain or move that is under way.
 	VMCommandCancel VMCommand = "cancel"
 	// VMCommandReturn puts a drained VM back into service.
@@ -39,8 +42,10 @@
 	VM       fleet.VMID
 	Command  VMCommand
 	// Pool is the pool that adopts the VM or that it moves to.
-	Pool  fleet.PoolID
-	Reply *ring.Ring[Result[fleet.VM]]
+	Pool fleet.PoolID
+	// Version is what a roll-out installs; it is empty for other commands.
+	Version fleet.Version
+	Reply   *ring.Ring[Result[fleet.VM]]
 }
 
 func (o ChangeVM) execute(ctx context.Context, x *Executor) {
@@ -59,6 +64,9 @@
 		s, err := x.readSubject(ctx, o.VM)
 		return s.vm, trace.Wrap(err)
 	}
+	if (o.Command == VMCommandRollOut) != (o.Version != "") {
+		return fleet.VM{}, trace.Wrap(&maintenance.VersionError{Action: fleet.WaveAction(o.Command)})
+	}
 	switch o.Command {
 	case VMCommandAdopt:
 		return o.adopt(ctx, x)
@@ -91,69 +99,45 @@
 	if i < 0 {
 		return fleet.VM{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectVM(o.VM)})
 	}
-	rows, err := x.Table.Read(ctx, wire.KeyVM(o.VM), wire.KeyPool(o.Pool))
+	rows, err := x.Table.Read(ctx, wire.KeyVM(o.VM), wire.KeyPool(o.Pool), wire.KeyLedger(o.Pool))
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	changes, err := x.Table.Changes(ctx, 0, 1, wire.KeyPool(o.Pool))
 	if err != nil {
 		return fleet.VM{}, trace.Wrap(err)
 	}
 	if rows[0].Exists() {
 		return fleet.VM{}, trace.Wrap(&InvalidStateError{Subject: fleet.SubjectVM(o.VM), Problem: "is in a pool already; use move"})
 	}
-	if !rows[1].Exists() {
+	if item, err := wire.DecodeItem(rows[1].Value); err != nil || item.Pool == nil {
 		return fleet.VM{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectPool(o.Pool)})
 	}
-	listed := list.VMs[i]
+	ledger, err := platform.TouchLedger(o.Pool, rows[2], o.Identity.ID)
+	if err != nil {
+		return fleet.VM{}, trace.Wrap(err)
+	}
+	listed, now := list.VMs[i], x.Clock.Now()
 	vm := fleet.VM{
 		ID: listed.ID, Zone: listed.Zone, Rack: listed.Rack, Address: listed.Address, Slots: listed.Slots,
 		Connections: listed.Connections, Resources: listed.Resources, Version: listed.Version,
-		Pool: o.Pool, State: fleet.VMStateServing, AssignmentEpoch: 1, OperationID: o.Identity.ID, Since: x.Clock.Now(),
+		Pool: o.Pool, State: fleet.VMStateServing, AssignmentEpoch: 1, OperationID: o.Identity.ID, Since: now,
+		// A VM counts as new when it is adopted, so that maintenance starts with those that served longest.
+		LastMaintained: now, Generation: 1, History: changes.History,
 	}
+	audit := x.audit(o.Identity, fleet.AuditActionVMAdopt, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool))
+	audit.To = string(vm.State)
 	_, err = x.Table.Commit(ctx, platform.Transaction{
-		Audit:         x.audit(o.Identity, fleet.AuditActionVMAdopt, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)),
-		Preconditions: []platform.Precondition{{Key: wire.KeyVM(vm.ID)}, {Key: wire.KeyPool(vm.Pool), Version: rows[1].Version}},
-		Puts:          []platform.Put{{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)}},
+		History: changes.History,
+		Audit:   audit,
+		Preconditions: []platform.Precondition{
+			{Key: wire.KeyVM(vm.ID)}, {Key: wire.KeyPool(vm.Pool), Version: rows[1].Version}, {Key: ledger.Key, Version: rows[2].Version},
+		},
+		Puts: []platform.Put{{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)}, ledger},
 	})
 	return vm, trace.Wrap(err)
 }
 
-// subject is a VM with the ledger and the configuration of its pool, all read together.
-type subject struct {
-	vm            fleet.VM
-	ledger        fleet.Ledger
-	pool          fleet.Pool
-	poolVersion   fleet.RowVersion
-	ledgerVersion fleet.RowVersion
-}
-
-func (x *Executor) readSubject(ctx context.Context, id fleet.VMID) (subject, error) {
-	rows, err := x.Table.Read(ctx, wire.KeyVM(id))
-	if err != nil {
-		return subject{}, trace.Wrap(err)
-	}
-	if !rows[0].Exists() {
-		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectVM(id)})
-	}
-	s := subject{}
-	if s.vm, err = wire.DecodeVM(rows[0].Value); err != nil {
-		return subject{}, trace.Wrap(err)
-	}
-	s.vm.RowVersion = rows[0].Version
-	rows, err = x.Table.Read(ctx, wire.KeyLedger(s.vm.Pool), wire.KeyPool(s.vm.Pool))
-	if err != nil {
-		return subject{}, trace.Wrap(err)
-	}
-	if rows[0].Exists() {
-		if s.ledger, err = wire.DecodeLedger(rows[0].Value); err != nil {
-			return subject{}, trace.Wrap(err)
-		}
-	}
-	item, err := wire.DecodeItem(rows[1].Value)
-	if err != nil || item.Pool == nil {
-		return subject{}, trace.Wrap(&NotFoundError{Subject: fleet.SubjectPool(s.vm.Pool)})
-	}
-	s.ledger.Pool, s.ledgerVersion, s.pool, s.poolVersion = s.vm.Pool, rows[0].Version, *item.Pool, rows[1].Version
-	return s, nil
-}
-
 // drain takes a grant from the pool's budget and starts the drain in the same transaction.
 func (o ChangeVM) drain(ctx context.Context, x *Executor) (fleet.VM, error) {
 	s, err := x.readSubject(ctx, o.VM)
@@ -174,6 +158,7 @@
 	now := x.Clock.Now()
 	vm := move.Apply(s.vm, move.EventDrain, state, o.Identity.ID, now)
 	vm.Purpose, vm.GrantID = o.purpose(), fleet.GrantID(o.Identity.ID)
+	vm.TargetVersion = o.Version
 	if vm.Purpose == fleet.VMPurposeMove {
 		vm.TargetPool = o.Pool
 	}
@@ -192,6 +177,8 @@
 		return fleet.VMPurposeReboot
 	case VMCommandReplace:
 		return fleet.VMPurposeReplace
+	case VMCommandRollOut:
+		return fleet.VMPurposeRollOut
 	case VMCommandRemove:
 		return fleet.VMPurposeRemove
 	default:
@@ -209,53 +196,14 @@
 	if err != nil {
 		return fleet.VM{}, trace.Wrap(&InvalidStateError{Subject: fleet.SubjectVM(o.VM), Problem: err.Error()})
 	}
-	vm := move.Apply(s.vm, move.EventCancel, state, o.Identity.ID, x.Clock.Now())
-	s.ledger.Grants = slices.DeleteFunc(s.ledger.Grants, func(g fleet.Grant) bool { return g.VM == vm.ID })
-	return vm, x.commitVM(ctx, s, vm, x.audit(o.Identity, fleet.AuditActionVMCancel, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)))
-}
-
-// commitVM writes a VM and the ledger of its pool under the versions that the decision was made on.
-func (x *Executor) commitVM(ctx context.Context, s subject, vm fleet.VM, audit *fleet.Audit) error {
-	audit.From, audit.To = string(s.vm.State), string(vm.State)
-	s.ledger.OperationID = audit.OperationID
-	_, err := x.Table.Commit(ctx, platform.Transaction{
-		Audit: audit,
-		Preconditions: []platform.Precondition{
-			{Key: wire.KeyVM(vm.ID), Version: s.vm.RowVersion},
-			{Key: wire.KeyLedger(s.ledger.Pool), Version: s.ledgerVersion},
-			{Key: wire.KeyPool(s.pool.ID), Version: s.poolVersion},
-		},
-		Puts: []platform.Put{
-			{Key: wire.KeyVM(vm.ID), Value: wire.EncodeVM(vm)},
-			{Key: wire.KeyLedger(s.ledger.Pool), Value: wire.EncodeLedger(s.ledger)},
-		},
-	})
-	return trace.Wrap(err)
-}
-
-// capacity reads the VMs of a pool afresh and judges which of them are available. A read that is older
-// than the ledger may show VMs as serving whose disruption the ledger no longer lists, so it counts as
-// a conflict.
-func (x *Executor) capacity(ctx context.Context, s subject) (budget.Pool, error) {
-	changes, err := x.Table.Changes(ctx, 0, 0, wire.PrefixVM)
+	changes, err := x.Table.Changes(ctx, 0, 1, wire.KeyVM(o.VM))
 	if err != nil {
-		return budget.Pool{}, trace.Wrap(err)
-	}
-	if changes.Revision < fleet.TableRevision(s.ledgerVersion) {
-		return budget.Pool{}, trace.Wrap(&platform.ConflictError{Keys: []fleet.TableKey{wire.KeyLedger(s.pool.ID)}})
-	}
-	p := budget.Pool{Config: s.pool, Grants: s.ledger.Grants}
-	for _, row := range changes.Rows {
-		vm, err := wire.DecodeVM(row.Value)
-		if err != nil || row.Deleted || vm.Pool != s.pool.ID || vm.State == fleet.VMStateRemoved {
-			continue
-		}
-		p.VMs = append(p.VMs, vm)
+		return fleet.VM{}, trace.Wrap(err)
 	}
-	view := x.View.Get()
-	if view == nil {
-		view = fleet.NewView()
+	if changes.History != s.vm.History {
+		return fleet.VM{}, trace.Wrap(&UnconfirmedError{VM: s.vm.ID})
 	}
-	p.Lost, err = budget.Lost(p.VMs, view.List, view.ListReadAt, x.Clock.Now(), x.ListMaxAge)
-	return p, trace.Wrap(err)
+	vm := move.Apply(s.vm, move.EventCancel, state, o.Identity.ID, x.Clock.Now())
+	s.ledger.Grants = slices.DeleteFunc(s.ledger.Grants, func(g fleet.Grant) bool { return g.VM == vm.ID })
+	return vm, x.commitVM(ctx, s, vm, x.audit(o.Identity, fleet.AuditActionVMCancel, fleet.SubjectVM(vm.ID), fleet.SubjectPool(vm.Pool)))
 }
--- a/internal/operation/wave.go
+++ b/internal/operation/wave.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 
 	"github.com/gravitational/trace"
 
+	"github.com/mimosawharf/mimosawharf/internal/budget"
 	"github.com/mimosawharf/mimosawharf/internal/maintenance"
 	"github.com/mimosawharf/mimosawharf/internal/platform"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -86,9 +88,13 @@
 			r.VMs = append(r.VMs, vm)
 		}
 	}
-	lost := map[fleet.VMID]bool{}
-	if view := x.View.Get(); view != nil {
-		lost = view.Leaving
+	view := x.View.Get()
+	if view == nil {
+		view = fleet.NewView()
+	}
+	lost, err := budget.Lost(maps.Values(vms), view, x.Clock.Now(), x.ListMaxAge)
+	if err != nil {
+		return maintenance.Request{}, trace.Wrap(err)
 	}
 	r.Parallel = maintenance.NewCapacity(config, vms, lost).Parallel()
 	return r, nil
--- a/internal/operator/handler.go
+++ b/internal/operator/handler.go
@@ -78,6 +78,7 @@
 		VM:       fleet.VMID(r.Msg.GetVm()),
 		Command:  operation.VMCommand(r.Msg.GetAction()),
 		Pool:     fleet.PoolID(r.Msg.GetPool()),
+		Version:  fleet.Version(r.Msg.GetVersion()),
 		Reply:    ring.New[operation.Result[fleet.VM]]("operator-vm", 1),
 	}
 	vm, err := run(ctx, h.Inbox, o, o.Reply)
@@ -130,6 +131,7 @@
 		rate        *platform.RateExceededError
 		stale       *budget.StaleListError
 		lagging     *operation.LaggingError
+		unconfirmed *operation.UnconfirmedError
 	)
 	code := connect.CodeInvalidArgument
 	switch {
@@ -143,7 +145,7 @@
 		code = connect.CodeAlreadyExists
 	case errors.As(err, &conflict):
 		code = connect.CodeAborted
-	case errors.As(err, &unavailable), errors.As(err, &stale), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
+	case errors.As(err, &unavailable), errors.As(err, &stale), errors.As(err, &unconfirmed), errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded):
 		// The operation may be under way when the wait for its result ends.
 		code = connect.CodeUnavailable
 	case errors.As(err, &lagging):
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -58,7 +58,7 @@
 func (c *Client) commitOnce(ctx context.Context, t Transaction) (fleet.TableRevision, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	m := &platformv1.CommitRequest{}
+	m := &platformv1.CommitRequest{History: string(t.History)}
 	for _, p := range t.Preconditions {
 		m.Preconditions = append(m.Preconditions, &platformv1.Precondition{Key: string(p.Key), Version: uint64(p.Version)})
 	}
@@ -170,19 +170,25 @@
 	return list, nil
 }
 
-// Act starts an action on a VM, once per operation id. It returns *UnavailableError, or
+// Act starts an action on a VM, once per operation id and only while the table holds the row that the
+// command was decided on. It returns *UnavailableError, or
 // *RefusedError when the platform does not accept the action.
 func (c *Client) Act(ctx context.Context, command fleet.VMCommand) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	response, err := c.services.VMs.ActOnVM(ctx, connect.NewRequest(&platformv1.ActOnVMRequest{
+	m := &platformv1.ActOnVMRequest{
 		Vm:              string(command.VM),
 		Action:          string(command.Action),
 		Version:         string(command.Version),
 		Pool:            string(command.Pool),
 		AssignmentEpoch: uint64(command.AssignmentEpoch),
 		OperationId:     string(command.OperationID),
-	}))
+		History:         string(command.History),
+	}
+	if command.RowVersion != 0 {
+		m.Precondition = &platformv1.Precondition{Key: string(wire.KeyVM(command.VM)), Version: uint64(command.RowVersion)}
+	}
+	response, err := c.services.VMs.ActOnVM(ctx, connect.NewRequest(m))
 	if err != nil {
 		return failure("act on VM", err)
 	}
--- a/internal/platform/table.go
+++ b/internal/platform/table.go
@@ -39,6 +39,9 @@
 	Audit         *fleet.Audit
 	Preconditions []Precondition
 	Puts          []Put
+	// History is the history of the table that the transaction was decided on. A table that was restored
+	// since refuses it, because row versions of two histories may be equal. Empty accepts any.
+	History History
 }
 
 // Changes are the rows that changed after a revision.
@@ -52,7 +55,7 @@
 }
 
 // History names one uninterrupted history of the table.
-type History string
+type History = fleet.TableHistory
 
 // ObjectName names an object in the object store.
 type ObjectName string
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -134,5 +134,8 @@
 	if err := s.Faults.refusal(); err != nil {
 		return nil, err
 	}
+	if !s.table.holds(r.Msg) {
+		return connect.NewResponse(&platformv1.ActOnVMResponse{}), nil
+	}
 	return connect.NewResponse(s.vms.act(s.clock.Now(), r.Msg)), nil
 }
--- a/internal/standin/platform/table.go
+++ b/internal/standin/platform/table.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 
+	"github.com/mimosawharf/mimosawharf/internal/wire"
 	platformv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/platform/v1"
 )
 
@@ -46,6 +47,9 @@
 
 func (t *table) commit(r *platformv1.CommitRequest) *platformv1.CommitResponse {
 	response := &platformv1.CommitResponse{}
+	if h := r.GetHistory(); h != "" && h != t.history {
+		response.Conflicts = append(response.Conflicts, string(wire.KeyHistory))
+	}
 	for _, p := range r.GetPreconditions() {
 		if t.rowAt(p.GetKey(), t.revision).GetVersion() != p.GetVersion() {
 			response.Conflicts = append(response.Conflicts, p.GetKey())
@@ -66,6 +70,15 @@
 	return response
 }
 
+// holds reports whether the row that an action was decided on is the present one.
+func (t *table) holds(r *platformv1.ActOnVMRequest) bool {
+	p := r.GetPrecondition()
+	if p.GetKey() == "" {
+		return true
+	}
+	return r.GetHistory() == t.history && t.rowAt(p.GetKey(), t.revision).GetVersion() == p.GetVersion()
+}
+
 // at returns the version of a row that was current at a revision, tombstones included, or nil.
 func (t *table) at(key string, revision uint64) *platformv1.Row {
 	for _, row := range slices.Backward(t.rows[key]) {
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -7,15 +7,20 @@
 	Configuration Configuration
 	// ConfigSince is when the configuration's revision came into force at this entry.
 	ConfigSince time.Time
-	VMs         map[VMID]VM
-	Ledgers     map[PoolID]Ledger
-	Waves       map[WaveID]Wave
-	Entries     map[EntryID]Entry
-	Leases      map[DutyName]Lease
+	// VMs holds the newest row of each VM that the entry knows. After a restore of the table, those in
+	// Unwritten are newer than the table's.
+	VMs     map[VMID]VM
+	Ledgers map[PoolID]Ledger
+	Waves   map[WaveID]Wave
+	Entries map[EntryID]Entry
+	Leases  map[DutyName]Lease
 	// Revision is the table revision up to which the view is complete.
 	Revision TableRevision
 	// History is the history of the table to which Revision belongs; it changes with a restore.
 	History TableHistory
+	// Unwritten holds the VMs whose newest row a restore took out of the table. Their RowVersion is that of
+	// the older row in the table, or 0 when there is none.
+	Unwritten map[VMID]bool
 	// RefreshedAt is when the table, or a peer that reads it, last confirmed the view.
 	RefreshedAt time.Time
 	// Leaving holds the VMs that the platform's list shows as leaving or no longer shows.
@@ -36,5 +41,6 @@
 		Entries:       map[EntryID]Entry{},
 		Leases:        map[DutyName]Lease{},
 		Leaving:       map[VMID]bool{},
+		Unwritten:     map[VMID]bool{},
 	}
 }
