--- a/internal/control/fleet_model_test.go
+++ b/internal/control/fleet_model_test.go
@@ -126,7 +126,7 @@
 	case 6:
 		e.spares.Step(ctx)
 	case 7, 8:
-		e.work()
+		e.work(ctx)
 	case 9:
 		s.operateWave(ctx, e)
 	default:
@@ -172,7 +172,7 @@
 
 // work ends requests or sends one. A request to another zone runs for at most half the hold time; what
 // runs longer is not covered by the rule that an entry of another zone is silent.
-func (e *entry) work() {
+func (e *entry) work(ctx context.Context) {
 	s, now := e.site, e.site.clock.Now()
 	var rest []attempt
 	for _, a := range e.attempts {
@@ -182,10 +182,12 @@
 		}
 	}
 	e.attempts = rest
+	if view := e.view.Get(); view != nil && now.Sub(view.RefreshedAt) > holdTime/2 {
+		e.poller.Poll(ctx) // the poller's interval is shorter than half the hold time
+	}
 	e.dispatch()
 	vm, ok := e.used.VMs[vmID(s.random.IntN(vms))]
-	isOld := zoneOfVM(vm.ID) != e.zone && now.Sub(e.used.RefreshedAt) > holdTime/2
-	if !ok || vm.State != fleet.VMStateServing || e.used.Leaving[vm.ID] || isOld || !s.model.lostAt[vm.ID].IsZero() {
+	if !ok || vm.State != fleet.VMStateServing || e.used.Leaving[vm.ID] || !s.model.lostAt[vm.ID].IsZero() {
 		return
 	}
 	last, mine := s.model.endpoints[vm.ID], assignment{vm.Pool, vm.AssignmentEpoch}
