maintenance: open the zone that a canary fits first

Excluded: a second zone of a pool while the last VM of the first is under way, which would break the rule of one failure domain; a canary in each pool by default, which would expose 5 VMs to a bad version where 1 is exposed now. An operator may ask for it with canary-vms.

Change: zones whose size leaves one VM over the budget come first, so that the canary takes that VM.

--- a/internal/maintenance/plan.go
+++ b/internal/maintenance/plan.go
@@ -113,12 +113,36 @@
 			})
 		}
 	}
+	late := zoneOrder(list, r.Parallel)
 	slices.SortFunc(list, func(a, b fleet.WaveVM) int {
-		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.VM, b.VM))
+		return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(late[domain{a.Pool, a.Zone}], late[domain{b.Pool, b.Zone}]),
+			cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.VM, b.VM))
 	})
 	return list
 }
 
+// domain is one zone of a pool.
+type domain struct {
+	pool fleet.PoolID
+	zone fleet.ZoneID
+}
+
+// zoneOrder returns 0 for the zones of a pool that may come first and 1 for the others. A canary disrupts
+// one VM where the budget admits more, so it costs nothing in a zone whose last step would have one VM.
+func zoneOrder(list []fleet.WaveVM, parallel map[fleet.PoolID]fleet.VMCount) map[domain]int {
+	sizes := map[domain]fleet.VMCount{}
+	for _, v := range list {
+		sizes[domain{v.Pool, v.Zone}]++
+	}
+	order := map[domain]int{}
+	for d, n := range sizes {
+		if most := parallel[d.pool]; most > 1 && n%most != 1 {
+			order[d] = 1
+		}
+	}
+	return order
+}
+
 func matches(s fleet.WaveSpec, vm fleet.VM) bool {
 	f := s.Filter
 	return vm.State != fleet.VMStateRemoved && vm.State != fleet.VMStateFailed &&
