--- a/internal/control/fleet_check_test.go
+++ b/internal/control/fleet_check_test.go
@@ -36,7 +36,9 @@
 		case wire.HasPrefix(row.Key, wire.PrefixPool):
 			item, err := wire.DecodeItem(row.Value)
 			s.is.NoErr(err)
-			m.budgets[item.Pool.ID] = item.Pool.Budget
+			if item.Pool != nil {
+				m.budgets[item.Pool.ID] = item.Pool.Budget
+			}
 		default:
 			vm, err := wire.DecodeVM(row.Value)
 			s.is.NoErr(err)
