move: count the silence of an entry from the drain on

Cause: an entry of another zone that reads the table but cannot renew its row has been silent for long already when a drain starts, so the VM was released at once while the entry still worked on what it sent before.

Excluded: waiting for the acknowledgement of every entry; a zone that is cut off would stop all moves of the others.

Change: the silence counts only from when the driver first knew the row of the draining VM.

Conclusion: requests of other zones have the lease and half the hold time to finish, whatever the entry could write.

--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -45,7 +45,9 @@
 	ListMaxAge time.Duration
 
 	// seen remembers since when each entry's row has not changed, by this entry's clock.
-	seen     sightings
+	seen sightings[fleet.EntryID]
+	// drains remembers since when this entry has known the row of each draining VM.
+	drains   sightings[fleet.VMID]
 	restores restores
 	states   *machine.Machine[fleet.VMState, move.Event]
 }
@@ -67,13 +69,14 @@
 // its place.
 func (d *FleetDriver) Step(ctx context.Context) {
 	if d.states == nil {
-		d.states, d.seen = move.NewMachine(), sightings{}
+		d.states, d.seen, d.drains = move.NewMachine(), sightings[fleet.EntryID]{}, sightings[fleet.VMID]{}
 	}
 	view := d.View.Get()
 	if view == nil {
 		return
 	}
-	d.seen.observe(d.Clock.Now(), view.Entries)
+	d.seen.observe(d.Clock.Now(), entryVersions(view))
+	d.drains.observe(d.Clock.Now(), drainVersions(view))
 	d.restores.observe(d.Clock.Now(), view.History)
 	if len(view.Unwritten) > 0 {
 		d.writeBack(ctx, view)
@@ -135,7 +138,7 @@
 	}
 	return func(vm fleet.VM) move.Facts {
 		return move.Facts{
-			Released:    move.IsReleased(vm, entries, d.HoldTime),
+			Released:    move.IsReleased(vm, now.Sub(d.drains[vm.ID].at), entries, d.HoldTime),
 			Listed:      listed[vm.ID],
 			ListIsFresh: fresh && view.List.AsOf.After(vm.Since),
 			HolderGone:  vm.Wave != "" && view.Waves[vm.Wave].State.IsFinal(),
--- a/internal/control/fleet_check_test.go
+++ b/internal/control/fleet_check_test.go
@@ -117,7 +117,7 @@
 	now := s.clock.Now()
 	for _, e := range s.entries {
 		for _, a := range e.attempts {
-			isOver := zoneOfVM(id) != e.zone && now.Sub(a.since) >= holdTime/2
+			isOver := zoneOfVM(id) != e.zone && now.Sub(a.since) >= foreignTime
 			if a.vm == id && !isOver {
 				s.is.Equal(a.vm, "") // a request in flight is cut off
 			}
--- a/internal/control/fleet_model_test.go
+++ b/internal/control/fleet_model_test.go
@@ -170,14 +170,18 @@
 	e.status.Set(dispatch.Status{Acknowledged: revision, History: e.used.History})
 }
 
-// work ends requests or sends one. A request to another zone runs for at most half the hold time; what
-// runs longer is not covered by the rule that an entry of another zone is silent.
+// foreignTime is how long a request to another zone runs at most in the model. The entry that sent it uses
+// the VM for half the hold time after it last read the table, and its silence counts from the drain on.
+// A request that runs longer is not covered by that rule.
+const foreignTime = leaseTime + holdTime/2
+
+// work ends requests or sends one.
 func (e *entry) work(ctx context.Context) {
 	s, now := e.site, e.site.clock.Now()
 	var rest []attempt
 	for _, a := range e.attempts {
 		isForeign := zoneOfVM(a.vm) != e.zone
-		if isLost := !s.model.lostAt[a.vm].IsZero(); !isLost && (isForeign && now.Sub(a.since) < holdTime/2 || !isForeign) && s.random.IntN(4) > 0 {
+		if isLost := !s.model.lostAt[a.vm].IsZero(); !isLost && (isForeign && now.Sub(a.since) < foreignTime || !isForeign) && s.random.IntN(4) > 0 {
 			rest = append(rest, a)
 		}
 	}
@@ -197,7 +201,7 @@
 	}
 	for _, other := range s.entries {
 		for _, a := range other.attempts {
-			if a.vm == vm.ID && a.assignment != mine && now.Sub(a.since) < holdTime/2 {
+			if a.vm == vm.ID && a.assignment != mine && (other.zone == zoneOfVM(vm.ID) || now.Sub(a.since) < foreignTime) {
 				s.is.Equal(a.assignment, mine) // a VM runs requests of one assignment only
 			}
 		}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -54,7 +54,7 @@
 	// revision is the highest table revision seen; the table goes below it only when it is restored.
 	revision fleet.TableRevision
 	// seen remembers when the row of each entry was last seen to change, by this entry's clock.
-	seen sightings
+	seen sightings[fleet.EntryID]
 }
 
 // Name implements duty.Duty.
@@ -77,7 +77,7 @@
 // place.
 func (h *LeaseHolder) Step(ctx context.Context) {
 	if h.seen == nil {
-		h.held, h.seen = Leases{}, sightings{}
+		h.held, h.seen = Leases{}, sightings[fleet.EntryID]{}
 	}
 	h.renew(ctx)
 	if h.version != 0 {
@@ -125,7 +125,7 @@
 	}
 	h.revision = view.Revision
 	now := h.Clock.Now()
-	h.seen.observe(now, view.Entries)
+	h.seen.observe(now, entryVersions(view))
 	held := Leases{}
 	for _, d := range h.Duties {
 		if l, ok := h.keepOrTake(ctx, now, view, d); ok {
--- a/internal/control/restore.go
+++ b/internal/control/restore.go
@@ -74,7 +74,7 @@
 	}
 	// Only the history counts here: an entry that has nothing to write back may still have requests in flight.
 	vm.RowVersion, vm.History = 0, view.History
-	return now.Sub(d.restores.since) > wait && move.IsReleased(vm, entries, d.HoldTime)
+	return now.Sub(d.restores.since) > wait && move.IsReleased(vm, now.Sub(d.restores.since), entries, d.HoldTime)
 }
 
 // confirm takes the row of a restored table into the present history, so that changes start from it again.
--- a/internal/control/sweep.go
+++ b/internal/control/sweep.go
@@ -11,23 +11,41 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// sightings remember since when each entry's row has not changed, by this entry's clock.
-type sightings map[fleet.EntryID]sighting
+// sightings remember since when each row has not changed, by this entry's clock.
+type sightings[K ~string] map[K]sighting
 
 type sighting struct {
 	version fleet.RowVersion
 	at      time.Time
 }
 
-func (s sightings) observe(now time.Time, entries map[fleet.EntryID]fleet.Entry) {
-	maps.DeleteFunc(s, func(id fleet.EntryID, _ sighting) bool { _, ok := entries[id]; return !ok })
-	for id, e := range entries {
-		if known, ok := s[id]; !ok || known.version != e.RowVersion {
-			s[id] = sighting{version: e.RowVersion, at: now}
+func (s sightings[K]) observe(now time.Time, versions map[K]fleet.RowVersion) {
+	maps.DeleteFunc(s, func(id K, _ sighting) bool { _, ok := versions[id]; return !ok })
+	for id, version := range versions {
+		if known, ok := s[id]; !ok || known.version != version {
+			s[id] = sighting{version: version, at: now}
 		}
 	}
 }
 
+func entryVersions(view *fleet.View) map[fleet.EntryID]fleet.RowVersion {
+	versions := map[fleet.EntryID]fleet.RowVersion{}
+	for id, e := range view.Entries {
+		versions[id] = e.RowVersion
+	}
+	return versions
+}
+
+func drainVersions(view *fleet.View) map[fleet.VMID]fleet.RowVersion {
+	versions := map[fleet.VMID]fleet.RowVersion{}
+	for id, vm := range view.VMs {
+		if vm.State == fleet.VMStateDraining {
+			versions[id] = vm.RowVersion
+		}
+	}
+	return versions
+}
+
 // returnGrants returns grants whose VM is no longer disrupted under them. A restored table may hold
 // such grants, and a VM that was removed leaves one behind.
 func (d *FleetDriver) returnGrants(ctx context.Context, held Held, view *fleet.View) bool {
--- a/internal/move/release_test.go
+++ b/internal/move/release_test.go
@@ -35,11 +35,21 @@
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			vm := fleet.VM{Zone: "a", RowVersion: 5}
-			is.New(t).Equal(move.IsReleased(vm, c.facts, hold), c.released)
+			is.New(t).Equal(move.IsReleased(vm, time.Hour, c.facts, hold), c.released)
 		})
 	}
 }
 
+// Guards against a release while an entry that reads the table, but cannot renew its row, works on what it
+// sent just before the drain.
+func TestSilenceCountsFromTheDrain(t *testing.T) {
+	is := is.New(t)
+	vm := fleet.VM{Zone: "a", RowVersion: 5}
+	silent := []move.EntryFacts{{Entry: fleet.Entry{Zone: "b", Duration: 6 * time.Second}, UnchangedFor: time.Hour}}
+	is.True(!move.IsReleased(vm, 16*time.Second, silent, 10*time.Second))
+	is.True(move.IsReleased(vm, 17*time.Second, silent, 10*time.Second))
+}
+
 // Guards against a platform command before the row says so, and against recovery on an old list.
 func TestNextStep(t *testing.T) {
 	live := &fleet.PlatformVM{State: fleet.PlatformVMStateLive, LastOperation: "op-1"}
