--- a/internal/control/driver.go
+++ b/internal/control/driver.go
@@ -90,8 +90,9 @@
 	}
 	changed := d.returnGrants(ctx, held, view)
 	changed = d.removeEntries(ctx, held, view) || changed
-	facts, entries := d.facts(view)
-	for _, id := range slices.Sorted(maps.Keys(view.VMs)) {
+	open := openVMs(view)
+	facts, entries := d.facts(view, open)
+	for _, id := range slices.Sorted(maps.Keys(open)) {
 		vm := view.VMs[id]
 		if vm.History != view.History {
 			if d.isSettled(d.Clock.Now(), view, vm, entries) {
@@ -122,11 +123,25 @@
 	}
 }
 
-// facts returns a function that gives the facts of each VM, and the facts of the entries.
-func (d *FleetDriver) facts(view *fleet.View) (func(vm fleet.VM) move.Facts, []move.EntryFacts) {
-	listed := map[fleet.VMID]*fleet.PlatformVM{}
+// openVMs returns the VMs that may need a step. A VM that serves, whose row is confirmed and that the list
+// shows as live, which is the rule, needs none.
+func openVMs(view *fleet.View) map[fleet.VMID]bool {
+	open := map[fleet.VMID]bool{}
+	for id, vm := range view.VMs {
+		if vm.State != fleet.VMStateServing || view.Leaving[id] || vm.History != view.History {
+			open[id] = true
+		}
+	}
+	return open
+}
+
+// facts returns a function that gives the facts of each open VM, and the facts of the entries.
+func (d *FleetDriver) facts(view *fleet.View, open map[fleet.VMID]bool) (func(vm fleet.VM) move.Facts, []move.EntryFacts) {
+	listed := make(map[fleet.VMID]*fleet.PlatformVM, len(open))
 	for i := range view.List.VMs {
-		listed[view.List.VMs[i].ID] = &view.List.VMs[i]
+		if one := &view.List.VMs[i]; open[one.ID] {
+			listed[one.ID] = one
+		}
 	}
 	now := d.Clock.Now()
 	fresh := d.isListFresh(now, view)
@@ -138,7 +153,7 @@
 	}
 	return func(vm fleet.VM) move.Facts {
 		return move.Facts{
-			Released:    move.IsReleased(vm, now.Sub(d.drains[vm.ID].at), entries, d.HoldTime),
+			Released:    vm.State == fleet.VMStateDraining && move.IsReleased(vm, now.Sub(d.drains[vm.ID].at), entries, d.HoldTime),
 			Listed:      listed[vm.ID],
 			ListIsFresh: fresh && view.List.AsOf.After(vm.Since),
 			HolderGone:  vm.Wave != "" && view.Waves[vm.Wave].State.IsFinal(),
--- a/internal/control/wavedriver.go
+++ b/internal/control/wavedriver.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"maps"
@@ -90,8 +89,7 @@
 		return false, nil
 	}
 	decision := maintenance.Next(wave, maintenance.Facts{
-		VMs: view.VMs, Lost: lost, Urgent: d.Load.Get().Urgent,
-		Budget: maintenance.NewCapacity(view.Configuration, view.VMs, lost),
+		VMs: view.VMs, Lost: view.Leaving, Urgent: d.Load.Get().Urgent, Budget: &viewBudget{view: view},
 	}, d.Clock.Now())
 	next := decision.Wave
 	if decision.Event != "" {
@@ -102,7 +100,7 @@
 		next.State = state
 	}
 	wrote := false
-	if !bytes.Equal(wire.EncodeWave(wave), wire.EncodeWave(next)) {
+	if hasProgressed(wave, next) {
 		audit := d.disrupter.audit(fleet.AuditActionWaveStep, fleet.SubjectWave(wave.ID))
 		audit.From, audit.To, audit.Reason = string(wave.State), string(next.State), next.Reason
 		if err := d.write(ctx, held, &next, platform.Transaction{Audit: audit, History: view.History}); err != nil {
@@ -121,6 +119,33 @@
 	return wrote, nil
 }
 
+// hasProgressed reports whether a decision changed the row of a wave.
+func hasProgressed(a, b fleet.Wave) bool {
+	return a.State != b.State || a.Reason != b.Reason || a.Width != b.Width || a.Healthy != b.Healthy || a.Failures != b.Failures ||
+		a.UnexpectedFailures != b.UnexpectedFailures || a.Late != b.Late || !a.CalmSince.Equal(b.CalmSince) || !slices.Equal(a.VMs, b.VMs)
+}
+
+// viewBudget answers for the budgets of a view. It counts the VMs only when a wave has room for a start,
+// because that takes longer than the rest of a decision.
+type viewBudget struct {
+	view     *fleet.View
+	capacity maintenance.Capacity
+}
+
+// Take implements maintenance.Budget.
+func (v *viewBudget) Take(vm fleet.VM) bool {
+	// A pool whose grants use up its budget admits nothing. In a wave that holds for most pools, and the
+	// start of a drain counts grants as disrupted too.
+	most := v.view.Configuration.Pools[vm.Pool].Budget.MaxUnavailableVMs
+	if most > 0 && len(v.view.Ledgers[vm.Pool].Grants) >= int(most) {
+		return false
+	}
+	if v.capacity == nil {
+		v.capacity = maintenance.NewCapacity(v.view.Configuration, v.view.VMs, v.view.Leaving)
+	}
+	return v.capacity.Take(vm)
+}
+
 func (d *WaveDriver) logChange(from, to fleet.Wave) {
 	if from.State != to.State {
 		d.Log.Info("wave-driver: wave changed", zap.String("wave", string(to.ID)), zap.String("from", string(from.State)),
@@ -174,6 +199,9 @@
 // schedule creates and starts today's wave of the standing schedule when VMs are due.
 func (d *WaveDriver) schedule(ctx context.Context, held Held, view *fleet.View, lost map[fleet.VMID]bool) (bool, error) {
 	now := d.Clock.Now()
+	if d.Period == 0 || maintenance.IsStandingDone(view.Waves, now) {
+		return false, nil
+	}
 	vms := wire.SortedVMs(view)
 	id, spec, due := maintenance.Standing(view.Configuration.Pools, vms, view.Waves, d.Period, now)
 	if !due {
--- a/internal/maintenance/schedule.go
+++ b/internal/maintenance/schedule.go
@@ -26,15 +26,10 @@
 // together. Pools that are not configured have no budget and are left out. A period of 0 turns the
 // schedule off.
 func Standing(pools map[fleet.PoolID]fleet.Pool, vms []fleet.VM, waves map[fleet.WaveID]fleet.Wave, period time.Duration, now time.Time) (fleet.WaveID, fleet.WaveSpec, bool) {
-	if period == 0 {
+	if period == 0 || IsStandingDone(waves, now) {
 		return "", fleet.WaveSpec{}, false
 	}
-	id, youngest := standingID(now), min(minimumAge, period/scheduleParts)
-	for _, w := range waves {
-		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
-			return "", fleet.WaveSpec{}, false
-		}
-	}
+	youngest := min(minimumAge, period/scheduleParts)
 	sizes, due := map[fleet.PoolID]int{}, map[fleet.PoolID]int{}
 	for _, vm := range vms {
 		if _, ok := pools[vm.Pool]; !ok || vm.State == fleet.VMStateRemoved {
@@ -57,7 +52,18 @@
 	}
 	slices.SortFunc(spec.Pools, func(a, b fleet.PoolID) int { return cmp.Compare(a, b) })
 	spec.Limits.MaxVMsPerPool = fleet.VMCount(share)
-	return id, spec, true
+	return standingID(now), spec, true
+}
+
+// IsStandingDone reports whether today's wave of the standing schedule exists or an earlier one is still open.
+func IsStandingDone(waves map[fleet.WaveID]fleet.Wave, now time.Time) bool {
+	id := standingID(now)
+	for _, w := range waves {
+		if w.ID == id || isStanding(w.ID) && !w.State.IsFinal() {
+			return true
+		}
+	}
+	return false
 }
 
 const standingPrefix = "standing-"
