--- a/internal/control/sparedriver.go
+++ b/internal/control/sparedriver.go
@@ -121,7 +121,7 @@
 		if p := pools[vm.TargetPool]; p != nil && vm.IsDisrupted() {
 			p.Arriving++
 		}
-		if p := pools[vm.Pool]; p != nil && !view.Leaving[vm.ID] {
+		if p := pools[vm.Pool]; p != nil && !lost[vm.ID] {
 			addVM(p, vm, usage[vm.ID])
 		}
 	}
--- a/internal/control/wavedriver.go
+++ b/internal/control/wavedriver.go
@@ -89,7 +89,7 @@
 		return false, nil
 	}
 	decision := maintenance.Next(wave, maintenance.Facts{
-		VMs: view.VMs, Lost: view.Leaving, Urgent: d.Load.Get().Urgent, Budget: &viewBudget{view: view},
+		VMs: view.VMs, Lost: lost, Urgent: d.Load.Get().Urgent, Budget: &viewBudget{view: view, lost: lost},
 	}, d.Clock.Now())
 	next := decision.Wave
 	if decision.Event != "" {
@@ -129,6 +129,7 @@
 // because that takes longer than the rest of a decision.
 type viewBudget struct {
 	view     *fleet.View
+	lost     map[fleet.VMID]bool
 	capacity maintenance.Capacity
 }
 
@@ -141,7 +142,7 @@
 		return false
 	}
 	if v.capacity == nil {
-		v.capacity = maintenance.NewCapacity(v.view.Configuration, v.view.VMs, v.view.Leaving)
+		v.capacity = maintenance.NewCapacity(v.view.Configuration, v.view.VMs, v.lost)
 	}
 	return v.capacity.Take(vm)
 }
