--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -41,16 +41,20 @@
 	Table  Table
 	View   *ring.Latest[*fleet.View]
 	Status *ring.Latest[dispatch.Status]
-	Held   *ring.Latest[Leases]
-	Clock  clock.Clock
-	Log    *zap.Logger
+	// Reconciled is the history of the table in which this entry has nothing to write back.
+	Reconciled *ring.Latest[fleet.TableHistory]
+	// Dead holds the VMs of this entry's zone whose endpoint does not answer it.
+	Dead  *ring.Latest[[]fleet.VMID]
+	Held  *ring.Latest[Leases]
+	Clock clock.Clock
+	Log   *zap.Logger
 
 	version fleet.RowVersion
 	held    Leases
 	// revision is the highest table revision seen; the table goes below it only when it is restored.
 	revision fleet.TableRevision
 	// seen remembers when the row of each entry was last seen to change, by this entry's clock.
-	seen sightings
+	seen sightings[fleet.EntryID]
 }
 
 // Name implements duty.Duty.
@@ -73,7 +77,7 @@
 // place.
 func (h *LeaseHolder) Step(ctx context.Context) {
 	if h.seen == nil {
-		h.held, h.seen = Leases{}, sightings{}
+		h.held, h.seen = Leases{}, sightings[fleet.EntryID]{}
 	}
 	h.renew(ctx)
 	if h.version != 0 {
@@ -85,7 +89,12 @@
 func (h *LeaseHolder) renew(ctx context.Context) {
 	now, row := h.Clock.Now(), h.Entry
 	row.RenewedAt = now
-	row.AcknowledgedRevision = h.Status.Get().Acknowledged
+	row.History = h.Reconciled.Get()
+	// The status may lag behind a restore of the table.
+	if status := h.Status.Get(); status.History == row.History {
+		row.AcknowledgedRevision = status.Acknowledged
+	}
+	row.DeadEndpoints = h.Dead.Get()
 	if view := h.View.Get(); view != nil {
 		row.ConfigRevision, row.ConfigSince = view.Configuration.Revision, view.ConfigSince
 	}
@@ -116,7 +125,7 @@
 	}
 	h.revision = view.Revision
 	now := h.Clock.Now()
-	h.seen.observe(now, view.Entries)
+	h.seen.observe(now, entryVersions(view))
 	held := Leases{}
 	for _, d := range h.Duties {
 		if l, ok := h.keepOrTake(ctx, now, view, d); ok {
@@ -155,6 +164,7 @@
 		},
 		Preconditions: []platform.Precondition{{Key: wire.KeyLease(d), Version: old.RowVersion}},
 		Puts:          []platform.Put{{Key: wire.KeyLease(d), Value: wire.EncodeLease(lease)}},
+		History:       h.View.Get().History,
 	}
 	if holder.ID != "" && holder.ID != h.Entry.ID {
 		t.Preconditions = append(t.Preconditions, platform.Precondition{Key: wire.KeyEntry(holder.ID), Version: holder.RowVersion})
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,8 @@
 	readiness   ring.Latest[balancer.Readiness]
 	held        ring.Latest[control.Leases]
 	load        ring.Latest[control.Load]
+	reconciled  ring.Latest[fleet.TableHistory]
+	dead        ring.Latest[[]fleet.VMID]
 	events      *ring.Ring[dispatch.Event]
 	jobs        *ring.Ring[endpoint.Job]
 	polls       *ring.Ring[control.PollerEvent]
@@ -149,8 +151,9 @@
 		&control.FleetDriver{
 			Entry: s.EntryID, Table: table, Platform: client, View: &d.view, Held: &d.held, Poller: d.polls,
 			Clock: d.Clock, Log: d.Log, Interval: s.PollInterval, HoldTime: s.HoldTime, ListMaxAge: s.VMListMaxAge,
+			Reconciled: &d.reconciled,
 		},
-		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval},
+		&control.WaveDriver{Disruptive: disruptive, Interval: s.PollInterval, Period: s.MaintenancePeriod},
 		&control.SpareDriver{Disruptive: disruptive},
 		&control.Snapshot{Table: table, Objects: client, Held: &d.held, Clock: d.Clock, Log: d.Log, Interval: s.SnapshotInterval},
 		&operation.Executor{
@@ -209,6 +212,7 @@
 		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver, fleet.DutySnapshot},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
+		Reconciled: &d.reconciled, Dead: &d.dead,
 	}
 }
 
--- a/internal/maintenance/capacity_test.go
+++ b/internal/maintenance/capacity_test.go
@@ -70,6 +70,6 @@
 // the budgets allow.
 func BenchmarkCapacityRollOut(b *testing.B) {
 	for range b.N {
-		measure(b, capacitySizes[len(capacitySizes)-1])
+		measure(b, capacitySizes[len(capacitySizes)-1], 0, nil)
 	}
 }
