control: release the leases of an entry that stops

Cause: after a graceful stop, the stopped entry's row and leases stayed until they lapsed, so nobody drove VMs or waves meanwhile; the demo's status page showed it. Excluded: the takeover rule itself, which takes a lease at once when the holder's row is gone.

Change: the supervisor asks the lease holder to remove the entry's row before the process ends.

--- a/internal/control/capacity_test.go
+++ b/internal/control/capacity_test.go
@@ -194,6 +194,7 @@
 		h := &control.LeaseHolder{
 			Entry: fleet.Entry{ID: entryID(0), Incarnation: "i", Duration: 6 * time.Second}, Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver},
 			Table: f, View: f.read().View, Status: &ring.Latest[dispatch.Status]{}, Held: &ring.Latest[control.Leases]{}, Clock: f.clock, Log: zap.NewNop(),
+			Reconciled: &ring.Latest[fleet.TableHistory]{}, Dead: &ring.Latest[[]fleet.VMID]{},
 		}
 		for b.Loop() {
 			h.Step(b.Context())
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -46,11 +46,18 @@
 	// Dead holds the VMs of this entry's zone whose endpoint does not answer it.
 	Dead  *ring.Latest[[]fleet.VMID]
 	Held  *ring.Latest[Leases]
-	Clock clock.Clock
-	Log   *zap.Logger
+	Inbox *ring.Ring[Leave]
+	// Superseded is called when another process has registered under the entry's id; it may be nil.
+	Superseded func()
+	Clock      clock.Clock
+	Log        *zap.Logger
 
 	version fleet.RowVersion
-	held    Leases
+	// renewedAt is when the last successful renewal was sent; it is zero before the first.
+	renewedAt time.Time
+	// superseded says that the row belongs to a later incarnation.
+	superseded bool
+	held       Leases
 	// revision is the highest table revision seen; the table goes below it only when it is restored.
 	revision fleet.TableRevision
 	// seen remembers when the row of each entry was last seen to change, by this entry's clock.
@@ -63,13 +70,27 @@
 // renewalsPerLease is how often the entry's row is renewed within its duration.
 const renewalsPerLease = 3
 
-// Run implements duty.Duty.
+// Leave asks the lease holder to give up the leases and to remove the entry's row, because the entry
+// stops. Done gets one item.
+type Leave struct {
+	Done *ring.Ring[bool]
+}
+
+// Run implements duty.Duty. After a Leave it renews nothing any more.
 func (h *LeaseHolder) Run(ctx context.Context) error {
 	for {
 		h.Step(ctx)
-		if err := clock.Wait(ctx, h.Clock, h.Entry.Duration/renewalsPerLease); err != nil {
+		timer := h.Clock.NewTimer(h.Entry.Duration / renewalsPerLease)
+		leave, ok, err := h.Inbox.PopUntil(ctx, timer.Chan())
+		timer.Stop()
+		if err != nil {
 			return trace.Wrap(err)
 		}
+		if ok {
+			_ = leave.Done.Push(h.leave(ctx))
+			<-ctx.Done()
+			return trace.Wrap(ctx.Err())
+		}
 	}
 }
 
@@ -79,39 +100,92 @@
 	if h.seen == nil {
 		h.held, h.seen = Leases{}, sightings[fleet.EntryID]{}
 	}
-	h.renew(ctx)
-	if h.version != 0 {
+	asked := h.Clock.Now()
+	if h.superseded {
+		return
+	}
+	if h.renew(ctx) {
+		h.renewedAt = asked
 		h.takeLeases(ctx)
+		return
+	}
+	if h.superseded || h.Clock.Now().Sub(h.renewedAt) >= h.Entry.Duration {
+		// Other entries may hold the leases by now.
+		h.drop()
 	}
 }
 
-// renew writes the entry's row. The row of an earlier incarnation is replaced.
-func (h *LeaseHolder) renew(ctx context.Context) {
-	now, row := h.Clock.Now(), h.Entry
-	row.RenewedAt = now
-	row.History = h.Reconciled.Get()
-	// The status may lag behind a restore of the table.
-	if status := h.Status.Get(); status.History == row.History {
-		row.AcknowledgedRevision = status.Acknowledged
+// drop gives up the leases at this entry.
+func (h *LeaseHolder) drop() {
+	h.held = Leases{}
+	h.Held.Set(h.held)
+}
+
+// leave removes the entry's row, so that other entries take its leases at once and releases of VMs do
+// not wait for it. It returns false when the row stays; the row then lapses.
+func (h *LeaseHolder) leave(ctx context.Context) bool {
+	h.drop()
+	if h.superseded || h.version == 0 {
+		return false
 	}
-	row.DeadEndpoints = h.Dead.Get()
-	if view := h.View.Get(); view != nil {
-		row.ConfigRevision, row.ConfigSince = view.Configuration.Revision, view.ConfigSince
+	now := h.Clock.Now()
+	_, err := h.Table.Commit(ctx, platform.Transaction{
+		Audit: &fleet.Audit{
+			OperationID: fleet.NewOperationID(), At: now, Actor: string(h.Entry.ID), Action: fleet.AuditActionEntryRemove,
+			Subjects: []fleet.AuditSubject{fleet.SubjectEntry(h.Entry.ID)}, Reason: "graceful stop", Outcome: "done", Entry: h.Entry.ID,
+		},
+		Preconditions: []platform.Precondition{{Key: wire.KeyEntry(h.Entry.ID), Version: h.version}},
+		Puts:          []platform.Put{{Key: wire.KeyEntry(h.Entry.ID), Delete: true}},
+	})
+	if err != nil {
+		h.Log.Warn("lease-holder: entry row was not removed", zap.Error(err))
 	}
-	key := wire.KeyEntry(row.ID)
+	return err == nil
+}
+
+// renew writes the entry's row. At the start, the row of an earlier incarnation is replaced; later, a
+// row of another incarnation means that this one was superseded.
+func (h *LeaseHolder) renew(ctx context.Context) bool {
+	key := wire.KeyEntry(h.Entry.ID)
 	revision, err := h.Table.Commit(ctx, platform.Transaction{
 		Preconditions: []platform.Precondition{{Key: key, Version: h.version}},
-		Puts:          []platform.Put{{Key: key, Value: wire.EncodeEntry(row)}},
+		Puts:          []platform.Put{{Key: key, Value: wire.EncodeEntry(h.row())}},
 	})
 	if err == nil {
 		h.version = fleet.RowVersion(revision)
-		return
+		return true
 	}
 	h.Log.Warn("lease-holder: entry row was not renewed", zap.Error(err))
 	rows, err := h.Table.Read(ctx, key)
-	if err == nil {
-		h.version = rows[0].Version
+	if err != nil {
+		return false
+	}
+	h.version = rows[0].Version
+	found, err := wire.DecodeEntry(rows[0].Value)
+	if err == nil && rows[0].Exists() && !h.renewedAt.IsZero() && found.Incarnation != h.Entry.Incarnation {
+		h.Log.Error("lease-holder: another process runs under this entry id", zap.String("incarnation", string(found.Incarnation)))
+		h.superseded = true
+		if h.Superseded != nil {
+			h.Superseded()
+		}
+	}
+	return false
+}
+
+// row returns the entry's row as of now.
+func (h *LeaseHolder) row() fleet.Entry {
+	row := h.Entry
+	row.RenewedAt = h.Clock.Now()
+	row.History = h.Reconciled.Get()
+	// The status may lag behind a restore of the table.
+	if status := h.Status.Get(); status.History == row.History {
+		row.AcknowledgedRevision = status.Acknowledged
+	}
+	row.DeadEndpoints = h.Dead.Get()
+	if view := h.View.Get(); view != nil {
+		row.ConfigRevision, row.ConfigSince = view.Configuration.Revision, view.ConfigSince
 	}
+	return row
 }
 
 func (h *LeaseHolder) takeLeases(ctx context.Context) {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,8 +62,12 @@
 	socket      *peer.Socket
 	closing     context.Context
 	closed      *ring.Ring[ServerClosed]
-	writes      *ring.Ring[*platform.Call]
-	reads       *ring.Ring[*platform.Call]
+	leaves      *ring.Ring[control.Leave]
+	// supersededBy is called when another process runs under this entry's id.
+	supersededBy func()
+	superseded   ring.Latest[bool]
+	writes       *ring.Ring[*platform.Call]
+	reads        *ring.Ring[*platform.Call]
 
 	observability observability
 }
@@ -73,7 +77,8 @@
 }
 
 // Run runs the daemon until the context ends and then stops it gracefully: requests in flight finish.
-// It returns *credential.MaterialError, *PlainAddressError, *ListenError or, when a duty fails, *duty.StoppedError.
+// It returns *credential.MaterialError, *PlainAddressError, *ListenError, *SupersededError or, when a
+// duty fails, *duty.StoppedError.
 func (d *Daemon) Run(ctx context.Context) error {
 	if err := d.loadCredentials(); err != nil {
 		return trace.Wrap(err)
@@ -86,6 +91,9 @@
 	d.observability.registry = metrics.New()
 	defer func() { _ = d.observability.registry.Close() }()
 	group, running := duty.NewGroup(context.WithoutCancel(ctx))
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	d.supersededBy = func() { d.superseded.Set(true); stop() }
 	defer d.socket.Close()
 	closing, closeCallers := context.WithCancel(running)
 	defer closeCallers()
@@ -97,9 +105,23 @@
 	d.Log.Info("daemon: started", zap.String("entry", string(d.Settings.EntryID)), zap.String("incarnation", string(d.incarnation)))
 	err := group.Wait()
 	d.Log.Info("daemon: stopped")
+	if err == nil && d.superseded.Get() {
+		err = &SupersededError{Entry: d.Settings.EntryID}
+	}
 	return trace.Wrap(err)
 }
 
+// SupersededError reports that another process registered under the same entry id, so that this one
+// stopped.
+type SupersededError struct {
+	Entry fleet.EntryID
+}
+
+// Error implements error.
+func (e *SupersededError) Error() string {
+	return "another process runs as entry " + string(e.Entry) + ": give each entry its own --entry-id"
+}
+
 func (d *Daemon) listen() error {
 	var err error
 	if d.listeners.caller, err = Listen(d.Settings.CallerAddress); err != nil {
@@ -125,6 +147,7 @@
 	d.hub = ring.New[peer.HubEvent]("peers", capacity)
 	d.forwarder = &peer.Forwarder{Directory: &d.directory, Hub: d.hub}
 	d.closed = ring.New[ServerClosed]("server-closed", 1)
+	d.leaves = ring.New[control.Leave]("lease-holder", 1)
 	d.writes = ring.New[*platform.Call]("table-writer", capacity)
 	d.reads = ring.New[*platform.Call]("table-reader", capacity)
 }
@@ -162,7 +185,7 @@
 		},
 		&Supervisor{
 			View: &d.view, Readiness: &d.readiness, Status: &d.status, Dispatcher: d.events, Clock: d.Clock, Log: d.Log,
-			SettleTime: s.SettleTime, DrainTimeout: s.DrainTimeout, StopAsked: stopAsked, Stopped: stopped,
+			SettleTime: s.SettleTime, DrainTimeout: s.DrainTimeout, StopAsked: stopAsked, Stopped: stopped, Leases: d.leaves,
 			Peers: d.forwarder, CloseCallers: closeCallers, Closed: d.closed,
 		},
 	}
@@ -212,7 +235,7 @@
 		Entry:  d.entry(),
 		Duties: []fleet.DutyName{fleet.DutyFleetDriver, fleet.DutyWaveDriver, fleet.DutySpareDriver, fleet.DutySnapshot},
 		Table:  table, View: &d.view, Status: &d.status, Held: &d.held, Clock: d.Clock, Log: d.Log,
-		Reconciled: &d.reconciled, Dead: &d.dead,
+		Reconciled: &d.reconciled, Dead: &d.dead, Inbox: d.leaves, Superseded: d.supersededBy,
 	}
 }
 
--- a/internal/daemon/supervisor.go
+++ b/internal/daemon/supervisor.go
@@ -9,6 +9,7 @@
 
 	"github.com/mimosawharf/mimosawharf/internal/balancer"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/control"
 	"github.com/mimosawharf/mimosawharf/internal/dispatch"
 	"github.com/mimosawharf/mimosawharf/internal/machine"
 	"github.com/mimosawharf/mimosawharf/internal/peer"
@@ -38,6 +39,8 @@
 	// CloseCallers makes the caller's server finish its responses; Closed gets one item then.
 	CloseCallers func()
 	Closed       *ring.Ring[ServerClosed]
+	// Leases is the ring of the lease holder; it may be nil.
+	Leases *ring.Ring[control.Leave]
 	// Stopped is called when nothing is in flight any more.
 	Stopped func()
 
@@ -79,10 +82,34 @@
 	if err := s.handOver(ctx); err != nil {
 		return trace.Wrap(err)
 	}
+	if err := s.releaseLeases(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	s.fire(EventHandedOver)
 	return s.stop(ctx)
 }
 
+// releaseTimeout bounds the wait for the table. Without it, the leases lapse by themselves.
+const releaseTimeout = 5 * time.Second
+
+// releaseLeases gives up the leases of this entry and removes its row.
+func (s *Supervisor) releaseLeases(ctx context.Context) error {
+	if s.Leases == nil {
+		return nil
+	}
+	done := ring.New[bool]("supervisor-leases", 1)
+	if err := s.Leases.Push(control.Leave{Done: done}); err != nil {
+		return nil //nolint:nilerr // the lease holder has left already
+	}
+	timer := s.Clock.NewTimer(releaseTimeout)
+	defer timer.Stop()
+	removed, _, err := done.PopUntil(ctx, timer.Chan())
+	if err == nil && !removed {
+		s.Log.Warn("supervisor: entry row stays until it lapses")
+	}
+	return trace.Wrap(err)
+}
+
 func (s *Supervisor) hasConfiguration() bool {
 	view := s.View.Get()
 	return view != nil && (view.Revision > 0 || view.Configuration.Revision > 0)
