--- /dev/null
+++ b/pkg/fleet/job.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"strconv"
+	"time"
+)
+
+// JobID names a job. Callers choose it.
+type JobID string
+
+// QueueID names a queue of jobs.
+type QueueID string
+
+// Occurrence counts the times that a scheduled job is due, from 0.
+type Occurrence uint32
+
+// StepIndex is the position of a step within its job, from 0.
+type StepIndex int
+
+// TaskIndex is the position of a task within its step, from 0.
+type TaskIndex int
+
+// RunNumber counts the starts of one task, from 1. 0 stands for a task that was never started.
+type RunNumber uint32
+
+// FencingToken orders the holders of a lease. An endpoint ignores orders with a lower token than the
+// highest that it has seen.
+type FencingToken uint64
+
+// Checkpoint is what a task needs to resume; empty when there is none.
+type Checkpoint string
+
+// ImageID names what the tasks of a step run; tasks of one image behave alike.
+type ImageID string
+
+// Label is a property of an endpoint that a step may require.
+type Label string
+
+// EndCursor numbers the ends that one endpoint process lists, from 1.
+type EndCursor uint64
+
+// Millicores is processor capacity in thousandths of a core.
+type Millicores int64
+
+// Megabytes is memory in MB.
+type Megabytes int64
+
+// Capacity is what a task asks for or an endpoint offers.
+type Capacity struct {
+	Millicores   Millicores
+	Memory       Megabytes
+	Accelerators Accelerators
+}
+
+// Plus returns the sum.
+func (c Capacity) Plus(o Capacity) Capacity {
+	return Capacity{c.Millicores + o.Millicores, c.Memory + o.Memory, c.Accelerators + o.Accelerators}
+}
+
+// Minus returns the difference, which may be negative.
+func (c Capacity) Minus(o Capacity) Capacity {
+	return Capacity{c.Millicores - o.Millicores, c.Memory - o.Memory, c.Accelerators - o.Accelerators}
+}
+
+// Fits reports whether c fits into o.
+func (c Capacity) Fits(o Capacity) bool {
+	return c.Millicores <= o.Millicores && c.Memory <= o.Memory && c.Accelerators <= o.Accelerators
+}
+
+// TaskID names one task of one occurrence of a job.
+type TaskID struct {
+	Job        JobID
+	Occurrence Occurrence
+	Step       StepIndex
+	Task       TaskIndex
+}
+
+// String returns the id for logs.
+func (t TaskID) String() string {
+	return string(t.Job) + "." + strconv.Itoa(int(t.Occurrence)) + "." + strconv.Itoa(int(t.Step)) + "." + strconv.Itoa(int(t.Task))
+}
+
+// EndpointProcess is one process of an endpoint. An endpoint that restarts under its id is another
+// process, which runs nothing of what the earlier one ran.
+type EndpointProcess struct {
+	Endpoint EndpointID
+	// Born is the start time in Unix milliseconds.
+	Born int64
+}
+
+// JobState is the state of a job as callers see it.
+type JobState string
+
+// States of a job.
+const (
+	JobStatePending   JobState = "pending"
+	JobStateRunning   JobState = "running"
+	JobStateCompleted JobState = "completed"
+	JobStateFailed    JobState = "failed"
+	JobStateCancelled JobState = "cancelled"
+)
+
+// Ended reports whether the state is final.
+func (s JobState) Ended() bool {
+	return s == JobStateCompleted || s == JobStateFailed || s == JobStateCancelled
+}
+
+// RunEnd says how a run ended.
+type RunEnd string
+
+// Ends of runs.
+const (
+	RunEndDone    RunEnd = "done"
+	RunEndFailed  RunEnd = "failed"
+	RunEndStopped RunEnd = "stopped"
+	// RunEndLapsed is a run whose lease expired.
+	RunEndLapsed RunEnd = "lapsed"
+	// RunEndBroken is a member of a gang of which another member ended.
+	RunEndBroken RunEnd = "broken"
+	// RunEndAlone is a member of a gang that waited too long for the others.
+	RunEndAlone RunEnd = "alone"
+)
+
+// Step describes equal tasks of a job.
+type Step struct {
+	Tasks int
+	// Demand is what one task asks for.
+	Demand Capacity
+	// Estimate is the caller's estimate of one task's run time, often far off.
+	Estimate time.Duration
+	// After lists earlier steps that must be done first.
+	After         []StepIndex
+	Checkpointing bool
+	// Gang tasks work only together.
+	Gang     bool
+	SameRack bool
+	// RequiredLabel is empty when any endpoint will do.
+	RequiredLabel Label
+	// DataRack is the rack that holds the data, empty when there is none.
+	DataRack RackID
+	// MaxPerEndpoint bounds the tasks of the step on one endpoint; 0 for no bound.
+	MaxPerEndpoint int
+	Speculative    bool
+	// Lasting tasks run until the job is cancelled.
+	Lasting bool
+	Image   ImageID
+	// TailTarget bounds the response times of a serving task; 0 for none.
+	TailTarget time.Duration
+	// Fill tasks use the processor time that other tasks leave; their Millicores do not count.
+	Fill bool
+	// MaxUnavailable bounds the tasks that planned actions may make unavailable at once,.
+	MaxUnavailable int
+}
+
+// Counted returns the demand that counts against an endpoint's capacity.
+func (s Step) Counted() Capacity {
+	c := s.Demand
+	if s.Fill {
+		c.Millicores = 0
+	}
+	return c
+}
+
+// Job is an accepted job. It is never modified.
+type Job struct {
+	ID         JobID
+	Queue      QueueID
+	Service    ServiceID
+	Payload    string
+	Steps      []Step
+	AcceptedAt time.Time
+	// Occurrences is 0 for a job that runs once, at once.
+	Occurrences int
+	FirstDue    time.Time
+	Interval    time.Duration
+}
+
+// Count returns how often the steps run, at least 1.
+func (j *Job) Count() int { return max(1, j.Occurrences) }
+
+// Due returns when an occurrence may start.
+func (j *Job) Due(k Occurrence) time.Time {
+	if j.Occurrences == 0 {
+		return j.AcceptedAt
+	}
+	return j.FirstDue.Add(time.Duration(k) * j.Interval)
+}
