shard: schedule the tasks of one service's jobs

Cause: jobs need one owner that places tasks, holds their leases and notes their ends. Change: a pure engine without network, clock and logger. Assignments are committed before a start is sent, ends are acknowledged once their effect is committed. Excluded: several entries placing at once, because endpoints that do not guard their capacity would be overcommitted.

--- /dev/null
+++ b/internal/job/occurrence.go
@@ -0,0 +1,182 @@
+// Package job keeps the state of jobs: which tasks may start, how their runs ended, and what callers
+// are shown. It decides nothing about where tasks run.
+package job
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Key names one occurrence of a job.
+type Key struct {
+	Job        fleet.JobID
+	Occurrence fleet.Occurrence
+}
+
+// Task is the state of one task.
+type Task struct {
+	Done     bool
+	Failures int
+	// Run is the number of the latest run. It never falls.
+	Run fleet.RunNumber
+	// At is where the latest run may be executing. It is zero when no run executes.
+	At         fleet.EndpointProcess
+	Checkpoint fleet.Checkpoint
+}
+
+// Running reports whether a run may be executing.
+func (t *Task) Running() bool { return t.At != fleet.EndpointProcess{} }
+
+// Occurrence is one occurrence of a job, with the state of its tasks.
+type Occurrence struct {
+	Job    *fleet.Job
+	Number fleet.Occurrence
+	State  fleet.JobState
+	// Tasks is indexed by step and task.
+	Tasks [][]Task
+	// EndedAt is zero until the state is final.
+	EndedAt time.Time
+	// open counts the tasks of each step that are not done.
+	open []int
+}
+
+// New returns an occurrence of which nothing has run.
+func New(j *fleet.Job, k fleet.Occurrence) *Occurrence {
+	o := &Occurrence{Job: j, Number: k, State: fleet.JobStatePending}
+	for _, s := range j.Steps {
+		o.Tasks = append(o.Tasks, make([]Task, s.Tasks))
+		o.open = append(o.open, s.Tasks)
+	}
+	return o
+}
+
+// Restored recomputes what derives from the tasks after their state was loaded.
+func (o *Occurrence) Restored() {
+	for i := range o.Tasks {
+		o.open[i] = 0
+		for k := range o.Tasks[i] {
+			if !o.Tasks[i][k].Done {
+				o.open[i]++
+			}
+		}
+	}
+}
+
+// Key returns the name of the occurrence.
+func (o *Occurrence) Key() Key { return Key{o.Job.ID, o.Number} }
+
+// Task returns the state of a task, or nil when the job has no such task.
+func (o *Occurrence) Task(id fleet.TaskID) *Task {
+	if int(id.Step) >= len(o.Tasks) || id.Step < 0 || id.Task < 0 || int(id.Task) >= len(o.Tasks[id.Step]) {
+		return nil
+	}
+	return &o.Tasks[id.Step][id.Task]
+}
+
+// ID returns the name of a task.
+func (o *Occurrence) ID(step fleet.StepIndex, task fleet.TaskIndex) fleet.TaskID {
+	return fleet.TaskID{Job: o.Job.ID, Occurrence: o.Number, Step: step, Task: task}
+}
+
+// Ready reports whether the tasks of a step may start.
+func (o *Occurrence) Ready(step fleet.StepIndex) bool {
+	if o.State.Ended() || o.open[step] == 0 {
+		return false
+	}
+	for _, before := range o.Job.Steps[step].After {
+		if o.open[before] > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Open returns how many tasks of a step are not done.
+func (o *Occurrence) Open(step fleet.StepIndex) int { return o.open[step] }
+
+// Start assigns the next run of a task to an endpoint and returns its number.
+func (o *Occurrence) Start(id fleet.TaskID, at fleet.EndpointProcess) fleet.RunNumber {
+	t := o.Task(id)
+	t.Run++
+	t.At = at
+	if o.State == fleet.JobStatePending {
+		o.State = fleet.JobStateRunning
+	}
+	return t.Run
+}
+
+// End records how a run ended. It returns false when the run is not the latest one, or has ended before.
+func (o *Occurrence) End(now time.Time, id fleet.TaskID, run fleet.RunNumber, how fleet.RunEnd, saved fleet.Checkpoint, maxAttempts int) bool {
+	t := o.Task(id)
+	if t == nil || t.Run != run || !t.Running() {
+		return false
+	}
+	t.At = fleet.EndpointProcess{}
+	step := o.Job.Steps[id.Step]
+	if saved != "" {
+		t.Checkpoint = saved
+	}
+	switch {
+	case step.Lasting:
+		// A lasting task starts again however it ended; its checkpoint stays valid.
+	case how == fleet.RunEndDone:
+		o.finish(now, id, step)
+	case how == fleet.RunEndFailed:
+		o.fail(now, id, step, maxAttempts)
+	}
+	return true
+}
+
+// finish records that a task, or the gang that it belongs to, is done.
+func (o *Occurrence) finish(now time.Time, id fleet.TaskID, step fleet.Step) {
+	tasks := o.Tasks[id.Step][id.Task : id.Task+1]
+	if step.Gang {
+		tasks = o.Tasks[id.Step]
+	}
+	for i := range tasks {
+		if !tasks[i].Done {
+			tasks[i].Done = true
+			o.open[id.Step]--
+		}
+	}
+	for _, open := range o.open {
+		if open > 0 {
+			return
+		}
+	}
+	if !o.State.Ended() {
+		o.State, o.EndedAt = fleet.JobStateCompleted, now
+	}
+}
+
+// fail counts a failed run against the task, or against the whole gang.
+func (o *Occurrence) fail(now time.Time, id fleet.TaskID, step fleet.Step, maxAttempts int) {
+	t := o.Task(id)
+	if step.Gang {
+		t = &o.Tasks[id.Step][0]
+	}
+	t.Failures++
+	if t.Failures >= maxAttempts && !o.State.Ended() {
+		o.State, o.EndedAt = fleet.JobStateFailed, now
+	}
+}
+
+// Lost records that a run ended without a report: its endpoint process is gone or its lease expired.
+func (o *Occurrence) Lost(id fleet.TaskID, run fleet.RunNumber) bool {
+	t := o.Task(id)
+	if t == nil || t.Run != run || !t.Running() {
+		return false
+	}
+	t.At = fleet.EndpointProcess{}
+	return true
+}
+
+// Cancel ends the occurrence. It returns false when it has ended before.
+func (o *Occurrence) Cancel(now time.Time) bool {
+	if o.State.Ended() {
+		return false
+	}
+	o.State, o.EndedAt = fleet.JobStateCancelled, now
+	return true
+}
--- /dev/null
+++ b/internal/shard/engine.go
@@ -0,0 +1,382 @@
+// Package shard runs the jobs of one service: it decides which task runs on which endpoint, keeps the
+// leases of running tasks, and tells what has to be committed before an order may be sent. One entry at a
+// time holds the lease of a service. The engine is free of network, logger and clock, so that tests play
+// any schedule on it.
+package shard
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Bounds are the limits that the platform states.
+type Bounds struct {
+	// MaxLease is the longest lease that an endpoint grants.
+	MaxLease time.Duration
+	// StopTime is how long a stop takes at most.
+	StopTime time.Duration
+	// Notice is how long a lasting task may be unavailable before it counts as missing.
+	Notice time.Duration
+	// StatusLife is how long the state of an ended job is kept.
+	StatusLife time.Duration
+	// FarFactor is how much longer a task takes away from its data or its gang.
+	FarFactor float64
+}
+
+// Observer is told of decisions, for logs and metrics.
+type Observer interface {
+	Assigned(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointID, waited time.Duration)
+	RunEnded(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointID, how fleet.RunEnd, ran time.Duration)
+	JobEnded(id fleet.JobID, state fleet.JobState, after time.Duration)
+	Cancelled(id fleet.JobID)
+	Rejected(o Order, answer Answer)
+	SetAside(at fleet.EndpointID, failures int, until time.Duration)
+	Replaced(at fleet.EndpointID, lost int, reason string)
+}
+
+// Engine is the state of one service's jobs. One goroutine uses it.
+type Engine struct {
+	Service fleet.ServiceID
+	Token   fleet.FencingToken
+	Bounds  Bounds
+	// Observer is never nil.
+	Observer Observer
+
+	policies map[fleet.QueueID]job.Policy
+	jobs     map[fleet.JobID]*jobEntry
+	active   map[job.Key]*job.Occurrence
+	workers  map[fleet.EndpointID]*worker
+	// times holds learned run times.
+	times map[timeKey]*runTime
+	// blame counts the endpoints on which a job's runs failed.
+	blame map[fleet.JobID]map[fleet.EndpointID]bool
+	// avoid is where the latest run of a task failed or stalled.
+	avoid map[fleet.TaskID]fleet.EndpointID
+	// away is since when a task of a lasting step has not been at work.
+	away map[fleet.TaskID]time.Time
+
+	dirty map[job.Key]bool
+	// drop lists ended jobs whose rows may be removed.
+	drop map[fleet.JobID]bool
+	// batch is in the store's hands.
+	batch *Batch
+	out   []Order
+	// fenced is set when an endpoint has seen a newer holder.
+	fenced bool
+	// takeover is until when runs on endpoints that do not answer may still execute under the lease of
+	// the previous holder.
+	takeover time.Time
+}
+
+// jobEntry is one job with its occurrences.
+type jobEntry struct {
+	job         *fleet.Job
+	occurrences []*job.Occurrence
+	// shown is the committed state.
+	shown    fleet.JobState
+	endedAt  time.Time
+	canceled bool
+}
+
+// NewEngine returns an engine without jobs. PreviousEnd is when the last order of the previous holder
+// has certainly lapsed at endpoints that this holder cannot reach.
+func NewEngine(service fleet.ServiceID, token fleet.FencingToken, bounds Bounds, observer Observer, previousEnd time.Time) *Engine {
+	return &Engine{
+		Service: service, Token: token, Bounds: bounds, Observer: observer, takeover: previousEnd,
+		policies: map[fleet.QueueID]job.Policy{},
+		jobs:     map[fleet.JobID]*jobEntry{},
+		active:   map[job.Key]*job.Occurrence{},
+		workers:  map[fleet.EndpointID]*worker{},
+		times:    map[timeKey]*runTime{},
+		blame:    map[fleet.JobID]map[fleet.EndpointID]bool{},
+		avoid:    map[fleet.TaskID]fleet.EndpointID{},
+		away:     map[fleet.TaskID]time.Time{},
+		dirty:    map[job.Key]bool{},
+		drop:     map[fleet.JobID]bool{},
+	}
+}
+
+// leaseLength returns the length of the leases that this service uses.
+func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
+
+// SetPolicies replaces the configuration of the service's queues.
+func (e *Engine) SetPolicies(policies []job.Policy) {
+	clear(e.policies)
+	for _, p := range policies {
+		e.policies[p.Queue] = p
+	}
+}
+
+// policy returns the policy of a queue. A queue that is no longer configured keeps serving the jobs that
+// it accepted, with a policy that fits any queue.
+func (e *Engine) policy(q fleet.QueueID) job.Policy {
+	if p, ok := e.policies[q]; ok {
+		return p
+	}
+	return job.Policy{Queue: q, Service: e.Service, MaxAttempts: defaultAttempts, Stretch: defaultStretch}
+}
+
+// Policy of a queue that was removed while it had jobs.
+const (
+	defaultAttempts = 4
+	defaultStretch  = 2
+)
+
+// Restore adds an occurrence as read from the store.
+func (e *Engine) Restore(now time.Time, o *job.Occurrence) {
+	o.Restored()
+	entry := e.entry(o.Job)
+	entry.occurrences[o.Number] = o
+	e.active[o.Key()] = o
+	if o.State.Ended() {
+		delete(e.active, o.Key())
+	}
+	for s := range o.Tasks {
+		for t := range o.Tasks[s] {
+			task := &o.Tasks[s][t]
+			if task.Running() {
+				w := e.workerOf(now, task.At)
+				w.leaseEnd = later(w.leaseEnd, e.takeover)
+				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true})
+			}
+		}
+	}
+	entry.show()
+}
+
+// workerOf returns the worker of a process, and makes one when the process is known from an assignment
+// only. An assignment to an earlier process under the same id is kept with the worker of that id, because
+// the first answer tells which process runs.
+func (e *Engine) workerOf(now time.Time, p fleet.EndpointProcess) *worker {
+	w := e.workers[p.Endpoint]
+	if w == nil {
+		w = &worker{
+			Runner: Runner{Endpoint: p.Endpoint, Born: p.Born}, runs: map[fleet.TaskID]*assignment{}, firstSeen: now,
+			leaseEnd: e.takeover,
+		}
+		e.workers[p.Endpoint] = w
+	}
+	return w
+}
+
+func (e *Engine) entry(j *fleet.Job) *jobEntry {
+	entry := e.jobs[j.ID]
+	if entry != nil {
+		return entry
+	}
+	entry = &jobEntry{job: j, shown: fleet.JobStatePending}
+	for k := range j.Count() {
+		o := job.New(j, fleet.Occurrence(k))
+		entry.occurrences = append(entry.occurrences, o)
+		e.active[o.Key()] = o
+	}
+	e.jobs[j.ID] = entry
+	return entry
+}
+
+// Accept adds a job that the store holds. A job that is known is left as it is.
+func (e *Engine) Accept(j *fleet.Job) { e.entry(j) }
+
+// Cancel ends a job and stops its tasks. It returns false when the job is not known.
+func (e *Engine) Cancel(now time.Time, id fleet.JobID) bool {
+	entry := e.jobs[id]
+	if entry == nil {
+		return false
+	}
+	if entry.canceled {
+		return true
+	}
+	entry.canceled = true
+	changed := false
+	for _, o := range entry.occurrences {
+		if o.Cancel(now) {
+			changed = true
+			e.ended(now, o)
+		}
+	}
+	if changed {
+		e.Observer.Cancelled(id)
+	}
+	return true
+}
+
+// ended stops what still runs of an occurrence that has ended.
+func (e *Engine) ended(now time.Time, o *job.Occurrence) {
+	delete(e.active, o.Key())
+	e.dirty[o.Key()] = true
+	for s := range o.Tasks {
+		for t := range o.Tasks[s] {
+			task := &o.Tasks[s][t]
+			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
+			delete(e.avoid, id)
+			delete(e.away, id)
+			if !task.Running() {
+				continue
+			}
+			if w := e.workers[task.At.Endpoint]; w != nil {
+				e.stop(now, w, id)
+			}
+		}
+	}
+	delete(e.blame, o.Job.ID)
+	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
+}
+
+// State returns the committed state of a job, and false when the job is not known.
+func (e *Engine) State(id fleet.JobID) (fleet.JobState, bool) {
+	entry := e.jobs[id]
+	if entry == nil {
+		return "", false
+	}
+	return entry.shown, true
+}
+
+// Waiting returns how many jobs of each queue have not started a task.
+func (e *Engine) Waiting() map[fleet.QueueID]int {
+	counts := map[fleet.QueueID]int{}
+	for _, entry := range e.jobs {
+		if entry.state() == fleet.JobStatePending {
+			counts[entry.job.Queue]++
+		}
+	}
+	return counts
+}
+
+// Fenced reports whether an endpoint has seen a newer holder.
+func (e *Engine) Fenced() bool { return e.fenced }
+
+// state derives the state of a job from its occurrences.
+func (j *jobEntry) state() fleet.JobState {
+	state, pending, done := fleet.JobStateRunning, true, true
+	for _, o := range j.occurrences {
+		switch o.State {
+		case fleet.JobStateFailed, fleet.JobStateCancelled:
+			return o.State
+		}
+		pending = pending && o.State == fleet.JobStatePending
+		done = done && o.State == fleet.JobStateCompleted
+	}
+	switch {
+	case done:
+		state = fleet.JobStateCompleted
+	case pending:
+		state = fleet.JobStatePending
+	}
+	return state
+}
+
+// show publishes the state of the job once it is committed.
+func (j *jobEntry) show() {
+	j.shown = j.state()
+	for _, o := range j.occurrences {
+		j.endedAt = later(j.endedAt, o.EndedAt)
+	}
+}
+
+// SetRunners takes the registry's list of the service's endpoints. An endpoint that left the list keeps
+// its runs until its lease has ended or another process answers under its id.
+func (e *Engine) SetRunners(now time.Time, runners []Runner) {
+	listed := map[fleet.EndpointID]bool{}
+	for _, r := range runners {
+		listed[r.Endpoint] = true
+		w := e.workers[r.Endpoint]
+		if w == nil {
+			w = &worker{Runner: r, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
+			e.workers[r.Endpoint] = w
+		}
+		if r.Born > w.Born && w.Born != 0 {
+			e.replaced(now, w, r, "restarted")
+			w = e.workers[r.Endpoint]
+		}
+		if w.Address != r.Address {
+			w.holding = false
+		}
+		if r.Born >= w.Born {
+			w.Runner = r
+		}
+		w.listed = true
+	}
+	for id, w := range e.workers {
+		if !listed[id] {
+			w.listed = false
+		}
+	}
+}
+
+// replaced drops the runs of a process that no longer exists.
+func (e *Engine) replaced(now time.Time, w *worker, next Runner, reason string) {
+	lost := len(w.runs)
+	for id, a := range w.runs {
+		e.lost(now, w, a, id)
+	}
+	e.workers[w.Endpoint] = &worker{Runner: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil}
+	e.Observer.Replaced(w.Endpoint, lost, reason)
+}
+
+// lost ends a run without a report.
+func (e *Engine) lost(now time.Time, w *worker, a *assignment, id fleet.TaskID) {
+	w.remove(id)
+	if o := e.occurrence(id); o != nil && o.Lost(id, a.run) {
+		e.dirty[o.Key()] = true
+		e.noteAway(now, id, a)
+	}
+}
+
+func (e *Engine) noteAway(now time.Time, id fleet.TaskID, a *assignment) {
+	if a.step.Lasting && e.away[id].IsZero() {
+		e.away[id] = now
+	}
+}
+
+func (e *Engine) occurrence(id fleet.TaskID) *job.Occurrence {
+	entry := e.jobs[id.Job]
+	if entry == nil || int(id.Occurrence) >= len(entry.occurrences) {
+		return nil
+	}
+	return entry.occurrences[id.Occurrence]
+}
+
+// stop orders the end of a run. The run keeps its capacity until the endpoint lists the end.
+func (e *Engine) stop(now time.Time, w *worker, id fleet.TaskID) {
+	a := w.runs[id]
+	if a == nil || now.Before(a.stopAgainAt) {
+		return
+	}
+	if a.phase == phasePlanned && !e.inFlight(id) {
+		// The assignment was never handed to the store, so no start was sent.
+		e.lost(now, w, a, id)
+		return
+	}
+	a.phase = phaseStopping
+	a.stopAgainAt = now.Add(stopRepeat)
+	e.out = append(e.out, e.order(w, OrderStop, a))
+}
+
+func (e *Engine) order(w *worker, kind OrderKind, a *assignment) Order {
+	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Token: e.Token}
+	if a != nil {
+		o.Task, o.Run = a.id, a.run
+	}
+	return o
+}
+
+// Orders returns the orders that may be sent now.
+func (e *Engine) Orders() []Order {
+	out := e.out
+	e.out = nil
+	return out
+}
+
+// sorted returns the workers in a fixed order, so that a schedule can be played again.
+func (e *Engine) sorted() []*worker {
+	list := make([]*worker, 0, len(e.workers))
+	for _, w := range e.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	return list
+}
--- /dev/null
+++ b/internal/shard/place.go
@@ -0,0 +1,337 @@
+package shard
+
+import (
+	"slices"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// candidate is a step with tasks that may start.
+type candidate struct {
+	occurrence *job.Occurrence
+	step       fleet.StepIndex
+	lasting    bool
+	rank       job.Rank
+}
+
+// Plan assigns waiting tasks to endpoints. It runs after each group of events.
+func (e *Engine) Plan(now time.Time) {
+	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > batchRows {
+		return
+	}
+	m := misfits{}
+	for _, c := range e.candidates(now) {
+		step := c.occurrence.Job.Steps[c.step]
+		switch {
+		case step.Gang || step.SameRack:
+			e.placeTogether(now, c, step)
+		default:
+			e.placeEach(now, c, step, &m)
+		}
+	}
+}
+
+// candidates returns the steps with waiting tasks in the order in which they are served: lasting tasks
+// first, because they have to be at work however full the service is, then by rank.
+func (e *Engine) candidates(now time.Time) []candidate {
+	var list []candidate
+	for _, o := range e.active {
+		if now.Before(o.Job.Due(o.Number)) {
+			continue
+		}
+		policy := e.policy(o.Job.Queue)
+		rank, ranked := job.Rank{}, false
+		for s := range o.Tasks {
+			step := fleet.StepIndex(s)
+			if !o.Ready(step) || !waiting(o.Tasks[s]) {
+				continue
+			}
+			if !ranked {
+				rank = o.RankOf(now, policy, func(s fleet.Step) time.Duration { return e.expected(o.Job.Queue, s) })
+				ranked = true
+			}
+			list = append(list, candidate{o, step, o.Job.Steps[s].Lasting, rank})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		switch {
+		case a.lasting != b.lasting && a.lasting, a.lasting == b.lasting && a.rank.Before(b.rank):
+			return -1
+		case a.lasting != b.lasting, b.rank.Before(a.rank):
+			return 1
+		}
+		return compareSteps(a, b)
+	})
+	return list
+}
+
+func compareSteps(a, b candidate) int {
+	if a.occurrence.Job.ID != b.occurrence.Job.ID {
+		if a.occurrence.Job.ID < b.occurrence.Job.ID {
+			return -1
+		}
+		return 1
+	}
+	return int(a.occurrence.Number) - int(b.occurrence.Number) + int(a.step) - int(b.step)
+}
+
+func waiting(tasks []job.Task) bool {
+	for i := range tasks {
+		if !tasks[i].Done && !tasks[i].Running() {
+			return true
+		}
+	}
+	return false
+}
+
+// misfits remembers what did not fit anywhere in this round, so that equal or larger tasks are passed
+// over without another search.
+type misfits struct{ smallest []fleet.Capacity }
+
+func (m *misfits) covers(r fleet.Capacity) bool {
+	for _, s := range m.smallest {
+		if s.Fits(r) {
+			return true
+		}
+	}
+	return false
+}
+
+func (e *Engine) placeEach(now time.Time, c candidate, step fleet.Step, m *misfits) {
+	plain := step.RequiredLabel == "" && step.MaxPerEndpoint == 0
+	if plain && m.covers(step.Counted()) {
+		return
+	}
+	for t := range c.occurrence.Tasks[c.step] {
+		task := &c.occurrence.Tasks[c.step][t]
+		if task.Done || task.Running() {
+			continue
+		}
+		id := c.occurrence.ID(c.step, fleet.TaskIndex(t))
+		w := e.choose(now, id, step, nil)
+		if w == nil {
+			if plain {
+				m.smallest = append(m.smallest, step.Counted())
+			}
+			if step.Lasting {
+				e.preempt(now, id, step)
+			}
+			return
+		}
+		e.assign(now, c.occurrence, id, step, w)
+	}
+}
+
+// assign plans the next run of a task on a worker.
+func (e *Engine) assign(now time.Time, o *job.Occurrence, id fleet.TaskID, step fleet.Step, w *worker) {
+	run := o.Start(id, w.Process())
+	w.add(&assignment{id: id, run: run, step: step, phase: phasePlanned, pace: 100})
+	e.dirty[o.Key()] = true
+	e.Observer.Assigned(id, run, w.Endpoint, now.Sub(o.Job.Due(o.Number)))
+}
+
+// choose returns the best worker for one more task of a step, or nil when none has room.
+func (e *Engine) choose(now time.Time, id fleet.TaskID, step fleet.Step, allowed func(*worker) bool) *worker {
+	var best *worker
+	var bestScore float64
+	need := step.Counted()
+	for _, w := range e.sorted() {
+		if !w.usable(now) || !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
+			continue
+		}
+		if allowed != nil && !allowed(w) {
+			continue
+		}
+		if step.MaxPerEndpoint > 0 && w.count(id) >= step.MaxPerEndpoint {
+			continue
+		}
+		if w.onTrial() && len(w.runs) > 0 {
+			continue
+		}
+		if score := e.score(w, id, step); best == nil || score > bestScore {
+			best, bestScore = w, score
+		}
+	}
+	return best
+}
+
+// Weights of the score of a worker. The free share of the processor lies between 0 and 1, so each weight
+// above 1 outranks it.
+const (
+	dataRackWeight  = 8
+	avoidWeight     = 6
+	neighbourWeight = 2
+	trialWeight     = 3
+)
+
+// score rates a worker for a task; more is better. Free capacity keeps tasks apart and leaves room for
+// what comes next.
+func (e *Engine) score(w *worker, id fleet.TaskID, step fleet.Step) float64 {
+	score := 0.0
+	if w.Capacity.Millicores > 0 {
+		score = float64(w.free().Millicores) / float64(w.Capacity.Millicores)
+	}
+	if step.DataRack != "" && w.Rack == step.DataRack {
+		score += dataRackWeight
+	}
+	if e.avoid[id] == w.Endpoint {
+		score -= avoidWeight
+	}
+	if w.onTrial() || w.failures > 0 {
+		score -= trialWeight
+	}
+	if step.Fill || step.TailTarget > 0 {
+		score -= float64(neighbourWeight * w.neighbours(step))
+	}
+	return score
+}
+
+// neighbours counts the tasks that a step would disturb or be disturbed by.
+func (w *worker) neighbours(step fleet.Step) int {
+	n := 0
+	for _, a := range w.runs {
+		if step.Fill && a.step.TailTarget > 0 || step.TailTarget > 0 && a.step.Fill {
+			n++
+		}
+	}
+	return n
+}
+
+// placeTogether assigns all waiting tasks of a step at once, or none. The members of a gang start again
+// together only when no earlier run is left.
+func (e *Engine) placeTogether(now time.Time, c candidate, step fleet.Step) {
+	o := c.occurrence
+	var ids []fleet.TaskID
+	var highest fleet.RunNumber
+	for t := range o.Tasks[c.step] {
+		task := &o.Tasks[c.step][t]
+		highest = max(highest, task.Run)
+		if task.Running() && step.Gang {
+			return
+		}
+		if !task.Done && !task.Running() {
+			ids = append(ids, o.ID(c.step, fleet.TaskIndex(t)))
+		}
+	}
+	chosen := e.chooseTogether(now, ids, step)
+	if chosen == nil {
+		return
+	}
+	for i, id := range ids {
+		if step.Gang {
+			o.Task(id).Run = highest
+		}
+		e.assign(now, o, id, step, chosen[i])
+	}
+}
+
+// chooseTogether returns a worker for each task, on one rack when the step asks for it, or nil.
+func (e *Engine) chooseTogether(now time.Time, ids []fleet.TaskID, step fleet.Step) []*worker {
+	if !step.SameRack {
+		return e.chooseAll(now, ids, step, nil)
+	}
+	racks := map[fleet.RackID]bool{}
+	for _, w := range e.sorted() {
+		if racks[w.Rack] {
+			continue
+		}
+		racks[w.Rack] = true
+		if chosen := e.chooseAll(now, ids, step, func(o *worker) bool { return o.Rack == w.Rack }); chosen != nil {
+			return chosen
+		}
+	}
+	// A slower run on several racks beats none once no rack could ever hold the step.
+	if e.fitsOneRack(len(ids), step) {
+		return nil
+	}
+	return e.chooseAll(now, ids, step, nil)
+}
+
+// fitsOneRack reports whether the empty endpoints of any rack could hold the tasks.
+func (e *Engine) fitsOneRack(tasks int, step fleet.Step) bool {
+	room := map[fleet.RackID]int{}
+	for _, w := range e.workers {
+		if !w.listed || w.Draining || !w.hasLabel(step.RequiredLabel) {
+			continue
+		}
+		free, n := w.Capacity, 0
+		for step.Counted().Fits(free) && n < tasks && (step.MaxPerEndpoint == 0 || n < step.MaxPerEndpoint) {
+			free = free.Minus(step.Counted())
+			n++
+		}
+		room[w.Rack] += n
+	}
+	for _, n := range room {
+		if n >= tasks {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseAll reserves a worker for each task in turn and takes the reservations back.
+func (e *Engine) chooseAll(now time.Time, ids []fleet.TaskID, step fleet.Step, allowed func(*worker) bool) []*worker {
+	chosen := make([]*worker, 0, len(ids))
+	defer func() {
+		for i, w := range chosen {
+			w.remove(ids[i])
+		}
+	}()
+	for _, id := range ids {
+		w := e.choose(now, id, step, allowed)
+		if w == nil {
+			return nil
+		}
+		w.add(&assignment{id: id, step: step})
+		chosen = append(chosen, w)
+	}
+	return slices.Clone(chosen)
+}
+
+// preempt makes room for a lasting task by stopping other work on one worker: first what has run for the
+// shortest time, because least work is lost.
+func (e *Engine) preempt(now time.Time, id fleet.TaskID, step fleet.Step) {
+	var best *worker
+	var victims []*assignment
+	for _, w := range e.sorted() {
+		if !w.listed || w.Draining || !w.reachable(now) || now.Before(w.asideUntil) || now.Before(w.cordonedUntil) ||
+			!w.hasLabel(step.RequiredLabel) || step.MaxPerEndpoint > 0 && w.count(id) >= step.MaxPerEndpoint {
+			continue
+		}
+		list := w.victims(step)
+		if list != nil && (best == nil || len(list) < len(victims)) {
+			best, victims = w, list
+		}
+	}
+	for _, a := range victims {
+		e.stop(now, best, a.id)
+	}
+}
+
+// victims returns the fewest tasks whose end makes room for a task of the step, or nil when there are
+// none or room comes up anyway.
+func (w *worker) victims(step fleet.Step) []*assignment {
+	free := w.free()
+	var running []*assignment
+	for _, a := range w.runs {
+		switch {
+		case a.phase == phaseStopping:
+			free = free.Plus(a.step.Counted())
+		case !a.step.Lasting:
+			running = append(running, a)
+		}
+	}
+	if step.Counted().Fits(free) {
+		return nil
+	}
+	slices.SortFunc(running, func(a, b *assignment) int { return b.startedAt.Compare(a.startedAt) })
+	for i, a := range running {
+		free = free.Plus(a.step.Counted())
+		if step.Counted().Fits(free) {
+			return running[:i+1]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/shard/results.go
@@ -0,0 +1,255 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Apply takes the response to an order.
+func (e *Engine) Apply(now time.Time, r Result) {
+	w := e.workers[r.Order.Process.Endpoint]
+	if w == nil {
+		return
+	}
+	if r.Order.Kind == OrderHold && r.Order.Address == w.Address {
+		w.holding = false
+	}
+	if r.Answer == AnswerFenced {
+		e.fenced = true
+		return
+	}
+	if r.Answer == AnswerGone && w.Address == r.Order.Address && w.Born == r.Order.Process.Born {
+		e.replaced(now, w, w.Runner, "another process listens at its address")
+		e.workers[r.Order.Process.Endpoint].holdAgainAt = now.Add(rejectedHold)
+		return
+	}
+	if r.Born != 0 && r.Born != w.Born {
+		if w.Born != 0 && r.Born < w.Born {
+			return
+		}
+		next := w.Runner
+		next.Born = r.Born
+		if w.Born != 0 {
+			e.replaced(now, w, next, "restarted")
+			w = e.workers[r.Order.Process.Endpoint]
+		}
+		w.Born = r.Born
+	}
+	if r.Clock > 0 {
+		e.heard(w, r, now)
+	}
+	switch r.Order.Kind {
+	case OrderHold:
+		e.applyHold(now, w, r)
+	case OrderStart:
+		e.applyStart(now, w, r)
+	case OrderStop:
+		e.applyStop(w, r)
+	}
+	if r.Answer != AnswerDone {
+		e.Observer.Rejected(r.Order, r.Answer)
+	}
+}
+
+// heard updates the estimate of the endpoint's clock. The clock was read after the order was sent, so an
+// estimate from the time of sending never runs ahead of the endpoint, and a lease never lasts longer
+// than assumed.
+func (e *Engine) heard(w *worker, r Result, now time.Time) {
+	w.heardAt = later(w.heardAt, now)
+	if r.Clock >= w.clock {
+		w.clock, w.clockAt = r.Clock, now
+	}
+}
+
+func (e *Engine) applyStart(now time.Time, w *worker, r Result) {
+	a := w.runs[r.Order.Task]
+	if a == nil || a.run != r.Order.Run {
+		return
+	}
+	switch r.Answer {
+	case AnswerDone:
+		if a.phase == phaseOrdered {
+			a.phase = phaseStarted
+			a.startedClock, a.startedAt = r.Clock, now
+		}
+	case AnswerOld:
+		// The run is listed as ended, or an earlier stop for it arrived first.
+		e.lost(now, w, a, a.id)
+	case AnswerNoRoom:
+		w.full = true
+		e.lost(now, w, a, a.id)
+		w.full = true
+	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent, AnswerNoTicket:
+		e.avoid[a.id] = w.Endpoint
+		e.lost(now, w, a, a.id)
+		if r.Answer == AnswerBusy {
+			e.failed(now, w, a.id.Job)
+		}
+	default:
+		// The start may be carried out later. A stop that is answered rules that out.
+		e.avoid[a.id] = w.Endpoint
+		e.stop(now, w, a.id)
+	}
+}
+
+// applyStop notes that a run cannot start any more. Its end, if it ran, is listed.
+func (e *Engine) applyStop(w *worker, r Result) {
+	a := w.runs[r.Order.Task]
+	if a != nil && a.run == r.Order.Run && r.Answer == AnswerDone && a.phase == phaseStopping {
+		a.stopped = true
+		a.startedClock = max(a.startedClock, r.Clock)
+	}
+}
+
+// applyHold reconciles the endpoint's lists with the assignments.
+func (e *Engine) applyHold(now time.Time, w *worker, r Result) {
+	w.missed = r.Answer != AnswerDone
+	if w.missed {
+		w.holdAgainAt = now.Add(rejectedHold)
+		return
+	}
+	if !w.contacted {
+		w.contacted = true
+		w.holdAgainAt = now
+	}
+	for _, end := range r.Ends {
+		if end.Number > w.cursor {
+			w.cursor = end.Number
+			e.applyEnd(now, w, end)
+		}
+	}
+	listed := make(map[fleet.TaskID]fleet.RunNumber, len(r.Running))
+	for _, run := range r.Running {
+		listed[run.Task] = run.Run
+		e.applyRunning(now, w, run, r.Clock)
+	}
+	for id, a := range w.runs {
+		if run, ok := listed[id]; ok && run == a.run {
+			continue
+		}
+		if e.missing(a, r) {
+			e.lost(now, w, a, id)
+		}
+	}
+}
+
+// missing reports whether a run that an endpoint does not list is certainly not executed there.
+func (e *Engine) missing(a *assignment, r Result) bool {
+	switch a.phase {
+	case phaseStarted:
+		return r.Clock > a.startedClock
+	case phaseOrdered:
+		// Orders of the previous holder are refused once this holder's token was seen.
+		return a.inherited
+	case phaseStopping:
+		// An answered stop rules out a later start.
+		return a.stopped && r.Clock > a.startedClock
+	}
+	return false
+}
+
+func (e *Engine) applyRunning(now time.Time, w *worker, run ListedRun, clock time.Duration) {
+	a := w.runs[run.Task]
+	o := e.occurrence(run.Task)
+	if a == nil || a.run != run.Run || o == nil {
+		e.stopForeign(now, w, run, o)
+		return
+	}
+	if run.Checkpoint != "" {
+		o.Task(run.Task).Checkpoint = run.Checkpoint
+	}
+	if a.phase == phaseOrdered {
+		a.phase, a.startedClock = phaseStarted, clock
+		if a.startedAt.IsZero() {
+			a.startedAt = now
+		}
+	}
+	if run.Progress > a.progress {
+		a.advancedAt = now
+	}
+	a.progress = run.Progress
+	if a.step.TailTarget > 0 {
+		a.tail = time.Duration(run.Load) * time.Millisecond
+	}
+	if a.step.Lasting {
+		if a.progress >= 100 {
+			delete(e.away, a.id)
+		} else if e.away[a.id].IsZero() {
+			e.away[a.id] = now
+		}
+	}
+	if o.State.Ended() {
+		e.stop(now, w, run.Task)
+	}
+}
+
+// stopForeign stops a run that is not assigned to the endpoint.
+func (e *Engine) stopForeign(now time.Time, w *worker, run ListedRun, o *job.Occurrence) {
+	if o != nil {
+		if t := o.Task(run.Task); t != nil && t.Run < run.Run {
+			// The number is used up, whoever chose it.
+			t.Run = run.Run
+			e.dirty[o.Key()] = true
+		}
+	}
+	if now.Before(w.foreignAgainAt) {
+		return
+	}
+	w.foreignAgainAt = now.Add(stopRepeat / 5)
+	order := e.order(w, OrderStop, nil)
+	order.Task, order.Run = run.Task, run.Run
+	e.out = append(e.out, order)
+}
+
+// applyEnd records the end of a run.
+func (e *Engine) applyEnd(now time.Time, w *worker, end ListedEnd) {
+	a := w.runs[end.Task]
+	o := e.occurrence(end.Task)
+	if a == nil || a.run != end.Run || o == nil {
+		return
+	}
+	w.remove(end.Task)
+	e.dirty[o.Key()] = true
+	var ran time.Duration
+	if !a.startedAt.IsZero() {
+		ran = now.Sub(a.startedAt)
+	}
+	e.Observer.RunEnded(end.Task, end.Run, w.Endpoint, end.How, ran)
+	wasEnded := o.State.Ended()
+	if !o.End(now, end.Task, end.Run, end.How, end.Checkpoint, e.policy(o.Job.Queue).MaxAttempts) {
+		return
+	}
+	e.noteAway(now, end.Task, a)
+	switch end.How {
+	case fleet.RunEndDone:
+		e.succeeded(w)
+		if !a.startedAt.IsZero() && !a.step.Lasting {
+			e.learn(o.Job.Queue, a, ran)
+		}
+		delete(e.avoid, end.Task)
+		if a.step.Gang {
+			e.releaseGang(now, o, end.Task.Step)
+		}
+	case fleet.RunEndFailed:
+		e.avoid[end.Task] = w.Endpoint
+		if !a.step.Lasting {
+			e.failed(now, w, end.Task.Job)
+		}
+	}
+	if !wasEnded && o.State.Ended() {
+		e.ended(now, o)
+	}
+}
+
+// releaseGang drops the assignments of the other members once one end stands for all.
+func (e *Engine) releaseGang(now time.Time, o *job.Occurrence, step fleet.StepIndex) {
+	for t := range o.Tasks[step] {
+		id := o.ID(step, fleet.TaskIndex(t))
+		if w := e.workers[o.Task(id).At.Endpoint]; w != nil && w.runs[id] != nil {
+			w.remove(id)
+			o.Lost(id, o.Task(id).Run)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/job.go
@@ -0,0 +1,157 @@
+package wire
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+	"google.golang.org/protobuf/types/known/timestamppb"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Job converts a job to its row.
+func Job(j *fleet.Job) *jobv1.Job {
+	m := &jobv1.Job{
+		Id: string(j.ID), Queue: string(j.Queue), Service: string(j.Service), Payload: j.Payload,
+		AcceptedAt: timestamppb.New(j.AcceptedAt), Occurrences: uint32(j.Occurrences),
+	}
+	if j.Occurrences > 0 {
+		m.FirstDue, m.Interval = timestamppb.New(j.FirstDue), durationpb.New(j.Interval)
+	}
+	for _, s := range j.Steps {
+		m.Steps = append(m.Steps, step(s))
+	}
+	return m
+}
+
+func step(s fleet.Step) *jobv1.Step {
+	m := &jobv1.Step{
+		Tasks: uint32(s.Tasks),
+		Demand: &jobv1.Demand{
+			Millicores: uint64(s.Demand.Millicores), MemoryMb: uint64(s.Demand.Memory), Accelerators: uint64(s.Demand.Accelerators),
+		},
+		Checkpointing: s.Checkpointing, Gang: s.Gang, SameRack: s.SameRack, RequiredLabel: string(s.RequiredLabel),
+		DataRack: string(s.DataRack), MaxPerEndpoint: uint32(s.MaxPerEndpoint), Speculative: s.Speculative, Lasting: s.Lasting,
+		Image: string(s.Image), Fill: s.Fill, MaxUnavailable: uint32(s.MaxUnavailable),
+	}
+	if s.Estimate > 0 {
+		m.Estimate = durationpb.New(s.Estimate)
+	}
+	if s.TailTarget > 0 {
+		m.TailTarget = durationpb.New(s.TailTarget)
+	}
+	for _, before := range s.After {
+		m.After = append(m.After, uint32(before))
+	}
+	return m
+}
+
+// FromJob converts the row of a job.
+func FromJob(m *jobv1.Job) *fleet.Job {
+	j := &fleet.Job{
+		ID: fleet.JobID(m.GetId()), Queue: fleet.QueueID(m.GetQueue()), Service: fleet.ServiceID(m.GetService()), Payload: m.GetPayload(),
+		AcceptedAt: m.GetAcceptedAt().AsTime(), Occurrences: int(m.GetOccurrences()),
+	}
+	if j.Occurrences > 0 {
+		j.FirstDue, j.Interval = m.GetFirstDue().AsTime(), m.GetInterval().AsDuration()
+	}
+	for _, s := range m.GetSteps() {
+		j.Steps = append(j.Steps, fromStep(s))
+	}
+	return j
+}
+
+func fromStep(m *jobv1.Step) fleet.Step {
+	d := m.GetDemand()
+	s := fleet.Step{
+		Tasks: int(m.GetTasks()),
+		Demand: fleet.Capacity{
+			Millicores: fleet.Millicores(d.GetMillicores()), Memory: fleet.Megabytes(d.GetMemoryMb()), Accelerators: fleet.Accelerators(d.GetAccelerators()),
+		},
+		Estimate: m.GetEstimate().AsDuration(), Checkpointing: m.GetCheckpointing(), Gang: m.GetGang(), SameRack: m.GetSameRack(),
+		RequiredLabel: fleet.Label(m.GetRequiredLabel()), DataRack: fleet.RackID(m.GetDataRack()), MaxPerEndpoint: int(m.GetMaxPerEndpoint()),
+		Speculative: m.GetSpeculative(), Lasting: m.GetLasting(), Image: fleet.ImageID(m.GetImage()),
+		TailTarget: m.GetTailTarget().AsDuration(), Fill: m.GetFill(), MaxUnavailable: int(m.GetMaxUnavailable()),
+	}
+	for _, before := range m.GetAfter() {
+		s.After = append(s.After, fleet.StepIndex(before))
+	}
+	return s
+}
+
+// EncodeProgress returns the row value of an occurrence.
+func EncodeProgress(o *job.Occurrence) ([]byte, error) {
+	m := &jobv1.Progress{Job: string(o.Job.ID), Occurrence: uint32(o.Number), State: string(o.State)}
+	if !o.EndedAt.IsZero() {
+		m.EndedAt = timestamppb.New(o.EndedAt)
+	}
+	for _, tasks := range o.Tasks {
+		s := &jobv1.StepProgress{}
+		for _, t := range tasks {
+			s.Tasks = append(s.Tasks, &jobv1.TaskProgress{
+				Done: t.Done, Failures: uint32(t.Failures), Run: uint32(t.Run),
+				Endpoint: string(t.At.Endpoint), EndpointBorn: t.At.Born, Checkpoint: string(t.Checkpoint),
+			})
+		}
+		m.Steps = append(m.Steps, s)
+	}
+	value, err := proto.Marshal(m)
+	return value, trace.Wrap(err)
+}
+
+// ProgressError reports a progress row that does not fit its job.
+type ProgressError struct {
+	Job fleet.JobID
+}
+
+// Error implements error.
+func (e *ProgressError) Error() string { return "progress row does not fit job " + string(e.Job) }
+
+// DecodeProgress returns the occurrence that a row describes. Find returns the job of an id, or nil. It returns
+// *ProgressError for a row that does not fit its job.
+func DecodeProgress(value []byte, find func(fleet.JobID) *fleet.Job) (*job.Occurrence, error) {
+	m := &jobv1.Progress{}
+	if err := proto.Unmarshal(value, m); err != nil {
+		return nil, trace.Wrap(err)
+	}
+	id := fleet.JobID(m.GetJob())
+	j := find(id)
+	if j == nil || len(m.GetSteps()) != len(j.Steps) || int(m.GetOccurrence()) >= j.Count() {
+		return nil, trace.Wrap(&ProgressError{Job: id})
+	}
+	o := job.New(j, fleet.Occurrence(m.GetOccurrence()))
+	o.State = fleet.JobState(m.GetState())
+	if m.GetEndedAt() != nil {
+		o.EndedAt = m.GetEndedAt().AsTime()
+	}
+	for s, step := range m.GetSteps() {
+		if len(step.GetTasks()) != len(o.Tasks[s]) {
+			return nil, trace.Wrap(&ProgressError{Job: id})
+		}
+		for k, t := range step.GetTasks() {
+			o.Tasks[s][k] = job.Task{
+				Done: t.GetDone(), Failures: int(t.GetFailures()), Run: fleet.RunNumber(t.GetRun()),
+				At:         fleet.EndpointProcess{Endpoint: fleet.EndpointID(t.GetEndpoint()), Born: t.GetEndpointBorn()},
+				Checkpoint: fleet.Checkpoint(t.GetCheckpoint()),
+			}
+		}
+	}
+	o.Restored()
+	return o, nil
+}
+
+// ProgressState returns the state that a progress row tells.
+func ProgressState(value []byte) (fleet.JobState, error) {
+	m := &jobv1.Progress{}
+	if err := proto.Unmarshal(value, m); err != nil {
+		return "", trace.Wrap(err)
+	}
+	return fleet.JobState(m.GetState()), nil
+}
+
+// Instant returns the time of a Unix millisecond.
+func Instant(ms int64) time.Time { return time.UnixMilli(ms).UTC() }
