--- /dev/null
+++ b/internal/election/election.go
@@ -0,0 +1,180 @@
+// Package election decides which entry takes the lease of a duty. The store alone grants leases; this
+// package only keeps entries from all asking at once and spreads the duties over them.
+package election
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Lease is a lease as last read from the store.
+type Lease struct {
+	Duty        fleet.DutyName
+	Entry       fleet.EntryID
+	Incarnation fleet.Incarnation
+	Address     fleet.Address
+	Epoch       fleet.FencingToken
+	Renewals    uint64
+	Released    bool
+	// ChangedAt is when this entry saw the row change last, on its own clock.
+	ChangedAt time.Time
+}
+
+// Node is an entry as last read from the store.
+type Node struct {
+	Entry       fleet.EntryID
+	Incarnation fleet.Incarnation
+	Zone        fleet.ZoneID
+	Address     fleet.Address
+	Beats       uint64
+	Stopping    bool
+	ChangedAt   time.Time
+}
+
+// Times of leases.
+const (
+	// RenewInterval is the time between renewals of a lease and of an entry's own row.
+	RenewInterval = 600 * time.Millisecond
+	// LapseAfter is how long a lease or an entry's row stays unchanged before the entry counts as gone:
+	// three renewals, one of them lost, plus the interval at which the store is read.
+	LapseAfter = 2 * time.Second
+	// rankDelay is how much longer each further entry waits before it asks for a free lease.
+	rankDelay = 250 * time.Millisecond
+)
+
+// State is what an entry knows of leases and entries. One goroutine uses it.
+type State struct {
+	Self        fleet.EntryID
+	Incarnation fleet.Incarnation
+	Leases      map[fleet.DutyName]Lease
+	Nodes       map[fleet.EntryID]Node
+	// freeSince is when a duty was first seen without a holder.
+	freeSince map[fleet.DutyName]time.Time
+}
+
+// NewState returns a state without leases.
+func NewState(self fleet.EntryID, incarnation fleet.Incarnation) *State {
+	return &State{
+		Self: self, Incarnation: incarnation, Leases: map[fleet.DutyName]Lease{}, Nodes: map[fleet.EntryID]Node{},
+		freeSince: map[fleet.DutyName]time.Time{},
+	}
+}
+
+// SetLease takes a lease row.
+func (s *State) SetLease(now time.Time, l Lease) {
+	old, known := s.Leases[l.Duty]
+	l.ChangedAt = now
+	if known && old.Epoch == l.Epoch && old.Renewals == l.Renewals && old.Released == l.Released {
+		l.ChangedAt = old.ChangedAt
+	}
+	if known && l.Epoch < old.Epoch {
+		return
+	}
+	s.Leases[l.Duty] = l
+}
+
+// SetNode takes the row of an entry.
+func (s *State) SetNode(now time.Time, n Node) {
+	old, known := s.Nodes[n.Entry]
+	n.ChangedAt = now
+	if known && old.Incarnation == n.Incarnation && old.Beats == n.Beats && old.Stopping == n.Stopping {
+		n.ChangedAt = old.ChangedAt
+	}
+	s.Nodes[n.Entry] = n
+}
+
+// Holder returns the lease of a duty, and false when nobody holds it.
+func (s *State) Holder(now time.Time, d fleet.DutyName) (Lease, bool) {
+	l, ok := s.Leases[d]
+	if !ok || l.Released || now.Sub(l.ChangedAt) >= LapseAfter {
+		return l, false
+	}
+	// A holder that restarted holds nothing any more.
+	if n, ok := s.Nodes[l.Entry]; ok && n.Incarnation != l.Incarnation && n.ChangedAt.After(l.ChangedAt) {
+		return l, false
+	}
+	return l, true
+}
+
+// Current notes that the store was read: only while it can be read does the silence of a holder mean that
+// the holder is gone. Pause is how long it could not be read.
+func (s *State) Current(pause time.Duration) {
+	if pause <= 0 {
+		return
+	}
+	for d, l := range s.Leases {
+		l.ChangedAt = l.ChangedAt.Add(pause)
+		s.Leases[d] = l
+	}
+	for id, n := range s.Nodes {
+		n.ChangedAt = n.ChangedAt.Add(pause)
+		s.Nodes[id] = n
+	}
+}
+
+// Claims returns the duties among the given ones whose lease this entry should ask for now.
+func (s *State) Claims(now time.Time, duties []fleet.DutyName) []fleet.DutyName {
+	held := s.held(now)
+	var claims []fleet.DutyName
+	for _, d := range duties {
+		if l, ok := s.Holder(now, d); ok && (l.Entry != s.Self || l.Incarnation != s.Incarnation) {
+			delete(s.freeSince, d)
+			continue
+		} else if ok {
+			continue
+		}
+		if s.freeSince[d].IsZero() {
+			s.freeSince[d] = now
+		}
+		rank := s.rank(now, d, held)
+		if now.Sub(s.freeSince[d]) >= time.Duration(rank)*rankDelay {
+			claims = append(claims, d)
+		}
+	}
+	return claims
+}
+
+// held counts the leases of each entry.
+func (s *State) held(now time.Time) map[fleet.EntryID]int {
+	held := map[fleet.EntryID]int{}
+	for d := range s.Leases {
+		if l, ok := s.Holder(now, d); ok {
+			held[l.Entry]++
+		}
+	}
+	return held
+}
+
+// rank returns how many live entries come before this one for a duty: those that hold fewer leases, and
+// among equals those with the higher hash of entry and duty.
+func (s *State) rank(now time.Time, d fleet.DutyName, held map[fleet.EntryID]int) int {
+	rank := 0
+	own := weight(s.Self, d)
+	for id, n := range s.Nodes {
+		if id == s.Self || n.Stopping || now.Sub(n.ChangedAt) >= LapseAfter {
+			continue
+		}
+		if held[id] < held[s.Self] || held[id] == held[s.Self] && weight(id, d) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+func weight(id fleet.EntryID, d fleet.DutyName) uint64 {
+	return xxhash.Sum64String(string(id) + "/" + string(d))
+}
+
+// Duties returns the duties that have a lease, in order.
+func (s *State) Duties() []fleet.DutyName {
+	list := make([]fleet.DutyName, 0, len(s.Leases))
+	for d := range s.Leases {
+		list = append(list, d)
+	}
+	slices.Sort(list)
+	return list
+}
--- /dev/null
+++ b/internal/holder/answer.go
@@ -0,0 +1,53 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// answer answers a query from what this entry knows.
+func (s *Scheduler) answer(now time.Time, q *Query) Answer {
+	service := q.Service
+	if q.Kind == QueryAnnounce {
+		if q.Accepted != nil {
+			s.accept(q.Accepted)
+		}
+		if q.Cancelled {
+			s.cancel(now, q.Job)
+		}
+		return Answer{Known: true}
+	}
+	if j := s.jobs[q.Job]; j != nil {
+		service = j.Service
+	}
+	a := Answer{Service: service, Known: s.jobs[q.Job] != nil}
+	h := s.held[ServiceDuty(service)]
+	if h == nil || h.engine == nil || !h.loaded || h.releasing {
+		if l, ok := s.election.Holder(now, ServiceDuty(service)); ok && l.Entry != s.Self.Entry {
+			a.Holder = l.Address
+		}
+		return a
+	}
+	a.Held = true
+	switch q.Kind {
+	case QueryState:
+		a.State, a.Known = h.engine.State(q.Job)
+		if s.cancelled[q.Job] {
+			a.State = cancelledState(a.State)
+		}
+	case QueryWaiting:
+		a.Count = h.engine.Waiting()[q.Queue]
+	case QueryVacate:
+		a.Vacated = h.engine.Vacate(now, q.Endpoint)
+	}
+	return a
+}
+
+// cancelledState returns the state of a job whose cancellation is stored.
+func cancelledState(committed fleet.JobState) fleet.JobState {
+	if committed.Ended() {
+		return committed
+	}
+	return fleet.JobStateCancelled
+}
--- /dev/null
+++ b/internal/holder/event.go
@@ -0,0 +1,142 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Event is one message to the scheduler. One field is set.
+type Event struct {
+	Shared  *SharedChange
+	Runners *RunnerList
+	Config  *Config
+	Result  *shard.Result
+	Written *Written
+	Taken   *Taken
+	Loaded  *Loaded
+	Query   *Query
+	// Stop asks to release all leases.
+	Stop bool
+}
+
+// SharedChange is what changed in the shared table.
+type SharedChange struct {
+	// All is set when the change holds the whole table.
+	All       bool
+	Jobs      []*fleet.Job
+	Cancelled []fleet.JobID
+	Forgotten []fleet.JobID
+	Leases    []election.Lease
+	Nodes     []election.Node
+	// GoneNodes are entries whose row was removed.
+	GoneNodes []fleet.EntryID
+}
+
+// RunnerList is what changed in the registry of endpoints.
+type RunnerList struct {
+	// All is set when the list is complete.
+	All     bool
+	Runners []shard.Runner
+	Gone    []fleet.EndpointID
+}
+
+// Queue is a configured queue of jobs.
+type Queue struct {
+	job.Policy
+	// Host and Prefix are what the requests for the queue have in common.
+	Host, Prefix string
+}
+
+// Config is the configuration of queues and services.
+type Config struct {
+	Version uint64
+	Queues  []Queue
+	// Services lists all services, those without queues included.
+	Services []Service
+	// MaxBody is the largest request body in bytes.
+	MaxBody int64
+}
+
+// Service is a configured service.
+type Service struct {
+	ID fleet.ServiceID
+	// Spare is set for a pool of VMs that are off.
+	Spare bool
+}
+
+// Taken reports the end of an attempt to take a lease.
+type Taken struct {
+	Duty fleet.DutyName
+	// Chain is nil when the lease was not taken.
+	Chain *Chain
+	// SentAt is when the winning transaction was sent.
+	SentAt time.Time
+	// Previous is when the previous holder was last seen to renew; zero when there was none.
+	Previous time.Time
+	Progress []*ProgressRow
+	Wave     []WaveRow
+	Err      error
+}
+
+// ProgressRow is the encoded progress of one occurrence.
+type ProgressRow struct {
+	Value []byte
+}
+
+// WaveRow is the stored progress of a maintenance wave.
+type WaveRow struct {
+	Wave      fleet.WaveID
+	Ordered   []fleet.VMID
+	Completed bool
+}
+
+// Loaded says that the scheduler has seen all that was committed before a lease was taken.
+type Loaded struct {
+	Duty  fleet.DutyName
+	Epoch fleet.FencingToken
+}
+
+// QueryKind is what a query asks.
+type QueryKind string
+
+// Kinds of queries.
+const (
+	QueryState   QueryKind = "state"
+	QueryWaiting QueryKind = "waiting"
+	QueryVacate  QueryKind = "vacate"
+	// QueryAnnounce hands over a job or a cancellation that the store has accepted.
+	QueryAnnounce QueryKind = "announce"
+)
+
+// Query is a question to the scheduler.
+type Query struct {
+	Kind     QueryKind
+	Service  fleet.ServiceID
+	Job      fleet.JobID
+	Queue    fleet.QueueID
+	Endpoint fleet.EndpointID
+	// Accepted is set for the announcement of a job, Cancelled for that of a cancellation.
+	Accepted  *fleet.Job
+	Cancelled bool
+	// Reply takes the answer without blocking.
+	Reply func(Answer)
+}
+
+// Answer is the answer to a query.
+type Answer struct {
+	// Known is set when the job exists, or the service is held by this entry.
+	Known bool
+	// Held is set when this entry holds the service and the rest of the answer is authoritative.
+	Held  bool
+	State fleet.JobState
+	// Service is the service of a known job.
+	Service fleet.ServiceID
+	Count   int
+	Vacated bool
+	// Holder is where another entry answers; empty when nobody holds the service.
+	Holder fleet.Address
+}
--- /dev/null
+++ b/internal/holder/follow.go
@@ -0,0 +1,200 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// RowSink takes the rows of a followed table.
+type RowSink interface {
+	// Replace takes all rows of the table as of one read.
+	Replace(rows []rowstore.Row)
+	// Change takes rows that changed since.
+	Change(rows []rowstore.Row)
+	// Current is called after each successful read, also when nothing changed.
+	Current()
+}
+
+// FollowRequest asks for a read ahead of time.
+type FollowRequest struct {
+	// Done is pushed to once everything that was committed before the request has reached the sink. It
+	// may be nil.
+	Done func()
+}
+
+// Follower is the duty that keeps up with one table.
+type Follower struct {
+	// The fields are set before Run.
+	Duty  fleet.DutyName
+	Table rowstore.Table
+	// Part is read first. Its version is where changes are followed from.
+	Part rowstore.Part
+	// All reads the other parts of the table too.
+	All   bool
+	Store Store
+	Sink  RowSink
+	Clock clock.Clock
+	Log   *zap.Logger
+	// Interval is the time between reads. With Wait, the store holds each read until something changes.
+	Interval time.Duration
+	Wait     time.Duration
+	// Inbox takes requests for a read; it may be nil when Wait is set.
+	Inbox *ring.Ring[FollowRequest]
+
+	after  rowstore.Version
+	loaded bool
+	failed bool
+}
+
+// Retries of reads.
+const (
+	followRetry     = 150 * time.Millisecond
+	followRetryMost = 600 * time.Millisecond
+	// readTimeout bounds a read of the store beyond the time that it may wait for changes.
+	readTimeout = 1200 * time.Millisecond
+)
+
+// Name implements duty.Duty.
+func (f *Follower) Name() fleet.DutyName { return f.Duty }
+
+// Run implements duty.Duty.
+func (f *Follower) Run(ctx context.Context) error {
+	retry := followRetry
+	var pending []func()
+	for ctx.Err() == nil {
+		err := f.read(ctx)
+		pause := f.Interval
+		if err != nil {
+			f.report(err)
+			pause, retry = retry, min(2*retry, followRetryMost)
+		} else {
+			f.report(nil)
+			retry = followRetry
+			for _, done := range pending {
+				done()
+			}
+			pending = nil
+		}
+		request, asked, err := f.pause(ctx, pause)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		for asked {
+			if request.Done != nil {
+				pending = append(pending, request.Done)
+			}
+			request, asked = f.Inbox.TryPop()
+		}
+	}
+	return trace.Wrap(ctx.Err())
+}
+
+func (f *Follower) pause(ctx context.Context, d time.Duration) (FollowRequest, bool, error) {
+	timer := f.Clock.NewTimer(d)
+	defer timer.Stop()
+	if f.Inbox == nil {
+		select {
+		case <-timer.Chan():
+			return FollowRequest{}, false, nil
+		case <-ctx.Done():
+			return FollowRequest{}, false, trace.Wrap(ctx.Err())
+		}
+	}
+	request, ok, err := f.Inbox.PopUntil(ctx, timer.Chan())
+	return request, ok, trace.Wrap(err)
+}
+
+// report logs the loss and the return of the table, not each failed read.
+func (f *Follower) report(err error) {
+	switch {
+	case err != nil && !f.failed:
+		f.Log.Warn("follower: table cannot be read", zap.String("table", string(f.Table)), zap.Error(trace.Unwrap(err)))
+	case err == nil && f.failed:
+		f.Log.Info("follower: table is read again", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
+	}
+	f.failed = err != nil
+}
+
+func (f *Follower) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+readTimeout)
+	defer cancel()
+	if !f.loaded {
+		return trace.Wrap(f.load(ctx))
+	}
+	page, err := f.Store.Changes(ctx, f.Table, f.after, f.Wait)
+	var gone *rowstore.HistoryError
+	if errors.As(err, &gone) {
+		f.Log.Warn("follower: history is gone, table is read in full", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
+		f.loaded = false
+		return trace.Wrap(f.load(ctx))
+	}
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	f.after = max(f.after, page.Version)
+	if len(page.Rows) > 0 {
+		f.Sink.Change(page.Rows)
+	}
+	f.Sink.Current()
+	return nil
+}
+
+// load reads the whole table. Changes are followed from the first read on, so that a part that appears
+// meanwhile is not missed.
+func (f *Follower) load(ctx context.Context) error {
+	rows, after, err := scan(ctx, f.Store, f.Table, f.Part)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	if f.All {
+		parts, err := f.Store.Parts(ctx, f.Table)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		for _, part := range parts {
+			if part == f.Part {
+				continue
+			}
+			read, _, err := scan(ctx, f.Store, f.Table, part)
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			rows = append(rows, read...)
+		}
+	}
+	f.after, f.loaded = after, true
+	f.Sink.Replace(rows)
+	f.Sink.Current()
+	return nil
+}
+
+// scan reads a whole part and returns the version of its first page.
+func scan(ctx context.Context, s Store, table rowstore.Table, part rowstore.Part) ([]rowstore.Row, rowstore.Version, error) {
+	var rows []rowstore.Row
+	var first rowstore.Version
+	var from rowstore.Key
+	for {
+		page, err := s.Scan(ctx, rowstore.Range{Table: table, Part: part, From: from})
+		if err != nil {
+			return nil, 0, trace.Wrap(err)
+		}
+		if first == 0 {
+			first = page.Version
+		}
+		rows = append(rows, page.Rows...)
+		if !page.More || len(page.Rows) == 0 {
+			return rows, first, nil
+		}
+		// The smallest key above the last one.
+		from = page.Rows[len(page.Rows)-1].Key + "\x00"
+	}
+}
--- /dev/null
+++ b/internal/holder/maintainer.go
@@ -0,0 +1,456 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// VMCondition is what the platform is doing with a VM.
+type VMCondition string
+
+// Conditions of VMs.
+const (
+	VMConditionUp          VMCondition = "up"
+	VMConditionMoving      VMCondition = "moving"
+	VMConditionMaintenance VMCondition = "maintenance"
+	VMConditionDown        VMCondition = "down"
+)
+
+// PoolVM is a VM as the platform lists it.
+type PoolVM struct {
+	VM        fleet.VMID
+	Service   fleet.ServiceID
+	Condition VMCondition
+	Endpoint  fleet.EndpointID
+}
+
+// WaveOrder is the operator's request to maintain VMs.
+type WaveOrder struct {
+	Wave     fleet.WaveID
+	VMs      []fleet.VMID
+	Duration time.Duration
+	// MaxDown bounds the VMs that are down for the wave at once.
+	MaxDown int
+}
+
+// MaintenanceAnswer classifies the response to an order to maintain a VM.
+type MaintenanceAnswer string
+
+// Answers to maintenance orders.
+const (
+	// MaintenanceDone means that maintenance has begun or is over.
+	MaintenanceDone MaintenanceAnswer = "done"
+	// MaintenanceBusy means that the VM is not up.
+	MaintenanceBusy MaintenanceAnswer = "busy"
+	// MaintenanceFenced means that a newer holder has given orders.
+	MaintenanceFenced MaintenanceAnswer = "fenced"
+	// MaintenanceRefused means that the order can never succeed.
+	MaintenanceRefused MaintenanceAnswer = "refused"
+	// MaintenanceNotRun means that nothing was done.
+	MaintenanceNotRun MaintenanceAnswer = "not-run"
+	// MaintenanceUnknown means that the order may have been, or may yet be, carried out.
+	MaintenanceUnknown MaintenanceAnswer = "unknown"
+)
+
+// VMPlatform lists and maintains the platform's VMs. One goroutine uses it.
+type VMPlatform interface {
+	VMs(ctx context.Context) ([]PoolVM, error)
+	Maintain(ctx context.Context, vm fleet.VMID, wave fleet.WaveID, token fleet.FencingToken) MaintenanceAnswer
+	// Report publishes the state of a wave to the operator.
+	Report(ctx context.Context, wave fleet.WaveID, completed bool) error
+}
+
+// Maintainer is the duty that carries out maintenance waves under the lease of DutyMaintenance.
+type Maintainer struct {
+	// The fields are set before Run.
+	Chain     *Chain
+	Taken     *Taken
+	Platform  VMPlatform
+	Peers     Peers
+	Scheduler *ring.Ring[Event]
+	// Waves are the operator's current orders.
+	Waves *ring.Latest[[]WaveOrder]
+	// Wake takes a token when Waves changes.
+	Wake  *ring.Ring[struct{}]
+	Clock clock.Clock
+	Log   *zap.Logger
+	// TurnWait is how long a new holder waits before it gives an order again that an earlier holder may
+	// have given.
+	TurnWait time.Duration
+
+	waves     map[fleet.WaveID]*waveState
+	confirmed time.Time
+	renewed   time.Time
+	listFails bool
+}
+
+// waveState is the progress of one wave.
+type waveState struct {
+	order     WaveOrder
+	began     time.Time
+	ordered   map[fleet.VMID]time.Time
+	seenDown  map[fleet.VMID]bool
+	done      map[fleet.VMID]bool
+	vacating  map[fleet.VMID]time.Time
+	reported  bool
+	completed bool
+}
+
+// Timing of waves.
+const (
+	// waveInterval is the time between looks at the VMs of a wave in progress.
+	waveInterval = 250 * time.Millisecond
+	// idleInterval is the time between looks while no wave is in progress: the lease has to be renewed.
+	idleInterval = election.RenewInterval
+	// settleAfterOrder is how long a VM that is listed as up counts as down after its order, because the
+	// list may be older than the order.
+	settleAfterOrder = 1500 * time.Millisecond
+	// platformCall bounds one call to the platform.
+	platformCall = 1500 * time.Millisecond
+	// vacateAhead is how many VMs are vacated ahead for each one that may go down.
+	vacateAhead = 2
+)
+
+// Name implements duty.Duty.
+func (*Maintainer) Name() fleet.DutyName { return DutyMaintenance }
+
+// Run implements duty.Duty. After the lease is lost it waits for its context to end.
+func (m *Maintainer) Run(ctx context.Context) error {
+	m.waves = map[fleet.WaveID]*waveState{}
+	m.confirmed, m.renewed = m.Taken.SentAt, m.Taken.SentAt
+	for {
+		if err := m.round(ctx); err != nil {
+			if ctx.Err() == nil {
+				m.lost(err)
+				<-ctx.Done()
+			}
+			return trace.Wrap(ctx.Err())
+		}
+		interval := idleInterval
+		if m.active() {
+			interval = waveInterval
+		}
+		timer := m.Clock.NewTimer(interval)
+		_, _, err := m.Wake.PopUntil(ctx, timer.Chan())
+		timer.Stop()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+func (m *Maintainer) lost(err error) {
+	event := Event{Written: &Written{Duty: DutyMaintenance, Epoch: m.Chain.Epoch, Err: err}}
+	if err := m.Scheduler.PushReserved(event); err != nil {
+		m.Log.Error("maintainer: loss of the lease cannot be reported", zap.Error(trace.Unwrap(err)))
+	}
+}
+
+// round renews the lease and takes the waves one step further. It returns *LostLeaseError.
+func (m *Maintainer) round(ctx context.Context) error {
+	now := m.Clock.Now()
+	if now.Sub(m.renewed) >= election.RenewInterval {
+		if err := m.write(ctx, nil); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	m.adopt(now)
+	if !m.active() {
+		return nil
+	}
+	vms, err := m.list(ctx)
+	if err != nil {
+		return nil
+	}
+	for _, w := range m.sorted() {
+		if !w.completed {
+			if err := m.advance(ctx, w, vms); err != nil {
+				return trace.Wrap(err)
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Maintainer) list(ctx context.Context) (map[fleet.VMID]PoolVM, error) {
+	ctx, cancel := context.WithTimeout(ctx, platformCall)
+	defer cancel()
+	list, err := m.Platform.VMs(ctx)
+	if err != nil {
+		if !m.listFails {
+			m.Log.Warn("maintainer: VMs cannot be listed", zap.Error(trace.Unwrap(err)))
+		}
+		m.listFails = true
+		return nil, trace.Wrap(err)
+	}
+	m.listFails = false
+	vms := make(map[fleet.VMID]PoolVM, len(list))
+	for _, vm := range list {
+		vms[vm.VM] = vm
+	}
+	return vms, nil
+}
+
+// write stores the progress of a wave and renews the lease.
+func (m *Maintainer) write(ctx context.Context, w *waveState) error {
+	write := Write{Renew: true}
+	if w != nil {
+		row := &jobv1.WaveProgress{Wave: string(w.order.Wave), Completed: w.completed}
+		for vm := range w.ordered {
+			row.Ordered = append(row.Ordered, string(vm))
+		}
+		slices.Sort(row.Ordered)
+		write.Puts = []rowstore.Row{mustRow(tableProgress, dutyPart(DutyMaintenance), rowstore.Key(keyWave+string(w.order.Wave)), row)}
+	}
+	sent := m.Clock.Now()
+	if err := m.Chain.Write(ctx, write); err != nil {
+		return trace.Wrap(err)
+	}
+	m.renewed, m.confirmed = sent, sent
+	return nil
+}
+
+// adopt takes new and changed orders of the operator.
+func (m *Maintainer) adopt(now time.Time) {
+	for _, order := range m.Waves.Get() {
+		w := m.waves[order.Wave]
+		if w == nil {
+			w = &waveState{
+				began: now, ordered: map[fleet.VMID]time.Time{}, seenDown: map[fleet.VMID]bool{}, done: map[fleet.VMID]bool{}, vacating: map[fleet.VMID]time.Time{},
+			}
+			m.waves[order.Wave] = w
+			m.restore(w, order.Wave, now)
+			m.Log.Info("maintainer: wave begins", zap.String("wave", string(order.Wave)), zap.Int("vms", len(order.VMs)),
+				zap.Int("max-down", order.MaxDown), zap.Duration("duration", order.Duration), zap.Int("ordered-before", len(w.ordered)))
+		}
+		w.order = order
+	}
+}
+
+// restore takes what an earlier holder committed. VMs that it ordered are ordered again, which changes
+// nothing for those whose maintenance has begun.
+func (m *Maintainer) restore(w *waveState, wave fleet.WaveID, now time.Time) {
+	for _, row := range m.Taken.Wave {
+		if row.Wave != wave {
+			continue
+		}
+		w.completed = row.Completed
+		for _, vm := range row.Ordered {
+			w.ordered[vm] = now
+		}
+	}
+}
+
+func (m *Maintainer) active() bool {
+	for _, w := range m.waves {
+		if !w.completed {
+			return true
+		}
+	}
+	return false
+}
+
+func (m *Maintainer) sorted() []*waveState {
+	list := make([]*waveState, 0, len(m.waves))
+	for _, w := range m.waves {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *waveState) int { return int(a.began.Sub(b.began)) })
+	return list
+}
+
+// advance takes one wave a step further.
+func (m *Maintainer) advance(ctx context.Context, w *waveState, vms map[fleet.VMID]PoolVM) error {
+	now := m.Clock.Now()
+	if !w.reported {
+		w.reported = m.report(ctx, w, false)
+	}
+	down := w.observe(now, vms)
+	for _, vm := range w.next(vms, max(1, w.order.MaxDown)-down) {
+		if at, before := w.ordered[vm]; before && now.Sub(at) < max(m.TurnWait, settleAfterOrder) {
+			continue
+		}
+		if w.vacating[vm].IsZero() {
+			w.vacating[vm] = now
+		}
+		if !m.vacated(ctx, vms[vm], now.Sub(w.vacating[vm])) || w.ordered[vm].IsZero() && down >= max(1, w.order.MaxDown) {
+			continue
+		}
+		begun, err := m.maintain(ctx, w, vm)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if begun {
+			down++
+		}
+	}
+	if !w.finished(vms) {
+		return nil
+	}
+	if !m.report(ctx, w, true) {
+		return nil
+	}
+	w.completed = true
+	m.Log.Info("maintainer: wave completed", zap.String("wave", string(w.order.Wave)), zap.Duration("took", now.Sub(w.began)))
+	return trace.Wrap(m.write(ctx, w))
+}
+
+// observe updates which VMs are done and returns how many are down for the wave, or may be.
+func (w *waveState) observe(now time.Time, vms map[fleet.VMID]PoolVM) int {
+	down := 0
+	for vm, at := range w.ordered {
+		if w.done[vm] {
+			continue
+		}
+		listed, known := vms[vm]
+		switch {
+		case !known:
+			w.done[vm] = true
+		case listed.Condition != VMConditionUp:
+			w.seenDown[vm] = true
+			down++
+		case now.Sub(at) < settleAfterOrder:
+			down++
+		case w.seenDown[vm]:
+			w.done[vm] = true
+		default:
+			// Listed as up, and never seen down: the order took effect and is over, or was lost. It is
+			// given again, which is harmless when it took effect.
+			down++
+		}
+	}
+	return down
+}
+
+// next returns the VMs to vacate or maintain now, those under way first.
+func (w *waveState) next(vms map[fleet.VMID]PoolVM, room int) []fleet.VMID {
+	var list []fleet.VMID
+	for _, vm := range w.order.VMs {
+		listed, known := vms[vm]
+		if w.done[vm] || !known {
+			continue
+		}
+		if _, ordered := w.ordered[vm]; ordered && (w.seenDown[vm] || listed.Condition != VMConditionUp) {
+			continue
+		}
+		list = append(list, vm)
+	}
+	slices.SortStableFunc(list, func(a, b fleet.VMID) int {
+		return w.progress(b) - w.progress(a)
+	})
+	if room = max(room, 0) + vacateAhead; len(list) > room {
+		list = list[:room]
+	}
+	return list
+}
+
+// progress ranks a VM: ordered ones first, then those that are being vacated.
+func (w *waveState) progress(vm fleet.VMID) int {
+	if _, ordered := w.ordered[vm]; ordered {
+		return 2
+	}
+	if !w.vacating[vm].IsZero() {
+		return 1
+	}
+	return 0
+}
+
+func (w *waveState) finished(vms map[fleet.VMID]PoolVM) bool {
+	for _, vm := range w.order.VMs {
+		if _, known := vms[vm]; known && !w.done[vm] {
+			return false
+		}
+	}
+	return true
+}
+
+// maintain commits the intention and gives the order. It returns whether the VM may be down now.
+func (m *Maintainer) maintain(ctx context.Context, w *waveState, vm fleet.VMID) (bool, error) {
+	_, before := w.ordered[vm]
+	if !before {
+		w.ordered[vm] = m.Clock.Now()
+		if err := m.write(ctx, w); err != nil {
+			return false, trace.Wrap(err)
+		}
+	}
+	if m.Clock.Now().Sub(m.confirmed) > election.LapseAfter {
+		return false, nil
+	}
+	calling, cancel := context.WithTimeout(ctx, platformCall)
+	defer cancel()
+	answer := m.Platform.Maintain(calling, vm, w.order.Wave, m.Chain.Epoch)
+	m.Log.Info("maintainer: maintenance ordered", zap.String("wave", string(w.order.Wave)), zap.String("vm", string(vm)),
+		zap.Uint64("epoch", uint64(m.Chain.Epoch)), zap.String("answer", string(answer)), zap.Bool("again", before))
+	switch answer {
+	case MaintenanceDone:
+		w.ordered[vm] = m.Clock.Now()
+		// An order that is repeated for a VM that is up succeeds only when its maintenance is over or
+		// begins now; in both cases the next list that shows it up is final.
+		w.seenDown[vm] = true
+	case MaintenanceRefused:
+		w.done[vm] = true
+		return false, nil
+	case MaintenanceFenced:
+		return false, trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
+	case MaintenanceNotRun, MaintenanceBusy:
+		if !before {
+			delete(w.ordered, vm)
+		}
+		return false, nil
+	}
+	return true, nil
+}
+
+// vacated asks the holder of the VM's service to move work away.
+func (m *Maintainer) vacated(ctx context.Context, vm PoolVM, waited time.Duration) bool {
+	if vm.Endpoint == "" {
+		return vm.Condition == VMConditionUp
+	}
+	q := Query{Kind: QueryVacate, Service: vm.Service, Endpoint: vm.Endpoint}
+	reply := ring.New[Answer]("answer", 1)
+	q.Reply = func(a Answer) { _ = reply.Push(a) } // The ring has room for the only answer.
+	if err := m.Scheduler.Push(Event{Query: &q}); err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	a, err := reply.Pop(ctx)
+	if err != nil {
+		return false
+	}
+	if !a.Held && a.Holder != "" {
+		if a, err = m.Peers.Ask(ctx, a.Holder, q); err != nil {
+			m.Log.Warn("maintainer: holder does not answer", zap.String("service", string(vm.Service)), zap.Error(trace.Unwrap(err)))
+			return false
+		}
+	}
+	if a.Held {
+		return a.Vacated
+	}
+	// A service without queues has no holder and runs nothing.
+	return waited > idlePoolWait
+}
+
+// idlePoolWait is how long a VM whose service has no holder is left alone: a holder may be taking over.
+const idlePoolWait = 4 * time.Second
+
+func (m *Maintainer) report(ctx context.Context, w *waveState, completed bool) bool {
+	ctx, cancel := context.WithTimeout(ctx, platformCall)
+	defer cancel()
+	if err := m.Platform.Report(ctx, w.order.Wave, completed); err != nil {
+		m.Log.Warn("maintainer: state of the wave cannot be published", zap.String("wave", string(w.order.Wave)), zap.Error(trace.Unwrap(err)))
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/holder/resolver.go
@@ -0,0 +1,322 @@
+package holder
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Peers asks other entries. It is safe for concurrent use.
+type Peers interface {
+	// Ask sends a query to the entry at an address. It returns an error when there is no answer.
+	Ask(ctx context.Context, address fleet.Address, q Query) (Answer, error)
+}
+
+// AskKind is what a caller asks.
+type AskKind string
+
+// Kinds of questions.
+const (
+	AskState   AskKind = "state"
+	AskCancel  AskKind = "cancel"
+	AskWaiting AskKind = "waiting"
+)
+
+// Ask is a caller's question about a job or a queue.
+type Ask struct {
+	Kind     AskKind
+	Job      fleet.JobID
+	Service  fleet.ServiceID
+	Queue    fleet.QueueID
+	Deadline time.Time
+	// Reply takes the outcome without blocking.
+	Reply func(Reply)
+}
+
+// ReplyKind classifies a reply.
+type ReplyKind string
+
+// Kinds of replies.
+const (
+	ReplyFound ReplyKind = "found"
+	// ReplyGone means that no such job exists.
+	ReplyGone ReplyKind = "gone"
+	// ReplyUnavailable means that the answer cannot be known now. Nothing was changed.
+	ReplyUnavailable ReplyKind = "unavailable"
+	// ReplyUnknown means that a cancellation may or may not take effect.
+	ReplyUnknown ReplyKind = "unknown"
+)
+
+// Reply answers an Ask.
+type Reply struct {
+	Kind  ReplyKind
+	State fleet.JobState
+	Count int
+	// Source tells where the answer came from, for logs.
+	Source string
+}
+
+// Resolver is one of the duties that answer callers' questions: from this entry's own state, from the
+// holder of the service, or from the store when the holder cannot be reached.
+type Resolver struct {
+	// The fields are set before Run.
+	Number    int
+	Inbox     *ring.Ring[*Ask]
+	Scheduler *ring.Ring[Event]
+	Peers     Peers
+	Store     Store
+	Intakes   [Intakes]*ring.Ring[*Submission]
+	Clock     clock.Clock
+	Log       *zap.Logger
+}
+
+// Bounds of one question.
+const (
+	// schedulerTimeout bounds the wait for this entry's own scheduler.
+	schedulerTimeout = 400 * time.Millisecond
+	// peerTimeout bounds the wait for another entry, which is milliseconds away.
+	peerTimeout = 400 * time.Millisecond
+	// storeTimeout bounds a read of the store.
+	storeTimeout = 800 * time.Millisecond
+)
+
+// Name implements duty.Duty.
+func (r *Resolver) Name() fleet.DutyName {
+	return fleet.DutyName("resolver-" + strconv.Itoa(r.Number))
+}
+
+// Run implements duty.Duty.
+func (r *Resolver) Run(ctx context.Context) error {
+	for {
+		ask, err := r.Inbox.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if ask.Kind == AskCancel {
+			r.cancel(ctx, ask)
+			continue
+		}
+		ask.Reply(r.resolve(ctx, ask))
+	}
+}
+
+// resolve answers a question that changes nothing.
+func (r *Resolver) resolve(ctx context.Context, ask *Ask) Reply {
+	q := Query{Kind: QueryState, Service: ask.Service, Job: ask.Job, Queue: ask.Queue}
+	if ask.Kind == AskWaiting {
+		q.Kind = QueryWaiting
+	}
+	local, ok := r.askScheduler(ctx, q)
+	if !ok {
+		return Reply{Kind: ReplyUnavailable, Source: "scheduler busy"}
+	}
+	if reply, ok := found(q, local, "own"); ok {
+		return reply
+	}
+	if local.Holder != "" {
+		q.Service = local.Service
+		asking, cancel := context.WithTimeout(ctx, peerTimeout)
+		remote, err := r.Peers.Ask(asking, local.Holder, q)
+		cancel()
+		if err != nil {
+			r.Log.Warn("resolver: holder does not answer", zap.String("job", string(ask.Job)), zap.String("holder", string(local.Holder)), zap.Error(trace.Unwrap(err)))
+		} else if reply, ok := found(q, remote, "holder"); ok {
+			return reply
+		}
+	}
+	if ask.Kind == AskWaiting {
+		return Reply{Kind: ReplyUnavailable, Source: "no holder"}
+	}
+	return r.readStore(ctx, ask, local.Service)
+}
+
+// found returns the reply that an answer gives, and false when the answer is not authoritative.
+func found(q Query, a Answer, source string) (Reply, bool) {
+	if !a.Held || q.Kind == QueryState && !a.Known {
+		return Reply{}, false
+	}
+	return Reply{Kind: ReplyFound, State: a.State, Count: a.Count, Source: source}, true
+}
+
+func (r *Resolver) askScheduler(ctx context.Context, q Query) (Answer, bool) {
+	reply := ring.New[Answer]("answer", 1)
+	q.Reply = func(a Answer) { _ = reply.Push(a) } // The ring has room for the only answer.
+	if err := r.Scheduler.Push(Event{Query: &q}); err != nil {
+		return Answer{}, false
+	}
+	timer := r.Clock.NewTimer(schedulerTimeout)
+	defer timer.Stop()
+	a, ok, err := reply.PopUntil(ctx, timer.Chan())
+	return a, ok && err == nil
+}
+
+// readStore answers from the committed rows.
+func (r *Resolver) readStore(ctx context.Context, ask *Ask, service fleet.ServiceID) Reply {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	part := IntakePart(ask.Job)
+	accepted, err := r.Store.Scan(ctx, rowstore.Only(SharedTable, part, jobKey(ask.Job)))
+	if err != nil {
+		return r.unavailable(ask, err)
+	}
+	if len(accepted.Rows) == 0 {
+		return Reply{Kind: ReplyGone, Source: "store"}
+	}
+	cancelled, err := r.Store.Scan(ctx, rowstore.Only(SharedTable, part, rowstore.Key(keyCancel+string(ask.Job))))
+	if err != nil {
+		return r.unavailable(ask, err)
+	}
+	j, err := decodeJob(accepted.Rows[0])
+	if err != nil {
+		return r.unavailable(ask, err)
+	}
+	if service == "" {
+		service = j.Service
+	}
+	prefix := string(ask.Job) + "."
+	progress, err := r.Store.Scan(ctx, rowstore.Range{
+		Table: tableProgress, Part: dutyPart(ServiceDuty(j.Service)), From: rowstore.Key(prefix), Until: rowstore.Key(prefix + ":"),
+	})
+	if err != nil {
+		return r.unavailable(ask, err)
+	}
+	state, err := committedState(j, progress.Rows)
+	if err != nil {
+		return r.unavailable(ask, err)
+	}
+	if len(cancelled.Rows) > 0 {
+		state = cancelledState(state)
+	}
+	return Reply{Kind: ReplyFound, State: state, Source: "store"}
+}
+
+func (r *Resolver) unavailable(ask *Ask, err error) Reply {
+	r.Log.Warn("resolver: state cannot be read", zap.String("job", string(ask.Job)), zap.Error(trace.Unwrap(err)))
+	return Reply{Kind: ReplyUnavailable, Source: "store"}
+}
+
+// committedState derives the state of a job from the rows of its occurrences.
+func committedState(j *fleet.Job, rows []rowstore.Row) (fleet.JobState, error) {
+	done := 0
+	state := fleet.JobStatePending
+	for _, row := range rows {
+		s, err := wire.ProgressState(row.Value)
+		if err != nil {
+			return "", trace.Wrap(err)
+		}
+		switch s {
+		case fleet.JobStateFailed, fleet.JobStateCancelled:
+			return s, nil
+		case fleet.JobStateCompleted:
+			done++
+		}
+		if s != fleet.JobStatePending {
+			state = fleet.JobStateRunning
+		}
+	}
+	if done == j.Count() {
+		state = fleet.JobStateCompleted
+	}
+	return state, nil
+}
+
+// cancel stores the cancellation of a job that exists.
+func (r *Resolver) cancel(ctx context.Context, ask *Ask) {
+	local, ok := r.askScheduler(ctx, Query{Kind: QueryState, Service: ask.Service, Job: ask.Job})
+	if !ok {
+		ask.Reply(Reply{Kind: ReplyUnavailable, Source: "scheduler busy"})
+		return
+	}
+	if !local.Known {
+		reading, cancel := context.WithTimeout(ctx, storeTimeout)
+		page, err := r.Store.Scan(reading, rowstore.Only(SharedTable, IntakePart(ask.Job), jobKey(ask.Job)))
+		cancel()
+		if err != nil {
+			ask.Reply(r.unavailable(ask, err))
+			return
+		}
+		if len(page.Rows) == 0 {
+			ask.Reply(Reply{Kind: ReplyGone, Source: "store"})
+			return
+		}
+	}
+	reply := ask.Reply
+	s := &Submission{Cancel: ask.Job, Deadline: ask.Deadline, Reply: func(o IntakeOutcome) {
+		switch o {
+		case IntakeStored:
+			reply(Reply{Kind: ReplyFound, State: fleet.JobStateCancelled, Source: "store"})
+		case IntakeRefused:
+			reply(Reply{Kind: ReplyUnavailable, Source: "store"})
+		default:
+			reply(Reply{Kind: ReplyUnknown, Source: "store"})
+		}
+	}}
+	if err := r.Intakes[IntakeIndex(ask.Job)].Push(s); err != nil {
+		reply(Reply{Kind: ReplyUnavailable, Source: "intake busy"})
+	}
+}
+
+// Announcer is the duty that tells the holders of services what was stored, ahead of their next read.
+type Announcer struct {
+	// The fields are set before Run.
+	Inbox     *ring.Ring[*Submission]
+	Scheduler *ring.Ring[Event]
+	Peers     Peers
+	Clock     clock.Clock
+	Log       *zap.Logger
+	Number    int
+}
+
+// Name implements duty.Duty.
+func (a *Announcer) Name() fleet.DutyName {
+	return fleet.DutyName("announcer-" + strconv.Itoa(a.Number))
+}
+
+// Run implements duty.Duty.
+func (a *Announcer) Run(ctx context.Context) error {
+	for {
+		s, err := a.Inbox.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		q := Query{Kind: QueryAnnounce, Job: s.Cancel, Accepted: s.Job, Cancelled: s.Job == nil}
+		if s.Job != nil {
+			q.Job, q.Service = s.Job.ID, s.Job.Service
+		}
+		a.announce(ctx, q)
+	}
+}
+
+func (a *Announcer) announce(ctx context.Context, q Query) {
+	// This entry takes the job over from its own scheduler; the answer names the holder.
+	own := q
+	own.Reply = func(Answer) {}
+	if err := a.Scheduler.Push(Event{Query: &own}); err != nil {
+		return // The next read of the shared table brings the job.
+	}
+	reply := ring.New[Answer]("answer", 1)
+	where := Query{Kind: QueryState, Service: q.Service, Job: q.Job, Reply: func(x Answer) { _ = reply.Push(x) }}
+	if err := a.Scheduler.Push(Event{Query: &where}); err != nil {
+		return
+	}
+	timer := a.Clock.NewTimer(schedulerTimeout)
+	defer timer.Stop()
+	answer, ok, err := reply.PopUntil(ctx, timer.Chan())
+	if err != nil || !ok || answer.Held || answer.Holder == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if _, err := a.Peers.Ask(ctx, answer.Holder, q); err != nil {
+		a.Log.Warn("announcer: holder does not answer", zap.String("job", string(q.Job)), zap.String("holder", string(answer.Holder)), zap.Error(trace.Unwrap(err)))
+	}
+}
--- /dev/null
+++ b/internal/holder/scheduler.go
@@ -0,0 +1,408 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Starter starts a duty that runs until its context ends.
+type Starter interface {
+	Start(ctx context.Context, d duty.Duty)
+}
+
+// EndpointCaller sends orders to endpoints over one connection at a time. One goroutine uses it.
+type EndpointCaller interface {
+	Execute(ctx context.Context, o shard.Order) shard.Result
+	Close()
+}
+
+// Times of the scheduler.
+const (
+	// tickInterval is how often leases, stalls and claims are looked at.
+	tickInterval = 100 * time.Millisecond
+	// holderValidity is how long a holder goes on renewing the leases of its runs while the store does
+	// not answer. A new holder waits for it only at endpoints that it cannot reach itself. It covers the
+	// longest outage of the store that the platform describes.
+	holderValidity = 10 * time.Second
+	// settleTime is how long a started entry gathers the rows of others before it asks for leases.
+	settleTime = 800 * time.Millisecond
+	// eventsPerRound bounds the events that are handled before work is placed.
+	eventsPerRound = 256
+)
+
+// Scheduler is the duty that runs the services whose leases this entry holds, and knows who holds the
+// others.
+type Scheduler struct {
+	// The fields are set before Run.
+	Self   Identity
+	Inbox  *ring.Ring[Event]
+	Store  Store
+	Clock  clock.Clock
+	Log    *zap.Logger
+	Bounds shard.Bounds
+	Duties Starter
+	// NewCaller returns a caller for one duty.
+	NewCaller func() EndpointCaller
+	// Refresh asks the follower of the shared table for a read.
+	Refresh *ring.Ring[FollowRequest]
+	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
+	Maintainer func(c *Chain, taken *Taken) duty.Duty
+	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
+	// Status is published for readiness and the status page.
+	Status *ring.Latest[Status]
+	// Released is called once all leases are given up after a stop.
+	Released func()
+
+	election  *election.State
+	jobs      map[fleet.JobID]*fleet.Job
+	cancelled map[fleet.JobID]bool
+	runners   map[fleet.EndpointID]shard.Runner
+	config    *Config
+	held      map[fleet.DutyName]*heldDuty
+	taking    map[fleet.DutyName]bool
+	startedAt time.Time
+	sharedAt  time.Time
+	stopping  bool
+	announced bool
+}
+
+// Status is what the scheduler publishes.
+type Status struct {
+	// Configured is set once a configuration is known.
+	Configured bool
+	// SharedAt is when the shared table was read last.
+	SharedAt time.Time
+	Jobs     int
+	Held     []fleet.DutyName
+}
+
+// heldDuty is a duty whose lease this entry holds.
+type heldDuty struct {
+	chain   *Chain
+	service fleet.ServiceID
+	// engine is nil for maintenance.
+	engine *shard.Engine
+	// loaded is set once all rows that were committed before the lease was taken are known.
+	loaded   bool
+	progress []*ProgressRow
+	writes   *ring.Ring[Write]
+	writing  bool
+	batch    bool
+	renewed  time.Time
+	// confirmed is when the last transaction that took effect was sent.
+	confirmed time.Time
+	releasing bool
+	links     *links
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+// Name implements duty.Duty.
+func (*Scheduler) Name() fleet.DutyName { return "scheduler" }
+
+// Run implements duty.Duty.
+func (s *Scheduler) Run(ctx context.Context) error {
+	s.election = election.NewState(s.Self.Entry, s.Self.Incarnation)
+	s.jobs, s.cancelled = map[fleet.JobID]*fleet.Job{}, map[fleet.JobID]bool{}
+	s.runners = map[fleet.EndpointID]shard.Runner{}
+	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
+	s.startedAt = s.Clock.Now()
+	next := s.startedAt
+	for {
+		timer := s.Clock.NewTimer(max(0, next.Sub(s.Clock.Now())))
+		event, ok, err := s.Inbox.PopUntil(ctx, timer.Chan())
+		timer.Stop()
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		for n := 0; ok; n++ {
+			s.handle(ctx, event)
+			if n == eventsPerRound {
+				break
+			}
+			event, ok = s.Inbox.TryPop()
+		}
+		if now := s.Clock.Now(); !now.Before(next) {
+			s.tick(ctx, now)
+			next = now.Add(tickInterval)
+		}
+		s.work()
+	}
+}
+
+func (s *Scheduler) handle(ctx context.Context, e Event) {
+	now := s.Clock.Now()
+	switch {
+	case e.Shared != nil:
+		s.applyShared(now, e.Shared)
+	case e.Runners != nil:
+		s.applyRunners(now, e.Runners)
+	case e.Config != nil:
+		s.applyConfig(e.Config)
+	case e.Result != nil:
+		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Token {
+			h.engine.Apply(now, *e.Result)
+			if h.engine.Fenced() {
+				s.drop(h, "an endpoint has seen a newer holder")
+			}
+		}
+	case e.Written != nil:
+		s.applyWritten(now, e.Written)
+	case e.Taken != nil:
+		s.applyTaken(ctx, now, e.Taken)
+	case e.Loaded != nil:
+		s.applyLoaded(now, e.Loaded)
+	case e.Query != nil:
+		e.Query.Reply(s.answer(now, e.Query))
+	case e.Stop:
+		s.stopping = true
+	}
+}
+
+func (s *Scheduler) applyShared(now time.Time, c *SharedChange) {
+	if s.sharedAt.IsZero() || now.Sub(s.sharedAt) < election.LapseAfter/2 {
+		s.sharedAt = now
+	} else {
+		// While the table could not be read, silence tells nothing about other entries.
+		s.election.Current(now.Sub(s.sharedAt))
+		s.sharedAt = now
+	}
+	for _, l := range c.Leases {
+		s.election.SetLease(now, l)
+	}
+	for _, n := range c.Nodes {
+		s.election.SetNode(now, n)
+	}
+	for _, id := range c.GoneNodes {
+		delete(s.election.Nodes, id)
+	}
+	for _, j := range c.Jobs {
+		s.accept(j)
+	}
+	for _, id := range c.Cancelled {
+		s.cancel(now, id)
+	}
+	for _, id := range c.Forgotten {
+		delete(s.jobs, id)
+		delete(s.cancelled, id)
+	}
+}
+
+func (s *Scheduler) accept(j *fleet.Job) {
+	if s.jobs[j.ID] != nil {
+		return
+	}
+	s.jobs[j.ID] = j
+	if h := s.held[ServiceDuty(j.Service)]; h != nil && h.engine != nil && h.loaded {
+		h.engine.Accept(j)
+		if s.cancelled[j.ID] {
+			h.engine.Cancel(s.Clock.Now(), j.ID)
+		}
+	}
+}
+
+func (s *Scheduler) cancel(now time.Time, id fleet.JobID) {
+	s.cancelled[id] = true
+	if j := s.jobs[id]; j != nil {
+		if h := s.held[ServiceDuty(j.Service)]; h != nil && h.engine != nil && h.loaded {
+			h.engine.Cancel(now, id)
+		}
+	}
+}
+
+func (s *Scheduler) applyRunners(now time.Time, l *RunnerList) {
+	if l.All {
+		clear(s.runners)
+	}
+	for _, r := range l.Runners {
+		s.runners[r.Endpoint] = r
+	}
+	for _, id := range l.Gone {
+		delete(s.runners, id)
+	}
+	for _, h := range s.held {
+		s.showRunners(now, h)
+	}
+}
+
+func (s *Scheduler) showRunners(now time.Time, h *heldDuty) {
+	if h.engine == nil {
+		return
+	}
+	var list []shard.Runner
+	for _, r := range s.runners {
+		if r.Service == h.service {
+			list = append(list, r)
+		}
+	}
+	h.engine.SetRunners(now, list)
+}
+
+func (s *Scheduler) applyConfig(c *Config) {
+	if s.config != nil && c.Version <= s.config.Version {
+		return
+	}
+	s.config = c
+	for _, h := range s.held {
+		s.showPolicies(h)
+	}
+	s.Log.Info("scheduler: configuration in force", zap.Uint64("config-version", c.Version), zap.Int("queues", len(c.Queues)))
+}
+
+func (s *Scheduler) showPolicies(h *heldDuty) {
+	if h.engine == nil || s.config == nil {
+		return
+	}
+	var policies []job.Policy
+	for _, q := range s.config.Queues {
+		if q.Service == h.service {
+			policies = append(policies, q.Policy)
+		}
+	}
+	h.engine.SetPolicies(policies)
+}
+
+// tick looks at the clock for all duties.
+func (s *Scheduler) tick(ctx context.Context, now time.Time) {
+	for _, h := range s.sorted() {
+		if h.engine != nil && now.Sub(h.confirmed) > holderValidity {
+			s.drop(h, "no transaction took effect for too long")
+			continue
+		}
+		if h.engine != nil && h.loaded {
+			h.engine.Tick(now)
+		}
+		if s.stopping {
+			s.release(h)
+		}
+	}
+	if s.stopping && len(s.held) == 0 && !s.announced {
+		s.announced = true
+		s.Released()
+	}
+	s.claim(ctx, now)
+	s.publish()
+}
+
+func (s *Scheduler) publish() {
+	status := Status{Configured: s.config != nil, SharedAt: s.sharedAt, Jobs: len(s.jobs)}
+	for _, h := range s.sorted() {
+		status.Held = append(status.Held, h.chain.Duty)
+	}
+	s.Status.Set(status)
+}
+
+func (s *Scheduler) sorted() []*heldDuty {
+	list := make([]*heldDuty, 0, len(s.held))
+	for _, h := range s.held {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b *heldDuty) int {
+		if a.chain.Duty < b.chain.Duty {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// work places tasks, hands changes to the store and sends orders.
+func (s *Scheduler) work() {
+	now := s.Clock.Now()
+	for _, h := range s.sorted() {
+		if h.engine == nil || !h.loaded {
+			s.write(now, h, nil)
+			continue
+		}
+		h.engine.Plan(now)
+		var batch *shard.Batch
+		if !h.writing && !h.releasing {
+			next, err := h.engine.NextBatch(progressEncoder{})
+			if err != nil {
+				s.Log.Error("scheduler: progress cannot be encoded", zap.String("service", string(h.service)), zap.Error(trace.Unwrap(err)))
+				s.drop(h, "progress cannot be encoded")
+				continue
+			}
+			batch = next
+		}
+		s.write(now, h, batch)
+		for _, o := range h.engine.Orders() {
+			if !h.releasing {
+				h.links.send(o)
+			}
+		}
+	}
+}
+
+// write hands a batch, a renewal that is due, or both to the duty's writer.
+func (s *Scheduler) write(now time.Time, h *heldDuty, batch *shard.Batch) {
+	if h.engine == nil || h.writing || h.releasing {
+		return
+	}
+	due := now.Sub(h.renewed) >= election.RenewInterval
+	if batch == nil && !due {
+		return
+	}
+	w := Write{Renew: due}
+	if batch != nil {
+		w.Puts, w.Removes = rowsOf(h.chain.Duty, batch)
+	}
+	if due {
+		h.renewed = now
+	}
+	h.writing, h.batch = true, batch != nil
+	// The ring has room: one write at a time is under way.
+	_ = h.writes.Push(w)
+}
+
+func (s *Scheduler) applyWritten(now time.Time, w *Written) {
+	h := s.held[w.Duty]
+	if h == nil || h.chain.Epoch != w.Epoch {
+		return
+	}
+	if w.Err != nil {
+		s.drop(h, "another entry holds the lease")
+		return
+	}
+	if h.releasing {
+		s.drop(h, "released for a stop")
+		return
+	}
+	h.writing = false
+	h.confirmed = w.SentAt
+	if h.batch {
+		h.engine.Committed(now)
+	}
+}
+
+// drop ends the work of a duty in this process.
+func (s *Scheduler) drop(h *heldDuty, reason string) {
+	h.cancel()
+	delete(s.held, h.chain.Duty)
+	s.Log.Info("scheduler: lease given up", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)), zap.String("reason", reason))
+}
+
+// release gives a lease up for a stop: the next holder need not wait for it to lapse.
+func (s *Scheduler) release(h *heldDuty) {
+	if h.releasing || h.writing {
+		return
+	}
+	if h.engine == nil {
+		s.drop(h, "released for a stop")
+		return
+	}
+	h.releasing, h.writing = true, true
+	_ = h.writes.Push(Write{Release: true})
+}
--- /dev/null
+++ b/internal/holder/take.go
@@ -0,0 +1,214 @@
+package holder
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// taker is the duty that takes one lease and reads what its holder has to know.
+type taker struct {
+	chain    *Chain
+	previous election.Lease
+	clock    clock.Clock
+	done     func(Taken)
+}
+
+// Name implements duty.Duty.
+func (t *taker) Name() fleet.DutyName { return "taker-" + t.chain.Duty }
+
+// takeTimeout bounds the attempt to take a lease, in which a transaction without an answer is repeated.
+const takeTimeout = 5 * time.Second
+
+// Run implements duty.Duty. It reports once and then waits for its context to end.
+func (t *taker) Run(ctx context.Context) error {
+	t.done(t.take(ctx))
+	<-ctx.Done()
+	return trace.Wrap(ctx.Err())
+}
+
+func (t *taker) take(ctx context.Context) Taken {
+	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
+	defer cancel()
+	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now()}
+	if !t.previous.ChangedAt.IsZero() {
+		result.Previous = t.previous.ChangedAt
+	}
+	if err := t.chain.Take(ctx, t.previous.Epoch); err != nil {
+		result.Err = err
+		return result
+	}
+	rows, _, err := scan(ctx, t.chain.Store, tableProgress, dutyPart(t.chain.Duty))
+	if err != nil {
+		result.Err = err
+		return result
+	}
+	for _, row := range rows {
+		if w, ok := waveRow(row); ok {
+			result.Wave = append(result.Wave, w)
+			continue
+		}
+		result.Progress = append(result.Progress, &ProgressRow{Value: row.Value})
+	}
+	result.Chain = t.chain
+	return result
+}
+
+// claim starts to take the leases that this entry should hold.
+func (s *Scheduler) claim(ctx context.Context, now time.Time) {
+	if s.stopping || s.config == nil || now.Sub(s.startedAt) < settleTime || s.sharedAt.IsZero() || now.Sub(s.sharedAt) > election.LapseAfter/2 {
+		return
+	}
+	var duties []fleet.DutyName
+	queued := map[fleet.ServiceID]bool{}
+	for _, q := range s.config.Queues {
+		queued[q.Service] = true
+	}
+	for _, j := range s.jobs {
+		queued[j.Service] = true
+	}
+	for service := range queued {
+		duties = append(duties, ServiceDuty(service))
+	}
+	if s.Maintainer != nil {
+		duties = append(duties, DutyMaintenance)
+	}
+	for _, d := range s.election.Claims(now, duties) {
+		if s.held[d] != nil || s.taking[d] || len(s.taking) > 0 {
+			continue
+		}
+		s.taking[d] = true
+		chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock}
+		taking, cancel := context.WithCancel(ctx)
+		s.Duties.Start(taking, &taker{
+			chain: chain, previous: s.election.Leases[d], clock: s.Clock,
+			done: func(t Taken) { s.push(Event{Taken: &t}); cancel() },
+		})
+	}
+}
+
+// push gives an event of one of the scheduler's own duties back to it. The ring keeps a reserve for them.
+func (s *Scheduler) push(e Event) {
+	if err := s.Inbox.PushReserved(e); err != nil {
+		s.Log.Error("scheduler: event is lost", zap.Error(trace.Unwrap(err)))
+	}
+}
+
+func (s *Scheduler) applyTaken(ctx context.Context, now time.Time, t *Taken) {
+	delete(s.taking, t.Duty)
+	if t.Chain == nil {
+		s.Log.Info("scheduler: lease not taken", zap.String("duty", string(t.Duty)), zap.Error(trace.Unwrap(t.Err)))
+		return
+	}
+	h := &heldDuty{
+		chain: t.Chain, confirmed: t.SentAt, renewed: t.SentAt, progress: t.Progress,
+		writes: ring.New[Write]("writes", 1),
+	}
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	s.held[t.Duty] = h
+	s.election.SetLease(now, election.Lease{
+		Duty: t.Duty, Entry: s.Self.Entry, Incarnation: s.Self.Incarnation, Address: s.Self.Address, Epoch: t.Chain.Epoch, Renewals: 1,
+	})
+	s.Log.Info("scheduler: lease taken", zap.String("duty", string(t.Duty)), zap.Uint64("epoch", uint64(t.Chain.Epoch)),
+		zap.Int("progress-rows", len(t.Progress)), zap.Duration("since-last-renewal", sinceOrZero(now, t.Previous)))
+	if t.Duty == DutyMaintenance {
+		h.loaded = true
+		s.Duties.Start(h.ctx, s.Maintainer(t.Chain, t))
+		return
+	}
+	h.service = fleet.ServiceID(t.Duty[len(ServiceDuty("")):])
+	var end time.Time
+	if !t.Previous.IsZero() {
+		end = later(now, t.Previous.Add(holderValidity)).Add(shard.LeaseLength + shard.LeaseLength/10)
+	}
+	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), end)
+	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
+	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
+	loaded := Loaded{Duty: t.Duty, Epoch: t.Chain.Epoch}
+	if err := s.Refresh.Push(FollowRequest{Done: func() { s.push(Event{Loaded: &loaded}) }}); err != nil {
+		s.drop(h, "the shared table's follower is overloaded")
+	}
+}
+
+// applyLoaded makes the engine complete: every job that was accepted, and the state of those that the
+// previous holders committed.
+func (s *Scheduler) applyLoaded(now time.Time, l *Loaded) {
+	h := s.held[l.Duty]
+	if h == nil || h.chain.Epoch != l.Epoch || h.loaded {
+		return
+	}
+	s.showPolicies(h)
+	s.showRunners(now, h)
+	for _, j := range s.jobs {
+		if j.Service == h.service {
+			h.engine.Accept(j)
+		}
+	}
+	for _, row := range h.progress {
+		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return s.jobs[id] })
+		if err != nil {
+			s.Log.Error("scheduler: progress row passed over", zap.String("service", string(h.service)), zap.Error(trace.Unwrap(err)))
+			continue
+		}
+		h.engine.Restore(now, o)
+	}
+	for id := range s.cancelled {
+		h.engine.Cancel(now, id)
+	}
+	h.progress, h.loaded = nil, true
+}
+
+// rowsOf converts a batch to rows.
+func rowsOf(d fleet.DutyName, b *shard.Batch) (puts, removes []rowstore.Row) {
+	for _, r := range b.Rows {
+		row := rowstore.Row{Table: tableProgress, Part: dutyPart(d), Key: progressKey(r.Key), Value: r.Value}
+		if r.Value == nil {
+			removes = append(removes, row)
+		} else {
+			puts = append(puts, row)
+		}
+	}
+	return puts, removes
+}
+
+// waveRow decodes the row of a maintenance wave, and returns false for other rows.
+func waveRow(row rowstore.Row) (WaveRow, bool) {
+	if len(row.Key) < len(keyWave) || string(row.Key[:len(keyWave)]) != keyWave {
+		return WaveRow{}, false
+	}
+	m := &jobv1.WaveProgress{}
+	if err := proto.Unmarshal(row.Value, m); err != nil {
+		return WaveRow{}, false
+	}
+	w := WaveRow{Wave: fleet.WaveID(m.GetWave()), Completed: m.GetCompleted()}
+	for _, vm := range m.GetOrdered() {
+		w.Ordered = append(w.Ordered, fleet.VMID(vm))
+	}
+	return w, true
+}
+
+func sinceOrZero(now, then time.Time) time.Duration {
+	if then.IsZero() {
+		return 0
+	}
+	return now.Sub(then)
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/internal/holder/writer.go
@@ -0,0 +1,219 @@
+package holder
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// LostLeaseError reports that another entry holds the lease of a duty.
+type LostLeaseError struct {
+	Duty fleet.DutyName
+}
+
+// Error implements error.
+func (e *LostLeaseError) Error() string { return "another entry holds the lease of " + string(e.Duty) }
+
+// Identity is who a process is to the other entries.
+type Identity struct {
+	Entry       fleet.EntryID
+	Incarnation fleet.Incarnation
+	Zone        fleet.ZoneID
+	// Address is where other entries reach this one.
+	Address fleet.Address
+}
+
+// Write is one transaction of a duty.
+type Write struct {
+	Puts    []rowstore.Row
+	Removes []rowstore.Row
+	// Renew writes the lease row too; Release gives the lease up.
+	Renew, Release bool
+}
+
+// Written reports the outcome of a write.
+type Written struct {
+	Duty  fleet.DutyName
+	Epoch fleet.FencingToken
+	// SentAt is when the first attempt was sent.
+	SentAt time.Time
+	// Err is nil, or *LostLeaseError.
+	Err error
+}
+
+// Chain writes the rows of one duty. Each transaction requires the row that the previous one wrote, so
+// that a transaction whose answer was lost can be sent again as it is: it takes effect once, and the
+// writes of an earlier holder never take effect after this one has taken over.
+type Chain struct {
+	Duty  fleet.DutyName
+	Self  Identity
+	Epoch fleet.FencingToken
+	Store Store
+	Clock clock.Clock
+
+	version  rowstore.Version
+	sequence uint64
+	renewals uint64
+}
+
+// Retries of transactions.
+const (
+	// transactTimeout bounds one attempt. A transaction may wait behind a second of others.
+	transactTimeout  = 1500 * time.Millisecond
+	writeRetry       = 50 * time.Millisecond
+	writeRetryLonger = 400 * time.Millisecond
+)
+
+// Write applies a transaction and repeats it until its outcome is known. It returns *LostLeaseError or the
+// context's error.
+func (c *Chain) Write(ctx context.Context, w Write) error {
+	c.sequence++
+	t := rowstore.Transaction{Puts: w.Puts, Removes: w.Removes}
+	t.Puts = append(t.Puts, c.chainRow())
+	if w.Renew || w.Release {
+		c.renewals++
+		t.Puts = append(t.Puts, c.leaseRow(w.Release))
+	}
+	for pause := writeRetry; ; pause = min(2*pause, writeRetryLonger) {
+		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
+		version, err := c.attempt(ctx, t)
+		var conflict *rowstore.ConflictError
+		switch {
+		case err == nil:
+			c.version = version
+			return nil
+		case errors.As(err, &conflict):
+			done, err := c.resolve(conflict)
+			if done || err != nil {
+				return trace.Wrap(err)
+			}
+		}
+		if err := clock.Wait(ctx, c.Clock, pause); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction) (rowstore.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, transactTimeout)
+	defer cancel()
+	return c.Store.Transact(ctx, t)
+}
+
+// resolve looks at the row that stands in the way. It returns true when an earlier attempt of this
+// transaction took effect.
+func (c *Chain) resolve(conflict *rowstore.ConflictError) (bool, error) {
+	lost := &LostLeaseError{Duty: c.Duty}
+	for _, row := range conflict.Rows {
+		if row.Table != tableChain || row.Key != keyChain || row.Deleted {
+			continue
+		}
+		m := &jobv1.Chain{}
+		if err := proto.Unmarshal(row.Value, m); err != nil {
+			return false, trace.Wrap(lost)
+		}
+		if m.GetEntry() != string(c.Self.Entry) || m.GetIncarnation() != string(c.Self.Incarnation) || m.GetEpoch() != uint64(c.Epoch) {
+			return false, trace.Wrap(lost)
+		}
+		c.version = row.Version
+		switch m.GetSequence() {
+		case c.sequence:
+			return true, nil
+		case c.sequence - 1:
+			// The version that the previous transaction reported was not that of the row.
+			return false, nil
+		}
+	}
+	return false, trace.Wrap(lost)
+}
+
+func (c *Chain) chainRow() rowstore.Row {
+	return mustRow(tableChain, dutyPart(c.Duty), keyChain, &jobv1.Chain{
+		Entry: string(c.Self.Entry), Incarnation: string(c.Self.Incarnation), Sequence: c.sequence,
+		Epoch: uint64(c.Epoch),
+	})
+}
+
+func (c *Chain) leaseRow(released bool) rowstore.Row {
+	return mustRow(SharedTable, dutyPart(c.Duty), keyLease, &jobv1.Lease{
+		Duty: string(c.Duty), Entry: string(c.Self.Entry), Incarnation: string(c.Self.Incarnation),
+		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: released,
+	})
+}
+
+// mustRow encodes a message. Encoding fails only for text that is not UTF-8, which no field of the
+// callers holds.
+func mustRow(table rowstore.Table, part rowstore.Part, key rowstore.Key, m proto.Message) rowstore.Row {
+	value, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return rowstore.Row{Table: table, Part: part, Key: key, Value: value}
+}
+
+// Take asks for the lease. It returns *LostLeaseError when another entry was faster or still holds it,
+// *rowstore.RefusedError or *rowstore.UnknownError when the store did not answer in time. Previous is the lease as last
+// read; its zero value stands for a duty that never had a holder.
+func (c *Chain) Take(ctx context.Context, previous fleet.FencingToken) error {
+	page, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, row := range page.Rows {
+		if row.Key == keyChain {
+			c.version = row.Version
+		}
+	}
+	leases, err := c.Store.Scan(ctx, rowstore.Only(SharedTable, dutyPart(c.Duty), keyLease))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	for _, row := range leases.Rows {
+		m := &jobv1.Lease{}
+		if row.Key != keyLease || proto.Unmarshal(row.Value, m) != nil {
+			continue
+		}
+		if fleet.FencingToken(m.GetEpoch()) > previous {
+			return trace.Wrap(&LostLeaseError{Duty: c.Duty})
+		}
+	}
+	c.Epoch = previous + 1
+	return trace.Wrap(c.Write(ctx, Write{Renew: true}))
+}
+
+// Writer is the duty that writes the rows of one duty.
+type Writer struct {
+	// The fields are set before Run.
+	Chain *Chain
+	Inbox *ring.Ring[Write]
+	// Done takes the outcomes. It never blocks.
+	Done func(Written)
+}
+
+// Name implements duty.Duty.
+func (w *Writer) Name() fleet.DutyName { return "writer-" + w.Chain.Duty }
+
+// Run implements duty.Duty.
+func (w *Writer) Run(ctx context.Context) error {
+	for {
+		write, err := w.Inbox.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		sent := w.Chain.Clock.Now()
+		err = w.Chain.Write(ctx, write)
+		if ctx.Err() != nil {
+			return trace.Wrap(ctx.Err())
+		}
+		w.Done(Written{Duty: w.Chain.Duty, Epoch: w.Chain.Epoch, SentAt: sent, Err: err})
+	}
+}
--- /dev/null
+++ b/internal/jobpeer/jobpeer.go
@@ -0,0 +1,150 @@
+// Package jobpeer carries the questions that entries ask each other about jobs.
+package jobpeer
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1/jobv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Client asks other entries. It is safe for concurrent use.
+type Client struct {
+	// HTTP carries the calls.
+	HTTP *http.Client
+}
+
+// PeerError reports an entry that gave no answer.
+type PeerError struct {
+	Address fleet.Address
+	Cause   error
+}
+
+// Error implements error.
+func (e *PeerError) Error() string { return "entry at " + string(e.Address) + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *PeerError) Unwrap() error { return e.Cause }
+
+// Ask implements holder.Peers. It returns *PeerError.
+func (c *Client) Ask(ctx context.Context, address fleet.Address, q holder.Query) (holder.Answer, error) {
+	answer, err := c.ask(ctx, jobv1connect.NewJobPeerServiceClient(c.HTTP, "http://"+string(address)), q)
+	if err != nil {
+		return holder.Answer{}, trace.Wrap(&PeerError{Address: address, Cause: err})
+	}
+	return answer, nil
+}
+
+func (c *Client) ask(ctx context.Context, peer jobv1connect.JobPeerServiceClient, q holder.Query) (holder.Answer, error) {
+	switch q.Kind {
+	case holder.QueryAnnounce:
+		m := &jobv1.AnnounceRequest{Service: string(q.Service), Cancelled: q.Cancelled}
+		if q.Accepted != nil {
+			m.Job = wire.Job(q.Accepted)
+		} else {
+			m.Job = &jobv1.Job{Id: string(q.Job)}
+		}
+		_, err := peer.Announce(ctx, connect.NewRequest(m))
+		return holder.Answer{}, trace.Wrap(err)
+	case holder.QueryWaiting:
+		r, err := peer.Waiting(ctx, connect.NewRequest(&jobv1.WaitingRequest{Service: string(q.Service), Queue: string(q.Queue)}))
+		if err != nil {
+			return holder.Answer{}, trace.Wrap(err)
+		}
+		return holder.Answer{Held: r.Msg.GetHeld(), Count: int(r.Msg.GetJobs())}, nil
+	case holder.QueryVacate:
+		r, err := peer.Vacate(ctx, connect.NewRequest(&jobv1.VacateRequest{Service: string(q.Service), Endpoint: string(q.Endpoint)}))
+		if err != nil {
+			return holder.Answer{}, trace.Wrap(err)
+		}
+		return holder.Answer{Held: r.Msg.GetHeld(), Vacated: r.Msg.GetVacated()}, nil
+	}
+	r, err := peer.State(ctx, connect.NewRequest(&jobv1.StateRequest{Service: string(q.Service), Job: string(q.Job)}))
+	if err != nil {
+		return holder.Answer{}, trace.Wrap(err)
+	}
+	return holder.Answer{Held: r.Msg.GetHeld(), Known: r.Msg.GetKnown(), State: fleet.JobState(r.Msg.GetState())}, nil
+}
+
+// Handler answers other entries from the scheduler's state.
+type Handler struct {
+	// Scheduler takes the questions.
+	Scheduler *ring.Ring[holder.Event]
+}
+
+// answerTimeout bounds the wait for the scheduler; the asking entry waits a little longer.
+const answerTimeout = 350 * time.Millisecond
+
+// Path returns the path and the HTTP handler of the service.
+func (h *Handler) Path() (string, http.Handler) {
+	return jobv1connect.NewJobPeerServiceHandler(h)
+}
+
+// NoAnswerError reports a scheduler that is too busy to answer in time.
+type NoAnswerError struct{}
+
+// Error implements error.
+func (*NoAnswerError) Error() string { return "the scheduler did not answer in time" }
+
+func (h *Handler) ask(ctx context.Context, q holder.Query) (holder.Answer, error) {
+	reply := ring.New[holder.Answer]("answer", 1)
+	q.Reply = func(a holder.Answer) { _ = reply.Push(a) } // The ring has room for the only answer.
+	if err := h.Scheduler.Push(holder.Event{Query: &q}); err != nil {
+		return holder.Answer{}, connect.NewError(connect.CodeUnavailable, err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	a, err := reply.Pop(ctx)
+	if err != nil {
+		return holder.Answer{}, connect.NewError(connect.CodeUnavailable, &NoAnswerError{})
+	}
+	return a, nil
+}
+
+// Announce implements the service.
+func (h *Handler) Announce(ctx context.Context, r *connect.Request[jobv1.AnnounceRequest]) (*connect.Response[jobv1.AnnounceResponse], error) {
+	q := holder.Query{Kind: holder.QueryAnnounce, Job: fleet.JobID(r.Msg.GetJob().GetId()), Cancelled: r.Msg.GetCancelled()}
+	if !q.Cancelled {
+		q.Accepted = wire.FromJob(r.Msg.GetJob())
+	}
+	if _, err := h.ask(ctx, q); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.AnnounceResponse{}), nil
+}
+
+// State implements the service.
+func (h *Handler) State(ctx context.Context, r *connect.Request[jobv1.StateRequest]) (*connect.Response[jobv1.StateResponse], error) {
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryState, Service: fleet.ServiceID(r.Msg.GetService()), Job: fleet.JobID(r.Msg.GetJob())})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.StateResponse{Held: a.Held, Known: a.Known, State: string(a.State)}), nil
+}
+
+// Waiting implements the service.
+func (h *Handler) Waiting(ctx context.Context, r *connect.Request[jobv1.WaitingRequest]) (*connect.Response[jobv1.WaitingResponse], error) {
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryWaiting, Service: fleet.ServiceID(r.Msg.GetService()), Queue: fleet.QueueID(r.Msg.GetQueue())})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.WaitingResponse{Held: a.Held, Jobs: uint32(a.Count)}), nil
+}
+
+// Vacate implements the service.
+func (h *Handler) Vacate(ctx context.Context, r *connect.Request[jobv1.VacateRequest]) (*connect.Response[jobv1.VacateResponse], error) {
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryVacate, Service: fleet.ServiceID(r.Msg.GetService()), Endpoint: fleet.EndpointID(r.Msg.GetEndpoint())})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.VacateResponse{Held: a.Held, Vacated: a.Vacated}), nil
+}
--- /dev/null
+++ b/internal/rowstore/rowstore.go
@@ -0,0 +1,115 @@
+// Package rowstore declares what the platform's table service offers: versioned rows, conditional
+// transactions, and a feed of changes. Implementations convert to the service's protocol.
+package rowstore
+
+import "fmt"
+
+// Table names a table.
+type Table string
+
+// Part names a part of a table. Transactions on one part are applied one after another.
+type Part string
+
+// Key names a row within its table and part.
+type Key string
+
+// Version counts the transactions of the whole store.
+type Version uint64
+
+// Row is one row. A deleted row has no value.
+type Row struct {
+	Table   Table
+	Part    Part
+	Key     Key
+	Value   []byte
+	Version Version
+	Deleted bool
+}
+
+// Condition is the version that a row must have; 0 means that the row must not exist.
+type Condition struct {
+	Table   Table
+	Part    Part
+	Key     Key
+	Version Version
+}
+
+// Transaction is applied as a whole or not at all. All rows share one part.
+type Transaction struct {
+	Conditions []Condition
+	Puts       []Row
+	Removes    []Row
+}
+
+// Range is a range of keys of one part.
+type Range struct {
+	Table Table
+	Part  Part
+	// From is the first key.
+	From Key
+	// Until is the first key that is left out; empty for no end.
+	Until Key
+}
+
+// Only returns the range of a single key.
+func Only(table Table, part Part, key Key) Range {
+	return Range{Table: table, Part: part, From: key, Until: key + "\x00"}
+}
+
+// Page is a part of a scan.
+type Page struct {
+	Rows []Row
+	More bool
+	// Version is the newest version when the page was read.
+	Version Version
+}
+
+// ConflictError reports a condition that did not hold. Nothing was changed.
+type ConflictError struct {
+	// Rows are the current rows of the conditions; rows that do not exist are left out.
+	Rows []Row
+}
+
+// Error implements error.
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("a condition of the transaction does not hold (%d current rows)", len(e.Rows))
+}
+
+// RefusedError reports a call that the store did not carry out.
+type RefusedError struct {
+	Call   string
+	Status int
+	Cause  error
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("store refused %s with status %d: %v", e.Call, e.Status, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *RefusedError) Unwrap() error { return e.Cause }
+
+// UnknownError reports a call without an answer. It may have been, or may yet be, carried out.
+type UnknownError struct {
+	Call  string
+	Cause error
+}
+
+// Error implements error.
+func (e *UnknownError) Error() string {
+	return "no answer from the store to " + e.Call + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// HistoryError reports that the store no longer has the changes since a version.
+type HistoryError struct {
+	Since Version
+}
+
+// Error implements error.
+func (e *HistoryError) Error() string {
+	return fmt.Sprintf("the store has dropped the changes since version %d", e.Since)
+}
