shard: count a lasting task as away until its next run is at work

Excluded: two holders, as one entry gave both orders. Change: only a run that is not being stopped clears the mark.

--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -173,7 +173,7 @@
 	if a.step.TailTarget > 0 {
 		a.tail = time.Duration(run.Load) * time.Millisecond
 	}
-	if a.step.Lasting {
+	if a.step.Lasting && a.phase == phaseStarted {
 		if a.progress >= 100 {
 			delete(e.away, a.id)
 		} else if e.away[a.id].IsZero() {
