shard: count runs that no endpoint has listed as away

Excluded: two holders giving orders; the old one was killed a second before. Change: a task counts as at work once its endpoint lists it with full progress. After a lease that was given up, unreachable endpoints are waited for from the release on; a holder without the store goes on for 7 s instead of 10 s. TestNewHolderCountsUnseenRunsAsAway failed before.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -77,6 +77,8 @@
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
 	Previous time.Time
+	// Released is set when the previous holder gave the lease up.
+	Released bool
 	Progress []*ProgressRow
 	Wave     []WaveRow
 	Err      error
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -35,7 +35,7 @@
 	// holderValidity is how long a holder goes on renewing the leases of its runs while the store does
 	// not answer. A new holder waits for it only at endpoints that it cannot reach itself. It covers the
 	// longest outage of the store that the platform describes.
-	holderValidity = 10 * time.Second
+	holderValidity = 7 * time.Second
 	// settleTime is how long a started entry gathers the rows of others before it asks for leases.
 	settleTime = 800 * time.Millisecond
 	// eventsPerRound bounds the events that are handled before work is placed.
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -44,7 +44,7 @@
 	defer cancel()
 	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now()}
 	if !t.previous.ChangedAt.IsZero() {
-		result.Previous = t.previous.ChangedAt
+		result.Previous, result.Released = t.previous.ChangedAt, t.previous.Released
 	}
 	if err := t.chain.Take(ctx, t.previous.Epoch); err != nil {
 		result.Err = err
@@ -131,7 +131,12 @@
 	h.service = fleet.ServiceID(t.Duty[len(ServiceDuty("")):])
 	var end time.Time
 	if !t.Previous.IsZero() {
-		end = later(now, t.Previous.Add(holderValidity)).Add(shard.LeaseLength + shard.LeaseLength/10)
+		end = later(now, t.Previous.Add(holderValidity))
+		if t.Released {
+			// A holder that gave the lease up gives no more orders.
+			end = now
+		}
+		end = end.Add(shard.LeaseLength + shard.LeaseLength/10)
 	}
 	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), end)
 	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -471,7 +471,7 @@
 	n := 0
 	for _, e := range w.endpoints {
 		for task, r := range e.running {
-			if task.Job == id && w.now.Sub(r.began) >= fakeStartup && r.stopAt.IsZero() {
+			if !e.dead && task.Job == id && w.now.Sub(r.began) >= fakeStartup && r.stopAt.IsZero() {
 				n++
 			}
 		}
--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -38,3 +38,31 @@
 	}
 	is.Equal(len(w.violations), 0)
 }
+
+// Guards against a new holder that takes a run of its predecessor for a task at work although the
+// endpoint does not answer, and stops another task of the step.
+func TestNewHolderCountsUnseenRunsAsAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 6, worker64)
+	w.submit(lastingJob("lasting", 5, 1, 1))
+	w.play(3 * time.Second)
+	is.Equal(w.atWork("lasting"), 5)
+	for _, e := range w.endpoints {
+		if len(e.running) > 0 {
+			e.dead = true
+			break
+		}
+	}
+	w.takeOver(w.now.Add(10 * time.Second))
+	var working fleet.EndpointID
+	for id, e := range w.endpoints {
+		if !e.dead && len(e.running) > 0 {
+			working = id
+		}
+	}
+	for range 300 {
+		w.engine.Vacate(w.now, working)
+		w.step()
+		is.True(w.atWork("lasting") >= 4) // one task is away already
+	}
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -230,7 +230,7 @@
 		}
 		delete(e.avoid, end.Task)
 		if a.step.Gang {
-			e.releaseGang(now, o, end.Task.Step)
+			e.releaseGang(o, end.Task.Step)
 		}
 	case fleet.RunEndFailed:
 		e.avoid[end.Task] = w.Endpoint
@@ -244,7 +244,7 @@
 }
 
 // releaseGang drops the assignments of the other members once one end stands for all.
-func (e *Engine) releaseGang(now time.Time, o *job.Occurrence, step fleet.StepIndex) {
+func (e *Engine) releaseGang(o *job.Occurrence, step fleet.StepIndex) {
 	for t := range o.Tasks[step] {
 		id := o.ID(step, fleet.TaskIndex(t))
 		if w := e.workers[o.Task(id).At.Endpoint]; w != nil && w.runs[id] != nil {
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -218,7 +219,7 @@
 	away := 0
 	for t := range o.Tasks[id.Step] {
 		other := o.ID(id.Step, fleet.TaskIndex(t))
-		if other != id && (!o.Task(other).Running() || !e.away[other].IsZero()) {
+		if other != id && !e.atWork(o, other) {
 			away++
 		}
 	}
@@ -227,3 +228,14 @@
 	}
 	return e.choose(now, id, a.step, nil) != nil
 }
+
+// atWork reports whether a lasting task is known to work. A run that the previous holder started counts
+// only once its endpoint has listed it.
+func (e *Engine) atWork(o *job.Occurrence, id fleet.TaskID) bool {
+	w := e.workers[o.Task(id).At.Endpoint]
+	if w == nil || w.runs[id] == nil {
+		return false
+	}
+	a := w.runs[id]
+	return a.phase == phaseStarted && a.progress >= 100 && e.away[id].IsZero()
+}
