shard, holder: let maintenance begin only on an endpoint that runs nothing

Cause: an order to maintain a VM was given while batch tasks ran on it. Excluded: a lost commit and a late order; the chain and the tokens rule them out. Change: tasks that outlast the patience are stopped first. A service counts as idle only without queues and jobs. The maintenance lease is released at a stop. Ends of foreign runs are acknowledged. Partial pages of changes are read on. Tests: TestVacatedEndpointRunsNothing and TestForeignEndsAreAcknowledged failed before.

--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -27,6 +27,7 @@
 		if l, ok := s.election.Holder(now, ServiceDuty(service)); ok && l.Entry != s.Self.Entry {
 			a.Holder = l.Address
 		}
+		a.Idle = s.idle(service)
 		return a
 	}
 	a.Held = true
@@ -51,3 +52,21 @@
 	}
 	return fleet.JobStateCancelled
 }
+
+// idle reports whether a service has neither queues nor jobs.
+func (s *Scheduler) idle(service fleet.ServiceID) bool {
+	if s.config == nil {
+		return false
+	}
+	for _, q := range s.config.Queues {
+		if q.Service == service {
+			return false
+		}
+	}
+	for _, j := range s.jobs {
+		if j.Service == service {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -139,6 +139,8 @@
 	Service fleet.ServiceID
 	Count   int
 	Vacated bool
+	// Idle is set for a service that has neither queues nor jobs, so that nobody holds it.
+	Idle bool
 	// Holder is where another entry answers; empty when nobody holds the service.
 	Holder fleet.Address
 }
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -130,22 +130,32 @@
 	if !f.loaded {
 		return trace.Wrap(f.load(ctx))
 	}
+	for {
+		more, err := f.follow(ctx)
+		if !more || err != nil {
+			return trace.Wrap(err)
+		}
+	}
+}
+
+// follow reads one page of changes and returns whether there are more.
+func (f *Follower) follow(ctx context.Context) (bool, error) {
 	page, err := f.Store.Changes(ctx, f.Table, f.after, f.Wait)
 	var gone *rowstore.HistoryError
 	if errors.As(err, &gone) {
 		f.Log.Warn("follower: history is gone, table is read in full", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
 		f.loaded = false
-		return trace.Wrap(f.load(ctx))
+		return false, trace.Wrap(f.load(ctx))
 	}
 	if err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
 	f.after = max(f.after, page.Version)
 	if len(page.Rows) > 0 {
 		f.Sink.Change(page.Rows)
 	}
 	f.Sink.Current()
-	return nil
+	return page.More, nil
 }
 
 // load reads the whole table. Changes are followed from the first read on, so that a part that appears
--- a/internal/holder/maintainer.go
+++ b/internal/holder/maintainer.go
@@ -82,7 +82,9 @@
 	// Waves are the operator's current orders.
 	Waves *ring.Latest[[]WaveOrder]
 	// Wake takes a token when Waves changes.
-	Wake  *ring.Ring[struct{}]
+	Wake *ring.Ring[struct{}]
+	// Leave takes a token when the lease is to be given up.
+	Leave *ring.Ring[struct{}]
 	Clock clock.Clock
 	Log   *zap.Logger
 	// TurnWait is how long a new holder waits before it gives an order again that an earlier holder may
@@ -160,6 +162,12 @@
 // round renews the lease and takes the waves one step further. It returns *LostLeaseError.
 func (m *Maintainer) round(ctx context.Context) error {
 	now := m.Clock.Now()
+	if _, leave := m.Leave.TryPop(); leave {
+		if err := m.Chain.Write(ctx, Write{Release: true}); err != nil {
+			return trace.Wrap(err)
+		}
+		return trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
+	}
 	if now.Sub(m.renewed) >= election.RenewInterval {
 		if err := m.write(ctx, nil); err != nil {
 			return trace.Wrap(err)
@@ -284,7 +292,7 @@
 		if w.vacating[vm].IsZero() {
 			w.vacating[vm] = now
 		}
-		if !m.vacated(ctx, vms[vm], now.Sub(w.vacating[vm])) || w.ordered[vm].IsZero() && down >= max(1, w.order.MaxDown) {
+		if !m.vacated(ctx, vms[vm]) || w.ordered[vm].IsZero() && down >= max(1, w.order.MaxDown) {
 			continue
 		}
 		begun, err := m.maintain(ctx, w, vm)
@@ -413,7 +421,7 @@
 }
 
 // vacated asks the holder of the VM's service to move work away.
-func (m *Maintainer) vacated(ctx context.Context, vm PoolVM, waited time.Duration) bool {
+func (m *Maintainer) vacated(ctx context.Context, vm PoolVM) bool {
 	if vm.Endpoint == "" {
 		return vm.Condition == VMConditionUp
 	}
@@ -435,16 +443,9 @@
 			return false
 		}
 	}
-	if a.Held {
-		return a.Vacated
-	}
-	// A service without queues has no holder and runs nothing.
-	return waited > idlePoolWait
+	return a.Held && a.Vacated || a.Idle
 }
 
-// idlePoolWait is how long a VM whose service has no holder is left alone: a holder may be taking over.
-const idlePoolWait = 4 * time.Second
-
 func (m *Maintainer) report(ctx context.Context, w *waveState, completed bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, platformCall)
 	defer cancel()
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -58,7 +58,7 @@
 	// Refresh asks the follower of the shared table for a read.
 	Refresh *ring.Ring[FollowRequest]
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
-	Maintainer func(c *Chain, taken *Taken) duty.Duty
+	Maintainer func(c *Chain, taken *Taken, leave *ring.Ring[struct{}]) duty.Duty
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
@@ -98,9 +98,11 @@
 	loaded   bool
 	progress []*ProgressRow
 	writes   *ring.Ring[Write]
-	writing  bool
-	batch    bool
-	renewed  time.Time
+	// leave asks the maintenance duty to give its lease up.
+	leave   *ring.Ring[struct{}]
+	writing bool
+	batch   bool
+	renewed time.Time
 	// confirmed is when the last transaction that took effect was sent.
 	confirmed time.Time
 	releasing bool
@@ -372,13 +374,13 @@
 	if h == nil || h.chain.Epoch != w.Epoch {
 		return
 	}
-	if w.Err != nil {
-		s.drop(h, "another entry holds the lease")
-		return
-	}
-	if h.releasing {
+	switch {
+	case h.releasing:
 		s.drop(h, "released for a stop")
 		return
+	case w.Err != nil:
+		s.drop(h, "another entry holds the lease")
+		return
 	}
 	h.writing = false
 	h.confirmed = w.SentAt
@@ -399,10 +401,10 @@
 	if h.releasing || h.writing {
 		return
 	}
+	h.releasing, h.writing = true, true
 	if h.engine == nil {
-		s.drop(h, "released for a stop")
+		_ = h.leave.Push(struct{}{}) // The ring has room for the only token.
 		return
 	}
-	h.releasing, h.writing = true, true
 	_ = h.writes.Push(Write{Release: true})
 }
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -114,7 +114,7 @@
 	}
 	h := &heldDuty{
 		chain: t.Chain, confirmed: t.SentAt, renewed: t.SentAt, progress: t.Progress,
-		writes: ring.New[Write]("writes", 1),
+		writes: ring.New[Write]("writes", 1), leave: ring.New[struct{}]("leave", 1),
 	}
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	s.held[t.Duty] = h
@@ -125,7 +125,7 @@
 		zap.Int("progress-rows", len(t.Progress)), zap.Duration("since-last-renewal", sinceOrZero(now, t.Previous)))
 	if t.Duty == DutyMaintenance {
 		h.loaded = true
-		s.Duties.Start(h.ctx, s.Maintainer(t.Chain, t))
+		s.Duties.Start(h.ctx, s.Maintainer(t.Chain, t, h.leave))
 		return
 	}
 	h.service = fleet.ServiceID(t.Duty[len(ServiceDuty("")):])
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -51,7 +51,11 @@
 // NextBatch returns what has changed since the last batch, or nil when nothing has, or a batch is still
 // with the store. It returns the encoder's error.
 func (e *Engine) NextBatch(encoder Encoder) (*Batch, error) {
-	if e.batch != nil || len(e.dirty)+len(e.drop) == 0 {
+	if e.batch != nil {
+		return nil, nil
+	}
+	if len(e.dirty)+len(e.drop) == 0 {
+		e.acknowledge()
 		return nil, nil
 	}
 	b := &Batch{acks: map[fleet.EndpointProcess]fleet.EndCursor{}, jobs: map[fleet.JobID]*shownState{}}
@@ -87,6 +91,13 @@
 	return b, nil
 }
 
+// acknowledge lets ends go that changed nothing.
+func (e *Engine) acknowledge() {
+	for _, w := range e.workers {
+		w.acked = w.cursor
+	}
+}
+
 func (e *Engine) dirtyKeys() []job.Key {
 	keys := make([]job.Key, 0, len(e.dirty))
 	for key := range e.dirty {
--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -66,3 +66,41 @@
 		is.True(w.atWork("lasting") >= 4) // one task is away already
 	}
 }
+
+func batchJob(id fleet.JobID, tasks int, millicores fleet.Millicores) *fleet.Job {
+	return &fleet.Job{ID: id, Steps: []fleet.Step{{Tasks: tasks, Demand: fleet.Capacity{Millicores: millicores, Memory: 5000}, Estimate: time.Second}}}
+}
+
+// Guards against maintenance that kills an endpoint while it lists an end: the end is lost with the
+// endpoint, and the task starts again although it was done.
+func TestVacatedEndpointRunsNothing(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, worker64)
+	w.duration = func(fleet.TaskID) time.Duration { return 9 * time.Second }
+	w.submit(batchJob("long", 8, 4000))
+	w.play(time.Second)
+	vacated := false
+	for range 500 {
+		vacated = w.engine.Vacate(w.now, "endpoint-00")
+		if vacated {
+			break
+		}
+		w.step()
+	}
+	is.True(vacated)                                     // maintenance is not held up by long tasks
+	is.Equal(len(w.endpoints["endpoint-00"].running), 0) // nothing is killed by it
+	w.play(12 * time.Second)                             // the stopped tasks run elsewhere
+	is.Equal(w.state("long"), fleet.JobStateCompleted)   // and end
+	is.Equal(len(w.violations), 0)                       // once each
+}
+
+// Guards against renewals that wait for a commit which never comes, because the listed ends belong to
+// no run of the service.
+func TestForeignEndsAreAcknowledged(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 1, worker64)
+	e := w.endpoints["endpoint-00"]
+	e.running[fleet.TaskID{Job: "foreign"}] = &fakeRun{run: 1, began: w.now, duration: time.Second}
+	w.play(3 * time.Second)
+	is.Equal(len(e.ends), 0)
+}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -160,7 +160,7 @@
 const paceInterval = 600 * time.Millisecond
 
 // Vacate asks for an endpoint without work. It lapses unless it is repeated. It returns true when
-// maintenance may begin: nothing is left that a planned action must not end.
+// maintenance may begin: nothing runs that it could end, and no end is left to be listed.
 func (e *Engine) Vacate(now time.Time, id fleet.EndpointID) bool {
 	w := e.workers[id]
 	if w == nil {
@@ -170,42 +170,32 @@
 		w.cordonedAt = now
 	}
 	w.cordonedUntil = now.Add(cordonLife)
-	if len(w.runs) == 0 {
-		return true
-	}
-	if now.Sub(w.cordonedAt) < vacatePatience {
-		return false
-	}
-	for _, a := range w.runs {
-		if a.step.Lasting || a.phase == phasePlanned || a.phase == phaseOrdered {
-			return false
-		}
-	}
-	return true
+	return len(w.runs) == 0
 }
 
 const (
 	// cordonLife is how long an endpoint gets no work after a request to vacate it.
 	cordonLife = 3 * time.Second
-	// vacatePatience is how long maintenance waits for tasks that end by themselves.
+	// vacatePatience is how long maintenance waits for tasks to end by themselves before it stops them.
 	vacatePatience = 2500 * time.Millisecond
 )
 
 // evacuate moves lasting tasks away from an endpoint that is leaving or due for maintenance, as many at a
-// time as their step's budget allows.
+// time as their step's budget allows, and after a while the other tasks too.
 func (e *Engine) evacuate(now time.Time, w *worker) {
 	if !w.Draining && !now.Before(w.cordonedUntil) {
 		return
 	}
+	impatient := now.Before(w.cordonedUntil) && now.Sub(w.cordonedAt) >= vacatePatience
 	for id, a := range w.runs {
-		if !a.step.Lasting || a.phase != phaseStarted {
-			continue
-		}
-		if !w.Draining && !e.mayStop(now, id, a) {
-			continue
+		switch {
+		case a.phase != phaseStarted:
+		case a.step.Lasting && (w.Draining || e.mayStop(now, id, a)):
+			e.stop(now, w, id)
+			e.away[id] = now
+		case !a.step.Lasting && impatient:
+			e.stop(now, w, id)
 		}
-		e.stop(now, w, id)
-		e.away[id] = now
 	}
 }
 
