--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -104,3 +104,19 @@
 	w.play(3 * time.Second)
 	is.Equal(len(e.ends), 0)
 }
+
+// Guards against tasks that go on, or start, after their job was cancelled.
+func TestCancelledJobStops(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 2, worker64)
+	w.duration = func(fleet.TaskID) time.Duration { return 30 * time.Second }
+	w.submit(batchJob("cancelled", 20, 8000))
+	w.play(time.Second)
+	w.cancel("cancelled")
+	w.play(time.Second)
+	for _, e := range w.endpoints {
+		is.Equal(len(e.running), 0)
+	}
+	is.Equal(w.state("cancelled"), fleet.JobStateCancelled)
+	is.Equal(len(w.violations), 0)
+}
