poolsize: let late work ask for VMs, move at once after a release

A new holder of the maintenance duty waited 3 s although its predecessor had given the lease up. Excluded: failed endpoints; two were set aside, for 2 s each. Change: half of the late demand asks for VMs; no wait after a release.

--- a/internal/holder/resize.go
+++ b/internal/holder/resize.go
@@ -82,7 +82,7 @@
 		if !service.Spare {
 			a, ok := m.ask(ctx, Query{Kind: QueryLoad, Service: service.ID})
 			pool.Known = ok && a.Held
-			pool.Used, pool.Waiting, pool.VMCapacity = a.Load.Used, a.Load.Waiting, a.Load.PerEndpoint
+			pool.Used, pool.Waiting, pool.Late, pool.VMCapacity = a.Load.Used, a.Load.Waiting, a.Load.Late, a.Load.PerEndpoint
 			for _, one := range a.Load.Endpoints {
 				loads[one.Endpoint] = one
 			}
@@ -137,7 +137,7 @@
 // move makes sure that the VM runs nothing and gives the order.
 func (m *Maintainer) move(ctx context.Context, move poolsize.Move, vm PoolVM) error {
 	now := m.Clock.Now()
-	if now.Sub(m.confirmed) > election.LapseAfter || now.Sub(m.Taken.SentAt) < m.TurnWait {
+	if now.Sub(m.confirmed) > election.LapseAfter || !m.Taken.Released && now.Sub(m.Taken.SentAt) < m.TurnWait {
 		return nil
 	}
 	if !m.spare(move.From) && !m.vacated(ctx, vm, true) {
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -163,7 +163,7 @@
 		return nil, err
 	}
 	m := &jobv1.LoadResponse{
-		Held: a.Held, Used: uint64(a.Load.Used), Waiting: uint64(a.Load.Waiting), PerEndpoint: uint64(a.Load.PerEndpoint),
+		Held: a.Held, Used: uint64(a.Load.Used), Waiting: uint64(a.Load.Waiting), Late: uint64(a.Load.Late), PerEndpoint: uint64(a.Load.PerEndpoint),
 	}
 	for _, one := range a.Load.Endpoints {
 		m.Endpoints = append(m.Endpoints, &jobv1.EndpointLoad{Endpoint: string(one.Endpoint), Used: uint64(one.Used), Runs: uint32(one.Runs), Lasting: one.Lasting})
@@ -173,7 +173,7 @@
 
 func fromLoad(m *jobv1.LoadResponse) shard.Load {
 	l := shard.Load{
-		Used: fleet.Millicores(m.GetUsed()), Waiting: fleet.Millicores(m.GetWaiting()), PerEndpoint: fleet.Millicores(m.GetPerEndpoint()),
+		Used: fleet.Millicores(m.GetUsed()), Waiting: fleet.Millicores(m.GetWaiting()), Late: fleet.Millicores(m.GetLate()), PerEndpoint: fleet.Millicores(m.GetPerEndpoint()),
 	}
 	for _, one := range m.GetEndpoints() {
 		l.Endpoints = append(l.Endpoints, shard.EndpointLoad{
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -38,6 +38,9 @@
 	VMCapacity fleet.Millicores
 	// Used is the demand of what runs, Waiting the demand of tasks that could run at once.
 	Used, Waiting fleet.Millicores
+	// Late is the demand of tasks that wait and cannot meet their objective any more. It is worth little,
+	// but has to be worked off.
+	Late fleet.Millicores
 }
 
 // Move takes a VM from one pool to another.
@@ -65,6 +68,8 @@
 	// surgeFactor is for how many times the waiting demand VMs are added. What waits when a peak begins is
 	// a small part of what follows, and a VM needs seconds to arrive.
 	surgeFactor = 10
+	// lateShare is the share of late demand, in percent, for which VMs are added.
+	lateShare = 50
 	// peakHalfLife is how fast the memory of a pool's peak fades. A pool keeps the VMs of its peak until
 	// another pool needs them, because demand that turns comes back.
 	peakHalfLife = 10 * time.Minute
@@ -143,10 +148,11 @@
 
 // wanted returns how many more VMs a pool with waiting tasks could use.
 func wanted(pool *Pool) int {
-	if !pool.Known || pool.Spare || pool.VMCapacity <= 0 || pool.Waiting <= 0 {
+	if !pool.Known || pool.Spare || pool.VMCapacity <= 0 || pool.Waiting+pool.Late <= 0 {
 		return 0
 	}
-	return int(math.Ceil(float64(pool.Waiting)*surgeFactor/float64(pool.VMCapacity))) - pool.Arriving
+	demand := float64(pool.Waiting)*surgeFactor + float64(pool.Late)*lateShare/100
+	return int(math.Ceil(demand/float64(pool.VMCapacity))) - pool.Arriving
 }
 
 // grow moves VMs to pools with waiting tasks: from the spare pool first, then from pools that do not
@@ -175,7 +181,7 @@
 
 // pressure returns the waiting work per VM that a pool has or will have.
 func pressure(pool *Pool) float64 {
-	return float64(pool.Waiting) / float64(1+len(pool.VMs)+pool.Arriving)
+	return (float64(pool.Waiting)*surgeFactor + float64(pool.Late)*lateShare/100) / float64(1+len(pool.VMs)+pool.Arriving)
 }
 
 // donor returns a pool that can give a VM, and which one.
@@ -184,7 +190,7 @@
 	vm := -1
 	for i := range pools {
 		one := &pools[i]
-		if one == target || !one.Known || one.Waiting > 0 {
+		if one == target || !one.Known || one.Waiting > 0 || one.Late > 0 && pressure(one) >= pressure(target) {
 			continue
 		}
 		if !one.Spare && len(one.VMs) <= running(one) {
@@ -231,7 +237,7 @@
 		if one.Spare || !one.Known {
 			continue
 		}
-		if one.Waiting > 0 || one.Arriving > 0 || len(one.VMs) <= p.needed(one) {
+		if one.Waiting+one.Late > 0 || one.Arriving > 0 || len(one.VMs) <= p.needed(one) {
 			delete(p.excess, one.Service)
 			continue
 		}
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -11,6 +11,8 @@
 	// Used is the demand of what runs or is being started, Waiting that of tasks which could run at once
 	// and still meet their objective.
 	Used, Waiting fleet.Millicores
+	// Late is the demand of tasks which could run at once and no longer meet their objective.
+	Late fleet.Millicores
 	// PerEndpoint is the processor capacity of a typical endpoint.
 	PerEndpoint fleet.Millicores
 	// Endpoints lists what runs on each endpoint that may get work.
@@ -52,15 +54,15 @@
 		l.PerEndpoint = capacity / fleet.Millicores(listed)
 	}
 	for _, c := range e.candidates(now) {
-		if c.rank.Late && !c.lasting {
-			// Late work is worth little; it waits for capacity that is there anyway. Lasting work is never
-			// late: it has to run as soon as it can.
-			continue
-		}
 		step := c.occurrence.Job.Steps[c.step]
 		for t := range c.occurrence.Tasks[c.step] {
 			if task := &c.occurrence.Tasks[c.step][t]; !task.Done && !task.Running() {
-				l.Waiting += step.Counted().Millicores
+				// Lasting work is never late: it has to run as soon as it can.
+				if c.rank.Late && !c.lasting {
+					l.Late += step.Counted().Millicores
+				} else {
+					l.Waiting += step.Counted().Millicores
+				}
 			}
 		}
 	}
