--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -77,6 +77,9 @@
 	violations []string
 	observer   *fakeObserver
 	frozen     bool
+
+	// Mechanisms that a test leaves out.
+	ignoreLeases, ignoreFences, loseCommits bool
 }
 
 type delayedOrder struct {
@@ -206,8 +209,10 @@
 func (w *fakeWorld) commit() {
 	if !w.commitAt.IsZero() && !w.storeDown && !w.now.Before(w.commitAt) {
 		for key, o := range w.committing {
-			w.store.rows[key] = o
 			w.noteDone(o)
+			if !w.loseCommits {
+				w.store.rows[key] = o
+			}
 		}
 		w.commitAt = time.Time{}
 		w.engine.Committed(w.now)
@@ -254,7 +259,7 @@
 	if e.dead {
 		return
 	}
-	if !e.deadline.IsZero() && w.now.After(e.deadline) {
+	if !w.ignoreLeases && !e.deadline.IsZero() && w.now.After(e.deadline) {
 		for id := range e.running {
 			w.end(e, id, fleet.RunEndLapsed)
 		}
@@ -367,7 +372,7 @@
 
 // carryOut applies an order as the platform describes it.
 func (w *fakeWorld) carryOut(e *fakeEndpoint, o shard.Order) shard.Answer {
-	if o.Token < e.token {
+	if o.Token < e.token && !w.ignoreFences {
 		return shard.AnswerFenced
 	}
 	e.token = o.Token
