holder: continue a wave where the last holder left it

Excluded: endpoints that do not empty; each order was answered at once. Change: VMs whose maintenance is over are stored with the progress of the wave. TestNewHolderContinuesAWave failed before.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -93,6 +93,7 @@
 type WaveRow struct {
 	Wave      fleet.WaveID
 	Ordered   []fleet.VMID
+	Done      []fleet.VMID
 	Completed bool
 }
 
--- a/internal/holder/maintainer.go
+++ b/internal/holder/maintainer.go
@@ -117,6 +117,8 @@
 	vacating  map[fleet.VMID]time.Time
 	reported  bool
 	completed bool
+	// changed is set while the stored progress is behind.
+	changed bool
 }
 
 // Timing of waves.
@@ -175,7 +177,7 @@
 		return trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
 	}
 	if now.Sub(m.renewed) >= election.RenewInterval {
-		if err := m.write(ctx, nil); err != nil {
+		if err := m.write(ctx); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -217,16 +219,14 @@
 	return vms, nil
 }
 
-// write stores the progress of a wave and renews the lease.
-func (m *Maintainer) write(ctx context.Context, w *waveState) error {
+// write renews the lease and stores the progress of the waves that have changed.
+func (m *Maintainer) write(ctx context.Context) error {
 	write := Write{Renew: true}
-	if w != nil {
-		row := &jobv1.WaveProgress{Wave: string(w.order.Wave), Completed: w.completed}
-		for vm := range w.ordered {
-			row.Ordered = append(row.Ordered, string(vm))
+	for _, w := range m.sorted() {
+		if w.changed {
+			write.Puts = append(write.Puts, w.row())
+			w.changed = false
 		}
-		slices.Sort(row.Ordered)
-		write.Puts = []rowstore.Row{mustRow(tableProgress, dutyPart(DutyMaintenance), rowstore.Key(keyWave+string(w.order.Wave)), row)}
 	}
 	sent := m.Clock.Now()
 	if err := m.Chain.Write(ctx, write); err != nil {
@@ -236,6 +236,20 @@
 	return nil
 }
 
+// row returns the stored form of the wave.
+func (w *waveState) row() rowstore.Row {
+	row := &jobv1.WaveProgress{Wave: string(w.order.Wave), Completed: w.completed}
+	for vm := range w.ordered {
+		row.Ordered = append(row.Ordered, string(vm))
+	}
+	for vm := range w.done {
+		row.Done = append(row.Done, string(vm))
+	}
+	slices.Sort(row.Ordered)
+	slices.Sort(row.Done)
+	return mustRow(tableProgress, dutyPart(DutyMaintenance), rowstore.Key(keyWave+string(w.order.Wave)), row)
+}
+
 // adopt takes new and changed orders of the operator.
 func (m *Maintainer) adopt(now time.Time) {
 	for _, order := range m.Waves.Get() {
@@ -253,8 +267,8 @@
 	}
 }
 
-// restore takes what an earlier holder committed. VMs that it ordered are ordered again, which changes
-// nothing for those whose maintenance has begun.
+// restore takes what an earlier holder committed. VMs that it ordered and did not see come back are
+// ordered again, which changes nothing for those whose maintenance has begun.
 func (m *Maintainer) restore(w *waveState, wave fleet.WaveID, now time.Time) {
 	for _, row := range m.Taken.Wave {
 		if row.Wave != wave {
@@ -264,6 +278,9 @@
 		for _, vm := range row.Ordered {
 			w.ordered[vm] = now
 		}
+		for _, vm := range row.Done {
+			w.done[vm] = true
+		}
 	}
 }
 
@@ -316,9 +333,9 @@
 	if !m.report(ctx, w, true) {
 		return nil
 	}
-	w.completed = true
+	w.completed, w.changed = true, true
 	m.Log.Info("maintainer: wave completed", zap.String("wave", string(w.order.Wave)), zap.Duration("took", now.Sub(w.began)))
-	return trace.Wrap(m.write(ctx, w))
+	return trace.Wrap(m.write(ctx))
 }
 
 // observe updates which VMs are done and returns how many are down for the wave, or may be.
@@ -331,14 +348,14 @@
 		listed, known := vms[vm]
 		switch {
 		case !known:
-			w.done[vm] = true
+			w.done[vm], w.changed = true, true
 		case listed.Condition != VMConditionUp:
 			w.seenDown[vm] = true
 			down++
 		case now.Sub(at) < settleAfterOrder:
 			down++
 		case w.seenDown[vm]:
-			w.done[vm] = true
+			w.done[vm], w.changed = true, true
 		default:
 			// Listed as up, and never seen down: the order took effect and is over, or was lost. It is
 			// given again, which is harmless when it took effect.
@@ -394,8 +411,8 @@
 func (m *Maintainer) maintain(ctx context.Context, w *waveState, vm fleet.VMID) (bool, error) {
 	_, before := w.ordered[vm]
 	if !before {
-		w.ordered[vm] = m.Clock.Now()
-		if err := m.write(ctx, w); err != nil {
+		w.ordered[vm], w.changed = m.Clock.Now(), true
+		if err := m.write(ctx); err != nil {
 			return false, trace.Wrap(err)
 		}
 	}
@@ -414,7 +431,7 @@
 		// begins now; in both cases the next list that shows it up is final.
 		w.seenDown[vm] = true
 	case MaintenanceRefused:
-		w.done[vm] = true
+		w.done[vm], w.changed = true, true
 		return false, nil
 	case MaintenanceFenced:
 		return false, trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
--- /dev/null
+++ b/internal/holder/maintainer_test.go
@@ -0,0 +1,155 @@
+package holder_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// vmPlatform is a platform whose VMs go down for a while when maintenance is ordered.
+type vmPlatform struct {
+	mu       sync.Mutex
+	downTo   map[fleet.VMID]time.Time
+	begun    map[fleet.VMID]int
+	orders   map[fleet.VMID]int
+	mostDown int
+	complete bool
+}
+
+const (
+	vmDownTime = 200 * time.Millisecond
+	waveVMs    = 6
+	waveDown   = 2
+)
+
+func newVMPlatform() *vmPlatform {
+	return &vmPlatform{downTo: map[fleet.VMID]time.Time{}, begun: map[fleet.VMID]int{}, orders: map[fleet.VMID]int{}}
+}
+
+func vmName(i int) fleet.VMID { return fleet.VMID(rune('a' + i)) }
+
+func (p *vmPlatform) down() int {
+	n := 0
+	for _, at := range p.downTo {
+		if time.Now().Before(at) {
+			n++
+		}
+	}
+	return n
+}
+
+// VMs implements holder.VMPlatform.
+func (p *vmPlatform) VMs(context.Context) ([]holder.PoolVM, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var list []holder.PoolVM
+	for i := range waveVMs {
+		vm := holder.PoolVM{VM: vmName(i), Service: "idle", Condition: holder.VMConditionUp}
+		if time.Now().Before(p.downTo[vm.VM]) {
+			vm.Condition = holder.VMConditionMaintenance
+		}
+		list = append(list, vm)
+	}
+	return list, nil
+}
+
+// Maintain implements holder.VMPlatform.
+func (p *vmPlatform) Maintain(_ context.Context, vm fleet.VMID, _ fleet.WaveID, _ fleet.FencingToken) holder.MaintenanceAnswer {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orders[vm]++
+	if p.begun[vm] > 0 {
+		return holder.MaintenanceDone
+	}
+	p.begun[vm]++
+	p.downTo[vm] = time.Now().Add(vmDownTime)
+	p.mostDown = max(p.mostDown, p.down())
+	return holder.MaintenanceDone
+}
+
+// Move implements holder.VMPlatform.
+func (*vmPlatform) Move(context.Context, fleet.VMID, fleet.ServiceID, fleet.FencingToken) holder.MaintenanceAnswer {
+	return holder.MaintenanceRefused
+}
+
+// Report implements holder.VMPlatform.
+func (p *vmPlatform) Report(_ context.Context, _ fleet.WaveID, completed bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.complete = p.complete || completed
+	return nil
+}
+
+func (p *vmPlatform) progress() (begun int, complete bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.begun), p.complete
+}
+
+// maintain runs a holder of the maintenance duty until the condition holds.
+func maintain(t *testing.T, store *rows.Store, p *vmPlatform, name fleet.EntryID, previous fleet.FencingToken, until func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	c := clock.Real()
+	chain := &holder.Chain{Duty: holder.DutyMaintenance, Self: holder.Identity{Entry: name, Incarnation: fleet.NewIncarnation()}, Store: store, Clock: c}
+	taken, err := holder.TakeLease(ctx, chain, previous)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &holder.Maintainer{
+		Chain: chain, Taken: taken, Platform: p, Scheduler: ring.New[holder.Event]("scheduler", 1024), Waves: &ring.Latest[[]holder.WaveOrder]{},
+		Config: &ring.Latest[*holder.Config]{}, Wake: ring.New[struct{}]("wake", 1), Leave: ring.New[struct{}]("leave", 1), Clock: c, Log: zap.NewNop(),
+		TurnWait: 100 * time.Millisecond,
+	}
+	order := holder.WaveOrder{Wave: "1", Duration: 20 * time.Second, MaxDown: waveDown}
+	for i := range waveVMs {
+		order.VMs = append(order.VMs, vmName(i))
+	}
+	m.Waves.Set([]holder.WaveOrder{order})
+	done := make(chan struct{})
+	go func() { defer close(done); _ = m.Run(ctx) }()
+	for range 1200 {
+		if until() {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	cancel()
+	<-done
+}
+
+// Guards against a new holder that begins a wave anew: it empties and orders VMs whose maintenance is
+// over, and the wave is late.
+func TestNewHolderContinuesAWave(t *testing.T) {
+	is := is.New(t)
+	store, p := rows.New(clock.Real()), newVMPlatform()
+	// The first holder ends in the middle of the wave, a while after the first VMs came back.
+	maintain(t, store, p, "entry-a", 0, func() bool { begun, _ := p.progress(); return begun >= 4 })
+	p.mu.Lock()
+	var over []fleet.VMID
+	for vm, at := range p.downTo {
+		if time.Now().After(at) {
+			over = append(over, vm)
+		}
+	}
+	p.mu.Unlock()
+	maintain(t, store, p, "entry-b", 1, func() bool { _, complete := p.progress(); return complete })
+	begun, complete := p.progress()
+	is.Equal(begun, waveVMs)
+	is.True(complete)
+	is.True(p.mostDown <= waveDown)
+	is.True(len(over) > 0)
+	for _, vm := range over {
+		is.Equal(p.orders[vm], 1) // its maintenance was over before the first holder ended
+	}
+}
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -39,6 +39,14 @@
 	return trace.Wrap(ctx.Err())
 }
 
+// TakeLease takes the lease of a duty and reads what its holder has to know. It returns *LostLeaseError,
+// *rowstore.RefusedError or *rowstore.UnknownError.
+func TakeLease(ctx context.Context, c *Chain, previous fleet.FencingToken) (*Taken, error) {
+	t := &taker{chain: c, previous: election.Lease{Epoch: previous}, clock: c.Clock}
+	taken := t.take(ctx)
+	return &taken, trace.Wrap(taken.Err)
+}
+
 func (t *taker) take(ctx context.Context) Taken {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
@@ -201,6 +209,9 @@
 	for _, vm := range m.GetOrdered() {
 		w.Ordered = append(w.Ordered, fleet.VMID(vm))
 	}
+	for _, vm := range m.GetDone() {
+		w.Done = append(w.Done, fleet.VMID(vm))
+	}
 	return w, true
 }
 
