holder, platform: keep to the conventions of the code

Change: the clock is passed to connections, calls end with their context, the daemon's duties run in a group, responses and columns are typed, the stand-ins pass a token, waves and writes have files of their own. Behaviour is unchanged but for a faster end of hanging calls at a stop.

--- a/cmd/mimosawharf-entry/main.go
+++ b/cmd/mimosawharf-entry/main.go
@@ -15,7 +15,9 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/logging"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 	"github.com/mimosawharf/mimosawharf/platform"
 )
 
@@ -73,24 +75,41 @@
 	if err != nil {
 		return usage(err)
 	}
-	writing, stopWriting := context.WithCancel(context.Background())
-	go func() { _ = lines.Run(writing) }() // Ends with its context only.
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	group, running := duty.NewGroup(context.Background())
+	group.Start(running, lines)
+	group.Start(running, &reloads{log: log})
+	ctx, stop := signal.NotifyContext(running, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	// The settings of a running process do not change in a way that matters; the signal only says so.
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	go func() {
-		for range reload {
-			log.Info("entry: settings file has changed, a restart applies it")
-		}
-	}()
 	code := exitOK
 	if err := platform.NewEntry(s, clock.Real(), log, port).Run(ctx); err != nil {
 		log.Error("entry: failed", zap.Error(trace.Unwrap(err)))
 		code = exitFailure
 	}
-	stopWriting()
+	group.Stop()
+	if err := group.Wait(); err != nil {
+		fmt.Fprintln(os.Stderr, "mimosawharf-entry:", trace.Unwrap(err))
+		code = exitFailure
+	}
 	lines.Flush()
 	return code
 }
+
+// reloads is the duty that notes changes of the settings file. The settings of a running process do not
+// change in a way that matters, so nothing else is done.
+type reloads struct{ log *zap.Logger }
+
+// Name implements duty.Duty.
+func (*reloads) Name() fleet.DutyName { return "reloads" }
+
+// Run implements duty.Duty.
+func (r *reloads) Run(ctx context.Context) error {
+	for {
+		signalled, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
+		<-signalled.Done()
+		stop()
+		if ctx.Err() != nil {
+			return trace.Wrap(ctx.Err())
+		}
+		r.log.Info("entry: settings file has changed, a restart applies it")
+	}
+}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/jobentry"
@@ -37,14 +38,25 @@
 
 // jobSite is a store, endpoints that run tasks, and entries that hold the service in turn.
 type jobSite struct {
+	group   *duty.Group
 	site    *runner.Site
 	clients []jobv1connect.JobServiceClient
 }
 
+// jobEntryDuty runs one entry.
+type jobEntryDuty struct{ entry *jobentry.Entry }
+
+// Name implements duty.Duty.
+func (d *jobEntryDuty) Name() fleet.DutyName { return fleet.DutyName(d.entry.Name) }
+
+// Run implements duty.Duty. An entry that stops gracefully has done so because the context ended.
+func (d *jobEntryDuty) Run(ctx context.Context) error { return trace.Wrap(d.entry.Run(ctx)) }
+
 // newJobSite starts the entries. They end with the context.
 func newJobSite(ctx context.Context) (*jobSite, error) {
 	c := clock.Real()
-	s := &jobSite{site: &runner.Site{
+	group, ctx := duty.NewGroup(ctx)
+	s := &jobSite{group: group, site: &runner.Site{
 		Rows: rows.New(c), Capacity: fleet.Capacity{Millicores: 8000, Memory: 8000}, Clock: c,
 		Config: &holder.Config{
 			Version:  1,
@@ -66,7 +78,7 @@
 			Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, Notice: 4 * time.Second, StatusLife: time.Minute, FarFactor: 2},
 			Grace:  3 * time.Second,
 		}
-		go func() { _ = e.Run(ctx) }() // A failure shows in the steps that follow.
+		s.group.Start(ctx, &jobEntryDuty{entry: e})
 		s.clients = append(s.clients, jobv1connect.NewJobServiceClient(http.DefaultClient, "http://"+string(address)))
 	}
 	return s, nil
--- a/internal/holder/maintainer.go
+++ b/internal/holder/maintainer.go
@@ -12,8 +12,6 @@
 	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/poolsize"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
-	"github.com/mimosawharf/mimosawharf/internal/rowstore"
-	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -107,20 +105,6 @@
 	listFails     bool
 }
 
-// waveState is the progress of one wave.
-type waveState struct {
-	order     WaveOrder
-	began     time.Time
-	ordered   map[fleet.VMID]time.Time
-	seenDown  map[fleet.VMID]bool
-	done      map[fleet.VMID]bool
-	vacating  map[fleet.VMID]time.Time
-	reported  bool
-	completed bool
-	// changed is set while the stored progress is behind.
-	changed bool
-}
-
 // Timing of waves.
 const (
 	// roundInterval is the time between looks at VMs and pools. Demand turns within seconds, and each
@@ -236,20 +220,6 @@
 	return nil
 }
 
-// row returns the stored form of the wave.
-func (w *waveState) row() rowstore.Row {
-	row := &jobv1.WaveProgress{Wave: string(w.order.Wave), Completed: w.completed}
-	for vm := range w.ordered {
-		row.Ordered = append(row.Ordered, string(vm))
-	}
-	for vm := range w.done {
-		row.Done = append(row.Done, string(vm))
-	}
-	slices.Sort(row.Ordered)
-	slices.Sort(row.Done)
-	return mustRow(tableProgress, dutyPart(DutyMaintenance), rowstore.Key(keyWave+string(w.order.Wave)), row)
-}
-
 // adopt takes new and changed orders of the operator.
 func (m *Maintainer) adopt(now time.Time) {
 	for _, order := range m.Waves.Get() {
@@ -338,75 +308,6 @@
 	return trace.Wrap(m.write(ctx))
 }
 
-// observe updates which VMs are done and returns how many are down for the wave, or may be.
-func (w *waveState) observe(now time.Time, vms map[fleet.VMID]PoolVM) int {
-	down := 0
-	for vm, at := range w.ordered {
-		if w.done[vm] {
-			continue
-		}
-		listed, known := vms[vm]
-		switch {
-		case !known:
-			w.done[vm], w.changed = true, true
-		case listed.Condition != VMConditionUp:
-			w.seenDown[vm] = true
-			down++
-		case now.Sub(at) < settleAfterOrder:
-			down++
-		case w.seenDown[vm]:
-			w.done[vm], w.changed = true, true
-		default:
-			// Listed as up, and never seen down: the order took effect and is over, or was lost. It is
-			// given again, which is harmless when it took effect.
-			down++
-		}
-	}
-	return down
-}
-
-// next returns the VMs to vacate or maintain now, those under way first.
-func (w *waveState) next(vms map[fleet.VMID]PoolVM, room int) []fleet.VMID {
-	var list []fleet.VMID
-	for _, vm := range w.order.VMs {
-		listed, known := vms[vm]
-		if w.done[vm] || !known {
-			continue
-		}
-		if _, ordered := w.ordered[vm]; ordered && (w.seenDown[vm] || listed.Condition != VMConditionUp) {
-			continue
-		}
-		list = append(list, vm)
-	}
-	slices.SortStableFunc(list, func(a, b fleet.VMID) int {
-		return w.progress(b) - w.progress(a)
-	})
-	if room = max(room, 0) + vacateAhead; len(list) > room {
-		list = list[:room]
-	}
-	return list
-}
-
-// progress ranks a VM: ordered ones first, then those that are being vacated.
-func (w *waveState) progress(vm fleet.VMID) int {
-	if _, ordered := w.ordered[vm]; ordered {
-		return 2
-	}
-	if !w.vacating[vm].IsZero() {
-		return 1
-	}
-	return 0
-}
-
-func (w *waveState) finished(vms map[fleet.VMID]PoolVM) bool {
-	for _, vm := range w.order.VMs {
-		if _, known := vms[vm]; known && !w.done[vm] {
-			return false
-		}
-	}
-	return true
-}
-
 // maintain commits the intention and gives the order. It returns whether the VM may be down now.
 func (m *Maintainer) maintain(ctx context.Context, w *waveState, vm fleet.VMID) (bool, error) {
 	_, before := w.ordered[vm]
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -103,9 +103,7 @@
 	c := clock.Real()
 	chain := &holder.Chain{Duty: holder.DutyMaintenance, Self: holder.Identity{Entry: name, Incarnation: fleet.NewIncarnation()}, Store: store, Clock: c}
 	taken, err := holder.TakeLease(ctx, chain, previous)
-	if err != nil {
-		t.Fatal(err)
-	}
+	is.New(t).NoErr(err)
 	m := &holder.Maintainer{
 		Chain: chain, Taken: taken, Platform: p, Scheduler: ring.New[holder.Event]("scheduler", 1024), Waves: &ring.Latest[[]holder.WaveOrder]{},
 		Config: &ring.Latest[*holder.Config]{}, Wake: ring.New[struct{}]("wake", 1), Leave: ring.New[struct{}]("leave", 1), Clock: c, Log: zap.NewNop(),
@@ -122,7 +120,7 @@
 		if until() {
 			break
 		}
-		time.Sleep(10 * time.Millisecond)
+		_ = clock.Wait(ctx, c, 10*time.Millisecond)
 	}
 	cancel()
 	<-done
--- a/internal/holder/shared.go
+++ b/internal/holder/shared.go
@@ -114,8 +114,8 @@
 	Store Store
 	Clock clock.Clock
 	Log   *zap.Logger
-	// Stopping, once closed, marks the entry as one that takes no leases.
-	Stopping <-chan struct{}
+	// Stopping, once it has ended, marks the entry as one that takes no leases.
+	Stopping context.Context
 
 	beats  uint64
 	failed bool
@@ -130,19 +130,16 @@
 
 // Run implements duty.Duty.
 func (b *Beat) Run(ctx context.Context) error {
-	stopping := b.Stopping
+	for b.Stopping.Err() == nil {
+		b.write(ctx, false)
+		// The end of the wait by a stop is no failure.
+		_ = clock.Wait(b.Stopping, b.Clock, beatInterval)
+	}
 	for {
-		b.write(ctx, stopping == nil)
-		timer := b.Clock.NewTimer(beatInterval)
-		select {
-		case <-timer.Chan():
-		case <-stopping:
-			stopping = nil
-		case <-ctx.Done():
-			timer.Stop()
-			return trace.Wrap(ctx.Err())
+		b.write(ctx, true)
+		if err := clock.Wait(ctx, b.Clock, beatInterval); err != nil {
+			return trace.Wrap(err)
 		}
-		timer.Stop()
 	}
 }
 
--- /dev/null
+++ b/internal/holder/write.go
@@ -0,0 +1,100 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+)
+
+// work places tasks, hands changes to the store and sends orders.
+func (s *Scheduler) work() {
+	now := s.Clock.Now()
+	for _, h := range s.sorted() {
+		if h.engine == nil || !h.loaded {
+			s.write(now, h, nil)
+			continue
+		}
+		h.engine.Plan(now)
+		var batch *shard.Batch
+		if !h.writing && !h.releasing {
+			next, err := h.engine.NextBatch(progressEncoder{})
+			if err != nil {
+				s.Log.Error("scheduler: progress cannot be encoded", zap.String("service", string(h.service)), zap.Error(trace.Unwrap(err)))
+				s.drop(h, "progress cannot be encoded")
+				continue
+			}
+			batch = next
+		}
+		s.write(now, h, batch)
+		for _, o := range h.engine.Orders() {
+			if !h.releasing {
+				h.links.send(o)
+			}
+		}
+	}
+}
+
+// write hands a batch, a renewal that is due, or both to the duty's writer.
+func (s *Scheduler) write(now time.Time, h *heldDuty, batch *shard.Batch) {
+	if h.engine == nil || h.writing || h.releasing {
+		return
+	}
+	due := now.Sub(h.renewed) >= election.RenewInterval
+	if batch == nil && !due {
+		return
+	}
+	w := Write{Renew: due}
+	if batch != nil {
+		w.Puts, w.Removes = rowsOf(h.chain.Duty, batch)
+	}
+	if due {
+		h.renewed = now
+	}
+	h.writing, h.batch = true, batch != nil
+	// The ring has room: one write at a time is under way.
+	_ = h.writes.Push(w)
+}
+
+func (s *Scheduler) applyWritten(now time.Time, w *Written) {
+	h := s.held[w.Duty]
+	if h == nil || h.chain.Epoch != w.Epoch {
+		return
+	}
+	switch {
+	case h.releasing:
+		s.drop(h, "released for a stop")
+		return
+	case w.Err != nil:
+		s.drop(h, "another entry holds the lease")
+		return
+	}
+	h.writing = false
+	h.confirmed = w.SentAt
+	if h.batch {
+		h.engine.Committed(now)
+	}
+}
+
+// drop ends the work of a duty in this process.
+func (s *Scheduler) drop(h *heldDuty, reason string) {
+	h.cancel()
+	delete(s.held, h.chain.Duty)
+	s.Log.Info("scheduler: lease given up", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)), zap.String("reason", reason))
+}
+
+// release gives a lease up for a stop: the next holder need not wait for it to lapse.
+func (s *Scheduler) release(h *heldDuty) {
+	if h.releasing || h.writing {
+		return
+	}
+	h.releasing, h.writing = true, true
+	if h.engine == nil {
+		_ = h.leave.Push(struct{}{}) // The ring has room for the only token.
+		return
+	}
+	_ = h.writes.Push(Write{Release: true})
+}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -86,14 +86,16 @@
 	feeds    Feeds
 	refresh  *ring.Ring[holder.FollowRequest]
 	// announces takes what intakes have stored.
-	announces  *ring.Ring[*holder.Submission]
-	config     ring.Latest[*holder.Config]
-	waves      ring.Latest[[]holder.WaveOrder]
-	status     ring.Latest[holder.Status]
-	stopping   ring.Latest[bool]
-	stopSignal chan struct{}
-	released   *ring.Ring[struct{}]
-	group      *duty.Group
+	announces *ring.Ring[*holder.Submission]
+	config    ring.Latest[*holder.Config]
+	waves     ring.Latest[[]holder.WaveOrder]
+	status    ring.Latest[holder.Status]
+	stopping  ring.Latest[bool]
+	// leaving ends when a graceful stop begins.
+	leaving  context.Context
+	leave    context.CancelFunc
+	released *ring.Ring[struct{}]
+	group    *duty.Group
 }
 
 // Sizes of an entry.
@@ -118,8 +120,6 @@
 	stopLinger = 2600 * time.Millisecond
 	// stopMargin is left of the grace for closing.
 	stopMargin = 1500 * time.Millisecond
-	// dutiesMargin is how long the duties have to end; calls that hang are left behind.
-	dutiesMargin = 500 * time.Millisecond
 )
 
 // Bounds of connections.
@@ -137,9 +137,10 @@
 // Run serves until the context ends and then stops gracefully. It returns *duty.StoppedError or
 // *ListenError.
 func (e *Entry) Run(ctx context.Context) error {
-	e.prepare()
-	defer func() { _ = e.registry.Close() }() // The process ends.
 	group, running := duty.NewGroup(context.WithoutCancel(ctx))
+	e.prepare(running)
+	defer func() { _ = e.registry.Close() }() // The process ends.
+	defer e.leave()
 	e.group = group
 	servers, err := e.servers()
 	if err != nil {
@@ -160,23 +161,10 @@
 	case <-running.Done():
 	}
 	group.Stop()
-	return trace.Wrap(e.waitFor(group))
-}
-
-// waitFor waits for the duties, but not for calls that hang until their timeout.
-func (e *Entry) waitFor(group *duty.Group) error {
-	done := ring.New[error]("group", 1)
-	go func() { _ = done.Push(group.Wait()) }()
-	timer := e.Clock.NewTimer(dutiesMargin)
-	defer timer.Stop()
-	err, ok, _ := done.PopUntil(context.Background(), timer.Chan())
-	if !ok {
-		return nil
-	}
-	return err
+	return trace.Wrap(group.Wait())
 }
 
-func (e *Entry) prepare() {
+func (e *Entry) prepare(running context.Context) {
 	e.store = e.Surroundings.Store()
 	e.registry = metrics.New()
 	e.self = holder.Identity{Entry: e.Name, Incarnation: fleet.NewIncarnation(), Zone: e.Zone, Address: e.PeerAddress}
@@ -191,7 +179,7 @@
 	e.refresh = ring.New[holder.FollowRequest]("shared-refresh", ringCapacity)
 	e.announces = ring.New[*holder.Submission]("announces", ringCapacity)
 	e.released = ring.New[struct{}]("released", 1)
-	e.stopSignal = make(chan struct{})
+	e.leaving, e.leave = context.WithCancel(running)
 }
 
 func (e *Entry) duties() []duty.Duty {
@@ -200,7 +188,7 @@
 	}}}
 	list := []duty.Duty{
 		e.scheduler(peers),
-		&holder.Beat{Self: e.self, Store: e.store, Clock: e.Clock, Log: e.Log, Stopping: e.stopSignal},
+		&holder.Beat{Self: e.self, Store: e.store, Clock: e.Clock, Log: e.Log, Stopping: e.leaving},
 		&holder.Follower{
 			Duty: "follow-shared", Table: holder.SharedTable, Part: holder.SharedFirstPart, All: true, Store: e.store, Clock: e.Clock, Log: e.Log,
 			Interval: sharedInterval, Inbox: e.refresh, Sink: &holder.SharedSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
@@ -324,7 +312,7 @@
 func (e *Entry) stop(ctx context.Context, servers []*httpServer) {
 	e.Log.Info("entry: stopping")
 	e.stopping.Set(true)
-	close(e.stopSignal)
+	e.leave()
 	if err := e.feeds.Scheduler.PushReserved(holder.Event{Stop: true}); err != nil {
 		e.Log.Error("entry: leases are not released", zap.Error(trace.Unwrap(err)))
 	}
--- a/internal/logging/stdout_test.go
+++ b/internal/logging/stdout_test.go
@@ -57,7 +57,7 @@
 		log.Info("noisy: again")
 	}
 	log.Info("quiet: once", zap.String("job", "x"))
-	time.Sleep(1100 * time.Millisecond)
+	is.NoErr(clock.Wait(context.Background(), clock.Real(), 1100*time.Millisecond)) // the next second
 	log.Info("noisy: later")
 	w.Flush()
 	text := out.String()
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -5,12 +5,12 @@
 	"cmp"
 	"context"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 )
 
@@ -38,7 +38,8 @@
 	// Clock paces calls that wait for changes.
 	Clock clock.Clock
 
-	mu      sync.Mutex
+	// turn holds the token of whoever uses the state.
+	turn    *ring.Ring[struct{}]
 	rows    map[rowKey]rowstore.Row
 	history []rowstore.Row
 	version rowstore.Version
@@ -56,20 +57,18 @@
 
 // New returns an empty store.
 func New(c clock.Clock) *Store {
-	return &Store{Clock: c, rows: map[rowKey]rowstore.Row{}}
+	return &Store{Clock: c, turn: newTurn(), rows: map[rowKey]rowstore.Row{}}
 }
 
 // SetFault chooses the faults of transactions; nil means none.
 func (s *Store) SetFault(f func(rowstore.Transaction) Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.take()()
 	s.fault = f
 }
 
 // Transact implements holder.Store.
 func (s *Store) Transact(_ context.Context, t rowstore.Transaction) (rowstore.Version, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.take()()
 	fault := FaultNone
 	if s.fault != nil {
 		fault = s.fault(t)
@@ -116,8 +115,7 @@
 
 // Scan implements holder.Store.
 func (s *Store) Scan(_ context.Context, r rowstore.Range) (rowstore.Page, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.take()()
 	page := rowstore.Page{Version: s.version}
 	for k, row := range s.rows {
 		if k.table == r.Table && k.part == r.Part && k.key >= r.From && (r.Until == "" || k.key < r.Until) {
@@ -130,8 +128,7 @@
 
 // Parts implements holder.Store.
 func (s *Store) Parts(_ context.Context, table rowstore.Table) ([]rowstore.Part, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.take()()
 	var parts []rowstore.Part
 	for k := range s.rows {
 		if k.table == table && !slices.Contains(parts, k.part) {
@@ -157,8 +154,7 @@
 }
 
 func (s *Store) changes(table rowstore.Table, after rowstore.Version) rowstore.Page {
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	defer s.take()()
 	page := rowstore.Page{Version: s.version}
 	for _, row := range s.history {
 		if row.Table == table && row.Version > after {
@@ -167,3 +163,15 @@
 	}
 	return page
 }
+
+// take waits for the use of the state and returns what ends it.
+func (s *Store) take() func() {
+	_, _ = s.turn.Pop(context.Background())       // Never fails without a deadline.
+	return func() { _ = s.turn.Push(struct{}{}) } // The ring has room for the only token.
+}
+
+func newTurn() *ring.Ring[struct{}] {
+	turn := ring.New[struct{}]("turn", 1)
+	_ = turn.Push(struct{}{}) // The ring is empty.
+	return turn
+}
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -3,10 +3,10 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -19,7 +19,8 @@
 	Duration time.Duration
 	Started  time.Time
 
-	mu       sync.Mutex
+	// turn holds the token of whoever uses the state.
+	turn     *ring.Ring[struct{}]
 	token    fleet.FencingToken
 	deadline time.Duration
 	running  map[fleet.TaskID]run
@@ -41,14 +42,13 @@
 func New(p fleet.EndpointProcess, c clock.Clock, duration time.Duration) *Endpoint {
 	return &Endpoint{
 		Process: p, Clock: c, Duration: duration, Started: c.Now(),
-		running: map[fleet.TaskID]run{}, highest: map[fleet.TaskID]fleet.RunNumber{}, starts: map[fleet.TaskID]int{},
+		turn: newTurn(), running: map[fleet.TaskID]run{}, highest: map[fleet.TaskID]fleet.RunNumber{}, starts: map[fleet.TaskID]int{},
 	}
 }
 
 // Starts returns how often each task was started.
 func (e *Endpoint) Starts() map[fleet.TaskID]int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.take()()
 	copied := make(map[fleet.TaskID]int, len(e.starts))
 	for id, n := range e.starts {
 		copied[id] = n
@@ -78,15 +78,13 @@
 }
 
 func (e *Endpoint) hasEnds() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.take()()
 	e.advance()
 	return len(e.ends) > 0
 }
 
 func (e *Endpoint) list(r *shard.Result) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.take()()
 	e.advance()
 	r.Clock = e.now()
 	if r.Order.Kind != shard.OrderHold || r.Answer != shard.AnswerDone {
@@ -118,8 +116,7 @@
 }
 
 func (e *Endpoint) carryOut(o shard.Order) shard.Answer {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+	defer e.take()()
 	if o.Token < e.token {
 		return shard.AnswerFenced
 	}
@@ -159,3 +156,15 @@
 
 // Close implements holder.EndpointCaller.
 func (*Endpoint) Close() {}
+
+// take waits for the use of the state and returns what ends it.
+func (e *Endpoint) take() func() {
+	_, _ = e.turn.Pop(context.Background())       // Never fails without a deadline.
+	return func() { _ = e.turn.Push(struct{}{}) } // The ring has room for the only token.
+}
+
+func newTurn() *ring.Ring[struct{}] {
+	turn := ring.New[struct{}]("turn", 1)
+	_ = turn.Push(struct{}{}) // The ring is empty.
+	return turn
+}
