--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -19,6 +19,7 @@
 	Taken   *Taken
 	Loaded  *Loaded
 	Query   *Query
+	Advice  *shard.Advice
 	// Stop asks to release all leases.
 	Stop bool
 }
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -57,6 +57,8 @@
 	NewCaller func() EndpointCaller
 	// Refresh asks the follower of the shared table for a read.
 	Refresh *ring.Ring[FollowRequest]
+	// Advice takes the requests for advice.
+	Advice *ring.Ring[shard.AdviceRequest]
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
 	Maintainer func(c *Chain, taken *Taken, leave *ring.Ring[struct{}]) duty.Duty
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
@@ -160,6 +162,10 @@
 				s.drop(h, "an endpoint has seen a newer holder")
 			}
 		}
+	case e.Advice != nil:
+		if h := s.held[ServiceDuty(e.Advice.Request.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Advice.Request.Token {
+			h.engine.TakeAdvice(now, *e.Advice)
+		}
 	case e.Written != nil:
 		s.applyWritten(now, e.Written)
 	case e.Taken != nil:
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -30,6 +30,11 @@
 			batch = next
 		}
 		s.write(now, h, batch)
+		for _, r := range h.engine.AdviceRequests() {
+			if s.Advice.Push(r) != nil {
+				h.engine.TakeAdvice(now, shard.Advice{Request: r, Failed: true})
+			}
+		}
 		for _, o := range h.engine.Orders() {
 			if !h.releasing {
 				h.links.send(o)
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -17,6 +17,8 @@
 	// Stretch and Target give the latency objective: Stretch times the longest chain of work, plus Target.
 	Stretch float64
 	Target  time.Duration
+	// Advised queues need a ticket for each endpoint that runs a step.
+	Advised bool
 }
 
 // Rank orders waiting work; the lower rank is served first.
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -31,6 +31,8 @@
 	NewCaller() holder.EndpointCaller
 	// VMs returns the service that lists and maintains VMs, or nil where there is none.
 	VMs() holder.VMPlatform
+	// Advice returns the service that says which endpoints may run a step, or nil where there is none.
+	Advice() holder.AdviceService
 	// Followers returns the duties that keep up with the registry of endpoints and with the operator.
 	Followers(f Feeds) []duty.Duty
 	// Fronts returns the servers for callers. The first one is the last to close at a stop.
@@ -87,6 +89,7 @@
 	refresh  *ring.Ring[holder.FollowRequest]
 	// announces takes what intakes have stored.
 	announces *ring.Ring[*holder.Submission]
+	advice    *ring.Ring[shard.AdviceRequest]
 	config    ring.Latest[*holder.Config]
 	waves     ring.Latest[[]holder.WaveOrder]
 	status    ring.Latest[holder.Status]
@@ -178,6 +181,7 @@
 	}
 	e.refresh = ring.New[holder.FollowRequest]("shared-refresh", ringCapacity)
 	e.announces = ring.New[*holder.Submission]("announces", ringCapacity)
+	e.advice = ring.New[shard.AdviceRequest]("advice", ringCapacity)
 	e.released = ring.New[struct{}]("released", 1)
 	e.leaving, e.leave = context.WithCancel(running)
 }
@@ -195,6 +199,9 @@
 		},
 	}
 	list = append(list, e.Surroundings.Followers(e.feeds)...)
+	if service := e.Surroundings.Advice(); service != nil {
+		list = append(list, &holder.Adviser{Service: service, Inbox: e.advice, Scheduler: e.feeds.Scheduler, Log: e.Log})
+	}
 	for i := range e.feeds.Intakes {
 		list = append(list, &holder.Intake{
 			Number: i, Inbox: e.feeds.Intakes[i], Store: e.store, Clock: e.Clock, Log: e.Log,
@@ -216,7 +223,7 @@
 func (e *Entry) scheduler(peers holder.Peers) *holder.Scheduler {
 	s := &holder.Scheduler{
 		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
-		Duties: e.group, Refresh: e.refresh, Status: &e.status, NewCaller: e.Surroundings.NewCaller,
+		Duties: e.group, Refresh: e.refresh, Advice: e.advice, Status: &e.status, NewCaller: e.Surroundings.NewCaller,
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -103,12 +103,14 @@
 	for key := range e.dirty {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(a, b job.Key) int {
-		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence))
-	})
+	slices.SortFunc(keys, compareKeys)
 	return keys
 }
 
+func compareKeys(a, b job.Key) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence))
+}
+
 // forget adds the removal of the rows of ended jobs.
 func (e *Engine) forget(b *Batch) {
 	for id := range e.drop {
@@ -201,13 +203,21 @@
 		e.lost(now, w, a, a.id)
 		return
 	}
-	a.phase = phaseOrdered
 	order := e.order(w, OrderStart, a)
 	order.Payload, order.Checkpoint = o.Job.Payload, o.Task(a.id).Checkpoint
 	if a.step.Gang {
 		order.Checkpoint = o.Tasks[a.id.Step][0].Checkpoint
 	}
+	if e.policy(o.Job.Queue).Advised {
+		ticket, ok := e.ticket(now, StepID{a.id.Job, a.id.Occurrence, a.id.Step}, w)
+		if !ok {
+			e.lost(now, w, a, a.id)
+			return
+		}
+		order.Ticket = ticket
+	}
 	order.Deadline = w.deadline(now, e.leaseLength())
 	w.extendLease(now, e.leaseLength())
+	a.phase = phaseOrdered
 	e.out = append(e.out, order)
 }
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -61,6 +61,11 @@
 	// away is since when a task of a lasting step has not been at work.
 	away map[fleet.TaskID]time.Time
 
+	// advice holds the tickets of steps; adviceAsked counts requests under way.
+	advice      map[StepID]*stepAdvice
+	adviceAsked int
+	adviceOut   []AdviceRequest
+
 	dirty map[job.Key]bool
 	// drop lists ended jobs whose rows may be removed.
 	drop map[fleet.JobID]bool
@@ -97,6 +102,7 @@
 		blame:    map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:    map[fleet.TaskID]fleet.EndpointID{},
 		away:     map[fleet.TaskID]time.Time{},
+		advice:   map[StepID]*stepAdvice{},
 		dirty:    map[job.Key]bool{},
 		drop:     map[fleet.JobID]bool{},
 	}
@@ -209,6 +215,7 @@
 // ended stops what still runs of an occurrence that has ended.
 func (e *Engine) ended(now time.Time, o *job.Occurrence) {
 	delete(e.active, o.Key())
+	e.forgetAdvice(o)
 	e.dirty[o.Key()] = true
 	for s := range o.Tasks {
 		for t := range o.Tasks[s] {
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -79,10 +79,19 @@
 	observer   *fakeObserver
 	frozen     bool
 
+	advicePending []pendingAdvice
+	adviceCount   int
+
 	// Mechanisms that a test leaves out.
 	ignoreLeases, ignoreFences, loseCommits bool
 }
 
+// pendingAdvice is a request that the advice service works on.
+type pendingAdvice struct {
+	at      time.Time
+	request shard.AdviceRequest
+}
+
 type delayedOrder struct {
 	at    time.Time
 	order shard.Order
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -21,6 +21,7 @@
 	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > batchRows {
 		return
 	}
+	e.askAdvice(now)
 	m := misfits{}
 	for _, c := range e.candidates(now) {
 		step := c.occurrence.Job.Steps[c.step]
@@ -100,7 +101,7 @@
 }
 
 func (e *Engine) placeEach(now time.Time, c candidate, step fleet.Step, m *misfits) {
-	plain := step.RequiredLabel == "" && step.MaxPerEndpoint == 0
+	plain := step.RequiredLabel == "" && step.MaxPerEndpoint == 0 && !e.policy(c.occurrence.Job.Queue).Advised
 	if plain && m.covers(step.Counted()) {
 		return
 	}
@@ -137,6 +138,7 @@
 	var best *worker
 	var bestScore float64
 	need := step.Counted()
+	advised := e.jobs[id.Job] != nil && e.policy(e.jobs[id.Job].job.Queue).Advised
 	for _, w := range e.sorted() {
 		if !w.usable(now) || !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
 			continue
@@ -150,6 +152,11 @@
 		if w.onTrial() && len(w.runs) > 0 {
 			continue
 		}
+		if advised {
+			if _, ok := e.ticket(now, StepID{id.Job, id.Occurrence, id.Step}, w); !ok {
+				continue
+			}
+		}
 		if score := e.score(w, id, step); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -83,7 +83,10 @@
 		w.full = true
 		e.lost(now, w, a, a.id)
 		w.full = true
-	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent, AnswerNoTicket:
+	case AnswerNoTicket:
+		e.dropTicket(now, a.id, w)
+		e.lost(now, w, a, a.id)
+	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent:
 		e.avoid[a.id] = w.Endpoint
 		e.lost(now, w, a, a.id)
 		if r.Answer == AnswerBusy {
--- a/internal/standin/runner/site.go
+++ b/internal/standin/runner/site.go
@@ -32,6 +32,9 @@
 // VMs implements jobentry.Surroundings.
 func (*Site) VMs() holder.VMPlatform { return nil }
 
+// Advice implements jobentry.Surroundings.
+func (*Site) Advice() holder.AdviceService { return nil }
+
 // Fronts implements jobentry.Surroundings: callers use the product's own interface.
 func (*Site) Fronts(jobentry.Feeds) []jobentry.Front { return nil }
 
