--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -68,6 +68,9 @@
 	// surgeFactor is for how many times the waiting demand VMs are added. What waits when a peak begins is
 	// a small part of what follows, and a VM needs seconds to arrive.
 	surgeFactor = 10
+	// surgeUtilisation is the share of a pool's capacity, in percent, from which on waiting tasks count as
+	// the beginning of a peak.
+	surgeUtilisation = 60
 	// lateShare is the share of late demand, in percent, for which VMs are added.
 	lateShare = 50
 	// peakHalfLife is how fast the memory of a pool's peak fades. Demand that turns comes back within some
@@ -151,8 +154,17 @@
 	if !pool.Known || pool.Spare || pool.VMCapacity <= 0 || pool.Waiting+pool.Late <= 0 {
 		return 0
 	}
-	demand := float64(pool.Waiting)*surgeFactor + float64(pool.Late)*lateShare/100
-	return int(math.Ceil(demand/float64(pool.VMCapacity))) - pool.Arriving
+	return int(math.Ceil(pool.unserved()/float64(pool.VMCapacity))) - pool.Arriving
+}
+
+// unserved returns the demand for which a pool should get VMs. Tasks that wait although much of the pool
+// is free, because of their size or where they may run, are no sign of a peak.
+func (p *Pool) unserved() float64 {
+	factor := 1.0
+	if float64(p.Used)*100 >= surgeUtilisation*float64(p.VMCapacity)*float64(len(p.VMs)) {
+		factor = surgeFactor
+	}
+	return float64(p.Waiting)*factor + float64(p.Late)*lateShare/100
 }
 
 // grow moves VMs to pools with waiting tasks: from the spare pool first, then from pools that do not
@@ -181,7 +193,7 @@
 
 // pressure returns the waiting work per VM that a pool has or will have.
 func pressure(pool *Pool) float64 {
-	return (float64(pool.Waiting)*surgeFactor + float64(pool.Late)*lateShare/100) / float64(1+len(pool.VMs)+pool.Arriving)
+	return pool.unserved() / float64(1+len(pool.VMs)+pool.Arriving)
 }
 
 // donor returns a pool that can give a VM, and which one.
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -53,6 +53,7 @@
 		{"then those of idle pools", []poolsize.Pool{pool("busy", 4, 4*cores64, 3*cores64/10), pool("idle", 8, 0, 0), spare(1)}, map[fleet.ServiceID]int{"spare": 1, "idle": 2}},
 		{"a pool keeps what its running tasks occupy", []poolsize.Pool{pool("busy", 4, 4*cores64, 6*cores64), pool("idle", 4, 2*cores64, 0)}, map[fleet.ServiceID]int{"idle": 1}},
 		{"a pool whose own tasks wait gives nothing", []poolsize.Pool{pool("busy", 4, 4*cores64, 6*cores64), pool("other", 4, 0, 1000)}, map[fleet.ServiceID]int{}},
+		{"tasks that wait beside free capacity are no peak", []poolsize.Pool{pool("busy", 4, cores64, cores64), spare(4)}, map[fleet.ServiceID]int{"spare": 1}},
 		{"late work gets a share", []poolsize.Pool{late, spare(4)}, map[fleet.ServiceID]int{"spare": 2}},
 		{"lasting work is not disturbed", []poolsize.Pool{pool("busy", 4, 4*cores64, 6*cores64), fixed}, map[fleet.ServiceID]int{}},
 		{"VMs of a wave stay", []poolsize.Pool{pool("busy", 4, 4*cores64, 6*cores64), reserved}, map[fleet.ServiceID]int{}},
