--- /dev/null
+++ b/internal/command/explain.go
@@ -0,0 +1,193 @@
+package command
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/gravitational/trace"
+	"github.com/peterbourgon/ff/v4"
+)
+
+// logLine is one structured line of a log. Fields that it does not have are empty.
+type logLine struct {
+	Time     string  `json:"ts"`
+	Message  string  `json:"msg"`
+	Job      string  `json:"job"`
+	Task     string  `json:"task"`
+	Run      int     `json:"run"`
+	Endpoint string  `json:"endpoint"`
+	Service  string  `json:"service"`
+	Duty     string  `json:"duty"`
+	Epoch    uint64  `json:"epoch"`
+	Method   string  `json:"method"`
+	Status   int     `json:"status"`
+	Reason   string  `json:"reason"`
+	How      string  `json:"how"`
+	State    string  `json:"state"`
+	Order    string  `json:"order"`
+	Answer   string  `json:"answer"`
+	Ran      float64 `json:"ran"`
+	SinceDue float64 `json:"since-due"`
+}
+
+// longestLine bounds a line of a log, in bytes.
+const longestLine = 1 << 20
+
+// readLogs returns the lines of log files that can be decoded, in the order of their times. Text before
+// the JSON object of a line, such as the name of the process, is passed over.
+func readLogs(paths []string) ([]logLine, error) {
+	var lines []logLine
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return nil, trace.Wrap(&UsageError{Problem: err.Error()})
+		}
+		scanner := bufio.NewScanner(f)
+		scanner.Buffer(make([]byte, 0, 64<<10), longestLine)
+		for scanner.Scan() {
+			text := scanner.Text()
+			start := strings.IndexByte(text, '{')
+			var l logLine
+			if start < 0 || json.Unmarshal([]byte(text[start:]), &l) != nil || l.Message == "" {
+				continue
+			}
+			lines = append(lines, l)
+		}
+		err = scanner.Err()
+		_ = f.Close() // The file was only read.
+		if err != nil {
+			return nil, trace.Wrap(&UsageError{Problem: path + ": " + err.Error()})
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b logLine) int { return cmp.Compare(a.Time, b.Time) })
+	return lines, nil
+}
+
+// Story is what the logs tell of one job.
+type Story struct {
+	Lines []logLine
+	// Cause is the decision that ended the job, or the reason why it was late.
+	Cause string
+}
+
+// tell gathers the lines about a job, those about the endpoints of its runs and the holder of its service
+// while it ran, and names the cause.
+func tell(lines []logLine, job string) Story {
+	var s Story
+	service, endpoints := "", map[string]bool{}
+	first, last := "", ""
+	for _, l := range lines {
+		if l.Job != job {
+			continue
+		}
+		service = cmp.Or(service, l.Service)
+		if l.Endpoint != "" {
+			endpoints[l.Endpoint] = true
+		}
+		first, last = cmp.Or(first, l.Time), l.Time
+	}
+	if first == "" {
+		s.Cause = "no line names the job"
+		return s
+	}
+	for _, l := range lines {
+		inTime := l.Time >= first && l.Time <= last
+		about := l.Job == job
+		around := inTime && l.Job == "" && (service != "" && l.Duty == "jobs-"+service || endpoints[l.Endpoint] && strings.HasPrefix(l.Message, "shard:"))
+		if about || around {
+			s.Lines = append(s.Lines, l)
+		}
+	}
+	s.Cause = cause(s.Lines, job)
+	return s
+}
+
+// cause names the decision that ended a job.
+func cause(lines []logLine, job string) string {
+	stored, refusal := false, ""
+	firstAssigned := -1.0
+	failed, repeated, taken := 0, 0, 0
+	for _, l := range lines {
+		switch {
+		case l.Message == "front: request" && l.Method == "POST" && l.Status < 300:
+			stored = true
+		case l.Message == "front: request" && l.Method == "POST":
+			refusal = fmt.Sprintf("refused with %d: %s", l.Status, l.Reason)
+		case l.Message == "shard: task assigned" && firstAssigned < 0:
+			firstAssigned = l.SinceDue
+		case l.Message == "shard: run ended" && l.How == "failed":
+			failed++
+		case l.Message == "shard: run ended" && l.How != "done", l.Message == "shard: runs of an endpoint given up":
+			repeated++
+		case l.Message == "scheduler: lease taken":
+			taken++
+		case l.Message == "shard: job ended" && l.Job == job:
+			return ended(l, firstAssigned, failed, repeated, taken)
+		}
+	}
+	switch {
+	case !stored && refusal != "" && firstAssigned < 0:
+		return "never accepted: " + refusal
+	case firstAssigned < 0:
+		return "accepted, and no task was assigned"
+	}
+	return fmt.Sprintf("not ended: first task after %.1f s, %d failed and %d repeated runs, %d changes of the holder", firstAssigned, failed, repeated, taken)
+}
+
+func ended(l logLine, firstAssigned float64, failed, repeated, taken int) string {
+	return fmt.Sprintf("%s after %.1f s: first task after %.1f s, %d failed and %d repeated runs, %d changes of the holder",
+		l.State, l.SinceDue, max(0, firstAssigned), failed, repeated, taken)
+}
+
+func (c *cli) explainCommand(parent *ff.FlagSet) *ff.Command {
+	return leaf{
+		path: "explain", operands: "<job-id> <log-file>...", least: 2, most: -1, help: "tell the story of a job from log files of entries",
+		example: "explain 0123456789abcdef entry-1.log entry-2.log", flags: ff.NewFlagSet("explain").SetParent(parent),
+		run: func(_ context.Context, operands []string) error {
+			lines, err := readLogs(operands[1:])
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			story := tell(lines, operands[0])
+			return c.printValues(map[string]string{"job": operands[0], "cause": story.Cause}, func(w *tabwriter.Writer) {
+				for _, l := range story.Lines {
+					_, _ = fmt.Fprintln(w, strings.Join(l.columns(), "\t"))
+				}
+				_, _ = fmt.Fprintf(w, "cause: %s\n", story.Cause)
+			})
+		},
+	}.command()
+}
+
+// columns returns what a person reads of a line.
+func (l logLine) columns() []string {
+	row := []string{l.Time, l.Message, cmp.Or(l.Task, l.Duty), l.Endpoint}
+	var details []string
+	for _, d := range []struct{ name, value string }{
+		{"method", l.Method}, {"reason", l.Reason}, {"how", l.How}, {"state", l.State}, {"order", l.Order}, {"answer", l.Answer},
+	} {
+		if d.value != "" {
+			details = append(details, d.name+"="+d.value)
+		}
+	}
+	if l.Status > 0 {
+		details = append(details, fmt.Sprintf("status=%d", l.Status))
+	}
+	if l.Run > 0 {
+		details = append(details, fmt.Sprintf("run=%d", l.Run))
+	}
+	if l.SinceDue > 0 {
+		details = append(details, fmt.Sprintf("since-due=%.2fs", l.SinceDue))
+	}
+	if l.Ran > 0 {
+		details = append(details, fmt.Sprintf("ran=%.2fs", l.Ran))
+	}
+	return append(row, strings.Join(details, " "))
+}
--- a/internal/command/root.go
+++ b/internal/command/root.go
@@ -140,7 +140,7 @@
 	root.Subcommands = []*ff.Command{
 		c.statusCommand(set), c.poolCommands(set), c.budgetCommands(set), c.serviceCommands(set), c.accountCommands(set),
 		c.vmCommands(set), c.waveCommands(set), c.configCommands(set), c.auditCommands(set),
-		c.submitCommand(set), c.cancelCommand(set), c.jobCommands(set), c.demoCommand(set), c.completionCommand(set, root), c.versionCommand(set),
+		c.submitCommand(set), c.cancelCommand(set), c.jobCommands(set), c.explainCommand(set), c.demoCommand(set), c.completionCommand(set, root), c.versionCommand(set),
 	}
 	return root
 }
