shard: count silent endpoints and pending stops before a planned stop

Excluded: two holders at once; the lease had been released before. Change: only tasks on endpoints that answer count as at work; a new holder waits for the longest stop before it moves lasting tasks. Tests: TestTaskOnSilentEndpointCountsAsAway, TestNewHolderWaitsForStopsOfItsPredecessor, red before.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -77,6 +77,9 @@
 	// takeover is until when runs on endpoints that do not answer may still execute under the lease of
 	// the previous holder.
 	takeover time.Time
+	// evacuateFrom is when stops that the previous holder ordered have taken effect. Until then a task that
+	// is being stopped may be listed as at work.
+	evacuateFrom time.Time
 }
 
 // jobEntry is one job with its occurrences.
@@ -149,6 +152,7 @@
 			if task.Running() {
 				w := e.workerOf(now, task.At)
 				w.leaseEnd = later(w.leaseEnd, e.takeover)
+				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true})
 			}
 		}
--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -166,3 +166,50 @@
 	w.play(5 * time.Second)
 	is.Equal(w.state("failing"), fleet.JobStateCompleted)
 }
+
+// Guards against an evacuation that counts a task on a silent endpoint as at work.
+func TestTaskOnSilentEndpointCountsAsAway(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 7, worker64)
+	w.submit(lastingJob("lasting", 5, 1, 1))
+	w.play(3 * time.Second)
+	var silent, other *fakeEndpoint
+	for _, e := range w.sorted() {
+		switch {
+		case len(e.running) > 0 && silent == nil:
+			silent = e
+		case len(e.running) > 0:
+			other = e
+		}
+	}
+	silent.cut = true
+	w.play(2 * time.Second)
+	for range 100 {
+		w.engine.Vacate(w.now, other.Endpoint, false)
+		w.step()
+		is.Equal(len(other.running), 1) // one task is away already
+	}
+}
+
+// Guards against a new holder that stops a task while the stop of another one, which its predecessor
+// ordered, still takes effect: until then that task is listed as at work.
+func TestNewHolderWaitsForStopsOfItsPredecessor(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 7, worker64)
+	w.submit(lastingJob("lasting", 5, 1, 1))
+	w.play(3 * time.Second)
+	var busy []*fakeEndpoint
+	for _, e := range w.sorted() {
+		if len(e.running) > 0 {
+			busy = append(busy, e)
+		}
+	}
+	w.engine.Vacate(w.now, busy[0].Endpoint, false)
+	w.step() // the predecessor orders a stop
+	w.takeOver(w.now.Add(5 * time.Second))
+	for range 8 {
+		w.engine.Vacate(w.now, busy[1].Endpoint, false)
+		w.step()
+		is.True(w.atWork("lasting") >= 4)
+	}
+}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -187,11 +187,12 @@
 	if !w.Draining && !now.Before(w.cordonedUntil) {
 		return
 	}
-	impatient := now.Before(w.cordonedUntil) && !w.patient && now.Sub(w.cordonedAt) >= vacatePatience
+	settled := !now.Before(e.evacuateFrom)
+	impatient := settled && now.Before(w.cordonedUntil) && !w.patient && now.Sub(w.cordonedAt) >= vacatePatience
 	for id, a := range w.runs {
 		switch {
 		case a.phase != phaseStarted:
-		case a.step.Lasting && (w.Draining || e.mayStop(now, id, a)):
+		case a.step.Lasting && (w.Draining || settled && e.mayStop(now, id, a)):
 			e.stop(now, w, id)
 			e.away[id] = now
 		case !a.step.Lasting && impatient:
@@ -210,7 +211,7 @@
 	away := 0
 	for t := range o.Tasks[id.Step] {
 		other := o.ID(id.Step, fleet.TaskIndex(t))
-		if other != id && !e.atWork(o, other) {
+		if other != id && !e.atWork(now, o, other) {
 			away++
 		}
 	}
@@ -221,12 +222,12 @@
 }
 
 // atWork reports whether a lasting task is known to work. A run that the previous holder started counts
-// only once its endpoint has listed it.
-func (e *Engine) atWork(o *job.Occurrence, id fleet.TaskID) bool {
+// only once its endpoint has listed it, and none counts whose endpoint is silent.
+func (e *Engine) atWork(now time.Time, o *job.Occurrence, id fleet.TaskID) bool {
 	w := e.workers[o.Task(id).At.Endpoint]
 	if w == nil || w.runs[id] == nil {
 		return false
 	}
 	a := w.runs[id]
-	return a.phase == phaseStarted && a.progress >= 100 && e.away[id].IsZero()
+	return w.reachable(now) && a.phase == phaseStarted && a.progress >= 100 && e.away[id].IsZero()
 }
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -120,6 +120,8 @@
 	// clockDrift is the error of an endpoint's steady clock that the platform states, in percent, plus
 	// one for the entry's own.
 	clockDrift = 3
+	// stopSettle is added to the longest time that a stop takes: the order and the list are under way.
+	stopSettle = 300 * time.Millisecond
 	// leaseMargin covers the time that an order is under way.
 	leaseMargin = 100 * time.Millisecond
 	// firstHoldPause and longestHoldPause bound the pause after renewals that failed; it doubles each time.
