command, jobpeer: list jobs; test the job commands

Cause: job list was missing, and the commands had no test against an entry. After: TestJobCommands plays all five against an entry with stand-ins.

--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -30,8 +30,8 @@
 }
 
 func (c *cli) jobCommands(parent *ff.FlagSet) *ff.Command {
-	return group(parent, "job", "submit, show, cancel and count jobs", "job submit job.json",
-		c.jobSubmit(parent), c.jobGet(parent), c.jobCancel(parent), c.jobCount(parent))
+	return group(parent, "job", "submit, show, cancel, count and list jobs", "job submit job.json",
+		c.jobSubmit(parent), c.jobGet(parent), c.jobCancel(parent), c.jobCount(parent), c.jobList(parent))
 }
 
 func (c *cli) jobSubmit(parent *ff.FlagSet) leaf {
@@ -113,3 +113,23 @@
 		},
 	}
 }
+
+func (c *cli) jobList(parent *ff.FlagSet) leaf {
+	return leaf{
+		path: "job list", operands: "<queue>", least: 1, most: 1, help: "list the jobs of a queue with their states",
+		example: "job list plans", flags: ff.NewFlagSet("list").SetParent(parent),
+		run: func(ctx context.Context, operands []string) error {
+			jobs, err := c.jobClient()
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			r, err := jobs.List(ctx, connect.NewRequest(&jobv1.ListRequest{Queue: operands[0]}))
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return c.print(r.Msg, func(w *tabwriter.Writer) {
+				lines(w, []string{"JOB", "STATE"}, r.Msg.GetJobs(), func(j *jobv1.JobState) []string { return []string{j.GetJob(), j.GetState()} })
+			})
+		},
+	}
+}
--- /dev/null
+++ b/internal/command/job_test.go
@@ -0,0 +1,87 @@
+package command_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/command"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/jobentry"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/internal/standin/runner"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// startJobEntry runs an entry with one endpoint and returns its URL.
+func startJobEntry(t *testing.T) string {
+	t.Helper()
+	c := clock.Real()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	address := fleet.Address(l.Addr().String())
+	is.New(t).NoErr(l.Close())
+	e := &jobentry.Entry{
+		Name: "entry", Zone: "zone", PeerAddress: address, Clock: c, Log: zap.NewNop(), Grace: 3 * time.Second,
+		Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, StatusLife: time.Minute, FarFactor: 2},
+		Surroundings: &runner.Site{
+			Rows: rows.New(c), Capacity: fleet.Capacity{Millicores: 8000, Memory: 8000}, Clock: c,
+			Endpoints: []*runner.Endpoint{runner.New(fleet.EndpointProcess{Endpoint: "i-1", Born: 1}, c, 20*time.Millisecond)},
+			Config: &holder.Config{
+				Version: 1, Queues: []holder.Queue{{Policy: job.Policy{Queue: "plans", Service: "planner", MaxAttempts: 2, Stretch: 2}}},
+				Services: []holder.Service{{ID: "planner"}},
+			},
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = e.Run(ctx) }()
+	t.Cleanup(func() { stop(); <-done })
+	return "http://" + string(address)
+}
+
+// Guards against commands whose arguments, answers or exit codes do not fit the entry's interface.
+func TestJobCommands(t *testing.T) {
+	is := is.New(t)
+	server := startJobEntry(t)
+	file := filepath.Join(t.TempDir(), "job.json")
+	is.NoErr(os.WriteFile(file, []byte(`{"id":"0123456789abcdef","queue":"plans","steps":[{"tasks":2,"demand":{"millicores":"1000","memory-mb":"100"}}]}`), 0o600))
+	run := func(arguments ...string) (command.ExitCode, string) {
+		var out, problems bytes.Buffer
+		code := command.Program{Output: &out, Problems: &problems, Clock: clock.Real()}.Run(context.Background(), append([]string{"--job-server", server}, arguments...))
+		return code, out.String() + problems.String()
+	}
+	until := func(want string, arguments ...string) {
+		t.Helper()
+		var text string
+		for range 200 {
+			if _, text = run(arguments...); strings.Contains(text, want) {
+				return
+			}
+			_ = clock.Wait(context.Background(), clock.Real(), 25*time.Millisecond)
+		}
+		t.Errorf("%v: want %q, got %q", arguments, want, text)
+	}
+	until("is stored", "job", "submit", file)
+	until("completed", "job", "get", "0123456789abcdef")
+	until("0 waiting", "job", "count", "plans")
+	until("0123456789abcdef  completed", "job", "list", "plans")
+	until("is cancelled", "job", "cancel", "0123456789abcdef") // a job that is over stays as it is
+	until("completed", "job", "get", "0123456789abcdef")
+	code, _ := run("job", "get", "ffffffffffffffff")
+	is.True(code != command.ExitOK)
+	code, text := run("job", "submit")
+	is.Equal(code, command.ExitUsage)
+	is.True(strings.Contains(text, "job submit"))
+}
--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -126,6 +126,12 @@
 	}); err != nil {
 		return "", trace.Wrap(err)
 	}
+	if err := eventually(ctx, func() (bool, error) {
+		r, err := s.clients[0].List(ctx, connect.NewRequest(&jobv1.ListRequest{Queue: jobQueue}))
+		return err == nil && len(r.Msg.GetJobs()) == 1, nil
+	}); err != nil {
+		return "", trace.Wrap(err)
+	}
 	tasks := 0
 	for _, e := range s.site.Endpoints {
 		for task, starts := range e.Starts() {
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -39,6 +39,8 @@
 		}
 	case QueryWaiting:
 		a.Count = h.engine.Waiting()[q.Queue]
+	case QueryJobs:
+		a.Jobs = h.engine.Jobs(q.Queue)
 	case QueryLoad:
 		a.Load = h.engine.Load(now)
 	case QueryVacate:
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -115,6 +115,7 @@
 	// QueryAnnounce hands over a job or a cancellation that the store has accepted.
 	QueryAnnounce QueryKind = "announce"
 	QueryLoad     QueryKind = "load"
+	QueryJobs     QueryKind = "jobs"
 )
 
 // Query is a question to the scheduler.
@@ -145,6 +146,7 @@
 	Count   int
 	Vacated bool
 	Load    shard.Load
+	Jobs    []shard.JobStatus
 	// Idle is set for a service that has neither queues nor jobs, so that nobody holds it.
 	Idle bool
 	// Holder is where another entry answers; empty when nobody holds the service.
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -11,6 +11,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -29,6 +30,7 @@
 	AskState   AskKind = "state"
 	AskCancel  AskKind = "cancel"
 	AskWaiting AskKind = "waiting"
+	AskJobs    AskKind = "jobs"
 )
 
 // Ask is a caller's question about a job or a queue.
@@ -61,6 +63,7 @@
 	Kind  ReplyKind
 	State fleet.JobState
 	Count int
+	Jobs  []shard.JobStatus
 	// Source tells where the answer came from, for logs.
 	Source string
 }
@@ -112,8 +115,11 @@
 // resolve answers a question that changes nothing.
 func (r *Resolver) resolve(ctx context.Context, ask *Ask) Reply {
 	q := Query{Kind: QueryState, Service: ask.Service, Job: ask.Job, Queue: ask.Queue}
-	if ask.Kind == AskWaiting {
+	switch ask.Kind {
+	case AskWaiting:
 		q.Kind = QueryWaiting
+	case AskJobs:
+		q.Kind = QueryJobs
 	}
 	local, ok := r.askScheduler(ctx, q)
 	if !ok {
@@ -133,7 +139,7 @@
 			return reply
 		}
 	}
-	if ask.Kind == AskWaiting {
+	if ask.Kind != AskState {
 		return Reply{Kind: ReplyUnavailable, Source: "no holder"}
 	}
 	return r.readStore(ctx, ask)
@@ -144,7 +150,7 @@
 	if !a.Held || q.Kind == QueryState && !a.Known {
 		return Reply{}, false
 	}
-	return Reply{Kind: ReplyFound, State: a.State, Count: a.Count, Source: source}, true
+	return Reply{Kind: ReplyFound, State: a.State, Count: a.Count, Jobs: a.Jobs, Source: source}, true
 }
 
 func (r *Resolver) askScheduler(ctx context.Context, q Query) (Answer, bool) {
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -68,6 +68,16 @@
 			return holder.Answer{}, trace.Wrap(err)
 		}
 		return holder.Answer{Held: r.Msg.GetHeld(), Vacated: r.Msg.GetVacated()}, nil
+	case holder.QueryJobs:
+		r, err := peer.Jobs(ctx, connect.NewRequest(&jobv1.JobsRequest{Service: string(q.Service), Queue: string(q.Queue)}))
+		if err != nil {
+			return holder.Answer{}, trace.Wrap(err)
+		}
+		a := holder.Answer{Held: r.Msg.GetHeld()}
+		for _, one := range r.Msg.GetJobs() {
+			a.Jobs = append(a.Jobs, shard.JobStatus{ID: fleet.JobID(one.GetJob()), State: fleet.JobState(one.GetState())})
+		}
+		return a, nil
 	case holder.QueryLoad:
 		r, err := peer.Load(ctx, connect.NewRequest(&jobv1.LoadRequest{Service: string(q.Service)}))
 		if err != nil {
@@ -182,3 +192,20 @@
 	}
 	return l
 }
+
+// Jobs implements the service.
+func (h *Handler) Jobs(ctx context.Context, r *connect.Request[jobv1.JobsRequest]) (*connect.Response[jobv1.JobsResponse], error) {
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryJobs, Service: fleet.ServiceID(r.Msg.GetService()), Queue: fleet.QueueID(r.Msg.GetQueue())})
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.JobsResponse{Held: a.Held, Jobs: jobStates(a.Jobs)}), nil
+}
+
+func jobStates(jobs []shard.JobStatus) []*jobv1.JobState {
+	list := make([]*jobv1.JobState, 0, len(jobs))
+	for _, one := range jobs {
+		list = append(list, &jobv1.JobState{Job: string(one.ID), State: string(one.State)})
+	}
+	return list
+}
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -153,13 +153,30 @@
 	if err := r.Msg.Check(); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	queue, ok := j.queue(fleet.QueueID(r.Msg.GetQueue()))
-	if !ok {
-		return nil, refused(connect.CodeNotFound, "no such queue")
-	}
-	got, err := j.ask(ctx, holder.Ask{Kind: holder.AskWaiting, Service: queue.Service, Queue: queue.Queue})
+	got, err := j.askQueue(ctx, holder.AskWaiting, r.Msg.GetQueue())
 	if err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(&jobv1.CountResponse{Waiting: uint32(got.Count)}), nil
 }
+
+// List implements the service.
+func (j *Jobs) List(ctx context.Context, r *connect.Request[jobv1.ListRequest]) (*connect.Response[jobv1.ListResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	got, err := j.askQueue(ctx, holder.AskJobs, r.Msg.GetQueue())
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&jobv1.ListResponse{Jobs: jobStates(got.Jobs)}), nil
+}
+
+// askQueue asks the holder of a queue's service.
+func (j *Jobs) askQueue(ctx context.Context, kind holder.AskKind, id string) (holder.Reply, error) {
+	queue, ok := j.queue(fleet.QueueID(id))
+	if !ok {
+		return holder.Reply{}, refused(connect.CodeNotFound, "no such queue")
+	}
+	return j.ask(ctx, holder.Ask{Kind: kind, Service: queue.Service, Queue: queue.Queue})
+}
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -248,6 +248,27 @@
 	return entry.shown, true
 }
 
+// JobStatus is a job and its committed state.
+type JobStatus struct {
+	ID    fleet.JobID
+	State fleet.JobState
+}
+
+// listedJobs bounds a list of jobs.
+const listedJobs = 500
+
+// Jobs returns the jobs of a queue by id, at most listedJobs.
+func (e *Engine) Jobs(q fleet.QueueID) []JobStatus {
+	var list []JobStatus
+	for id, entry := range e.jobs {
+		if entry.job.Queue == q {
+			list = append(list, JobStatus{id, entry.shown})
+		}
+	}
+	slices.SortFunc(list, func(a, b JobStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return list[:min(len(list), listedJobs)]
+}
+
 // Waiting returns how many jobs of each queue have not started a task.
 func (e *Engine) Waiting() map[fleet.QueueID]int {
 	counts := map[fleet.QueueID]int{}
--- a/pkg/api/mimosawharf/job/v1/job_check_gen.go
+++ b/pkg/api/mimosawharf/job/v1/job_check_gen.go
@@ -90,3 +90,11 @@
 	}
 	return nil
 }
+
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *ListRequest) Check() error {
+	if err := check.Length("queue", len(x.GetQueue()), 1, 128); err != nil {
+		return err
+	}
+	return nil
+}
--- a/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
+++ b/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
@@ -46,6 +46,8 @@
 	JobPeerServiceVacateProcedure = "/mimosawharf.job.v1.JobPeerService/Vacate"
 	// JobPeerServiceLoadProcedure is the fully-qualified name of the JobPeerService's Load RPC.
 	JobPeerServiceLoadProcedure = "/mimosawharf.job.v1.JobPeerService/Load"
+	// JobPeerServiceJobsProcedure is the fully-qualified name of the JobPeerService's Jobs RPC.
+	JobPeerServiceJobsProcedure = "/mimosawharf.job.v1.JobPeerService/Jobs"
 	// JobServiceSubmitProcedure is the fully-qualified name of the JobService's Submit RPC.
 	JobServiceSubmitProcedure = "/mimosawharf.job.v1.JobService/Submit"
 	// JobServiceGetProcedure is the fully-qualified name of the JobService's Get RPC.
@@ -54,6 +56,8 @@
 	JobServiceCancelProcedure = "/mimosawharf.job.v1.JobService/Cancel"
 	// JobServiceCountProcedure is the fully-qualified name of the JobService's Count RPC.
 	JobServiceCountProcedure = "/mimosawharf.job.v1.JobService/Count"
+	// JobServiceListProcedure is the fully-qualified name of the JobService's List RPC.
+	JobServiceListProcedure = "/mimosawharf.job.v1.JobService/List"
 )
 
 // JobPeerServiceClient is a client for the mimosawharf.job.v1.JobPeerService service.
@@ -68,6 +72,8 @@
 	Vacate(context.Context, *connect.Request[v1.VacateRequest]) (*connect.Response[v1.VacateResponse], error)
 	// Load returns the demand that a service puts on its endpoints.
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
+	// Jobs returns the jobs of a queue.
+	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the mimosawharf.job.v1.JobPeerService service. By
@@ -111,6 +117,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("Load")),
 			connect.WithClientOptions(opts...),
 		),
+		jobs: connect.NewClient[v1.JobsRequest, v1.JobsResponse](
+			httpClient,
+			baseURL+JobPeerServiceJobsProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("Jobs")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -121,6 +133,7 @@
 	waiting  *connect.Client[v1.WaitingRequest, v1.WaitingResponse]
 	vacate   *connect.Client[v1.VacateRequest, v1.VacateResponse]
 	load     *connect.Client[v1.LoadRequest, v1.LoadResponse]
+	jobs     *connect.Client[v1.JobsRequest, v1.JobsResponse]
 }
 
 // Announce calls mimosawharf.job.v1.JobPeerService.Announce.
@@ -148,6 +161,11 @@
 	return c.load.CallUnary(ctx, req)
 }
 
+// Jobs calls mimosawharf.job.v1.JobPeerService.Jobs.
+func (c *jobPeerServiceClient) Jobs(ctx context.Context, req *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error) {
+	return c.jobs.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the mimosawharf.job.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// Announce hands an accepted or cancelled job to the holder ahead of its next read of the store.
@@ -160,6 +178,8 @@
 	Vacate(context.Context, *connect.Request[v1.VacateRequest]) (*connect.Response[v1.VacateResponse], error)
 	// Load returns the demand that a service puts on its endpoints.
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
+	// Jobs returns the jobs of a queue.
+	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -199,6 +219,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("Load")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceJobsHandler := connect.NewUnaryHandler(
+		JobPeerServiceJobsProcedure,
+		svc.Jobs,
+		connect.WithSchema(jobPeerServiceMethods.ByName("Jobs")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceAnnounceProcedure:
@@ -211,6 +237,8 @@
 			jobPeerServiceVacateHandler.ServeHTTP(w, r)
 		case JobPeerServiceLoadProcedure:
 			jobPeerServiceLoadHandler.ServeHTTP(w, r)
+		case JobPeerServiceJobsProcedure:
+			jobPeerServiceJobsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -240,6 +268,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Load is not implemented"))
 }
 
+func (UnimplementedJobPeerServiceHandler) Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Jobs is not implemented"))
+}
+
 // JobServiceClient is a client for the mimosawharf.job.v1.JobService service.
 type JobServiceClient interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -250,6 +282,8 @@
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 	// Count returns how many jobs of a queue have not started.
 	Count(context.Context, *connect.Request[v1.CountRequest]) (*connect.Response[v1.CountResponse], error)
+	// List returns the jobs of a queue that the holder of its service knows, by id, at most 500.
+	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 }
 
 // NewJobServiceClient constructs a client for the mimosawharf.job.v1.JobService service. By
@@ -287,6 +321,12 @@
 			connect.WithSchema(jobServiceMethods.ByName("Count")),
 			connect.WithClientOptions(opts...),
 		),
+		list: connect.NewClient[v1.ListRequest, v1.ListResponse](
+			httpClient,
+			baseURL+JobServiceListProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("List")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -296,6 +336,7 @@
 	get    *connect.Client[v1.GetRequest, v1.GetResponse]
 	cancel *connect.Client[v1.CancelRequest, v1.CancelResponse]
 	count  *connect.Client[v1.CountRequest, v1.CountResponse]
+	list   *connect.Client[v1.ListRequest, v1.ListResponse]
 }
 
 // Submit calls mimosawharf.job.v1.JobService.Submit.
@@ -318,6 +359,11 @@
 	return c.count.CallUnary(ctx, req)
 }
 
+// List calls mimosawharf.job.v1.JobService.List.
+func (c *jobServiceClient) List(ctx context.Context, req *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error) {
+	return c.list.CallUnary(ctx, req)
+}
+
 // JobServiceHandler is an implementation of the mimosawharf.job.v1.JobService service.
 type JobServiceHandler interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -328,6 +374,8 @@
 	Cancel(context.Context, *connect.Request[v1.CancelRequest]) (*connect.Response[v1.CancelResponse], error)
 	// Count returns how many jobs of a queue have not started.
 	Count(context.Context, *connect.Request[v1.CountRequest]) (*connect.Response[v1.CountResponse], error)
+	// List returns the jobs of a queue that the holder of its service knows, by id, at most 500.
+	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -361,6 +409,12 @@
 		connect.WithSchema(jobServiceMethods.ByName("Count")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceListHandler := connect.NewUnaryHandler(
+		JobServiceListProcedure,
+		svc.List,
+		connect.WithSchema(jobServiceMethods.ByName("List")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -371,6 +425,8 @@
 			jobServiceCancelHandler.ServeHTTP(w, r)
 		case JobServiceCountProcedure:
 			jobServiceCountHandler.ServeHTTP(w, r)
+		case JobServiceListProcedure:
+			jobServiceListHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -395,3 +451,7 @@
 func (UnimplementedJobServiceHandler) Count(context.Context, *connect.Request[v1.CountRequest]) (*connect.Response[v1.CountResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.Count is not implemented"))
 }
+
+func (UnimplementedJobServiceHandler) List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.List is not implemented"))
+}
