shard: pause placement while much waits, keep the workers in order

Excluded: the store; its calls stayed far below the rate. Change: the sorted workers are kept until their set changes; with more than 40 waiting steps, rounds are 20 ms apart.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -52,6 +52,11 @@
 	jobs     map[fleet.JobID]*jobEntry
 	active   map[job.Key]*job.Occurrence
 	workers  map[fleet.EndpointID]*worker
+	// byID holds the workers in the order of their ids; it is nil after the set has changed.
+	byID []*worker
+	// plannedAt and crowded describe the last round of placement.
+	plannedAt time.Time
+	crowded   bool
 	// times holds learned run times.
 	times map[timeKey]*runTime
 	// blame counts the endpoints on which a job's runs failed.
@@ -170,11 +175,17 @@
 			Runner: Runner{Endpoint: p.Endpoint, Born: p.Born}, runs: map[fleet.TaskID]*assignment{}, firstSeen: now,
 			leaseEnd: e.takeover,
 		}
-		e.workers[p.Endpoint] = w
+		e.setWorker(w)
 	}
 	return w
 }
 
+// setWorker adds or replaces a worker.
+func (e *Engine) setWorker(w *worker) {
+	e.workers[w.Endpoint] = w
+	e.byID = nil
+}
+
 func (e *Engine) entry(j *fleet.Job) *jobEntry {
 	entry := e.jobs[j.ID]
 	if entry != nil {
@@ -320,7 +331,7 @@
 		w := e.workers[r.Endpoint]
 		if w == nil {
 			w = &worker{Runner: r, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
-			e.workers[r.Endpoint] = w
+			e.setWorker(w)
 		}
 		if r.Born > w.Born && w.Born != 0 {
 			e.replaced(now, w, r, "restarted")
@@ -347,7 +358,7 @@
 	for id, a := range w.runs {
 		e.lost(now, w, a, id)
 	}
-	e.workers[w.Endpoint] = &worker{Runner: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil}
+	e.setWorker(&worker{Runner: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil})
 	e.Observer.Replaced(w.Endpoint, lost, reason)
 }
 
@@ -407,10 +418,14 @@
 
 // sorted returns the workers in a fixed order, so that a schedule can be played again.
 func (e *Engine) sorted() []*worker {
+	if e.byID != nil {
+		return e.byID
+	}
 	list := make([]*worker, 0, len(e.workers))
 	for _, w := range e.workers {
 		list = append(list, w)
 	}
 	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	e.byID = list
 	return list
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -16,14 +16,27 @@
 	rank       job.Rank
 }
 
+const (
+	// crowdedSteps is how many waiting steps make a round of placement expensive.
+	crowdedSteps = 40
+	// crowdedPause is the time between expensive rounds. Work that waits behind many others loses nothing
+	// by it, and a small VM has little processor time.
+	crowdedPause = 20 * time.Millisecond
+)
+
 // Plan assigns waiting tasks to endpoints. It runs after each group of events.
 func (e *Engine) Plan(now time.Time) {
 	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > batchRows {
 		return
 	}
+	if e.crowded && now.Sub(e.plannedAt) < crowdedPause {
+		return
+	}
 	e.askAdvice(now)
 	m := misfits{}
-	for _, c := range e.candidates(now) {
+	candidates := e.candidates(now)
+	e.plannedAt, e.crowded = now, len(candidates) > crowdedSteps
+	for _, c := range candidates {
 		step := c.occurrence.Job.Steps[c.step]
 		switch {
 		case step.Gang || step.SameRack:
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -19,6 +19,7 @@
 		e.hold(now, w)
 		if !w.listed && len(w.runs) == 0 && !w.holding {
 			delete(e.workers, w.Endpoint)
+			e.byID = nil
 		}
 	}
 	for id, entry := range e.jobs {
