election: weigh the leases of an entry by its processor capacity

Cause: entries of the grown fleets have 0.192 to 0.8 cores, and the rank ignored it. Change: entries tell their capacity in their row; the rank compares leases for each core. Test: TestClaims, TestHolder.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -32,7 +32,9 @@
 	Address     fleet.Address
 	Beats       uint64
 	Stopping    bool
-	ChangedAt   time.Time
+	// Millicores is the processor capacity of the entry's VM; 0 when it is not known.
+	Millicores fleet.Millicores
+	ChangedAt  time.Time
 }
 
 // Times of leases.
@@ -50,8 +52,10 @@
 type State struct {
 	Self        fleet.EntryID
 	Incarnation fleet.Incarnation
-	Leases      map[fleet.DutyName]Lease
-	Nodes       map[fleet.EntryID]Node
+	// Millicores is the processor capacity of this entry's VM.
+	Millicores fleet.Millicores
+	Leases     map[fleet.DutyName]Lease
+	Nodes      map[fleet.EntryID]Node
 	// freeSince is when a duty was first seen without a holder.
 	freeSince map[fleet.DutyName]time.Time
 }
@@ -149,8 +153,8 @@
 	return held
 }
 
-// rank returns how many live entries come before this one for a duty: those that hold fewer leases, and
-// among equals those with the higher hash of entry and duty.
+// rank returns how many live entries come before this one for a duty: those that would hold fewer leases
+// for each core, and among equals those with the higher hash of entry and duty.
 func (s *State) rank(now time.Time, d fleet.DutyName, held map[fleet.EntryID]int) int {
 	rank := 0
 	own := weight(s.Self, d)
@@ -158,13 +162,20 @@
 		if id == s.Self || n.Stopping || now.Sub(n.ChangedAt) >= LapseAfter {
 			continue
 		}
-		if held[id] < held[s.Self] || held[id] == held[s.Self] && weight(id, d) > own {
+		theirs, mine := load(held[id], n.Millicores), load(held[s.Self], s.Millicores)
+		if theirs < mine || theirs == mine && weight(id, d) > own {
 			rank++
 		}
 	}
 	return rank
 }
 
+// load returns the leases that an entry would hold for each core, so that the smallest VM does not carry
+// the largest duty.
+func load(held int, capacity fleet.Millicores) float64 {
+	return float64(held+1) / float64(max(capacity, 1))
+}
+
 func weight(id fleet.EntryID, d fleet.DutyName) uint64 {
 	return xxhash.Sum64String(string(id) + "/" + string(d))
 }
--- /dev/null
+++ b/internal/election/election_test.go
@@ -0,0 +1,105 @@
+package election_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// states returns the view of each of some live entries.
+func states(capacities ...fleet.Millicores) []*election.State {
+	var list []*election.State
+	for i, c := range capacities {
+		s := election.NewState(fleet.EntryID(fmt.Sprintf("entry-%d", i)), "life")
+		s.Millicores = c
+		list = append(list, s)
+	}
+	for _, s := range list {
+		for _, other := range list {
+			s.SetNode(start, election.Node{Entry: other.Self, Incarnation: "life", Millicores: other.Millicores})
+		}
+	}
+	return list
+}
+
+func held(d fleet.DutyName, by fleet.EntryID) election.Lease {
+	return election.Lease{Duty: d, Entry: by, Incarnation: "life", Epoch: 1, Renewals: 1}
+}
+
+// claimants returns which entries ask for a duty at a time, when all have seen it free since the start.
+func claimants(list []*election.State, d fleet.DutyName, after time.Duration) []fleet.EntryID {
+	var ids []fleet.EntryID
+	for _, s := range list {
+		s.Claims(start, []fleet.DutyName{d})
+		if len(s.Claims(start.Add(after), []fleet.DutyName{d})) > 0 {
+			ids = append(ids, s.Self)
+		}
+	}
+	return ids
+}
+
+func TestClaims(t *testing.T) {
+	t.Run("one entry asks at first", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(claimants(states(400, 400, 400, 400), "duty", 0)), 1)
+	})
+	t.Run("the others ask in turn", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(len(claimants(states(400, 400, 400, 400), "duty", time.Second)), 4)
+	})
+	t.Run("the largest VM comes first", func(t *testing.T) {
+		is := is.New(t)
+		is.Equal(claimants(states(192, 800, 192, 192), "duty", 0), []fleet.EntryID{"entry-1"})
+	})
+	t.Run("an entry with a lease comes after its equals", func(t *testing.T) {
+		is := is.New(t)
+		list := states(400, 400)
+		for _, s := range list {
+			s.SetLease(start, held("other", "entry-0"))
+		}
+		is.Equal(claimants(list, "duty", 0), []fleet.EntryID{"entry-1"})
+	})
+}
+
+func TestHolder(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*election.State)
+		after  time.Duration
+		want   bool
+	}{
+		{"a renewed lease is held", func(s *election.State) { s.SetLease(start.Add(time.Second), held("duty", "entry-1")) }, time.Second, true},
+		{"a lease that is not renewed lapses", func(*election.State) {}, election.LapseAfter, false},
+		{"a released lease is free", func(s *election.State) {
+			l := held("duty", "entry-1")
+			l.Released = true
+			s.SetLease(start.Add(time.Second), l)
+		}, time.Second, false},
+		{"a holder that restarted holds nothing", func(s *election.State) {
+			s.SetNode(start.Add(time.Second), election.Node{Entry: "entry-1", Incarnation: "next life"})
+		}, time.Second, false},
+		{"an outage of the store tells nothing about the holder", func(s *election.State) { s.Current(election.LapseAfter) }, election.LapseAfter, true},
+		{"an older epoch changes nothing", func(s *election.State) {
+			l := held("duty", "entry-0")
+			l.Epoch = 0
+			s.SetLease(start, l)
+		}, time.Second, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := states(400, 400)[0]
+			s.SetLease(start, held("duty", "entry-1"))
+			c.change(s)
+			l, ok := s.Holder(start.Add(c.after), "duty")
+			is.Equal(ok, c.want)
+			is.Equal(l.Entry, fleet.EntryID("entry-1"))
+		})
+	}
+}
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -119,6 +119,7 @@
 // Run implements duty.Duty.
 func (s *Scheduler) Run(ctx context.Context) error {
 	s.election = election.NewState(s.Self.Entry, s.Self.Incarnation)
+	s.election.Millicores = s.Self.Millicores
 	s.jobs, s.cancelled = map[fleet.JobID]*fleet.Job{}, map[fleet.JobID]bool{}
 	s.runners = map[fleet.EndpointID]shard.Runner{}
 	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
--- a/internal/holder/shared.go
+++ b/internal/holder/shared.go
@@ -104,6 +104,7 @@
 	return election.Node{
 		Entry: fleet.EntryID(m.GetEntry()), Incarnation: fleet.Incarnation(m.GetIncarnation()), Zone: fleet.ZoneID(m.GetZone()),
 		Address: fleet.Address(m.GetAddress()), Beats: m.GetBeats(), Stopping: m.GetStopping(),
+		Millicores: fleet.Millicores(m.GetMillicores()),
 	}
 }
 
@@ -149,7 +150,7 @@
 	b.beats++
 	row := mustRow(SharedTable, SharedFirstPart, rowstore.Key(b.Self.Entry), &jobv1.Node{
 		Entry: string(b.Self.Entry), Incarnation: string(b.Self.Incarnation), Zone: string(b.Self.Zone),
-		Address: string(b.Self.Address), Beats: b.beats, Stopping: stopping,
+		Address: string(b.Self.Address), Beats: b.beats, Stopping: stopping, Millicores: uint64(b.Self.Millicores),
 	})
 	_, err := b.Store.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{row}})
 	switch {
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -28,6 +28,8 @@
 	Entry       fleet.EntryID
 	Incarnation fleet.Incarnation
 	Zone        fleet.ZoneID
+	// Millicores is the processor capacity of the entry's VM; 0 when it is not known.
+	Millicores fleet.Millicores
 	// Address is where other entries reach this one.
 	Address fleet.Address
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -71,6 +71,8 @@
 	// The fields are set before Run.
 	Name fleet.EntryID
 	Zone fleet.ZoneID
+	// Millicores is the processor capacity of the VM; 0 when it is not known.
+	Millicores fleet.Millicores
 	// PeerAddress is where other entries, and the product's own tools, reach this one.
 	PeerAddress    fleet.Address
 	MetricsAddress fleet.Address
@@ -170,7 +172,7 @@
 func (e *Entry) prepare(running context.Context) {
 	e.store = e.Surroundings.Store()
 	e.registry = metrics.New()
-	e.self = holder.Identity{Entry: e.Name, Incarnation: fleet.NewIncarnation(), Zone: e.Zone, Address: e.PeerAddress}
+	e.self = holder.Identity{Entry: e.Name, Incarnation: fleet.NewIncarnation(), Zone: e.Zone, Millicores: e.Millicores, Address: e.PeerAddress}
 	e.feeds = Feeds{
 		Scheduler: ring.NewWithReserve[holder.Event]("scheduler", ringCapacity, eventReserve),
 		Config:    &e.config, Waves: &e.waves, Wake: ring.New[struct{}]("waves", 1),
