holder, shard: remove an old job's acceptance before its progress

Cause: the progress of an old job was removed while its acceptance stayed in the store; the next holder would have taken the job for one that has not run. Change: the holder has the acceptance removed first and the progress once it has seen that. Rows whose job is gone are removed at a takeover. Also: files split by concept; the comment on the endpoint's clock says what the code does.

--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -32,9 +32,13 @@
 
 // Submission is a row that one caller wants in the store: an accepted job or a cancellation.
 type Submission struct {
-	// Job is set for a job, Cancel for a cancellation of the job with that id.
+	// Job is set for a job, Cancel for a cancellation of the job with that id, Remove for the removal of
+	// both rows of a job that ended long ago.
 	Job    *fleet.Job
 	Cancel fleet.JobID
+	Remove fleet.JobID
+	// Cancelled says that the job to remove has a cancellation.
+	Cancelled bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Reply takes the outcome without blocking.
@@ -106,12 +110,20 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		if first.Remove != "" {
+			i.remove(ctx, first)
+			continue
+		}
 		batch := []*Submission{first}
 		for len(batch) < intakeBatch {
 			next, ok := i.Inbox.TryPop()
 			if !ok {
 				break
 			}
+			if next.Remove != "" {
+				i.remove(ctx, next)
+				continue
+			}
 			batch = append(batch, next)
 		}
 		i.store(ctx, batch)
@@ -121,6 +133,20 @@
 	}
 }
 
+// remove takes the rows of a job out of the store. Its holder asks again while they are there.
+func (i *Intake) remove(ctx context.Context, s *Submission) {
+	ctx, cancel := context.WithTimeout(ctx, transactTimeout)
+	defer cancel()
+	part := IntakePart(s.Remove)
+	t := rowstore.Transaction{Removes: []rowstore.Row{{Table: SharedTable, Part: part, Key: jobKey(s.Remove)}}}
+	if s.Cancelled {
+		t.Removes = append(t.Removes, rowstore.Row{Table: SharedTable, Part: part, Key: rowstore.Key(keyCancel + string(s.Remove))})
+	}
+	if _, err := i.Store.Transact(ctx, t); err != nil {
+		i.Log.Warn("intake: rows of an old job are not removed", zap.String("job", string(s.Remove)), zap.Error(trace.Unwrap(err)))
+	}
+}
+
 // store repeats a batch until each submission has an outcome.
 func (i *Intake) store(ctx context.Context, batch []*Submission) {
 	began := i.Clock.Now()
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -57,6 +57,8 @@
 	NewCaller func() EndpointCaller
 	// Refresh asks the follower of the shared table for a read.
 	Refresh *ring.Ring[FollowRequest]
+	// Intakes take the removal of old jobs.
+	Intakes [Intakes]*ring.Ring[*Submission]
 	// Advice takes the requests for advice.
 	Advice *ring.Ring[shard.AdviceRequest]
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
@@ -75,6 +77,7 @@
 	held      map[fleet.DutyName]*heldDuty
 	taking    map[fleet.DutyName]bool
 	startedAt time.Time
+	expiredAt time.Time
 	sharedAt  time.Time
 	stopping  bool
 	announced bool
@@ -204,6 +207,11 @@
 		s.cancel(now, id)
 	}
 	for _, id := range c.Forgotten {
+		if j := s.jobs[id]; j != nil {
+			if h := s.held[ServiceDuty(j.Service)]; h != nil && h.engine != nil && h.loaded {
+				h.engine.Forget(id)
+			}
+		}
 		delete(s.jobs, id)
 		delete(s.cancelled, id)
 	}
@@ -297,6 +305,10 @@
 			s.release(h)
 		}
 	}
+	if now.Sub(s.expiredAt) >= expiryInterval {
+		s.expiredAt = now
+		s.expire(now)
+	}
 	if s.stopping && len(s.held) == 0 && !s.announced {
 		s.announced = true
 		s.Released()
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -171,6 +172,11 @@
 	}
 	for _, row := range h.progress {
 		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return s.jobs[id] })
+		var unknown *wire.ProgressError
+		if errors.As(err, &unknown) && unknown.Gone {
+			h.engine.ForgetRow(unknown.Key)
+			continue
+		}
 		if err != nil {
 			s.Log.Error("scheduler: progress row passed over", zap.String("service", string(h.service)), zap.Error(trace.Unwrap(err)))
 			continue
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -103,3 +103,19 @@
 	}
 	_ = h.writes.Push(Write{Release: true})
 }
+
+// expiryInterval is the time between looks for jobs that need not be kept.
+const expiryInterval = 5 * time.Second
+
+// expire has the stored acceptance of old jobs removed. Their progress follows once that is seen.
+func (s *Scheduler) expire(now time.Time) {
+	for _, h := range s.sorted() {
+		if h.engine == nil || !h.loaded {
+			continue
+		}
+		for _, id := range h.engine.Expired(now) {
+			// A full ring leaves the job for the next look.
+			_ = s.Intakes[IntakeIndex(id)].Push(&Submission{Remove: id, Cancelled: s.cancelled[id]})
+		}
+	}
+}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -225,7 +225,7 @@
 func (e *Entry) scheduler(peers holder.Peers) *holder.Scheduler {
 	s := &holder.Scheduler{
 		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
-		Duties: e.group, Refresh: e.refresh, Advice: e.advice, Status: &e.status, NewCaller: e.Surroundings.NewCaller,
+		Duties: e.group, Refresh: e.refresh, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, NewCaller: e.Surroundings.NewCaller,
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
--- /dev/null
+++ b/internal/jobentry/expiry_test.go
@@ -0,0 +1,77 @@
+package jobentry_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/jobentry"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/internal/standin/runner"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1/jobv1connect"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Guards against rows of old jobs that stay in the store for ever.
+func TestRowsOfOldJobsAreRemoved(t *testing.T) {
+	is := is.New(t)
+	c := clock.Real()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	address := fleet.Address(l.Addr().String())
+	is.NoErr(l.Close())
+	store := rows.New(c)
+	e := &jobentry.Entry{
+		Name: "entry", Zone: "zone", PeerAddress: address, Clock: c, Log: zap.NewNop(), Grace: 3 * time.Second,
+		// States are kept for half a minute more than this, so for a second.
+		Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, StatusLife: -29 * time.Second, FarFactor: 2},
+		Surroundings: &runner.Site{
+			Rows: store, Capacity: fleet.Capacity{Millicores: 8000, Memory: 8000}, Clock: c,
+			Endpoints: []*runner.Endpoint{runner.New(fleet.EndpointProcess{Endpoint: "i-1", Born: 1}, c, 20*time.Millisecond)},
+			Config: &holder.Config{
+				Version: 1, Queues: []holder.Queue{{Policy: job.Policy{Queue: "plans", Service: "planner", MaxAttempts: 2, Stretch: 2}}},
+				Services: []holder.Service{{ID: "planner"}},
+			},
+		},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = e.Run(ctx) }()
+	defer func() { stop(); <-done }()
+	client := jobv1connect.NewJobServiceClient(http.DefaultClient, "http://"+string(address))
+	until := func(f func() bool) {
+		t.Helper()
+		for range 600 {
+			if f() {
+				return
+			}
+			_ = clock.Wait(ctx, c, 25*time.Millisecond)
+		}
+		t.Error("did not happen in 15 s")
+	}
+	until(func() bool {
+		_, err := client.Submit(ctx, connect.NewRequest(&jobv1.SubmitRequest{Job: &jobv1.Job{Id: "old", Queue: "plans", Steps: []*jobv1.Step{{Tasks: 1}}}}))
+		return err == nil
+	})
+	until(func() bool {
+		r, err := client.Get(ctx, connect.NewRequest(&jobv1.GetRequest{Job: "old"}))
+		return err == nil && r.Msg.GetState() == string(fleet.JobStateCompleted)
+	})
+	until(func() bool {
+		accepted, _ := store.Scan(ctx, rowstore.Range{Table: holder.SharedTable, Part: holder.IntakePart("old")})
+		progress, _ := store.Scan(ctx, rowstore.Range{Table: "mimosawharf-progress", Part: "duty-jobs-planner"})
+		return len(accepted.Rows)+len(progress.Rows) == 0
+	})
+}
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -28,10 +28,7 @@
 
 // Batch is a transaction on the rows of the service. Orders that depend on it wait for Committed.
 type Batch struct {
-	Rows []RowWrite
-	// Forgotten lists ended jobs whose rows the batch removes.
-	Forgotten []fleet.JobID
-
+	Rows    []RowWrite
 	planned []planned
 	acks    map[fleet.EndpointProcess]fleet.EndCursor
 	jobs    map[fleet.JobID]*shownState
@@ -54,7 +51,7 @@
 	if e.batch != nil {
 		return nil, nil
 	}
-	if len(e.dirty)+len(e.drop) == 0 {
+	if len(e.dirty)+len(e.drop)+len(e.orphans) == 0 {
 		e.acknowledge()
 		return nil, nil
 	}
@@ -111,8 +108,15 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence))
 }
 
-// forget adds the removal of the rows of ended jobs.
+// forget adds the removal of the rows of ended jobs and of rows without a job.
 func (e *Engine) forget(b *Batch) {
+	for key := range e.orphans {
+		if len(b.Rows) >= batchRows {
+			return
+		}
+		b.Rows = append(b.Rows, RowWrite{Key: key})
+		delete(e.orphans, key)
+	}
 	for id := range e.drop {
 		entry := e.jobs[id]
 		if entry == nil {
@@ -125,7 +129,6 @@
 		for _, o := range entry.occurrences {
 			b.Rows = append(b.Rows, RowWrite{Key: o.Key()})
 		}
-		b.Forgotten = append(b.Forgotten, id)
 		delete(e.drop, id)
 		delete(e.jobs, id)
 	}
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -82,6 +82,8 @@
 	advicePending []pendingAdvice
 	adviceCount   int
 
+	statusLife time.Duration
+
 	// Mechanisms that a test leaves out.
 	ignoreLeases, ignoreFences, loseCommits bool
 }
@@ -121,6 +123,7 @@
 		policy:     job.Policy{Queue: "queue", Service: "service", MaxAttempts: 3, Stretch: 1.6, Target: 600 * time.Millisecond},
 		committing: map[job.Key]*job.Occurrence{}, latest: map[job.Key]*job.Occurrence{}, doneNoted: map[fleet.TaskID]bool{},
 		failedRuns: map[fleet.TaskID]int{},
+		statusLife: time.Hour,
 		observer:   &fakeObserver{aside: map[fleet.EndpointID]int{}},
 	}
 	for i := range endpoints {
@@ -138,7 +141,7 @@
 func (w *fakeWorld) takeOver(previousEnd time.Time) {
 	w.epoch++
 	w.committing, w.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
-	bounds := shard.Bounds{MaxLease: 10 * time.Second, StopTime: fakeStop, Notice: 4 * time.Second, StatusLife: time.Hour, FarFactor: 2}
+	bounds := shard.Bounds{MaxLease: 10 * time.Second, StopTime: fakeStop, Notice: 4 * time.Second, StatusLife: w.statusLife, FarFactor: 2}
 	w.engine = shard.NewEngine("service", w.epoch, bounds, w.observer, previousEnd)
 	w.engine.SetPolicies([]job.Policy{w.policy})
 	w.list()
@@ -219,12 +222,7 @@
 
 func (w *fakeWorld) commit() {
 	if !w.commitAt.IsZero() && !w.storeDown && !w.now.Before(w.commitAt) {
-		for key, o := range w.committing {
-			w.noteDone(o)
-			if !w.loseCommits {
-				w.store.rows[key] = o
-			}
-		}
+		w.commitNow()
 		w.commitAt = time.Time{}
 		w.engine.Committed(w.now)
 	}
@@ -237,7 +235,10 @@
 	}
 	w.committing = map[job.Key]*job.Occurrence{}
 	for _, row := range batch.Rows {
-		w.committing[row.Key] = w.latest[row.Key]
+		w.committing[row.Key] = nil
+		if row.Value != nil {
+			w.committing[row.Key] = w.latest[row.Key]
+		}
 	}
 	w.commitAt = w.now.Add(fakeCommit)
 }
@@ -245,8 +246,14 @@
 // commitNow completes the transaction under way without telling the holder.
 func (w *fakeWorld) commitNow() {
 	for key, o := range w.committing {
-		w.store.rows[key] = o
+		if o == nil {
+			delete(w.store.rows, key)
+			continue
+		}
 		w.noteDone(o)
+		if !w.loseCommits {
+			w.store.rows[key] = o
+		}
 	}
 }
 
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -55,9 +55,9 @@
 	}
 }
 
-// heard updates the estimate of the endpoint's clock. The clock was read after the order was sent, so an
-// estimate from the time of sending never runs ahead of the endpoint, and a lease never lasts longer
-// than assumed.
+// heard updates the estimate of the endpoint's clock. The clock was read before the answer arrived, so an
+// estimate from the time of arrival never runs ahead of the endpoint, and a lease never lasts longer than
+// assumed.
 func (e *Engine) heard(w *worker, r Result, now time.Time) {
 	w.heardAt = later(w.heardAt, now)
 	if r.Clock >= w.clock {
--- /dev/null
+++ b/internal/shard/runners.go
@@ -0,0 +1,71 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// SetRunners takes the registry's list of the service's endpoints. An endpoint that left the list keeps
+// its runs until its lease has ended or another process answers under its id.
+func (e *Engine) SetRunners(now time.Time, runners []Runner) {
+	listed := map[fleet.EndpointID]bool{}
+	for _, r := range runners {
+		listed[r.Endpoint] = true
+		w := e.workers[r.Endpoint]
+		if w == nil {
+			w = &worker{Runner: r, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
+			e.setWorker(w)
+		}
+		if r.Born > w.Born && w.Born != 0 {
+			e.replaced(now, w, r, "restarted")
+			w = e.workers[r.Endpoint]
+		}
+		if w.Address != r.Address {
+			w.holding = false
+		}
+		if r.Born >= w.Born {
+			w.Runner = r
+		}
+		w.listed = true
+	}
+	for id, w := range e.workers {
+		if !listed[id] {
+			w.listed = false
+		}
+	}
+}
+
+// replaced drops the runs of a process that no longer exists.
+func (e *Engine) replaced(now time.Time, w *worker, next Runner, reason string) {
+	lost := len(w.runs)
+	for id, a := range w.runs {
+		e.lost(now, w, a, id)
+	}
+	e.setWorker(&worker{Runner: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil})
+	e.Observer.Replaced(w.Endpoint, lost, reason)
+}
+
+// lost ends a run without a report.
+func (e *Engine) lost(now time.Time, w *worker, a *assignment, id fleet.TaskID) {
+	w.remove(id)
+	if o := e.occurrence(id); o != nil && o.Lost(id, a.run) {
+		e.dirty[o.Key()] = true
+		e.noteAway(now, id, a)
+	}
+}
+
+func (e *Engine) noteAway(now time.Time, id fleet.TaskID, a *assignment) {
+	if a.step.Lasting && e.away[id].IsZero() {
+		e.away[id] = now
+	}
+}
+
+func (e *Engine) occurrence(id fleet.TaskID) *job.Occurrence {
+	entry := e.jobs[id.Job]
+	if entry == nil || int(id.Occurrence) >= len(entry.occurrences) {
+		return nil
+	}
+	return entry.occurrences[id.Occurrence]
+}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -22,13 +22,34 @@
 			e.byID = nil
 		}
 	}
+}
+
+// Expired returns the ended jobs whose state need not be kept any longer, at most expiredJobs. Their
+// progress stays until Forget: a job whose acceptance is still stored would otherwise be taken for one
+// that has not run.
+func (e *Engine) Expired(now time.Time) []fleet.JobID {
+	var list []fleet.JobID
 	for id, entry := range e.jobs {
-		if entry.shown.Ended() && !entry.endedAt.IsZero() && now.Sub(entry.endedAt) > e.Bounds.StatusLife+statusMargin {
-			e.drop[id] = true
+		if len(list) < expiredJobs && entry.shown.Ended() && !entry.endedAt.IsZero() && now.Sub(entry.endedAt) > e.Bounds.StatusLife+statusMargin {
+			list = append(list, id)
 		}
 	}
+	return list
 }
 
+// expiredJobs bounds the jobs that are forgotten at a time.
+const expiredJobs = 32
+
+// Forget removes the progress of a job whose acceptance is no longer stored.
+func (e *Engine) Forget(id fleet.JobID) {
+	if entry := e.jobs[id]; entry != nil && entry.shown.Ended() {
+		e.drop[id] = true
+	}
+}
+
+// ForgetRow removes a progress row whose job is no longer stored.
+func (e *Engine) ForgetRow(key job.Key) { e.orphans[key] = true }
+
 // statusMargin is kept on top of the time that the platform asks for, for clocks that differ.
 const statusMargin = 30 * time.Second
 
