--- a/internal/demo/jobs.go
+++ b/internal/demo/jobs.go
@@ -75,7 +75,7 @@
 		}
 		e := &jobentry.Entry{
 			Name: fleet.EntryID(fmt.Sprintf("job-entry-%d", i)), Zone: "zone-a", PeerAddress: address, Surroundings: s.site, Clock: c, Log: zap.NewNop(),
-			Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, Notice: 4 * time.Second, StatusLife: time.Minute, FarFactor: 2},
+			Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, StatusLife: time.Minute},
 			Grace:  3 * time.Second,
 		}
 		s.group.Start(ctx, &jobEntryDuty{entry: e})
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -66,8 +66,6 @@
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
-	// Released is called once all leases are given up after a stop.
-	Released func()
 
 	election  *election.State
 	jobs      map[fleet.JobID]*fleet.Job
@@ -80,7 +78,6 @@
 	expiredAt time.Time
 	sharedAt  time.Time
 	stopping  bool
-	announced bool
 }
 
 // Status is what the scheduler publishes.
@@ -309,10 +306,6 @@
 		s.expiredAt = now
 		s.expire(now)
 	}
-	if s.stopping && len(s.held) == 0 && !s.announced {
-		s.announced = true
-		s.Released()
-	}
 	s.claim(ctx, now)
 	s.publish()
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -97,10 +97,9 @@
 	status    ring.Latest[holder.Status]
 	stopping  ring.Latest[bool]
 	// leaving ends when a graceful stop begins.
-	leaving  context.Context
-	leave    context.CancelFunc
-	released *ring.Ring[struct{}]
-	group    *duty.Group
+	leaving context.Context
+	leave   context.CancelFunc
+	group   *duty.Group
 }
 
 // Sizes of an entry.
@@ -184,7 +183,6 @@
 	e.refresh = ring.New[holder.FollowRequest]("shared-refresh", ringCapacity)
 	e.announces = ring.New[*holder.Submission]("announces", ringCapacity)
 	e.advice = ring.New[shard.AdviceRequest]("advice", ringCapacity)
-	e.released = ring.New[struct{}]("released", 1)
 	e.leaving, e.leave = context.WithCancel(running)
 }
 
@@ -229,7 +227,6 @@
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
-		Released: func() { _ = e.released.Push(struct{}{}) }, // The ring has room for the only token.
 	}
 	if vms := e.Surroundings.VMs(); vms != nil {
 		s.Maintainer = func(c *holder.Chain, taken *holder.Taken, leave *ring.Ring[struct{}]) duty.Duty {
--- a/internal/jobentry/expiry_test.go
+++ b/internal/jobentry/expiry_test.go
@@ -36,7 +36,7 @@
 	e := &jobentry.Entry{
 		Name: "entry", Zone: "zone", PeerAddress: address, Clock: c, Log: zap.NewNop(), Grace: 3 * time.Second,
 		// States are kept for half a minute more than this, so for a second.
-		Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, StatusLife: -29 * time.Second, FarFactor: 2},
+		Bounds: shard.Bounds{MaxLease: 10 * time.Second, StopTime: time.Second, StatusLife: -29 * time.Second},
 		Surroundings: &runner.Site{
 			Rows: store, Capacity: fleet.Capacity{Millicores: 8000, Memory: 8000}, Clock: c,
 			Endpoints: []*runner.Endpoint{runner.New(fleet.EndpointProcess{Endpoint: "i-1", Born: 1}, c, 20*time.Millisecond)},
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -19,12 +19,8 @@
 	MaxLease time.Duration
 	// StopTime is how long a stop takes at most.
 	StopTime time.Duration
-	// Notice is how long a lasting task may be unavailable before it counts as missing.
-	Notice time.Duration
 	// StatusLife is how long the state of an ended job is kept.
 	StatusLife time.Duration
-	// FarFactor is how much longer a task takes away from its data or its gang.
-	FarFactor float64
 }
 
 // Observer is told of decisions, for logs and metrics.
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -141,7 +141,7 @@
 func (w *fakeWorld) takeOver(previousEnd time.Time) {
 	w.epoch++
 	w.committing, w.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
-	bounds := shard.Bounds{MaxLease: 10 * time.Second, StopTime: fakeStop, Notice: 4 * time.Second, StatusLife: w.statusLife, FarFactor: 2}
+	bounds := shard.Bounds{MaxLease: 10 * time.Second, StopTime: fakeStop, StatusLife: w.statusLife}
 	w.engine = shard.NewEngine("service", w.epoch, bounds, w.observer, previousEnd)
 	w.engine.SetPolicies([]job.Policy{w.policy})
 	w.list()
