holder: keep waiting for earlier holders after an early release

Cause: a zone was cut off; its holder went on renewing runs within the zone. The next holder took the lease and, being stopped, gave it up after 60 ms. Excluded: late orders, and clocks; the runs given up at 40.19 s are those of the cut-off zone. Change: the lease says whether the orders of all earlier holders have lapsed; only then does a release shorten the wait. The same holds for orders for VMs. Test: TestReleaseLeavesEarlierOrdersBehind, red without the mechanism.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -20,6 +20,8 @@
 	Epoch       fleet.FencingToken
 	Renewals    uint64
 	Released    bool
+	// Settled is set once the orders of all earlier holders have lapsed.
+	Settled bool
 	// ChangedAt is when this entry saw the row change last, on its own clock.
 	ChangedAt time.Time
 }
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -78,7 +78,7 @@
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
 	Previous time.Time
-	// Released is set when the previous holder gave the lease up.
+	// Released is set when the previous holder gave the lease up and no orders of earlier ones were left.
 	Released bool
 	Progress []*ProgressRow
 	Wave     []WaveRow
--- a/internal/holder/maintainer.go
+++ b/internal/holder/maintainer.go
@@ -155,7 +155,7 @@
 func (m *Maintainer) round(ctx context.Context) error {
 	now := m.Clock.Now()
 	if _, leave := m.Leave.TryPop(); leave {
-		if err := m.Chain.Write(ctx, Write{Release: true}); err != nil {
+		if err := m.Chain.Write(ctx, Write{Release: true, Settled: m.settled(now)}); err != nil {
 			return trace.Wrap(err)
 		}
 		return trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
@@ -203,9 +203,14 @@
 	return vms, nil
 }
 
+// settled reports whether no earlier holder can be giving orders any more.
+func (m *Maintainer) settled(now time.Time) bool {
+	return m.Taken.Released || now.Sub(m.Taken.SentAt) >= m.TurnWait
+}
+
 // write renews the lease and stores the progress of the waves that have changed.
 func (m *Maintainer) write(ctx context.Context) error {
-	write := Write{Renew: true}
+	write := Write{Renew: true, Settled: m.settled(m.Clock.Now())}
 	for _, w := range m.sorted() {
 		if w.changed {
 			write.Puts = append(write.Puts, w.row())
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
@@ -102,7 +103,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := clock.Real()
 	chain := &holder.Chain{Duty: holder.DutyMaintenance, Self: holder.Identity{Entry: name, Incarnation: fleet.NewIncarnation()}, Store: store, Clock: c}
-	taken, err := holder.TakeLease(ctx, chain, previous)
+	taken, err := holder.TakeLease(ctx, chain, election.Lease{Epoch: previous})
 	is.New(t).NoErr(err)
 	m := &holder.Maintainer{
 		Chain: chain, Taken: taken, Platform: p, Scheduler: ring.New[holder.Event]("scheduler", 1024), Waves: &ring.Latest[[]holder.WaveOrder]{},
--- a/internal/holder/resize.go
+++ b/internal/holder/resize.go
@@ -137,7 +137,7 @@
 // move makes sure that the VM runs nothing and gives the order.
 func (m *Maintainer) move(ctx context.Context, move poolsize.Move, vm PoolVM) error {
 	now := m.Clock.Now()
-	if now.Sub(m.confirmed) > election.LapseAfter || !m.Taken.Released && now.Sub(m.Taken.SentAt) < m.TurnWait {
+	if now.Sub(m.confirmed) > election.LapseAfter || !m.settled(now) {
 		return nil
 	}
 	if !m.spare(move.From) && !m.vacated(ctx, vm, true) {
--- a/internal/holder/shared.go
+++ b/internal/holder/shared.go
@@ -96,7 +96,7 @@
 func lease(m *jobv1.Lease) election.Lease {
 	return election.Lease{
 		Duty: fleet.DutyName(m.GetDuty()), Entry: fleet.EntryID(m.GetEntry()), Incarnation: fleet.Incarnation(m.GetIncarnation()),
-		Address: fleet.Address(m.GetAddress()), Epoch: fleet.FencingToken(m.GetEpoch()), Renewals: m.GetRenewals(), Released: m.GetReleased(),
+		Address: fleet.Address(m.GetAddress()), Epoch: fleet.FencingToken(m.GetEpoch()), Renewals: m.GetRenewals(), Released: m.GetReleased(), Settled: m.GetSettled(),
 	}
 }
 
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -42,8 +42,8 @@
 
 // TakeLease takes the lease of a duty and reads what its holder has to know. It returns *LostLeaseError,
 // *rowstore.RefusedError or *rowstore.UnknownError.
-func TakeLease(ctx context.Context, c *Chain, previous fleet.FencingToken) (*Taken, error) {
-	t := &taker{chain: c, previous: election.Lease{Epoch: previous}, clock: c.Clock}
+func TakeLease(ctx context.Context, c *Chain, previous election.Lease) (*Taken, error) {
+	t := &taker{chain: c, previous: previous, clock: c.Clock}
 	taken := t.take(ctx)
 	return &taken, trace.Wrap(taken.Err)
 }
@@ -53,7 +53,9 @@
 	defer cancel()
 	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now()}
 	if !t.previous.ChangedAt.IsZero() {
-		result.Previous, result.Released = t.previous.ChangedAt, t.previous.Released
+		result.Previous = t.previous.ChangedAt
+		// A holder that gave the lease up soon after it took it leaves the orders of its predecessors behind.
+		result.Released = t.previous.Released && t.previous.Settled
 	}
 	if err := t.chain.Take(ctx, t.previous.Epoch); err != nil {
 		result.Err = err
--- /dev/null
+++ b/internal/holder/take_test.go
@@ -0,0 +1,63 @@
+package holder_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// readLease returns the lease of a duty as other entries read it.
+func readLease(t *testing.T, store *rows.Store, d fleet.DutyName) election.Lease {
+	t.Helper()
+	page, err := store.Scan(context.Background(), rowstore.Range{Table: holder.SharedTable, Part: rowstore.Part("duty-" + string(d))})
+	is.New(t).NoErr(err)
+	events := ring.New[holder.Event]("events", 4)
+	sink := &holder.SharedSink{Scheduler: events, Log: zap.NewNop()}
+	sink.Change(page.Rows)
+	event, ok := events.TryPop()
+	is.New(t).True(ok && len(event.Shared.Leases) == 1)
+	l := event.Shared.Leases[0]
+	l.ChangedAt = time.Now()
+	return l
+}
+
+// Guards against a holder that starts tasks of an unreachable endpoint anew too early: the holder before it
+// gave the lease up soon after it had taken it from one that was cut off and went on renewing.
+func TestReleaseLeavesEarlierOrdersBehind(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		settled bool
+	}{
+		{"released before the orders of the earlier holder had lapsed", false},
+		{"released later", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			ctx, store := context.Background(), rows.New(clock.Real())
+			chain := func(name fleet.EntryID) *holder.Chain {
+				return &holder.Chain{Duty: "jobs-s", Self: holder.Identity{Entry: name, Incarnation: "life"}, Store: store, Clock: clock.Real()}
+			}
+			_, err := holder.TakeLease(ctx, chain("cut-off"), election.Lease{})
+			is.NoErr(err)
+			second := chain("second")
+			taken, err := holder.TakeLease(ctx, second, readLease(t, store, "jobs-s"))
+			is.NoErr(err)
+			is.True(!taken.Released)
+			is.NoErr(second.Write(ctx, holder.Write{Release: true, Settled: c.settled}))
+			taken, err = holder.TakeLease(ctx, chain("third"), readLease(t, store, "jobs-s"))
+			is.NoErr(err)
+			is.Equal(taken.Released, c.settled)
+		})
+	}
+}
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -52,7 +52,7 @@
 	if batch == nil && !due {
 		return
 	}
-	w := Write{Renew: due}
+	w := Write{Renew: due, Settled: h.engine.Settled(now)}
 	if batch != nil {
 		w.Puts, w.Removes = rowsOf(h.chain.Duty, batch)
 	}
@@ -101,7 +101,7 @@
 		_ = h.leave.Push(struct{}{}) // The ring has room for the only token.
 		return
 	}
-	_ = h.writes.Push(Write{Release: true})
+	_ = h.writes.Push(Write{Release: true, Settled: h.engine.Settled(s.Clock.Now())})
 }
 
 // expiryInterval is the time between looks for jobs that need not be kept.
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -40,6 +40,8 @@
 	Removes []rowstore.Row
 	// Renew writes the lease row too; Release gives the lease up.
 	Renew, Release bool
+	// Settled says in the lease row that the orders of all earlier holders have lapsed.
+	Settled bool
 }
 
 // Written reports the outcome of a write.
@@ -83,7 +85,7 @@
 	t.Puts = append(t.Puts, c.chainRow())
 	if w.Renew || w.Release {
 		c.renewals++
-		t.Puts = append(t.Puts, c.leaseRow(w.Release))
+		t.Puts = append(t.Puts, c.leaseRow(w))
 	}
 	for pause := writeRetry; ; pause = min(2*pause, writeRetryLonger) {
 		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
@@ -145,10 +147,10 @@
 	})
 }
 
-func (c *Chain) leaseRow(released bool) rowstore.Row {
+func (c *Chain) leaseRow(w Write) rowstore.Row {
 	return mustRow(SharedTable, dutyPart(c.Duty), keyLease, &jobv1.Lease{
 		Duty: string(c.Duty), Entry: string(c.Self.Entry), Incarnation: string(c.Self.Incarnation),
-		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: released,
+		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: w.Release, Settled: w.Settled,
 	})
 }
 
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -289,6 +289,9 @@
 	return counts
 }
 
+// Settled reports whether the orders of all earlier holders have lapsed.
+func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.takeover) }
+
 // Fenced reports whether an endpoint has seen a newer holder.
 func (e *Engine) Fenced() bool { return e.fenced }
 
