control: keep the two mended schedules of the fleet test as regressions

Excluded: a mere shift of the random draws for 3016. On the present code without the drop of leases it fails again; 6832 then passes, and passes without the check for a superseded entry too, so the part it needed is not isolated.

--- a/internal/control/fleet_test.go
+++ b/internal/control/fleet_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -206,13 +207,22 @@
 	operation.VMCommandRollOut, operation.VMCommandCancel,
 }
 
+// Seeds that once failed, with the cause.
+var regressions = []uint64{
+	3016, // an entry whose row had lapsed went on holding its leases, and a reboot cut a request off
+	6832, // the same failure; mended by the same commit, by a part that was not isolated
+}
+
 // Guards against broken budgets, VMs in two pools, configurations that revert, requests that are cut off
 // and effects without an audit row, when entries race, pause, restart or are cut off, VMs and racks are
 // lost, the table is restored and the store fails in every way.
 func TestFleetHoldsGuaranteesOverRandomSchedules(t *testing.T) {
 	var sum counts
+	seeds := slices.Clone(regressions)
 	for i := range uint64(*schedules) {
-		seed := uint64(*firstSchedule) + i
+		seeds = append(seeds, uint64(*firstSchedule)+i)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprint("seed-", seed), func(t *testing.T) {
 			is := is.New(t)
 			s := newSite(is, seed)
@@ -233,6 +243,6 @@
 		})
 	}
 	// Schedules in which these never happened prove nothing about them.
-	t.Logf("%d schedules: %+v", *schedules, sum)
+	t.Logf("%d schedules: %+v", len(seeds), sum)
 	is.New(t).True(sum.moves > 0 && sum.waveDrains > 0 && sum.spareDrains > 0 && sum.actions > 0 && sum.attempts > 0 && sum.restores > 0)
 }
