shard: count a job as waiting until an endpoint shows that it began

Cause: the count of waiting jobs left out jobs with an assignment, but an assignment only says that a start was ordered.

Excluded: a stale count from another entry; the entry that answered held the service (its answer took 5 ms and it had the frozen holder's assignments).

Change: a confirmed start, a listed run or a listed end marks the job as begun; a holder that takes over marks those with a stored end.

Conclusion: what was ordered is not taken for what happened.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -92,6 +92,9 @@
 	shown    fleet.JobState
 	endedAt  time.Time
 	canceled bool
+	// begun is set once an endpoint has shown that a task of the job started. An order alone does not
+	// show it: it may be lost or carried out seconds later.
+	begun bool
 }
 
 // NewEngine returns an engine without jobs. PreviousEnd is when the last order of the previous holder
@@ -152,6 +155,7 @@
 	for s := range o.Tasks {
 		for t := range o.Tasks[s] {
 			task := &o.Tasks[s][t]
+			entry.begun = entry.begun || task.Noted > 0
 			if task.Running() {
 				w := e.workerOf(now, task.At)
 				w.leaseEnd = later(w.leaseEnd, e.takeover)
@@ -278,17 +282,24 @@
 	return list[:min(len(list), listedJobs)]
 }
 
-// Waiting returns how many jobs of each queue have not started a task.
+// Waiting returns how many jobs of each queue have not started a task, as far as this holder has seen.
 func (e *Engine) Waiting() map[fleet.QueueID]int {
 	counts := map[fleet.QueueID]int{}
 	for _, entry := range e.jobs {
-		if entry.state() == fleet.JobStatePending {
+		if !entry.begun && !entry.state().Ended() {
 			counts[entry.job.Queue]++
 		}
 	}
 	return counts
 }
 
+// begin notes that an endpoint has started a task of a job.
+func (e *Engine) begin(id fleet.JobID) {
+	if entry := e.jobs[id]; entry != nil {
+		entry.begun = true
+	}
+}
+
 // Settled reports whether the orders of all earlier holders have lapsed.
 func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.takeover) }
 
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -72,6 +72,7 @@
 	}
 	switch r.Answer {
 	case AnswerDone:
+		e.begin(a.id.Job)
 		if a.phase == phaseOrdered {
 			a.phase = phaseStarted
 			a.startedClock, a.startedAt = r.Clock, now
@@ -161,6 +162,7 @@
 }
 
 func (e *Engine) applyRunning(now time.Time, w *worker, run ListedRun, clock time.Duration) {
+	e.begin(run.Task.Job)
 	a := w.runs[run.Task]
 	o := e.occurrence(run.Task)
 	if a == nil || a.run != run.Run || o == nil {
@@ -215,6 +217,7 @@
 
 // applyEnd records the end of a run.
 func (e *Engine) applyEnd(now time.Time, w *worker, end ListedEnd) {
+	e.begin(end.Task.Job)
 	a := w.runs[end.Task]
 	o := e.occurrence(end.Task)
 	if o == nil {
