holder: answer callers while the store is silent, take the last change of each row

Cause, first: an intake called the store on its own thread, so submissions queued behind an attempt of up to 1.5 s, were held to their caller's deadline or refused after 1.1 s. Each lost answer stopped a holder's writes and a part of the intake for 1.5 s.

A refusal is only given to what cannot have been stored. Attempts are timed by how fast the store answers reads. The follower hands on the last change of each row.

--- /dev/null
+++ b/internal/holder/chain_test.go
@@ -0,0 +1,49 @@
+package holder_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+)
+
+// loser is a store that carries out a number of transactions without an answer.
+type loser struct {
+	*rows.Store
+	lose int
+}
+
+// Transact implements holder.Store.
+func (l *loser) Transact(ctx context.Context, t rowstore.Transaction) (rowstore.Version, error) {
+	version, err := l.Store.Transact(ctx, t)
+	if l.lose > 0 {
+		l.lose--
+		<-ctx.Done()
+		return 0, &rowstore.UnknownError{Call: "transact", Cause: ctx.Err()}
+	}
+	return version, err
+}
+
+// Guards against a holder whose writes stand still for a second and a half because one answer was lost.
+func TestChainFindsOutSoonAboutALostAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx, c := context.Background(), clock.Real()
+	store := &loser{Store: rows.New(c)}
+	pace := &ring.Latest[holder.StorePace]{} // reads are answered at once
+	chain := &holder.Chain{Pace: pace, Duty: "jobs-s", Self: holder.Identity{Entry: "entry", Incarnation: "life"}, Store: store, Clock: c}
+	_, err := holder.TakeLease(ctx, chain, election.Lease{})
+	is.NoErr(err)
+	store.lose = 1
+	began := c.Now()
+	is.NoErr(chain.Write(ctx, holder.Write{Renew: true}))
+	is.True(c.Now().Sub(began) < time.Second)
+	is.NoErr(chain.Write(ctx, holder.Write{Renew: true})) // the chain goes on from the row of the lost answer
+}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -49,6 +49,8 @@
 	Wait     time.Duration
 	// Inbox takes requests for a read; it may be nil when Wait is set.
 	Inbox *ring.Ring[FollowRequest]
+	// Pace is set to how fast the store answers, where it is not nil. It needs a Wait of 0.
+	Pace *ring.Latest[StorePace]
 
 	after  rowstore.Version
 	loaded bool
@@ -71,7 +73,7 @@
 	retry := followRetry
 	var pending []func()
 	for ctx.Err() == nil {
-		err := f.read(ctx)
+		err := f.timed(ctx)
 		pause := f.Interval
 		if err != nil {
 			f.report(err)
@@ -124,6 +126,23 @@
 	f.failed = err != nil
 }
 
+// timed reads and publishes how long it took.
+func (f *Follower) timed(ctx context.Context) error {
+	if f.Pace == nil {
+		return trace.Wrap(f.read(ctx))
+	}
+	pace := f.Pace.Get()
+	pace.BegunAt = f.Clock.Now()
+	f.Pace.Set(pace)
+	err := f.read(ctx)
+	if err == nil {
+		pace.AnsweredAt = f.Clock.Now()
+		pace.Took, pace.DueAt = pace.AnsweredAt.Sub(pace.BegunAt), pace.AnsweredAt.Add(f.Interval)
+		f.Pace.Set(pace)
+	}
+	return trace.Wrap(err)
+}
+
 func (f *Follower) read(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, f.Wait+readTimeout)
 	defer cancel()
@@ -152,12 +171,32 @@
 	}
 	f.after = max(f.after, page.Version)
 	if len(page.Rows) > 0 {
-		f.Sink.Change(page.Rows)
+		f.Sink.Change(latestRows(page.Rows))
 	}
 	f.Sink.Current()
 	return page.More, nil
 }
 
+// latestRows leaves out the rows that a later row of the list replaces. The store lists each change, so a
+// row that was removed and written again within one page is there twice.
+func latestRows(rows []rowstore.Row) []rowstore.Row {
+	type name struct {
+		part rowstore.Part
+		key  rowstore.Key
+	}
+	last := make(map[name]int, len(rows))
+	for i, row := range rows {
+		last[name{row.Part, row.Key}] = i
+	}
+	var list []rowstore.Row
+	for i, row := range rows {
+		if last[name{row.Part, row.Key}] == i {
+			list = append(list, row)
+		}
+	}
+	return list
+}
+
 // load reads the whole table. Changes are followed from the first read on, so that a part that appears
 // meanwhile is not missed.
 func (f *Follower) load(ctx context.Context) error {
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -77,7 +77,7 @@
 	Scheduler *ring.Ring[Event]
 	Peers     Peers
 	Store     Store
-	Intakes   [Intakes]*ring.Ring[*Submission]
+	Intakes   [Intakes]*ring.Ring[IntakeEvent]
 	Clock     clock.Clock
 	Log       *zap.Logger
 }
@@ -177,7 +177,7 @@
 	if len(accepted.Rows) == 0 {
 		return Reply{Kind: ReplyGone, Source: "store"}
 	}
-	cancelled, err := r.Store.Scan(ctx, rowstore.Only(SharedTable, part, rowstore.Key(keyCancel+string(ask.Job))))
+	cancelled, err := r.Store.Scan(ctx, rowstore.Only(SharedTable, part, cancelKey(ask.Job)))
 	if err != nil {
 		return r.unavailable(ask, err)
 	}
@@ -263,7 +263,7 @@
 			reply(Reply{Kind: ReplyUnknown, Source: "store"})
 		}
 	}}
-	if err := r.Intakes[IntakeIndex(ask.Job)].Push(s); err != nil {
+	if err := r.Intakes[IntakeIndex(ask.Job)].Push(IntakeEvent{Submission: s}); err != nil {
 		reply(Reply{Kind: ReplyUnavailable, Source: "intake busy"})
 	}
 }
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -58,7 +58,7 @@
 	// Refresh asks the follower of the shared table for a read.
 	Refresh *ring.Ring[FollowRequest]
 	// Intakes take the removal of old jobs.
-	Intakes [Intakes]*ring.Ring[*Submission]
+	Intakes [Intakes]*ring.Ring[IntakeEvent]
 	// Advice takes the requests for advice.
 	Advice *ring.Ring[shard.AdviceRequest]
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
@@ -66,6 +66,8 @@
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
+	// Pace tells how fast the store answers.
+	Pace *ring.Latest[StorePace]
 
 	election  *election.State
 	jobs      map[fleet.JobID]*fleet.Job
--- /dev/null
+++ b/internal/holder/submission.go
@@ -0,0 +1,87 @@
+package holder
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// IntakeOutcome tells what became of a submission.
+type IntakeOutcome string
+
+// Outcomes of submissions.
+const (
+	// IntakeStored means that the row is in the store, from this submission or an earlier one.
+	IntakeStored IntakeOutcome = "stored"
+	// IntakeRefused means that nothing was stored and nothing ever will be by this submission.
+	IntakeRefused IntakeOutcome = "refused"
+	// IntakeUnknown means that the row may appear later.
+	IntakeUnknown IntakeOutcome = "unknown"
+)
+
+// Submission is a row that one caller wants in the store: an accepted job or a cancellation.
+type Submission struct {
+	// Job is set for a job, Cancel for a cancellation of the job with that id, Remove for the removal of
+	// both rows of a job that ended long ago.
+	Job    *fleet.Job
+	Cancel fleet.JobID
+	Remove fleet.JobID
+	// Cancelled says that the job to remove has a cancellation.
+	Cancelled bool
+	// Deadline is when the caller stops waiting.
+	Deadline time.Time
+	// Reply takes the outcome without blocking. It is nil for removals.
+	Reply func(IntakeOutcome)
+
+	arrivedAt time.Time
+	// open is set while an attempt with the submission has no answer, doubtful once an attempt may take
+	// effect although it was not answered. Only a submission that is neither may be refused.
+	open, doubtful bool
+}
+
+func (s *Submission) id() fleet.JobID {
+	switch {
+	case s.Job != nil:
+		return s.Job.ID
+	case s.Cancel != "":
+		return s.Cancel
+	}
+	return s.Remove
+}
+
+func (s *Submission) row() rowstore.Row {
+	id := s.id()
+	part := IntakePart(id)
+	if s.Job == nil {
+		return rowstore.Row{Table: SharedTable, Part: part, Key: cancelKey(id), Value: []byte{}}
+	}
+	return mustRow(SharedTable, part, jobKey(id), wire.Job(s.Job))
+}
+
+// size returns the bytes that dominate the size of the row.
+func (s *Submission) size() int {
+	if s.Job == nil {
+		return 0
+	}
+	return len(s.Job.Payload)
+}
+
+func jobKey(id fleet.JobID) rowstore.Key    { return rowstore.Key(keyJob + string(id)) }
+func cancelKey(id fleet.JobID) rowstore.Key { return rowstore.Key(keyCancel + string(id)) }
+
+// IntakePart returns the part of a job's rows. It depends on the id alone, so that submissions of one id
+// meet in one row whichever entry or queue they come through.
+func IntakePart(id fleet.JobID) rowstore.Part {
+	return partIntake + rowstore.Part(strconv.Itoa(IntakeIndex(id)))
+}
+
+// IntakeIndex returns the number of the intake that stores a job's rows.
+func IntakeIndex(id fleet.JobID) int { return int(xxhash.Sum64String(string(id)) % intakeParts) }
+
+// Intakes is how many intakes an entry has.
+const Intakes = intakeParts
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -101,7 +101,7 @@
 			continue
 		}
 		s.taking[d] = true
-		chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock}
+		chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Pace: s.Pace}
 		taking, cancel := context.WithCancel(ctx)
 		s.Duties.Start(taking, &taker{
 			chain: chain, previous: s.election.Leases[d], clock: s.Clock,
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -115,7 +115,7 @@
 		}
 		for _, id := range h.engine.Expired(now) {
 			// A full ring leaves the job for the next look.
-			_ = s.Intakes[IntakeIndex(id)].Push(&Submission{Remove: id, Cancelled: s.cancelled[id]})
+			_ = s.Intakes[IntakeIndex(id)].Push(IntakeEvent{Submission: &Submission{Remove: id, Cancelled: s.cancelled[id]}})
 		}
 	}
 }
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -63,6 +63,8 @@
 	Epoch fleet.FencingToken
 	Store Store
 	Clock clock.Clock
+	// Pace tells how long attempts may take; nil stands for a store whose pace is not known.
+	Pace *ring.Latest[StorePace]
 
 	version  rowstore.Version
 	sequence uint64
@@ -87,9 +89,13 @@
 		c.renewals++
 		t.Puts = append(t.Puts, c.leaseRow(w))
 	}
-	for pause := writeRetry; ; pause = min(2*pause, writeRetryLonger) {
+	timeout := transactTimeout
+	if c.Pace != nil {
+		timeout = c.Pace.Get().timeout(c.Clock.Now())
+	}
+	for pause := writeRetry; ; pause, timeout = min(2*pause, writeRetryLonger), min(2*timeout, transactTimeout) {
 		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
-		version, err := c.attempt(ctx, t)
+		version, err := c.attempt(ctx, t, timeout)
 		var conflict *rowstore.ConflictError
 		switch {
 		case err == nil:
@@ -107,8 +113,8 @@
 	}
 }
 
-func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction) (rowstore.Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, transactTimeout)
+func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, timeout time.Duration) (rowstore.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.Store.Transact(ctx, t)
 }
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -48,7 +48,7 @@
 	Waves  *ring.Latest[[]holder.WaveOrder]
 	Wake   *ring.Ring[struct{}]
 	// Intakes take submissions, Asks take questions.
-	Intakes [holder.Intakes]*ring.Ring[*holder.Submission]
+	Intakes [holder.Intakes]*ring.Ring[holder.IntakeEvent]
 	Asks    *ring.Ring[*holder.Ask]
 	// Stopping is set during a graceful stop.
 	Stopping *ring.Latest[bool]
@@ -95,6 +95,7 @@
 	config    ring.Latest[*holder.Config]
 	waves     ring.Latest[[]holder.WaveOrder]
 	status    ring.Latest[holder.Status]
+	pace      ring.Latest[holder.StorePace]
 	stopping  ring.Latest[bool]
 	// leaving ends when a graceful stop begins.
 	leaving context.Context
@@ -108,6 +109,8 @@
 	ringCapacity = 2048
 	// eventReserve is kept for events of the entry's own duties, which may not be lost.
 	eventReserve = 16384
+	// intakeReserve is kept for the end of the one attempt that an intake makes at a time.
+	intakeReserve = 1
 	// resolvers and announcers answer and announce at the same time.
 	resolvers  = 6
 	announcers = 2
@@ -178,7 +181,7 @@
 		Asks: ring.New[*holder.Ask]("asks", ringCapacity), Stopping: &e.stopping, Ready: e.ready, Scope: e.registry.Scope,
 	}
 	for i := range e.feeds.Intakes {
-		e.feeds.Intakes[i] = ring.New[*holder.Submission]("intake", ringCapacity)
+		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", ringCapacity, intakeReserve)
 	}
 	e.refresh = ring.New[holder.FollowRequest]("shared-refresh", ringCapacity)
 	e.announces = ring.New[*holder.Submission]("announces", ringCapacity)
@@ -195,7 +198,7 @@
 		&holder.Beat{Self: e.self, Store: e.store, Clock: e.Clock, Log: e.Log, Stopping: e.leaving},
 		&holder.Follower{
 			Duty: "follow-shared", Table: holder.SharedTable, Part: holder.SharedFirstPart, All: true, Store: e.store, Clock: e.Clock, Log: e.Log,
-			Interval: sharedInterval, Inbox: e.refresh, Sink: &holder.SharedSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
+			Interval: sharedInterval, Inbox: e.refresh, Pace: &e.pace, Sink: &holder.SharedSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
 		},
 	}
 	list = append(list, e.Surroundings.Followers(e.feeds)...)
@@ -203,11 +206,12 @@
 		list = append(list, &holder.Adviser{Service: service, Inbox: e.advice, Scheduler: e.feeds.Scheduler, Log: e.Log})
 	}
 	for i := range e.feeds.Intakes {
+		calls := ring.New[holder.StoreCall]("intake-writer", ringCapacity)
 		list = append(list, &holder.Intake{
-			Number: i, Inbox: e.feeds.Intakes[i], Store: e.store, Clock: e.Clock, Log: e.Log,
+			Number: i, Inbox: e.feeds.Intakes[i], Writer: calls, Pace: &e.pace, Clock: e.Clock, Log: e.Log,
 			// A submission that is not announced reaches its holder with the next read.
 			Announce: func(s *holder.Submission) { _ = e.announces.Push(s) },
-		})
+		}, &holder.IntakeWriter{Number: i, Inbox: calls, Intake: e.feeds.Intakes[i], Store: e.store, Log: e.Log})
 	}
 	for i := range resolvers {
 		list = append(list, &holder.Resolver{
@@ -223,7 +227,7 @@
 func (e *Entry) scheduler(peers holder.Peers) *holder.Scheduler {
 	s := &holder.Scheduler{
 		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
-		Duties: e.group, Refresh: e.refresh, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, NewCaller: e.Surroundings.NewCaller,
+		Duties: e.group, Refresh: e.refresh, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, Pace: &e.pace, NewCaller: e.Surroundings.NewCaller,
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -19,7 +19,7 @@
 // JobFeeds is what the product's own job interface uses of an entry.
 type JobFeeds struct {
 	Config  *ring.Latest[*holder.Config]
-	Intakes [holder.Intakes]*ring.Ring[*holder.Submission]
+	Intakes [holder.Intakes]*ring.Ring[holder.IntakeEvent]
 	Asks    *ring.Ring[*holder.Ask]
 }
 
@@ -76,7 +76,7 @@
 	job.Service, job.AcceptedAt = queue.Service, j.Clock.Now().UTC()
 	reply := ring.New[holder.IntakeOutcome]("reply", 1)
 	s := &holder.Submission{Job: job, Deadline: j.deadline(ctx), Reply: func(o holder.IntakeOutcome) { _ = reply.Push(o) }} // The ring has room for the only reply.
-	if err := j.Feeds.Intakes[holder.IntakeIndex(job.ID)].Push(s); err != nil {
+	if err := j.Feeds.Intakes[holder.IntakeIndex(job.ID)].Push(holder.IntakeEvent{Submission: s}); err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
 	got, err := reply.Pop(ctx)
