holder: let orders pass one without an answer, do not send old starts

Cause: one duty sent the orders of an endpoint in turn, and an order without an answer took 600 ms, so the orders behind it waited for seconds.

Excluded: a start that the endpoint carried out late; the order was sent at the time of the start.

Tests: TestOrdersPassOneWithoutAnswer, TestOldStartIsNotSent.

--- /dev/null
+++ b/internal/holder/links_test.go
@@ -0,0 +1,93 @@
+package holder
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// mute is an endpoint that leaves some runs without an answer until the order is given up.
+type mute struct {
+	clock  *clockwork.FakeClock
+	silent map[fleet.RunNumber]bool
+}
+
+// Execute implements EndpointCaller.
+func (m *mute) Execute(ctx context.Context, o shard.Order) shard.Result {
+	if m.silent[o.Run] {
+		<-ctx.Done()
+		return shard.Result{Order: o, Answer: shard.AnswerUnknown}
+	}
+	return shard.Result{Order: o, Answer: shard.AnswerDone, SentAt: m.clock.Now()}
+}
+
+// Close implements EndpointCaller.
+func (*mute) Close() {}
+
+func newLinks(t *testing.T, silent ...fleet.RunNumber) (*links, *clockwork.FakeClock) {
+	t.Helper()
+	c := clockwork.NewFakeClock()
+	m := &mute{clock: c, silent: map[fleet.RunNumber]bool{}}
+	for _, run := range silent {
+		m.silent[run] = true
+	}
+	group, ctx := duty.NewGroup(context.Background())
+	t.Cleanup(func() { group.Stop(); _ = group.Wait() })
+	s := &Scheduler{Inbox: ring.NewWithReserve[Event]("events", 16, 16), Clock: c, Duties: group, NewCaller: func() EndpointCaller { return m }}
+	return &links{scheduler: s, held: &heldDuty{ctx: ctx}, byEndpoint: map[fleet.EndpointID]*link{}}, c
+}
+
+func (l *links) order(kind shard.OrderKind, run fleet.RunNumber) {
+	l.send(shard.Order{Kind: kind, Process: fleet.EndpointProcess{Endpoint: "e"}, Address: "a", Run: run})
+}
+
+// result returns the next result.
+func (l *links) result(t *testing.T) shard.Result {
+	t.Helper()
+	event, err := l.scheduler.Inbox.Pop(t.Context())
+	is.New(t).NoErr(err)
+	l.answered(l.scheduler.Clock.Now(), event.Result.Order)
+	return *event.Result
+}
+
+// Guards against orders that wait behind one that an endpoint does not answer.
+func TestOrdersPassOneWithoutAnswer(t *testing.T) {
+	is := is.New(t)
+	l, c := newLinks(t, 1)
+	for run := range fleet.RunNumber(4) {
+		l.order(shard.OrderStop, run)
+	}
+	is.Equal(l.result(t).Order.Run, fleet.RunNumber(0))
+	l.widen(c.Now())
+	is.Equal(l.byEndpoint["e"].lanes, 1) // nothing is stuck yet
+	c.Advance(stuckAfter)
+	l.widen(c.Now())
+	is.Equal(l.result(t).Order.Run, fleet.RunNumber(2))
+	is.Equal(l.result(t).Order.Run, fleet.RunNumber(3))
+	c.Advance(time.Second)
+	l.widen(c.Now())
+	is.Equal(l.byEndpoint["e"].lanes, 2) // nothing waits
+}
+
+// Guards against a start that is sent long after it was planned: the task may have run elsewhere meanwhile.
+func TestOldStartIsNotSent(t *testing.T) {
+	is := is.New(t)
+	l, c := newLinks(t, 1)
+	l.order(shard.OrderStop, 1)
+	l.order(shard.OrderStart, 2)
+	l.order(shard.OrderStop, 3)
+	c.Advance(startPatience + time.Millisecond)
+	l.widen(c.Now())
+	first := l.result(t)
+	is.Equal(first.Order.Run, fleet.RunNumber(2))
+	is.Equal(first.Answer, shard.AnswerUnsent)
+	is.Equal(l.result(t).Answer, shard.AnswerDone) // a stop is never too old
+}
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -160,6 +160,7 @@
 		s.applyConfig(e.Config)
 	case e.Result != nil:
 		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Token {
+			h.links.answered(now, e.Result.Order)
 			h.engine.Apply(now, *e.Result)
 			if h.engine.Fenced() {
 				s.drop(h, "an endpoint has seen a newer holder")
@@ -299,6 +300,7 @@
 		}
 		if h.engine != nil && h.loaded {
 			h.engine.Tick(now)
+			h.links.widen(now)
 		}
 		if s.stopping {
 			s.release(h)
