jobentry, platform: send callers away while the store is out of reach

Cause: an entry counted as ready until its last read of the store was 3 s old, the balancer needs two probes more, and open connections stayed with it: callers of a zone that was cut off for 6 s reached no other entry.

--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -46,7 +46,7 @@
 
 // silent reports whether the store carries out no writes and answers no reads.
 func (a *admission) silent(now time.Time) bool {
-	return !a.failingSince.IsZero() && a.pace.overdue(now)
+	return !a.failingSince.IsZero() && a.pace.Overdue(now)
 }
 
 // add takes a submission, or refuses it at once while the store is known to be silent.
--- a/internal/holder/pace.go
+++ b/internal/holder/pace.go
@@ -21,8 +21,8 @@
 	attemptReads = 8
 )
 
-// overdue reports whether the answer to a read has been outstanding for longer than a slow store takes.
-func (p StorePace) overdue(now time.Time) bool {
+// Overdue reports whether the answer to a read has been outstanding for longer than a slow store takes.
+func (p StorePace) Overdue(now time.Time) bool {
 	return now.Sub(p.DueAt) > max(intakePatience, 2*p.Took)
 }
 
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -50,8 +50,6 @@
 	// Intakes take submissions, Asks take questions.
 	Intakes [holder.Intakes]*ring.Ring[holder.IntakeEvent]
 	Asks    *ring.Ring[*holder.Ask]
-	// Stopping is set during a graceful stop.
-	Stopping *ring.Latest[bool]
 	// Ready reports whether the entry can serve.
 	Ready func() bool
 	Scope tally.Scope
@@ -178,7 +176,7 @@
 	e.feeds = Feeds{
 		Scheduler: ring.NewWithReserve[holder.Event]("scheduler", ringCapacity, eventReserve),
 		Config:    &e.config, Waves: &e.waves, Wake: ring.New[struct{}]("waves", 1),
-		Asks: ring.New[*holder.Ask]("asks", ringCapacity), Stopping: &e.stopping, Ready: e.ready, Scope: e.registry.Scope,
+		Asks: ring.New[*holder.Ask]("asks", ringCapacity), Ready: e.ready, Scope: e.registry.Scope,
 	}
 	for i := range e.feeds.Intakes {
 		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", ringCapacity, intakeReserve)
@@ -307,14 +305,10 @@
 // Unwrap returns the cause.
 func (e *ListenError) Unwrap() error { return e.Cause }
 
-// readyMaxAge is how old this entry's knowledge of the shared table may be while it counts as ready. An
-// entry that cannot read the store cannot accept jobs.
-const readyMaxAge = 3 * time.Second
-
-// ready reports whether the entry can serve.
+// ready reports whether the entry can serve. An entry that cannot read the store cannot accept jobs, and the
+// balancer, which takes two probes a second apart to notice, has other entries for its callers.
 func (e *Entry) ready() bool {
-	s := e.status.Get()
-	return !e.stopping.Get() && s.Configured && e.Clock.Now().Sub(s.SharedAt) <= readyMaxAge
+	return !e.stopping.Get() && e.status.Get().Configured && !e.pace.Get().Overdue(e.Clock.Now())
 }
 
 // stop releases the leases, goes on serving until the balancer has noticed, and finishes what callers
