holder, election: tell early that a part is refused, leave its lease to its holder

Submissions to a refused part waited for 1.8 s, and when the parts were back, entries that had asked for the leases ten times a second got them before the holders, who asked every 0.4 s.

Excluded: storing a job in another part while its own is refused; its removal would need a transaction over two parts, or could leave an acceptance without its progress.

Change: a refused part is told after 0.4 s and at once from then on, with one submission let through at a time; after a refusal an entry leaves a lease alone for the time of a lease, and a holder asks again every 0.1 s.

Tests: TestRefusedPartIsToldEarly, TestRefusedLeaseIsAskedForLater.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -60,13 +60,15 @@
 	Nodes      map[fleet.EntryID]Node
 	// freeSince is when a duty was first seen without a holder.
 	freeSince map[fleet.DutyName]time.Time
+	// deferred is until when a lease is not asked for.
+	deferred map[fleet.DutyName]time.Time
 }
 
 // NewState returns a state without leases.
 func NewState(self fleet.EntryID, incarnation fleet.Incarnation) *State {
 	return &State{
 		Self: self, Incarnation: incarnation, Leases: map[fleet.DutyName]Lease{}, Nodes: map[fleet.EntryID]Node{},
-		freeSince: map[fleet.DutyName]time.Time{},
+		freeSince: map[fleet.DutyName]time.Time{}, deferred: map[fleet.DutyName]time.Time{},
 	}
 }
 
@@ -122,6 +124,10 @@
 	}
 }
 
+// Refused notes that the store refused the rows of a duty. Its holder could not renew the lease either, so
+// it gets the time of a lease to do so before this entry asks again.
+func (s *State) Refused(now time.Time, d fleet.DutyName) { s.deferred[d] = now.Add(LapseAfter) }
+
 // Claims returns the duties among the given ones whose lease this entry should ask for now.
 func (s *State) Claims(now time.Time, duties []fleet.DutyName) []fleet.DutyName {
 	held := s.held(now)
@@ -137,7 +143,7 @@
 			s.freeSince[d] = now
 		}
 		rank := s.rank(now, d, held)
-		if now.Sub(s.freeSince[d]) >= time.Duration(rank)*rankDelay {
+		if !now.Before(s.deferred[d]) && now.Sub(s.freeSince[d]) >= time.Duration(rank)*rankDelay {
 			claims = append(claims, d)
 		}
 	}
--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -23,6 +23,8 @@
 	// slowPatience holds instead of both while the store answers reads, so that it is slow rather than
 	// away. A caller's three seconds leave time for one more try.
 	slowPatience = 1800 * time.Millisecond
+	// probePause is the least time between attempts that find out whether a part is still refused.
+	probePause = 200 * time.Millisecond
 	// intakeMargin is how long before the caller's deadline the outcome is given.
 	intakeMargin = 150 * time.Millisecond
 )
@@ -39,6 +41,8 @@
 	// failingSince is when the first attempt was sent that the store has not carried out; zero after one
 	// that it has.
 	failingSince time.Time
+	// closedSince is when the store began to refuse this part; zero after an attempt that ended otherwise.
+	closedSince time.Time
 	// timeout is how long the last attempt could take.
 	timeout time.Duration
 	pace    StorePace
@@ -49,10 +53,17 @@
 	return !a.failingSince.IsZero() && a.pace.Overdue(now)
 }
 
-// add takes a submission, or refuses it at once while the store is known to be silent.
+// closed reports whether the store is known to refuse this part. From time to time a submission is let
+// through to find out whether it still does.
+func (a *admission) closed(now time.Time) bool {
+	isProbe := a.attempt == nil && len(a.pending) == 0 && !now.Before(a.retryAt.Add(probePause))
+	return !a.closedSince.IsZero() && now.Sub(a.closedSince) >= intakePatience && !isProbe
+}
+
+// add takes a submission, or refuses it at once while the store is known to be silent or to refuse this part.
 func (a *admission) add(now time.Time, s *Submission) {
 	s.arrivedAt = now
-	if a.silent(now) && now.Sub(a.failingSince) >= intakePatience {
+	if a.closed(now) || a.silent(now) && now.Sub(a.failingSince) >= intakePatience {
 		s.Reply(IntakeRefused)
 		return
 	}
@@ -108,8 +119,19 @@
 	return a.settle(stored)
 }
 
-// refused takes an answer by which nothing was stored.
-func (a *admission) refused(now time.Time) { a.fail(now, false) }
+// refused takes an answer by which nothing was stored, because the store is overloaded or because it refuses
+// the part.
+func (a *admission) refused(now time.Time, isOverloaded bool) {
+	since := a.closedSince
+	a.fail(now, false)
+	switch {
+	case isOverloaded:
+	case since.IsZero():
+		a.closedSince = now
+	default:
+		a.closedSince = since
+	}
+}
 
 // unanswered takes an attempt that may have been, or may yet be, carried out.
 func (a *admission) unanswered(now time.Time) {
@@ -121,11 +143,11 @@
 	for _, s := range a.attempt {
 		s.open, s.doubtful = false, s.doubtful || doubtful
 	}
-	a.attempt, a.retryAt = nil, now.Add(intakeRetry)
+	a.attempt, a.closedSince, a.retryAt = nil, time.Time{}, now.Add(intakeRetry)
 }
 
 func (a *admission) answered() {
-	a.attempt, a.failingSince, a.timeout = nil, time.Time{}, 0
+	a.attempt, a.failingSince, a.closedSince, a.timeout = nil, time.Time{}, time.Time{}, 0
 }
 
 // settle takes stored submissions from the pending ones and replies to their callers.
@@ -143,7 +165,7 @@
 // expiry returns when a submission is given an outcome at the latest.
 func (a *admission) expiry(now time.Time, s *Submission) time.Time {
 	patience := slowPatience
-	if a.silent(now) {
+	if a.silent(now) || !a.closedSince.IsZero() {
 		patience = intakePatience
 		if s.open || s.doubtful {
 			patience = doubtPatience
--- a/internal/holder/admission_test.go
+++ b/internal/holder/admission_test.go
@@ -29,8 +29,9 @@
 	freeAt  time.Time
 	attempt int
 
-	answerTime   time.Duration
-	silent, busy bool
+	answerTime time.Duration
+	// busy refuses writes; reads are answered where readsWork is set.
+	silent, busy, readsWork bool
 	// loseShare of the writes is carried out without an answer, up to lateBy later.
 	loseShare float64
 	lateBy    time.Duration
@@ -90,7 +91,7 @@
 func (p *storePlay) read() {
 	pace := &p.admission.pace
 	switch isOpen := pace.BegunAt.After(pace.AnsweredAt); {
-	case isOpen && !p.silent && !p.busy && p.now.Sub(pace.BegunAt) >= p.answerTime:
+	case isOpen && !p.silent && (!p.busy || p.readsWork) && p.now.Sub(pace.BegunAt) >= p.answerTime:
 		pace.Took, pace.AnsweredAt, pace.DueAt = p.answerTime, p.now, p.now.Add(400*time.Millisecond)
 	case isOpen && p.now.Sub(pace.BegunAt) >= readTimeout, !isOpen && p.now.Sub(pace.AnsweredAt) >= 400*time.Millisecond:
 		pace.BegunAt = p.now
@@ -130,7 +131,7 @@
 		p.attempt++
 		switch {
 		case p.busy:
-			p.admission.refused(p.now)
+			p.admission.refused(p.now, false)
 		case conflict != nil:
 			p.admission.conflicted(conflict)
 		default:
@@ -197,6 +198,29 @@
 	}
 }
 
+// Guards against callers who wait for a part that the store refuses while it answers reads, and against
+// refusals that go on after it has returned. Before, they waited for 1.8 s each.
+func TestRefusedPartIsToldEarly(t *testing.T) {
+	is := is.New(t)
+	p := newStorePlay(1)
+	p.step()
+	p.busy, p.readsWork = true, true
+	p.submit("first")
+	p.play(700 * time.Millisecond)
+	first := p.outcome(is, "first")
+	is.Equal(first.outcome, IntakeRefused)
+	is.True(first.after <= intakePatience+playTick)
+	p.submit("probe")
+	p.submit("second")
+	is.Equal(p.outcome(is, "second"), playReply{"second", IntakeRefused, 0})
+	p.busy = false
+	p.play(intakeRetry + 2*playTick)
+	is.Equal(p.outcome(is, "probe").outcome, IntakeStored)
+	p.submit("third")
+	p.play(100 * time.Millisecond)
+	is.Equal(p.outcome(is, "third").outcome, IntakeStored)
+}
+
 // Guards against refusals while the store is slow and answers, and against repetitions that slow it more.
 func TestSlowStoreServes(t *testing.T) {
 	for _, answer := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 800 * time.Millisecond} {
--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -67,7 +67,7 @@
 			if err := i.Writer.Push(StoreCall{transaction: acceptance(batch), timeout: timeout}); err != nil {
 				// Nothing was sent.
 				i.Log.Warn("intake: writer is busy", zap.Error(trace.Unwrap(err)))
-				i.admission.refused(now)
+				i.admission.refused(now, true)
 			}
 		}
 	}
@@ -112,7 +112,7 @@
 		stored = i.admission.conflicted(conflict.Rows)
 	case errors.As(err, &refused):
 		i.Log.Warn("intake: the store refused a transaction", zap.Int("submissions", len(i.admission.attempt)), zap.Error(trace.Unwrap(err)))
-		i.admission.refused(now)
+		i.admission.refused(now, refused.Overloaded())
 	default:
 		i.Log.Warn("intake: outcome of a transaction is open", zap.Int("submissions", len(i.admission.attempt)), zap.Error(trace.Unwrap(err)))
 		i.admission.unanswered(now)
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -77,6 +77,9 @@
 	transactTimeout  = 1500 * time.Millisecond
 	writeRetry       = 50 * time.Millisecond
 	writeRetryLonger = 400 * time.Millisecond
+	// refusedRetry bounds the pause after a refusal: the holder is to renew its lease before another entry
+	// asks for it.
+	refusedRetry = 100 * time.Millisecond
 )
 
 // Write applies a transaction and repeats it until its outcome is known. It returns *LostLeaseError or the
@@ -97,10 +100,13 @@
 		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
 		version, err := c.attempt(ctx, t, timeout)
 		var conflict *rowstore.ConflictError
+		var refused *rowstore.RefusedError
 		switch {
 		case err == nil:
 			c.version = version
 			return nil
+		case errors.As(err, &refused):
+			pause = min(pause, refusedRetry)
 		case errors.As(err, &conflict):
 			done, err := c.resolve(conflict)
 			if done || err != nil {
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -2,7 +2,10 @@
 // transactions, and a feed of changes. Implementations convert to the service's protocol.
 package rowstore
 
-import "fmt"
+import (
+	"fmt"
+	"net/http"
+)
 
 // Table names a table.
 type Table string
@@ -90,6 +93,9 @@
 // Unwrap returns the cause.
 func (e *RefusedError) Unwrap() error { return e.Cause }
 
+// Overloaded reports whether the store takes the same call a little later, rather than being unavailable.
+func (e *RefusedError) Overloaded() bool { return e.Status == http.StatusTooManyRequests }
+
 // UnknownError reports a call without an answer. It may have been, or may yet be, carried out.
 type UnknownError struct {
 	Call  string
