shard: keep a start that may reach an endpoint's next process

Cause: orders name the endpoint, not its process. A start that was under way while the endpoint restarted was carried out by the next process; the holder dropped it with the runs of the old one and placed the task again.

Change: such a run stays with the endpoint until the next process lists it or has been told to stop it, and the longest lease counts for it.

--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -17,6 +17,8 @@
 	fakeCommit  = 10 * time.Millisecond
 	fakeStartup = 500 * time.Millisecond
 	fakeStop    = 100 * time.Millisecond
+	// fakeMaxLease is the longest lease that a fake endpoint grants.
+	fakeMaxLease = 10 * time.Second
 )
 
 // fakeRun is a run that a fake endpoint executes.
@@ -78,6 +80,8 @@
 	violations []string
 	observer   *fakeObserver
 	frozen     bool
+	// listAt is when the registry is read next.
+	listAt time.Time
 
 	advicePending []pendingAdvice
 	adviceCount   int
@@ -141,7 +145,7 @@
 func (w *fakeWorld) takeOver(previousEnd time.Time) {
 	w.epoch++
 	w.committing, w.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
-	bounds := shard.Bounds{MaxLease: 10 * time.Second, StopTime: fakeStop, StatusLife: w.statusLife}
+	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusLife: w.statusLife}
 	w.engine = shard.NewEngine("service", w.epoch, bounds, w.observer, previousEnd)
 	w.engine.SetPolicies([]job.Policy{w.policy})
 	w.list()
@@ -173,6 +177,7 @@
 }
 
 func (w *fakeWorld) list() {
+	w.listAt = time.Time{}
 	var list []shard.Runner
 	for _, e := range w.endpoints {
 		if !e.dead {
@@ -211,6 +216,9 @@
 	if w.frozen {
 		return
 	}
+	if !w.listAt.IsZero() && !w.now.Before(w.listAt) {
+		w.list()
+	}
 	w.engine.Tick(w.now)
 	w.commit()
 	w.engine.Plan(w.now)
@@ -406,7 +414,11 @@
 	}
 	e.token = o.Token
 	if o.Deadline > 0 {
-		if at := e.began.Add(o.Deadline); at.After(e.deadline) {
+		at := e.began.Add(o.Deadline)
+		if latest := w.now.Add(fakeMaxLease); at.After(latest) {
+			at = latest
+		}
+		if at.After(e.deadline) {
 			e.deadline = at
 		}
 	}
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -108,8 +108,14 @@
 	e.began, e.deadline, e.token = w.now, time.Time{}, 0
 	e.running, e.highest = map[fleet.TaskID]*fakeRun{}, map[fleet.TaskID]fleet.RunNumber{}
 	e.ends, e.ended = nil, 0
+	held := e.held
 	e.held, e.heldAt = nil, nil
-	w.list()
+	for _, o := range held { // its connections end
+		if o.Token == w.epoch && !w.frozen {
+			w.engine.Apply(w.now, shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: w.now})
+		}
+	}
+	w.listAt = w.now.Add(time.Duration(w.random.IntN(3)) * 400 * time.Millisecond) // the registry shows it later
 }
 
 // heal ends all faults.
@@ -140,7 +146,8 @@
 
 // Seeds that once failed, with the cause.
 var regressions = []uint64{
-	24,            // the failed end of a run was counted by two holders
+	24,           // the failed end of a run was counted by two holders
+	28, 136, 416, // a start reached the next process under the endpoint's id
 	263, 302, 620, // the end of a run that had been given up was acknowledged and not taken note of
 }
 
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -32,7 +32,7 @@
 		next := w.Runner
 		next.Born = r.Born
 		if w.Born != 0 {
-			e.replaced(now, w, next, "restarted")
+			e.restarted(now, w, next)
 			w = e.workers[r.Order.Process.Endpoint]
 		}
 		w.Born = r.Born
@@ -140,6 +140,9 @@
 		if run, ok := listed[id]; ok && run == a.run {
 			continue
 		}
+		if a.doubtful && a.phase == phaseOrdered {
+			e.stop(now, w, id)
+		}
 		if e.missing(a, r) {
 			e.lost(now, w, a, id)
 		}
--- a/internal/shard/runners.go
+++ b/internal/shard/runners.go
@@ -19,7 +19,7 @@
 			e.setWorker(w)
 		}
 		if r.Born > w.Born && w.Born != 0 {
-			e.replaced(now, w, r, "restarted")
+			e.restarted(now, w, r)
 			w = e.workers[r.Endpoint]
 		}
 		if w.Address != r.Address {
@@ -37,6 +37,27 @@
 	}
 }
 
+// restarted drops the runs of a process after which another one runs under the endpoint's id. A start that
+// has no answer yet may reach the new process, which cannot tell that it was not meant: such a run is kept
+// until the new process lists it or has been told to stop it.
+func (e *Engine) restarted(now time.Time, w *worker, next Runner) {
+	var kept []*assignment
+	for id, a := range w.runs {
+		if a.phase == phaseOrdered || a.phase == phaseStopping && a.startedAt.IsZero() {
+			w.remove(id)
+			kept = append(kept, a)
+		}
+	}
+	e.replaced(now, w, next, "restarted")
+	successor := e.workers[w.Endpoint]
+	for _, a := range kept {
+		a.doubtful, a.stopped, a.startedClock, a.stopAgainAt = !a.inherited, false, 0, time.Time{}
+		successor.add(a)
+		// The deadline of the start was a time on the clock of the previous process, which ran ahead.
+		successor.extendLease(now, e.Bounds.MaxLease)
+	}
+}
+
 // replaced drops the runs of a process that no longer exists.
 func (e *Engine) replaced(now time.Time, w *worker, next Runner, reason string) {
 	lost := len(w.runs)
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -52,6 +52,8 @@
 	advancedAt time.Time
 	// inherited is set for an assignment that the previous holder made and that no list has shown yet.
 	inherited bool
+	// doubtful is set for a start that may have reached another process than it was meant for.
+	doubtful bool
 	// stopped is set when the endpoint has answered a stop order for the run.
 	stopped bool
 	// progress is the percentage that the endpoint reports; tail the response times of a serving task.
