--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -18,6 +18,10 @@
 	Clock    clock.Clock
 	Duration time.Duration
 	Started  time.Time
+	// Slow is by how many percent the endpoint's steady clock is slow.
+	Slow int
+	// Observer learns what happens to runs, in the order in which it is noticed; it may be nil.
+	Observer Observer
 
 	// turn holds the token of whoever uses the state.
 	turn     *ring.Ring[struct{}]
@@ -35,6 +39,14 @@
 	ends   time.Duration
 }
 
+// Observer learns what happens to runs. Its methods are called one at a time for each endpoint.
+type Observer interface {
+	Started(p fleet.EndpointProcess, id fleet.TaskID, run fleet.RunNumber, at time.Time)
+	Ended(p fleet.EndpointProcess, id fleet.TaskID, run fleet.RunNumber, how fleet.RunEnd, at time.Time)
+	// Noted tells that a holder has acknowledged the end of a run.
+	Noted(p fleet.EndpointProcess, id fleet.TaskID, run fleet.RunNumber, at time.Time)
+}
+
 // holdPoll is how often a hold that waits looks for ends.
 const holdPoll = 5 * time.Millisecond
 
@@ -56,8 +68,21 @@
 	return copied
 }
 
+// Advance ends the runs whose time or lease is over, as each order does.
+func (e *Endpoint) Advance() {
+	defer e.take()()
+	e.advance()
+}
+
 // now returns the endpoint's own clock.
-func (e *Endpoint) now() time.Duration { return e.Clock.Now().Sub(e.Started) + time.Millisecond }
+func (e *Endpoint) now() time.Duration {
+	return e.Clock.Now().Sub(e.Started)*time.Duration(100-e.Slow)/100 + time.Millisecond
+}
+
+// timeOf converts a time on the endpoint's own clock.
+func (e *Endpoint) timeOf(d time.Duration) time.Time {
+	return e.Started.Add((d - time.Millisecond) * 100 / time.Duration(100-e.Slow))
+}
 
 // Execute carries out one order.
 func (e *Endpoint) Execute(ctx context.Context, o shard.Order) shard.Result {
@@ -101,16 +126,19 @@
 	now := e.now()
 	for id, one := range e.running {
 		switch {
+		case one.ends <= min(now, e.deadline):
+			e.end(id, fleet.RunEndDone, one.ends)
 		case now > e.deadline:
-			e.end(id, fleet.RunEndLapsed)
-		case now >= one.ends:
-			e.end(id, fleet.RunEndDone)
+			e.end(id, fleet.RunEndLapsed, e.deadline)
 		}
 	}
 }
 
-func (e *Endpoint) end(id fleet.TaskID, how fleet.RunEnd) {
+func (e *Endpoint) end(id fleet.TaskID, how fleet.RunEnd, at time.Duration) {
 	e.count++
+	if e.Observer != nil {
+		e.Observer.Ended(e.Process, id, e.running[id].number, how, e.timeOf(at))
+	}
 	e.ends = append(e.ends, shard.ListedEnd{Number: e.count, Task: id, Run: e.running[id].number, How: how})
 	delete(e.running, id)
 }
@@ -126,13 +154,16 @@
 	switch o.Kind {
 	case shard.OrderHold:
 		for len(e.ends) > 0 && e.ends[0].Number <= o.Acknowledged {
+			if e.Observer != nil {
+				e.Observer.Noted(e.Process, e.ends[0].Task, e.ends[0].Run, e.Clock.Now())
+			}
 			e.ends = e.ends[1:]
 		}
 	case shard.OrderStart:
 		return e.start(o)
 	case shard.OrderStop:
 		if one, ok := e.running[o.Task]; ok && one.number <= o.Run {
-			e.end(o.Task, fleet.RunEndStopped)
+			e.end(o.Task, fleet.RunEndStopped, e.now())
 		}
 		e.highest[o.Task] = max(e.highest[o.Task], o.Run)
 	}
@@ -151,6 +182,9 @@
 	e.starts[o.Task]++
 	e.highest[o.Task] = o.Run
 	e.running[o.Task] = run{number: o.Run, ends: e.now() + e.Duration}
+	if e.Observer != nil {
+		e.Observer.Started(e.Process, o.Task, o.Run, e.Clock.Now())
+	}
 	return shard.AnswerDone
 }
 
