holder: vacate VMs in one call, commit a wave's intentions in one write

Cause: on the grown sites a round of the maintenance duty asked a holder for each VM and wrote to the store for each order. Rounds took longer than the lease, so other entries took it from a working holder every few seconds, each time with three seconds without orders; while the store was slow, one order took 0.45 s and no VM moved for nine seconds.

Excluded: the limit on moves at a time (24; never reached in those seconds) and the platform's rate (215 calls a second).

Change: the endpoints of a service are vacated in one call, the intentions of a round are one write, the lease is renewed within a round, and an order follows the answer that its VM is vacated by 1.4 s at most.

Test: TestLongRoundKeepsTheLease.

--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -44,7 +44,11 @@
 	case QueryLoad:
 		a.Load = h.engine.Load(now)
 	case QueryVacate:
-		a.Vacated = h.engine.Vacate(now, q.Endpoint, q.Patient)
+		for _, id := range q.Endpoints {
+			if h.engine.Vacate(now, id, q.Patient) {
+				a.Vacated = append(a.Vacated, id)
+			}
+		}
 	}
 	return a
 }
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -124,7 +124,8 @@
 	Service  fleet.ServiceID
 	Job      fleet.JobID
 	Queue    fleet.QueueID
-	Endpoint fleet.EndpointID
+	// Endpoints are the ones to vacate.
+	Endpoints []fleet.EndpointID
 	// Patient leaves tasks that are not lasting to end by themselves when an endpoint is vacated.
 	Patient bool
 	// Accepted is set for the announcement of a job, Cancelled for that of a cancellation.
@@ -144,7 +145,8 @@
 	// Service is the service of a known job.
 	Service fleet.ServiceID
 	Count   int
-	Vacated bool
+	// Vacated are the endpoints that run nothing and get no work for a while.
+	Vacated []fleet.EndpointID
 	Load    shard.Load
 	Jobs    []shard.JobStatus
 	// Idle is set for a service that has neither queues nor jobs, so that nobody holds it.
--- /dev/null
+++ b/internal/holder/maintain.go
@@ -0,0 +1,143 @@
+package holder
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/election"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// order has VMs vacated and gives the orders for those that run nothing, for at most so many that were not
+// ordered before. The intention for all of them is committed at once: a write for each VM would take a wave
+// of hundreds longer than its duration while the store is slow.
+func (m *Maintainer) order(ctx context.Context, w *waveState, due []PoolVM, room int) error {
+	vacated, err := m.vacated(ctx, due, false)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	at := m.Clock.Now()
+	before := map[fleet.VMID]bool{}
+	var ready []fleet.VMID
+	for _, vm := range due {
+		_, before[vm.VM] = w.ordered[vm.VM]
+		if !vacated[vm.VM] || !before[vm.VM] && room <= 0 {
+			continue
+		}
+		if !before[vm.VM] {
+			room--
+			w.ordered[vm.VM], w.changed = at, true
+		}
+		ready = append(ready, vm.VM)
+	}
+	if w.changed {
+		if err := m.write(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	for _, vm := range ready {
+		if err := m.keep(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+		if m.Clock.Now().Sub(at) > vacatedLife {
+			return nil // The VMs are vacated again and the orders given then.
+		}
+		if err := m.maintain(ctx, w, vm, before[vm]); err != nil {
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// vacatedLife is how long an order may follow the answer that a VM is vacated. Its endpoint gets no work for
+// three seconds, of which one call to the platform takes up to one and a half.
+const vacatedLife = 1400 * time.Millisecond
+
+// keep renews the lease when that is due. A round with many VMs takes longer than the lease.
+func (m *Maintainer) keep(ctx context.Context) error {
+	if m.Clock.Now().Sub(m.renewed) < election.RenewInterval {
+		return nil
+	}
+	return trace.Wrap(m.write(ctx))
+}
+
+// maintain gives the order for a VM whose intention is committed.
+func (m *Maintainer) maintain(ctx context.Context, w *waveState, vm fleet.VMID, before bool) error {
+	if m.Clock.Now().Sub(m.confirmed) > election.LapseAfter {
+		return nil
+	}
+	calling, cancel := context.WithTimeout(ctx, platformCall)
+	defer cancel()
+	answer := m.Platform.Maintain(calling, vm, w.order.Wave, m.Chain.Epoch)
+	m.Log.Info("maintainer: maintenance ordered", zap.String("wave", string(w.order.Wave)), zap.String("vm", string(vm)),
+		zap.Uint64("epoch", uint64(m.Chain.Epoch)), zap.String("answer", string(answer)), zap.Bool("again", before))
+	switch answer {
+	case MaintenanceDone:
+		w.ordered[vm] = m.Clock.Now()
+		// An order that is repeated for a VM that is up succeeds only when its maintenance is over or
+		// begins now; in both cases the next list that shows it up is final.
+		w.seenDown[vm] = true
+	case MaintenanceRefused:
+		w.done[vm], w.changed = true, true
+	case MaintenanceFenced:
+		return trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
+	case MaintenanceNotRun, MaintenanceBusy:
+		if !before {
+			delete(w.ordered, vm)
+		}
+	}
+	return nil
+}
+
+// vacated asks the holders of the VMs' services to move work away, and returns the VMs that run nothing and
+// get no work for a while.
+func (m *Maintainer) vacated(ctx context.Context, vms []PoolVM, patient bool) (map[fleet.VMID]bool, error) {
+	vacated := map[fleet.VMID]bool{}
+	services := map[fleet.ServiceID][]fleet.EndpointID{}
+	for _, vm := range vms {
+		if vm.Endpoint == "" {
+			vacated[vm.VM] = vm.Condition == VMConditionUp
+			continue
+		}
+		services[vm.Service] = append(services[vm.Service], vm.Endpoint)
+	}
+	for service, endpoints := range services {
+		if err := m.keep(ctx); err != nil {
+			return nil, trace.Wrap(err)
+		}
+		a, ok := m.ask(ctx, Query{Kind: QueryVacate, Service: service, Endpoints: endpoints, Patient: patient})
+		for _, vm := range vms {
+			if vm.Service == service && vm.Endpoint != "" {
+				vacated[vm.VM] = ok && (a.Idle || a.Held && slices.Contains(a.Vacated, vm.Endpoint))
+			}
+		}
+	}
+	return vacated, nil
+}
+
+// ask sends a query to the holder of a service, through this entry's own scheduler.
+func (m *Maintainer) ask(ctx context.Context, q Query) (Answer, bool) {
+	reply := ring.New[Answer]("answer", 1)
+	q.Reply = func(a Answer) { _ = reply.Push(a) } // The ring has room for the only answer.
+	if err := m.Scheduler.Push(Event{Query: &q}); err != nil {
+		return Answer{}, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	a, err := reply.Pop(ctx)
+	if err != nil {
+		return Answer{}, false
+	}
+	if !a.Held && a.Holder != "" {
+		if a, err = m.Peers.Ask(ctx, a.Holder, q); err != nil {
+			m.Log.Warn("maintainer: holder does not answer", zap.String("service", string(q.Service)), zap.Error(trace.Unwrap(err)))
+			return Answer{}, false
+		}
+	}
+	return a, true
+}
--- a/internal/holder/maintainer.go
+++ b/internal/holder/maintainer.go
@@ -284,6 +284,7 @@
 		w.reported = m.report(ctx, w, false)
 	}
 	down := w.observe(now, vms)
+	var due []PoolVM
 	for _, vm := range w.next(vms, max(1, w.order.MaxDown)-down) {
 		if at, before := w.ordered[vm]; before && now.Sub(at) < max(m.TurnWait, settleAfterOrder) {
 			continue
@@ -291,16 +292,10 @@
 		if w.vacating[vm].IsZero() {
 			w.vacating[vm] = now
 		}
-		if !m.vacated(ctx, vms[vm], false) || w.ordered[vm].IsZero() && down >= max(1, w.order.MaxDown) {
-			continue
-		}
-		begun, err := m.maintain(ctx, w, vm)
-		if err != nil {
-			return trace.Wrap(err)
-		}
-		if begun {
-			down++
-		}
+		due = append(due, vms[vm])
+	}
+	if err := m.order(ctx, w, due, max(1, w.order.MaxDown)-down); err != nil {
+		return trace.Wrap(err)
 	}
 	if !w.finished(vms) {
 		return nil
@@ -313,74 +308,6 @@
 	return trace.Wrap(m.write(ctx))
 }
 
-// maintain commits the intention and gives the order. It returns whether the VM may be down now.
-func (m *Maintainer) maintain(ctx context.Context, w *waveState, vm fleet.VMID) (bool, error) {
-	_, before := w.ordered[vm]
-	if !before {
-		w.ordered[vm], w.changed = m.Clock.Now(), true
-		if err := m.write(ctx); err != nil {
-			return false, trace.Wrap(err)
-		}
-	}
-	if m.Clock.Now().Sub(m.confirmed) > election.LapseAfter {
-		return false, nil
-	}
-	calling, cancel := context.WithTimeout(ctx, platformCall)
-	defer cancel()
-	answer := m.Platform.Maintain(calling, vm, w.order.Wave, m.Chain.Epoch)
-	m.Log.Info("maintainer: maintenance ordered", zap.String("wave", string(w.order.Wave)), zap.String("vm", string(vm)),
-		zap.Uint64("epoch", uint64(m.Chain.Epoch)), zap.String("answer", string(answer)), zap.Bool("again", before))
-	switch answer {
-	case MaintenanceDone:
-		w.ordered[vm] = m.Clock.Now()
-		// An order that is repeated for a VM that is up succeeds only when its maintenance is over or
-		// begins now; in both cases the next list that shows it up is final.
-		w.seenDown[vm] = true
-	case MaintenanceRefused:
-		w.done[vm], w.changed = true, true
-		return false, nil
-	case MaintenanceFenced:
-		return false, trace.Wrap(&LostLeaseError{Duty: DutyMaintenance})
-	case MaintenanceNotRun, MaintenanceBusy:
-		if !before {
-			delete(w.ordered, vm)
-		}
-		return false, nil
-	}
-	return true, nil
-}
-
-// vacated asks the holder of the VM's service to move work away.
-func (m *Maintainer) vacated(ctx context.Context, vm PoolVM, patient bool) bool {
-	if vm.Endpoint == "" {
-		return vm.Condition == VMConditionUp
-	}
-	a, ok := m.ask(ctx, Query{Kind: QueryVacate, Service: vm.Service, Endpoint: vm.Endpoint, Patient: patient})
-	return ok && (a.Held && a.Vacated || a.Idle)
-}
-
-// ask sends a query to the holder of a service, through this entry's own scheduler.
-func (m *Maintainer) ask(ctx context.Context, q Query) (Answer, bool) {
-	reply := ring.New[Answer]("answer", 1)
-	q.Reply = func(a Answer) { _ = reply.Push(a) } // The ring has room for the only answer.
-	if err := m.Scheduler.Push(Event{Query: &q}); err != nil {
-		return Answer{}, false
-	}
-	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
-	defer cancel()
-	a, err := reply.Pop(ctx)
-	if err != nil {
-		return Answer{}, false
-	}
-	if !a.Held && a.Holder != "" {
-		if a, err = m.Peers.Ask(ctx, a.Holder, q); err != nil {
-			m.Log.Warn("maintainer: holder does not answer", zap.String("service", string(q.Service)), zap.Error(trace.Unwrap(err)))
-			return Answer{}, false
-		}
-	}
-	return a, true
-}
-
 func (m *Maintainer) report(ctx context.Context, w *waveState, completed bool) bool {
 	ctx, cancel := context.WithTimeout(ctx, platformCall)
 	defer cancel()
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -25,6 +25,8 @@
 	orders   map[fleet.VMID]int
 	mostDown int
 	complete bool
+	// working says that the VMs have endpoints of a service whose holder does not answer.
+	working bool
 }
 
 const (
@@ -56,6 +58,9 @@
 	var list []holder.PoolVM
 	for i := range waveVMs {
 		vm := holder.PoolVM{VM: vmName(i), Service: "idle", Condition: holder.VMConditionUp}
+		if p.working {
+			vm.Service, vm.Endpoint = "working", fleet.EndpointID(vm.VM)
+		}
 		if time.Now().Before(p.downTo[vm.VM]) {
 			vm.Condition = holder.VMConditionMaintenance
 		}
@@ -152,3 +157,24 @@
 		is.Equal(p.orders[vm], 1) // its maintenance was over before the first holder ended
 	}
 }
+
+// Guards against a maintenance lease that lapses within a round: the holder of a service took long to answer
+// for each VM, and another entry took the lease from a working one every few seconds.
+func TestLongRoundKeepsTheLease(t *testing.T) {
+	is := is.New(t)
+	store, p := rows.New(clock.Real()), newVMPlatform()
+	p.working = true
+	var renewals uint64
+	seen, longest := time.Now(), time.Duration(0)
+	began := seen
+	maintain(t, store, p, "entry", 0, func() bool {
+		now := time.Now()
+		if l := readLease(t, store, holder.DutyMaintenance); l.Renewals != renewals {
+			renewals, seen = l.Renewals, now
+		}
+		longest = max(longest, now.Sub(seen))
+		return now.Sub(began) > 5*time.Second
+	})
+	is.True(renewals > 3)
+	is.True(longest < election.LapseAfter)
+}
--- a/internal/holder/resize.go
+++ b/internal/holder/resize.go
@@ -37,19 +37,45 @@
 	if config == nil || !config.hasSpare() {
 		return nil
 	}
+	if err := m.keep(ctx); err != nil {
+		return trace.Wrap(err)
+	}
 	now := m.Clock.Now()
 	pools := m.pools(ctx, config, now, vms)
 	for _, move := range m.planner.Decide(now, pools) {
 		m.vacating[move.VM] = move
 		m.vacatingSince[move.VM] = now
 	}
+	var working, ready []PoolVM
 	for vm, move := range m.vacating {
 		listed, known := vms[vm]
-		if !known || listed.Service != move.From || listed.Condition != VMConditionUp || now.Sub(m.vacatingSince[vm]) > moveVacateTime {
+		switch {
+		case !known || listed.Service != move.From || listed.Condition != VMConditionUp || now.Sub(m.vacatingSince[vm]) > moveVacateTime:
 			m.forget(vm)
-			continue
+		case m.spare(move.From):
+			ready = append(ready, listed)
+		default:
+			working = append(working, listed)
+		}
+	}
+	vacated, err := m.vacated(ctx, working, true)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	at := m.Clock.Now()
+	for _, vm := range working {
+		if vacated[vm.VM] {
+			ready = append(ready, vm)
 		}
-		if err := m.move(ctx, move, listed); err != nil {
+	}
+	for _, vm := range ready {
+		if err := m.keep(ctx); err != nil {
+			return trace.Wrap(err)
+		}
+		if m.Clock.Now().Sub(at) > vacatedLife {
+			return nil // The rest is vacated again and moved in the next round.
+		}
+		if err := m.move(ctx, m.vacating[vm.VM]); err != nil {
 			return trace.Wrap(err)
 		}
 	}
@@ -134,15 +160,12 @@
 	return reserved
 }
 
-// move makes sure that the VM runs nothing and gives the order.
-func (m *Maintainer) move(ctx context.Context, move poolsize.Move, vm PoolVM) error {
+// move gives the order to move a VM that runs nothing.
+func (m *Maintainer) move(ctx context.Context, move poolsize.Move) error {
 	now := m.Clock.Now()
 	if now.Sub(m.confirmed) > election.LapseAfter || !m.settled(now) {
 		return nil
 	}
-	if !m.spare(move.From) && !m.vacated(ctx, vm, true) {
-		return nil
-	}
 	m.forget(move.VM)
 	ctx, cancel := context.WithTimeout(ctx, platformCall)
 	defer cancel()
--- a/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
+++ b/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
@@ -68,7 +68,7 @@
 	State(context.Context, *connect.Request[v1.StateRequest]) (*connect.Response[v1.StateResponse], error)
 	// Waiting returns how many jobs of a queue have not started.
 	Waiting(context.Context, *connect.Request[v1.WaitingRequest]) (*connect.Response[v1.WaitingResponse], error)
-	// Vacate asks the holder to move work away from a VM's endpoint.
+	// Vacate asks the holder to move work away from the endpoints of VMs.
 	Vacate(context.Context, *connect.Request[v1.VacateRequest]) (*connect.Response[v1.VacateResponse], error)
 	// Load returns the demand that a service puts on its endpoints.
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
@@ -174,7 +174,7 @@
 	State(context.Context, *connect.Request[v1.StateRequest]) (*connect.Response[v1.StateResponse], error)
 	// Waiting returns how many jobs of a queue have not started.
 	Waiting(context.Context, *connect.Request[v1.WaitingRequest]) (*connect.Response[v1.WaitingResponse], error)
-	// Vacate asks the holder to move work away from a VM's endpoint.
+	// Vacate asks the holder to move work away from the endpoints of VMs.
 	Vacate(context.Context, *connect.Request[v1.VacateRequest]) (*connect.Response[v1.VacateResponse], error)
 	// Load returns the demand that a service puts on its endpoints.
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
