--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -43,9 +43,9 @@
 	failingSince time.Time
 	// closedSince is when the store began to refuse this part; zero after an attempt that ended otherwise.
 	closedSince time.Time
-	// timeout is how long the last attempt could take.
-	timeout time.Duration
-	pace    StorePace
+	// unansweredAttempts counts the attempts without an answer since the last one with one.
+	unansweredAttempts int
+	pace               StorePace
 }
 
 // silent reports whether the store carries out no writes and answers no reads.
@@ -88,8 +88,7 @@
 	if a.failingSince.IsZero() {
 		a.failingSince = now
 	}
-	a.timeout = min(max(a.timeout, a.pace.timeout(now)), transactTimeout)
-	return a.attempt, a.timeout
+	return a.attempt, a.pace.timeout(now, a.unansweredAttempts)
 }
 
 // applied takes the success of the open attempt and returns the submissions that it stored.
@@ -135,7 +134,7 @@
 
 // unanswered takes an attempt that may have been, or may yet be, carried out.
 func (a *admission) unanswered(now time.Time) {
-	a.timeout *= 2 // The store may carry out an attempt that was given up, so repetitions get rarer.
+	a.unansweredAttempts++
 	a.fail(now, true)
 }
 
@@ -147,7 +146,7 @@
 }
 
 func (a *admission) answered() {
-	a.attempt, a.failingSince, a.closedSince, a.timeout = nil, time.Time{}, time.Time{}, 0
+	a.attempt, a.failingSince, a.closedSince, a.unansweredAttempts = nil, time.Time{}, time.Time{}, 0
 }
 
 // settle takes stored submissions from the pending ones and replies to their callers.
--- a/internal/holder/admission_test.go
+++ b/internal/holder/admission_test.go
@@ -185,6 +185,7 @@
 func TestLostAnswerIsFoundOutSoon(t *testing.T) {
 	is := is.New(t)
 	p := newStorePlay(1)
+	p.play(100 * time.Millisecond) // a read is answered
 	p.loseShare = 1
 	p.submit("first")
 	p.step()
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -92,13 +92,10 @@
 		c.renewals++
 		t.Puts = append(t.Puts, c.leaseRow(w))
 	}
-	timeout := transactTimeout
-	if c.Pace != nil {
-		timeout = c.Pace.Get().timeout(c.Clock.Now())
-	}
-	for pause := writeRetry; ; pause, timeout = min(2*pause, writeRetryLonger), min(2*timeout, transactTimeout) {
+	attempts := 0
+	for pause := writeRetry; ; pause, attempts = min(2*pause, writeRetryLonger), attempts+1 {
 		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
-		version, err := c.attempt(ctx, t, timeout)
+		version, err := c.attempt(ctx, t, attempts)
 		var conflict *rowstore.ConflictError
 		var refused *rowstore.RefusedError
 		switch {
@@ -119,7 +116,11 @@
 	}
 }
 
-func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, timeout time.Duration) (rowstore.Version, error) {
+func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, attempts int) (rowstore.Version, error) {
+	timeout := transactTimeout
+	if c.Pace != nil {
+		timeout = c.Pace.Get().timeout(c.Clock.Now(), attempts)
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	return c.Store.Transact(ctx, t)
