holder: take a crash or a move for no maintenance

Cause: a VM of a wave whose intention was committed and whose order was not given counted as done once it had been listed as anything but up.

Change: only a VM that is listed in maintenance has been seen down, and an intention whose order was not given is withdrawn.

--- a/internal/holder/maintain.go
+++ b/internal/holder/maintain.go
@@ -40,12 +40,19 @@
 			return trace.Wrap(err)
 		}
 	}
-	for _, vm := range ready {
+	for n, vm := range ready {
 		if err := m.keep(ctx); err != nil {
 			return trace.Wrap(err)
 		}
 		if m.Clock.Now().Sub(at) > vacatedLife {
-			return nil // The VMs are vacated again and the orders given then.
+			// The VMs are vacated again and the orders given then.
+			for _, rest := range ready[n:] {
+				if !before[rest] {
+					delete(w.ordered, rest)
+					w.changed = true
+				}
+			}
+			return nil
 		}
 		if err := m.maintain(ctx, w, vm, before[vm]); err != nil {
 			return trace.Wrap(err)
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -8,12 +8,15 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -25,6 +28,8 @@
 	orders   map[fleet.VMID]int
 	mostDown int
 	complete bool
+	// crashed is until when the first VM is down without maintenance.
+	crashed time.Time
 	// working says that the VMs have endpoints of a service whose holder does not answer.
 	working bool
 }
@@ -58,6 +63,9 @@
 	var list []holder.PoolVM
 	for i := range waveVMs {
 		vm := holder.PoolVM{VM: vmName(i), Service: "idle", Condition: holder.VMConditionUp}
+		if i == 0 && time.Now().Before(p.crashed) {
+			vm.Condition = holder.VMConditionDown
+		}
 		if p.working {
 			vm.Service, vm.Endpoint = "working", fleet.EndpointID(vm.VM)
 		}
@@ -178,3 +186,21 @@
 	is.True(renewals > 3)
 	is.True(longest < election.LapseAfter)
 }
+
+// Guards against a VM that counts as maintained because it was down: an earlier holder had committed the
+// intention without giving the order, and then the VM's rack failed.
+func TestCrashIsNoMaintenance(t *testing.T) {
+	is := is.New(t)
+	store, p := rows.New(clock.Real()), newVMPlatform()
+	p.crashed = time.Now().Add(500 * time.Millisecond)
+	value, err := proto.Marshal(&jobv1.WaveProgress{Wave: "1", Ordered: []string{string(vmName(0))}})
+	is.NoErr(err)
+	_, err = store.Transact(context.Background(), rowstore.Transaction{Puts: []rowstore.Row{
+		{Table: "mimosawharf-progress", Part: "duty-maintenance", Key: "wave-1", Value: value},
+	}})
+	is.NoErr(err)
+	maintain(t, store, p, "entry", 0, func() bool { _, complete := p.progress(); return complete })
+	begun, complete := p.progress()
+	is.True(complete)
+	is.Equal(begun, waveVMs) // the first VM among them
+}
--- a/internal/holder/wave.go
+++ b/internal/holder/wave.go
@@ -48,9 +48,12 @@
 		switch {
 		case !known:
 			w.done[vm], w.changed = true, true
-		case listed.Condition != VMConditionUp:
+		case listed.Condition == VMConditionMaintenance:
 			w.seenDown[vm] = true
 			down++
+		case listed.Condition != VMConditionUp:
+			// It crashed or moves, which says nothing about its order.
+			down++
 		case now.Sub(at) < settleAfterOrder:
 			down++
 		case w.seenDown[vm]:
