holder: give an order while its own answer holds

Cause: found by reading the diff. The time within which an order may follow the answer that its VM is vacated was counted from the end of all questions. Holders of other services that do not answer take 0.4 s each, so an order could follow its answer by 4.5 s, and an endpoint is kept free of work for three.

Excluded: the three seconds themselves; they are renewed with each question.

Change: each VM has its own time, from before its holder was asked. Also: the conversions of named strings are those of internal/wire, and a field of the status that nothing reads is gone.

--- a/internal/holder/maintain.go
+++ b/internal/holder/maintain.go
@@ -21,17 +21,16 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	at := m.Clock.Now()
 	before := map[fleet.VMID]bool{}
 	var ready []fleet.VMID
 	for _, vm := range due {
 		_, before[vm.VM] = w.ordered[vm.VM]
-		if !vacated[vm.VM] || !before[vm.VM] && room <= 0 {
+		if vacated[vm.VM].IsZero() || !before[vm.VM] && room <= 0 {
 			continue
 		}
 		if !before[vm.VM] {
 			room--
-			w.ordered[vm.VM], w.changed = at, true
+			w.ordered[vm.VM], w.changed = m.Clock.Now(), true
 		}
 		ready = append(ready, vm.VM)
 	}
@@ -40,19 +39,17 @@
 			return trace.Wrap(err)
 		}
 	}
-	for n, vm := range ready {
+	for _, vm := range ready {
 		if err := m.keep(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		if m.Clock.Now().Sub(at) > vacatedLife {
-			// The VMs are vacated again and the orders given then.
-			for _, rest := range ready[n:] {
-				if !before[rest] {
-					delete(w.ordered, rest)
-					w.changed = true
-				}
+		if m.Clock.Now().After(vacated[vm]) {
+			// The VM is vacated again and the order given then.
+			if !before[vm] {
+				delete(w.ordered, vm)
+				w.changed = true
 			}
-			return nil
+			continue
 		}
 		if err := m.maintain(ctx, w, vm, before[vm]); err != nil {
 			return trace.Wrap(err)
@@ -61,8 +58,8 @@
 	return nil
 }
 
-// vacatedLife is how long an order may follow the answer that a VM is vacated. Its endpoint gets no work for
-// three seconds, of which one call to the platform takes up to one and a half.
+// vacatedLife is how long an order may follow the question whether a VM is vacated. Its endpoint gets no work
+// for three seconds, of which one call to the platform takes up to one and a half.
 const vacatedLife = 1400 * time.Millisecond
 
 // keep renews the lease when that is due. A round with many VMs takes longer than the lease.
@@ -101,14 +98,16 @@
 	return nil
 }
 
-// vacated asks the holders of the VMs' services to move work away, and returns the VMs that run nothing and
-// get no work for a while.
-func (m *Maintainer) vacated(ctx context.Context, vms []PoolVM, patient bool) (map[fleet.VMID]bool, error) {
-	vacated := map[fleet.VMID]bool{}
+// vacated asks the holders of the VMs' services to move work away, and returns the VMs that run nothing, each
+// with the time until which an order may be given. One holder that does not answer takes up a good part of it.
+func (m *Maintainer) vacated(ctx context.Context, vms []PoolVM, patient bool) (map[fleet.VMID]time.Time, error) {
+	vacated := map[fleet.VMID]time.Time{}
 	services := map[fleet.ServiceID][]fleet.EndpointID{}
 	for _, vm := range vms {
 		if vm.Endpoint == "" {
-			vacated[vm.VM] = vm.Condition == VMConditionUp
+			if vm.Condition == VMConditionUp {
+				vacated[vm.VM] = m.Clock.Now().Add(vacatedLife)
+			}
 			continue
 		}
 		services[vm.Service] = append(services[vm.Service], vm.Endpoint)
@@ -117,10 +116,11 @@
 		if err := m.keep(ctx); err != nil {
 			return nil, trace.Wrap(err)
 		}
+		until := m.Clock.Now().Add(vacatedLife)
 		a, ok := m.ask(ctx, Query{Kind: QueryVacate, Service: service, Endpoints: endpoints, Patient: patient})
 		for _, vm := range vms {
-			if vm.Service == service && vm.Endpoint != "" {
-				vacated[vm.VM] = ok && (a.Idle || a.Held && slices.Contains(a.Vacated, vm.Endpoint))
+			if vm.Service == service && vm.Endpoint != "" && ok && (a.Idle || a.Held && slices.Contains(a.Vacated, vm.Endpoint)) {
+				vacated[vm.VM] = until
 			}
 		}
 	}
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -30,6 +30,10 @@
 	complete bool
 	// crashed is until when the first VM is down without maintenance.
 	crashed time.Time
+	// services are those of the VMs, where they have endpoints.
+	services []fleet.ServiceID
+	// maintained is called with each order; it may be nil.
+	maintained func()
 	// working says that the VMs have endpoints of a service whose holder does not answer.
 	working bool
 }
@@ -66,6 +70,9 @@
 		if i == 0 && time.Now().Before(p.crashed) {
 			vm.Condition = holder.VMConditionDown
 		}
+		if len(p.services) > i {
+			vm.Service, vm.Endpoint = p.services[i], fleet.EndpointID(vm.VM)
+		}
 		if p.working {
 			vm.Service, vm.Endpoint = "working", fleet.EndpointID(vm.VM)
 		}
@@ -82,6 +89,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.orders[vm]++
+	if p.maintained != nil {
+		p.maintained()
+	}
 	if p.begun[vm] > 0 {
 		return holder.MaintenanceDone
 	}
@@ -112,6 +122,17 @@
 
 // maintain runs a holder of the maintenance duty until the condition holds.
 func maintain(t *testing.T, store *rows.Store, p *vmPlatform, name fleet.EntryID, previous fleet.FencingToken, until func() bool) {
+	t.Helper()
+	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), name, previous, waveDown, until)
+}
+
+// maintainWith is maintain with a scheduler that answers, and with all VMs down at a time if need be.
+func maintainWith(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], until func() bool) {
+	t.Helper()
+	run(t, store, p, scheduler, "entry", 0, waveVMs, until)
+}
+
+func run(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], name fleet.EntryID, previous fleet.FencingToken, down int, until func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := clock.Real()
@@ -119,11 +140,11 @@
 	taken, err := holder.TakeLease(ctx, chain, election.Lease{Epoch: previous})
 	is.New(t).NoErr(err)
 	m := &holder.Maintainer{
-		Chain: chain, Taken: taken, Platform: p, Scheduler: ring.New[holder.Event]("scheduler", 1024), Waves: &ring.Latest[[]holder.WaveOrder]{},
+		Chain: chain, Taken: taken, Platform: p, Scheduler: scheduler, Waves: &ring.Latest[[]holder.WaveOrder]{},
 		Config: &ring.Latest[*holder.Config]{}, Wake: ring.New[struct{}]("wake", 1), Leave: ring.New[struct{}]("leave", 1), Clock: c, Log: zap.NewNop(),
 		TurnWait: 100 * time.Millisecond,
 	}
-	order := holder.WaveOrder{Wave: "1", Duration: 20 * time.Second, MaxDown: waveDown}
+	order := holder.WaveOrder{Wave: "1", Duration: 20 * time.Second, MaxDown: down}
 	for i := range waveVMs {
 		order.VMs = append(order.VMs, vmName(i))
 	}
@@ -204,3 +225,37 @@
 	is.True(complete)
 	is.Equal(begun, waveVMs) // the first VM among them
 }
+
+// Guards against an order that follows the answer that a VM is vacated by too long: the holders of other
+// services were asked after it and did not answer, and meanwhile the endpoint could get work again.
+func TestOrderFollowsItsOwnAnswer(t *testing.T) {
+	is := is.New(t)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	scheduler := ring.New[holder.Event]("scheduler", 1024)
+	asked := ring.New[time.Time]("asked", 1024)
+	go func() {
+		for {
+			event, err := scheduler.Pop(ctx)
+			if err != nil {
+				return
+			}
+			if q := event.Query; q.Service == "answers" {
+				_ = asked.Push(time.Now())
+				q.Reply(holder.Answer{Held: true, Vacated: q.Endpoints})
+			}
+		}
+	}()
+	for range 3 { // the services are asked in any order
+		p := newVMPlatform()
+		p.services = []fleet.ServiceID{"answers", "b", "c", "d", "e", "f"}
+		p.maintained = func() {
+			last, ok := asked.TryPop()
+			for next, more := asked.TryPop(); more; next, more = asked.TryPop() {
+				last = next
+			}
+			is.True(ok && time.Since(last) < 1500*time.Millisecond) // half of the time without work
+		}
+		maintainWith(t, rows.New(clock.Real()), p, scheduler, func() bool { begun, _ := p.progress(); return begun > 0 })
+	}
+}
--- a/internal/holder/resize.go
+++ b/internal/holder/resize.go
@@ -64,9 +64,8 @@
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	at := m.Clock.Now()
 	for _, vm := range working {
-		if vacated[vm.VM] {
+		if !vacated[vm.VM].IsZero() {
 			ready = append(ready, vm)
 		}
 	}
@@ -74,8 +73,8 @@
 		if err := m.keep(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		if m.Clock.Now().Sub(at) > vacatedLife {
-			return nil // The rest is vacated again and moved in the next round.
+		if until, ok := vacated[vm.VM]; ok && m.Clock.Now().After(until) {
+			continue // It is vacated again and moved in the next round.
 		}
 		if err := m.move(ctx, m.vacating[vm.VM]); err != nil {
 			return trace.Wrap(err)
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -86,10 +86,8 @@
 type Status struct {
 	// Configured is set once a configuration is known.
 	Configured bool
-	// SharedAt is when the shared table was read last.
-	SharedAt time.Time
-	Jobs     int
-	Held     []fleet.DutyName
+	Jobs       int
+	Held       []fleet.DutyName
 }
 
 // heldDuty is a duty whose lease this entry holds.
@@ -315,7 +313,7 @@
 }
 
 func (s *Scheduler) publish() {
-	status := Status{Configured: s.config != nil, SharedAt: s.sharedAt, Jobs: len(s.jobs)}
+	status := Status{Configured: s.config != nil, Jobs: len(s.jobs)}
 	for _, h := range s.sorted() {
 		status.Held = append(status.Held, h.chain.Duty)
 	}
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -63,11 +63,11 @@
 		}
 		return holder.Answer{Held: r.Msg.GetHeld(), Count: int(r.Msg.GetJobs())}, nil
 	case holder.QueryVacate:
-		r, err := peer.Vacate(ctx, connect.NewRequest(&jobv1.VacateRequest{Service: string(q.Service), Endpoints: texts(q.Endpoints), Patient: q.Patient}))
+		r, err := peer.Vacate(ctx, connect.NewRequest(&jobv1.VacateRequest{Service: string(q.Service), Endpoints: wire.Texts(q.Endpoints), Patient: q.Patient}))
 		if err != nil {
 			return holder.Answer{}, trace.Wrap(err)
 		}
-		return holder.Answer{Held: r.Msg.GetHeld(), Vacated: endpoints(r.Msg.GetVacated())}, nil
+		return holder.Answer{Held: r.Msg.GetHeld(), Vacated: wire.Named[fleet.EndpointID](r.Msg.GetVacated())}, nil
 	case holder.QueryJobs:
 		r, err := peer.Jobs(ctx, connect.NewRequest(&jobv1.JobsRequest{Service: string(q.Service), Queue: string(q.Queue)}))
 		if err != nil {
@@ -159,27 +159,11 @@
 
 // Vacate implements the service.
 func (h *Handler) Vacate(ctx context.Context, r *connect.Request[jobv1.VacateRequest]) (*connect.Response[jobv1.VacateResponse], error) {
-	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryVacate, Service: fleet.ServiceID(r.Msg.GetService()), Endpoints: endpoints(r.Msg.GetEndpoints()), Patient: r.Msg.GetPatient()})
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryVacate, Service: fleet.ServiceID(r.Msg.GetService()), Endpoints: wire.Named[fleet.EndpointID](r.Msg.GetEndpoints()), Patient: r.Msg.GetPatient()})
 	if err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&jobv1.VacateResponse{Held: a.Held, Vacated: texts(a.Vacated)}), nil
-}
-
-func texts(ids []fleet.EndpointID) []string {
-	list := make([]string, 0, len(ids))
-	for _, id := range ids {
-		list = append(list, string(id))
-	}
-	return list
-}
-
-func endpoints(texts []string) []fleet.EndpointID {
-	list := make([]fleet.EndpointID, 0, len(texts))
-	for _, text := range texts {
-		list = append(list, fleet.EndpointID(text))
-	}
-	return list
+	return connect.NewResponse(&jobv1.VacateResponse{Held: a.Held, Vacated: wire.Texts(a.Vacated)}), nil
 }
 
 // Load implements the service.
--- a/internal/wire/rows.go
+++ b/internal/wire/rows.go
@@ -222,7 +222,7 @@
 		ConfigSince:          Time(e.ConfigSince),
 		AcknowledgedRevision: uint64(e.AcknowledgedRevision),
 		History:              string(e.History),
-		DeadEndpoints:        texts(e.DeadEndpoints),
+		DeadEndpoints:        Texts(e.DeadEndpoints),
 	})
 }
 
@@ -242,7 +242,7 @@
 		ConfigSince:          FromTime(m.GetConfigSince()),
 		AcknowledgedRevision: fleet.TableRevision(m.GetAcknowledgedRevision()),
 		History:              fleet.TableHistory(m.GetHistory()),
-		DeadEndpoints:        named[fleet.VMID](m.GetDeadEndpoints()),
+		DeadEndpoints:        Named[fleet.VMID](m.GetDeadEndpoints()),
 	}, err
 }
 
@@ -253,7 +253,7 @@
 		At:          Time(a.At),
 		Actor:       a.Actor,
 		Action:      string(a.Action),
-		Subjects:    texts(a.Subjects),
+		Subjects:    Texts(a.Subjects),
 		From:        a.From,
 		To:          a.To,
 		Reason:      a.Reason,
@@ -274,7 +274,7 @@
 		At:          FromTime(m.GetAt()),
 		Actor:       m.GetActor(),
 		Action:      fleet.AuditAction(m.GetAction()),
-		Subjects:    named[fleet.AuditSubject](m.GetSubjects()),
+		Subjects:    Named[fleet.AuditSubject](m.GetSubjects()),
 		From:        m.GetFrom(),
 		To:          m.GetTo(),
 		Reason:      m.GetReason(),
--- a/internal/wire/value.go
+++ b/internal/wire/value.go
@@ -71,8 +71,8 @@
 	return d.AsDuration()
 }
 
-// strings converts a slice of named strings.
-func texts[T ~string](list []T) []string {
+// Texts converts a slice of named strings.
+func Texts[T ~string](list []T) []string {
 	var out []string
 	for _, v := range list {
 		out = append(out, string(v))
@@ -80,8 +80,8 @@
 	return out
 }
 
-// named converts a slice of strings into a named type.
-func named[T ~string](list []string) []T {
+// Named converts a slice of strings into a named type.
+func Named[T ~string](list []string) []T {
 	var out []T
 	for _, v := range list {
 		out = append(out, T(v))
--- a/internal/wire/wave.go
+++ b/internal/wire/wave.go
@@ -84,10 +84,10 @@
 // WaveSpec converts what an operator asks of a wave to its message.
 func WaveSpec(s fleet.WaveSpec) *fleetv1.WaveSpec {
 	return &fleetv1.WaveSpec{
-		Pools: texts(s.Pools),
+		Pools: Texts(s.Pools),
 		Filter: &fleetv1.WaveFilter{
-			Zones:            texts(s.Filter.Zones),
-			Racks:            texts(s.Filter.Racks),
+			Zones:            Texts(s.Filter.Zones),
+			Racks:            Texts(s.Filter.Racks),
 			MaintainedBefore: Time(s.Filter.MaintainedBefore),
 			VersionNot:       string(s.Filter.VersionNot),
 		},
@@ -109,10 +109,10 @@
 func FromWaveSpec(m *fleetv1.WaveSpec) fleet.WaveSpec {
 	f, l := m.GetFilter(), m.GetLimits()
 	return fleet.WaveSpec{
-		Pools: named[fleet.PoolID](m.GetPools()),
+		Pools: Named[fleet.PoolID](m.GetPools()),
 		Filter: fleet.WaveFilter{
-			Zones:            named[fleet.ZoneID](f.GetZones()),
-			Racks:            named[fleet.RackID](f.GetRacks()),
+			Zones:            Named[fleet.ZoneID](f.GetZones()),
+			Racks:            Named[fleet.RackID](f.GetRacks()),
 			MaintainedBefore: FromTime(f.GetMaintainedBefore()),
 			VersionNot:       fleet.Version(f.GetVersionNot()),
 		},
