--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -102,27 +102,11 @@
 	}
 }
 
-// restart replaces an endpoint's process by another one under its id.
-func (sim *simulation) restart(e *fakeEndpoint) {
-	e.StartMillis++
-	e.began, e.deadline, e.token = sim.now, time.Time{}, 0
-	e.running, e.highest = map[fleet.TaskID]*fakeRun{}, map[fleet.TaskID]fleet.RunNumber{}
-	e.ends, e.ended = nil, 0
-	held := e.held
-	e.held, e.heldAt = nil, nil
-	for _, o := range held { // its connections are closed
-		if o.Token == sim.epoch && !sim.frozen {
-			sim.engine.Apply(sim.now, shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now})
-		}
-	}
-	sim.listAt = sim.now.Add(time.Duration(sim.random.IntN(3)) * 400 * time.Millisecond) // the registry shows it later
-}
-
 // clearFaults ends all faults.
 func (sim *simulation) clearFaults() {
-	sim.storeDown, sim.delayShare = false, 0
+	sim.storeDown, sim.networkFaults = false, networkFaults{}
 	for _, e := range sim.endpoints {
-		e.unreachable, e.failAll, e.stall, e.Draining = false, false, false, false
+		e.unreachable, e.mute, e.failAll, e.stall, e.Draining = false, false, false, false, false
 	}
 	sim.list()
 }
