--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -93,7 +93,7 @@
 		if !sim.commitAt.IsZero() && r.IntN(2) == 0 {
 			sim.commitNow()
 		}
-		sim.takeOver(sim.now.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10))
+		sim.takeOver(sim.previousEnd())
 	case 12:
 		e.Draining = !e.Draining
 		sim.list()
@@ -102,6 +102,11 @@
 	}
 }
 
+// previousEnd returns when the leases of a holder that ends now have expired, as the next holder computes it.
+func (sim *simulation) previousEnd() time.Time {
+	return sim.now.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10)
+}
+
 // clearFaults ends all faults.
 func (sim *simulation) clearFaults() {
 	sim.storeDown, sim.networkFaults = false, networkFaults{}
