--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -97,7 +97,7 @@
 func (*fakeObserver) Reconnected(fleet.EndpointID)                     {}
 func (o *fakeObserver) RunLost(loss shard.Loss)                        { o.losses = append(o.losses, loss) }
 func (*fakeObserver) RunsLost(fleet.EndpointID, int, shard.LossReason) {}
-func (o *fakeObserver) Restarted(r shard.Restart) { o.restarts = append(o.restarts, r) }
+func (o *fakeObserver) Restarted(r shard.Restart)                      { o.restarts = append(o.restarts, r) }
 
 func (o *fakeObserver) ForeignListed(f shard.ForeignRun) { o.foreign = append(o.foreign, f) }
 
