shard: give each process of an endpoint its own fencing token

What callers saw: a task executed by two endpoints at the same time.

Cause: orders name an endpoint by its id, and an endpoint may start again under it. Answers to starts and stops carry no start time; only lists do. So (a) a start that the next process answered counted as a run of the earlier one and was given up with it while it ran, (b) a start, hold or stop meant for the earlier process took effect at the next one, which knows neither token nor stop: late starts ran, late holds granted leases of up to ten seconds by another clock where the engine counted four, and acknowledged ends that nobody had read, (c) a clock of one process set the deadlines of another.

Change: each process under an id gets a higher token, so that its first answer to a renewal ends the effect of all orders to earlier ones. Answers to orders with an earlier token settle rejections only. A run belongs to a process once a list of that process has named it; other runs survive a restart until such a list. Clocks come from lists only. A next process may hold the longest lease; the lease behind an answered start is computed from the clock of the answer. After a missed renewal no end is acknowledged. A list that was requested before an answer says nothing about it. Restarts are ordered by arrival instead of by start time, which clocks may set back.

--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -158,7 +158,7 @@
 	case e.Config != nil:
 		s.applyConfig(e.Config)
 	case e.Result != nil:
-		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Token {
+		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Epoch {
 			h.links.answered(now, e.Result.Order)
 			h.engine.Apply(now, *e.Result)
 			if h.engine.Fenced() {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -126,7 +126,7 @@
 			return
 		}
 	}
-	request := AdviceRequest{Service: e.Service, Token: e.Token, Step: id}
+	request := AdviceRequest{Service: e.Service, Token: e.Epoch, Step: id}
 	for _, w := range e.sorted() {
 		if w.usable(now) && w.hasLabel(step.RequiredLabel) && len(request.Endpoints) < maxAdviceEndpoints {
 			request.Endpoints = append(request.Endpoints, w.Endpoint)
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -15,17 +15,16 @@
 		listed[endpoint.Endpoint] = true
 		w := e.workers[endpoint.Endpoint]
 		if w == nil {
-			w = &worker{EndpointInfo: endpoint, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
+			w = newWorker(now, endpoint)
 			e.setWorker(w)
 		}
-		if endpoint.StartMillis > w.StartMillis && w.StartMillis != 0 {
-			e.handleRestart(now, w, endpoint, RestartInRegistry)
-			w = e.workers[endpoint.Endpoint]
+		if w.isRestart(endpoint) {
+			w = e.handleRestart(now, w, endpoint, RestartInRegistry)
 		}
 		if w.Address != endpoint.Address {
 			w.holdInFlight = false
 		}
-		if endpoint.StartMillis >= w.StartMillis {
+		if endpoint.StartMillis == w.StartMillis || w.StartMillis == 0 {
 			w.EndpointInfo = endpoint
 		}
 		w.listed = true
@@ -37,38 +36,6 @@
 	}
 }
 
-// handleRestart drops the runs of a process that was replaced by another one under the endpoint's id. A start
-// that has no answer yet may reach the new process, which cannot tell that it was meant for the previous one:
-// such a run is kept until the new process lists it or has been told to stop it.
-func (e *Engine) handleRestart(now time.Time, w *worker, next EndpointInfo, source RestartSource) {
-	var kept []*assignment
-	for id, a := range w.runs {
-		if a.phase == phaseOrdered || a.phase == phaseStopping && a.startedAt.IsZero() {
-			w.remove(id)
-			kept = append(kept, a)
-		}
-	}
-	lost := len(w.runs)
-	e.replaceWorker(now, w, next, LossRestarted)
-	successor := e.workers[w.Endpoint]
-	for _, a := range kept {
-		a.maybeMisdirected, a.stopAcked, a.startedClock, a.nextStopAt = !a.inherited, false, 0, time.Time{}
-		successor.add(a)
-		// The deadline of the start was set on the clock of the previous process, which was ahead, so the new
-		// process may grant the longest lease.
-		successor.extendLease(now, e.Bounds.MaxLease)
-	}
-	e.observeRestart(now, w, successor, source, lost)
-}
-
-// replaceWorker marks the runs of a process that no longer exists as lost and adds a worker for the next one.
-func (e *Engine) replaceWorker(now time.Time, w *worker, next EndpointInfo, reason LossReason) {
-	for _, a := range w.runs {
-		e.markLost(now, w, a, Loss{Reason: reason})
-	}
-	e.setWorker(&worker{EndpointInfo: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil})
-}
-
 // markLost ends a run whose end was not reported.
 func (e *Engine) markLost(now time.Time, w *worker, a *assignment, loss Loss) {
 	w.remove(a.id)
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -48,8 +48,9 @@
 // Engine schedules the jobs of one service. It is not safe for concurrent use.
 type Engine struct {
 	Service fleet.ServiceID
-	Token   fleet.FencingToken
-	Bounds  Bounds
+	// Epoch is the epoch of the holder's lease.
+	Epoch  fleet.FencingToken
+	Bounds Bounds
 	// Observer must not be nil.
 	Observer Observer
 
@@ -57,6 +58,8 @@
 	jobs     map[fleet.JobID]*jobEntry
 	active   map[job.Key]*job.Occurrence
 	workers  map[fleet.EndpointID]*worker
+	// restarts counts the restarts of endpoints under their ids that this holder has seen.
+	restarts map[fleet.EndpointID]fleet.FencingToken
 	// byID caches the workers sorted by id; it is nil after the set has changed.
 	byID []*worker
 	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
@@ -108,13 +111,14 @@
 
 // NewEngine returns an engine without jobs. previousEnd is when the leases that the previous holder granted
 // have certainly expired at endpoints that this holder cannot reach.
-func NewEngine(service fleet.ServiceID, token fleet.FencingToken, bounds Bounds, observer Observer, previousEnd time.Time) *Engine {
+func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, previousEnd time.Time) *Engine {
 	return &Engine{
-		Service: service, Token: token, Bounds: bounds, Observer: observer, previousEnd: previousEnd,
+		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, previousEnd: previousEnd,
 		policies:         map[fleet.QueueID]job.Policy{},
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
 		workers:          map[fleet.EndpointID]*worker{},
+		restarts:         map[fleet.EndpointID]fleet.FencingToken{},
 		runTimes:         map[runTimeKey]*runTime{},
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
@@ -168,7 +172,7 @@
 				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
-				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, evidence: EvidenceNone})
+				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, fenced: true, evidence: EvidenceNone})
 			}
 		}
 	}
@@ -181,10 +185,8 @@
 func (e *Engine) workerOf(now time.Time, p fleet.EndpointProcess) *worker {
 	w := e.workers[p.Endpoint]
 	if w == nil {
-		w = &worker{
-			EndpointInfo: EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis}, runs: map[fleet.TaskID]*assignment{}, firstSeen: now,
-			leaseEnd: e.previousEnd,
-		}
+		w = newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
+		w.leaseEnd = e.previousEnd
 		e.setWorker(w)
 	}
 	return w
@@ -360,7 +362,7 @@
 }
 
 func (e *Engine) order(w *worker, kind OrderKind, a *assignment) Order {
-	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Token: e.Token}
+	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Epoch: e.Epoch, Token: e.fencingToken(w)}
 	if a != nil {
 		o.Task, o.Run = a.id, a.run
 	}
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -70,7 +70,7 @@
 		e.held, e.heldAt = append(e.held, o), append(e.heldAt, sim.now)
 		return
 	}
-	sim.reply(e, o, answer)
+	sim.reply(e, o, sim.now, answer)
 }
 
 // orderDelay returns how late an order is carried out; 0 is in time.
@@ -94,7 +94,7 @@
 		sim.delayedAnswers = append(sim.delayedAnswers, delayedAnswer{sim.now.Add(delay), r})
 		return
 	}
-	if r.Order.Token == sim.epoch && !sim.frozen {
+	if r.Order.Epoch == sim.epoch && !sim.frozen {
 		sim.engine.Apply(sim.now, r)
 	}
 }
@@ -131,13 +131,13 @@
 			e.held, e.heldAt = append(e.held, o), append(e.heldAt, at[i])
 			continue
 		}
-		sim.reply(e, o, shard.AnswerDone)
+		sim.reply(e, o, at[i], shard.AnswerDone)
 	}
 }
 
 // reply answers an order. Only lists show which process answers.
-func (sim *simulation) reply(e *fakeEndpoint, o shard.Order, answer shard.Answer) {
-	r := shard.Result{Order: o, Answer: answer, Clock: e.clock(sim.now), SentAt: sim.now}
+func (sim *simulation) reply(e *fakeEndpoint, o shard.Order, sentAt time.Time, answer shard.Answer) {
+	r := shard.Result{Order: o, Answer: answer, Clock: e.clock(sim.now), SentAt: sentAt}
 	if e.unreachable || e.mute || sim.random.Float64() < sim.loseAnswerShare {
 		sim.answer(fakeOrderTimeout, shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now})
 		return
--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -108,7 +108,7 @@
 // observeLoss reports a run that is given up.
 func (e *Engine) observeLoss(now time.Time, w *worker, a *assignment, loss Loss) {
 	loss.Task, loss.Run, loss.Assigned, loss.Process, loss.Inherited = a.id, a.run, a.process, w.Process(), a.inherited
-	loss.Evidence, loss.EvidenceAge, loss.StartedClock = a.evidence, since(now, a.evidenceAt), a.startedClock
+	loss.Evidence, loss.EvidenceAge, loss.StartedClock = a.evidence, since(now, a.evidenceAt), a.listedClock
 	loss.SinceAnswer, loss.LeaseLeft = since(now, w.lastAnswerAt), -since(now, w.leaseEnd)
 	e.Observer.RunLost(loss)
 }
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -28,7 +28,9 @@
 	Service fleet.ServiceID
 	Process fleet.EndpointProcess
 	Address fleet.Address
-	Token   fleet.FencingToken
+	// Epoch is the epoch of the holder's lease. Token is the epoch and the number of restarts of the endpoint that
+	// the holder has seen.
+	Epoch, Token fleet.FencingToken
 
 	// Task and Run are set for starts, stops and paces, Payload and Checkpoint for starts only.
 	Task       fleet.TaskID
@@ -76,6 +78,15 @@
 	AnswerGone Answer = "gone"
 )
 
+// isRejection reports whether the endpoint, or this process, certainly did not execute a start and never will.
+func (a Answer) isRejection() bool {
+	switch a {
+	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerOld, AnswerLate, AnswerNoRoom, AnswerNoTicket, AnswerInvalid:
+		return true
+	}
+	return false
+}
+
 // ListedRun is a run that an endpoint lists as executing.
 type ListedRun struct {
 	Task       fleet.TaskID
@@ -103,8 +114,8 @@
 	Answer Answer
 	// Clock is the endpoint's monotonic clock; 0 when the answer has none.
 	Clock time.Duration
-	// StartMillis is the start time of the process that answered, in Unix milliseconds; 0 when the answer
-	// has none.
+	// StartMillis is the start time of the process that answered, in Unix milliseconds; 0 when the answer has
+	// none. Only the answers to renewals have one.
 	StartMillis int64
 	// SentAt is when the order was sent.
 	SentAt  time.Time
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -76,29 +76,26 @@
 	}
 }
 
-// Guards against a start without an answer that the next process carries out after its task was given away.
-func TestLateStartReachesNextProcess(t *testing.T) {
-	for _, c := range []struct {
-		name  string
-		isCut bool
-	}{
-		{"that the holder reaches", false},
-		{"behind a cut", true},
-	} {
-		t.Run(c.name, func(t *testing.T) {
-			is := is.New(t)
-			sim, e := newRestartSimulation()
-			sim.delayOnce(shard.OrderStart, 6*time.Second)
-			sim.submit(batchJob("job", 1, 4000))
-			sim.run(2 * time.Second)
-			e.unreachable = c.isCut
-			sim.restartWith(e, lowClock, 500*time.Millisecond)
-			sim.run(20 * time.Second)
-			sim.finish(is, "job")
-		})
-	}
+// lateStart delays the start of a task until its endpoint runs another process, which the holder may not reach.
+func lateStart(t *testing.T, isCut bool) {
+	t.Helper()
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.delayOnce(shard.OrderStart, 6*time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(2 * time.Second)
+	e.unreachable = isCut
+	sim.restartWith(e, lowClock, 500*time.Millisecond)
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
 }
 
+// Guards against a start without an answer that the next process carries out after its task was given away.
+func TestLateStartReachesNextProcess(t *testing.T) { lateStart(t, false) }
+
+// Guards against the same where the endpoint starts again behind a cut, so that the holder cannot fence it.
+func TestLateStartReachesNextProcessBehindCut(t *testing.T) { lateStart(t, true) }
+
 // Guards against counting the usual lease where a late renewal, by an earlier process's clock, granted the longest.
 func TestLateHoldExtendsLeaseOfNextProcess(t *testing.T) {
 	is := is.New(t)
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -13,6 +13,10 @@
 	if w == nil {
 		return
 	}
+	if e.isForEarlierProcess(w, r.Order) {
+		e.applyForEarlierProcess(now, w, r)
+		return
+	}
 	if r.Order.Kind == OrderHold && r.Order.Address == w.Address {
 		w.holdInFlight = false
 	}
@@ -27,20 +31,17 @@
 		return
 	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
-		if w.StartMillis != 0 && r.StartMillis < w.StartMillis {
-			return
-		}
 		next := w.EndpointInfo
 		next.StartMillis = r.StartMillis
 		if w.StartMillis != 0 {
-			e.handleRestart(now, w, next, RestartInAnswer)
-			w = e.workers[r.Order.Process.Endpoint]
+			// The list may be older than orders that are on their way. The next one, with the token of the
+			// new process, is not.
+			e.hold(now, e.handleRestart(now, w, next, RestartInAnswer))
+			return
 		}
 		w.StartMillis = r.StartMillis
 	}
-	if r.Clock > 0 {
-		e.updateClock(w, r, now)
-	}
+	w.updateClock(now, r)
 	// Of consecutive failed renewals only the first is reported.
 	repeated := r.Order.Kind == OrderHold && w.missed
 	switch r.Order.Kind {
@@ -49,23 +50,34 @@
 	case OrderStart:
 		e.applyStart(now, w, r)
 	case OrderStop:
-		e.applyStop(w, r)
+		e.applyStop(now, w, r)
 	}
 	if r.Answer != AnswerDone && !repeated {
 		e.Observer.Rejected(r.Order, r.Answer, since(now, r.SentAt))
 	}
 }
 
-// updateClock updates the estimate of the endpoint's clock. The clock was read before the answer arrived, so
-// an estimate from the time of arrival never runs ahead of the endpoint, and a lease never lasts longer than
-// assumed.
-func (e *Engine) updateClock(w *worker, r Result, now time.Time) {
+// updateClock updates the estimate of the endpoint's clock from a list: each process has a clock of its own, and
+// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of arrival never
+// runs ahead of the endpoint, and a lease never lasts longer than assumed.
+func (w *worker) updateClock(now time.Time, r Result) {
+	if r.Clock <= 0 {
+		return
+	}
 	w.lastAnswerAt = later(w.lastAnswerAt, now)
-	if r.Clock >= w.clock {
+	if r.Order.Kind == OrderHold && r.Answer == AnswerDone && r.Clock >= w.clock {
 		w.clock, w.clockAt = r.Clock, now
 	}
 }
 
+// applyForEarlierProcess processes the answer to an order that was created for an earlier process. Either process
+// may have given it, so only a rejection settles anything: the next list shows whether a start was accepted.
+func (e *Engine) applyForEarlierProcess(now time.Time, w *worker, r Result) {
+	if a := w.runs[r.Order.Task]; r.Order.Kind == OrderStart && a != nil && a.run == r.Order.Run && r.Answer.isRejection() {
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
+	}
+}
+
 func (e *Engine) applyStart(now time.Time, w *worker, r Result) {
 	a := w.runs[r.Order.Task]
 	if a == nil || a.run != r.Order.Run {
@@ -74,10 +86,11 @@
 	switch r.Answer {
 	case AnswerDone:
 		e.markStarted(a.id.Job)
-		a.markSeen(now, EvidenceAnswer)
 		if a.phase == phaseOrdered {
-			a.phase = phaseStarted
-			a.startedClock, a.startedAt = r.Clock, now
+			a.markSeen(now, EvidenceAnswer)
+			a.phase, a.startedAt = phaseStarted, now
+			// Whichever process answered, its clock shows the lease that it granted.
+			a.leaseEnd = leaseEnd(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
 	case AnswerOld:
 		// The endpoint lists the run as ended, or a stop for it arrived first.
@@ -96,18 +109,21 @@
 			e.recordFailure(now, w, a.id.Job)
 		}
 	default:
+		if a.evidence == EvidenceList {
+			return // Only the answer was lost.
+		}
 		// The start may still be executed later. A stop that is answered rules that out.
+		a.leaseEnd = leaseEnd(now, e.Bounds.MaxLease)
 		e.avoid[a.id] = w.Endpoint
 		e.stop(now, w, a.id)
 	}
 }
 
 // applyStop records that a run can no longer start. If it ran, the endpoint lists its end.
-func (e *Engine) applyStop(w *worker, r Result) {
+func (e *Engine) applyStop(now time.Time, w *worker, r Result) {
 	a := w.runs[r.Order.Task]
-	if a != nil && a.run == r.Order.Run && r.Answer == AnswerDone && a.phase == phaseStopping {
-		a.stopAcked = true
-		a.startedClock = max(a.startedClock, r.Clock)
+	if a != nil && a.run == r.Order.Run && r.Answer == AnswerDone && a.phase == phaseStopping && !a.stopAcked {
+		a.stopAcked, a.stopAckedAt = true, now
 	}
 }
 
@@ -127,6 +143,11 @@
 		w.contacted = true
 		w.nextHoldAt = now
 	}
+	if w.mayHoldLongestLease {
+		// From now on the process rejects orders that were meant for an earlier one.
+		w.mayHoldLongestLease = false
+		w.extendLease(now, e.Bounds.MaxLease)
+	}
 	for _, end := range r.Ends {
 		if end.Number > w.cursor {
 			w.cursor = end.Number
@@ -143,28 +164,27 @@
 		if run, ok := listed[id]; ok && run == a.run {
 			continue
 		}
-		if a.maybeMisdirected && a.phase == phaseOrdered {
-			e.stop(now, w, id)
-		}
-		if e.missing(a, r) {
+		if a.isMissing(r) {
 			e.markLost(now, w, a, Loss{Reason: LossNotListed, ListClock: r.Clock})
 		}
 	}
 }
 
-// missing reports whether a run that an endpoint does not list is certainly not executing there.
-func (e *Engine) missing(a *assignment, r Result) bool {
-	switch a.phase {
-	case phaseStarted:
-		return r.Clock > a.startedClock
-	case phaseOrdered:
-		// Orders of the previous holder are rejected once the endpoint has seen this holder's token.
-		return a.inherited
-	case phaseStopping:
+// isMissing reports whether a run that an endpoint does not list is certainly not executing there. A list says
+// nothing about an answer that arrived after it was requested.
+func (a *assignment) isMissing(r Result) bool {
+	switch {
+	case a.phase == phasePlanned:
+		return false
+	case a.evidence == EvidenceList:
+		return r.Clock > a.listedClock
+	case a.fenced:
+		return true
+	case a.phase == phaseStopping:
 		// An answered stop rules out a later start.
-		return a.stopAcked && r.Clock > a.startedClock
+		return a.stopAcked && r.SentAt.After(a.stopAckedAt)
 	}
-	return false
+	return a.evidence == EvidenceAnswer && r.SentAt.After(a.evidenceAt)
 }
 
 func (e *Engine) applyRunning(now time.Time, w *worker, run ListedRun, clock time.Duration) {
@@ -177,11 +197,12 @@
 		return
 	}
 	a.markSeen(now, EvidenceList)
+	a.listedClock = max(a.listedClock, clock)
 	if run.Checkpoint != "" {
 		o.Task(run.Task).Checkpoint = run.Checkpoint
 	}
 	if a.phase == phaseOrdered {
-		a.phase, a.startedClock = phaseStarted, clock
+		a.phase = phaseStarted
 		if a.startedAt.IsZero() {
 			a.startedAt = now
 		}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -60,7 +60,7 @@
 	}
 	lost := 0
 	for id, a := range w.runs {
-		if a.phase == phasePlanned && e.inFlight(id) {
+		if a.phase == phasePlanned && e.inFlight(id) || now.Before(w.runLeaseEnd(a)) {
 			continue
 		}
 		e.markLost(now, w, a, Loss{Reason: LossLeaseExpired})
@@ -71,8 +71,8 @@
 	}
 }
 
-// hold renews the lease of a worker and requests its lists. After a failed renewal the lease is not extended,
-// so that it is certain when it expires.
+// hold renews the lease of a worker and requests its lists. After a failed renewal the lease is not extended, so
+// that it is certain when it expires, and no end is acknowledged, because another process may answer.
 func (e *Engine) hold(now time.Time, w *worker) {
 	if w.holdInFlight || now.Before(w.nextHoldAt) || w.Address == "" {
 		return
@@ -81,11 +81,11 @@
 		return
 	}
 	order := e.order(w, OrderHold, nil)
-	order.Acknowledged = w.acked
 	if w.contacted && !w.missed {
+		order.Acknowledged = w.acked
 		order.Deadline = w.deadline(now, e.leaseLength())
 		w.extendLease(now, e.leaseLength())
-		if w.acked == w.cursor {
+		if w.acked == w.cursor && !w.awaitsList() {
 			order.Wait = HoldWait
 		}
 	}
@@ -93,6 +93,16 @@
 	e.out = append(e.out, order)
 }
 
+// awaitsList reports whether the next list settles a run that has been stopped without having been listed.
+func (w *worker) awaitsList() bool {
+	for _, a := range w.runs {
+		if a.stopAcked && a.evidence != EvidenceList {
+			return true
+		}
+	}
+	return false
+}
+
 // maxAckWait is the longest time that a renewal waits for the commit of the ends that the last one listed.
 const maxAckWait = time.Second
 
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -49,18 +49,22 @@
 	// evidence is the latest evidence that the run has started.
 	evidence   Evidence
 	evidenceAt time.Time
-	// startedClock is the endpoint's clock when it confirmed the start or a stop. A list of runs that is older
-	// says nothing about the run.
-	startedClock time.Duration
-	startedAt    time.Time
+	// listedClock is the endpoint's clock in the latest list with the run.
+	listedClock time.Duration
+	startedAt   time.Time
+	// leaseEnd is when the longest lease that the process which took the start can have granted has expired. It
+	// counts until a list shows which process that is.
+	leaseEnd time.Time
 	// progressedAt is when the reported progress last rose.
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
 	inherited bool
-	// maybeMisdirected is set for a start that may have reached another process than it was meant for.
-	maybeMisdirected bool
-	// stopAcked is set when the endpoint has answered a stop order for the run.
-	stopAcked bool
+	// fenced is set when a process that has answered an order of this holder rejects the start: its token is that
+	// of the previous holder or of an order to an earlier process.
+	fenced bool
+	// stopAcked is set when the endpoint has answered a stop order for the run, stopAckedAt is when.
+	stopAcked   bool
+	stopAckedAt time.Time
 	// progress is the reported percentage, tailLatency the reported tail latency of a serving task.
 	progress    int
 	tailLatency time.Duration
@@ -81,10 +85,16 @@
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
-	// firstSeen is when the holder learned of the process.
+	// firstSeen is when the holder learned of the process. An answer to an order that was sent before may come
+	// from an earlier process.
 	firstSeen time.Time
 	// leaseEnd is when all leases that were granted to the process have expired.
 	leaseEnd time.Time
+	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
+	replaced []int64
+	// mayHoldLongestLease is set for the successor of another process until it has answered a renewal: deadlines
+	// that were set on the clock of the earlier process may have granted it the longest lease.
+	mayHoldLongestLease bool
 	// cursor is the last end that was processed, acked the last one whose effect is committed.
 	cursor, acked fleet.EndCursor
 	holdInFlight  bool
@@ -136,10 +146,16 @@
 	// minHoldBackoff and maxHoldBackoff bound the pause after failed renewals, which doubles each time.
 	minHoldBackoff = 100 * time.Millisecond
 	maxHoldBackoff = 800 * time.Millisecond
+	// orderTransit bounds the time from the creation of an order to its answer or timeout.
+	orderTransit = time.Second
 	// stopRetryInterval is the pause between two stop orders for the same run.
 	stopRetryInterval = 500 * time.Millisecond
 )
 
+func newWorker(now time.Time, info EndpointInfo) *worker {
+	return &worker{EndpointInfo: info, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
+}
+
 // deadline returns the end of a lease of the given length on the endpoint's clock.
 func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
 	return w.clock + now.Sub(w.clockAt) + length
@@ -147,7 +163,20 @@
 
 // extendLease records that a lease of the given length may have been granted now.
 func (w *worker) extendLease(now time.Time, length time.Duration) {
-	w.leaseEnd = later(w.leaseEnd, now.Add(length+length*clockDriftPercent/100+leaseMargin))
+	w.leaseEnd = later(w.leaseEnd, leaseEnd(now, length))
+}
+
+// leaseEnd returns when a lease of the given length that is granted now has expired on any endpoint's clock.
+func leaseEnd(now time.Time, length time.Duration) time.Time {
+	return now.Add(length + length*clockDriftPercent/100 + leaseMargin)
+}
+
+// runLeaseEnd returns when the lease of a run has expired.
+func (w *worker) runLeaseEnd(a *assignment) time.Time {
+	if a.evidence == EvidenceList {
+		return w.leaseEnd
+	}
+	return later(w.leaseEnd, a.leaseEnd)
 }
 
 // reachable reports whether the worker answered recently.
