holder: announce a repeated submission as the store holds it

What callers may see: one job run by two services at once, task by task.

Cause: a submission without an answer comes again, perhaps at another entry, where a newer configuration sends the queue to another service. The store keeps the first row and reports a conflict; the intake then announced its own submission, with the other service, to that service's holder, which ran it beside the holder that read the row. Found by reading the path of late and repeated calls.

Change: what is announced is the job that the row in the conflict holds or, within one transaction, the first of the same id.

TestRepeatedSubmissionIsAnnouncedAsStored: before, "later != earlier" in all three cases; after, passes, also with -race.

--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -107,9 +108,9 @@
 	var stored []*Submission
 	switch {
 	case err == nil:
-		stored = i.admission.applied()
+		stored = adoptFirst(i.admission.applied())
 	case errors.As(err, &conflict):
-		stored = i.admission.conflicted(conflict.Rows)
+		stored = i.adoptStored(i.admission.conflicted(conflict.Rows), conflict.Rows)
 	case errors.As(err, &refused):
 		i.Log.Warn("intake: the store refused a transaction", zap.Int("submissions", len(i.admission.attempt)), zap.Error(trace.Unwrap(err)))
 		i.admission.refused(now, refused.Overloaded())
@@ -122,6 +123,50 @@
 	}
 }
 
+// adoptFirst replaces the jobs of a batch by the first one with the same id, which insertion stores.
+func adoptFirst(submissions []*Submission) []*Submission {
+	jobs := map[fleet.JobID]*fleet.Job{}
+	for _, s := range submissions {
+		switch {
+		case s.Job == nil:
+		case jobs[s.Job.ID] == nil:
+			jobs[s.Job.ID] = s.Job
+		default:
+			s.Job = jobs[s.Job.ID]
+		}
+	}
+	return submissions
+}
+
+// adoptStored replaces the jobs of submissions by those that the store holds under their ids. They may differ: the
+// earlier submission of an id may have come under another configuration, which sent the job to another service. It
+// leaves out jobs that cannot be decoded; the next read of the shared table reports them.
+func (i *Intake) adoptStored(submissions []*Submission, rows []rowstore.Row) []*Submission {
+	jobs := map[rowstore.Key]*fleet.Job{}
+	for _, row := range rows {
+		if row.Deleted || row.Version == 0 || !strings.HasPrefix(string(row.Key), keyJob) {
+			continue
+		}
+		j, err := decodeJob(row)
+		if err != nil {
+			i.Log.Error("intake: stored job cannot be decoded", zap.String("key", string(row.Key)), zap.Error(trace.Unwrap(err)))
+			continue
+		}
+		jobs[row.Key] = j
+	}
+	var adopted []*Submission
+	for _, s := range submissions {
+		if s.Job != nil {
+			s.Job = jobs[jobKey(s.Job.ID)]
+			if s.Job == nil {
+				continue
+			}
+		}
+		adopted = append(adopted, s)
+	}
+	return adopted
+}
+
 // insertion returns the transaction that stores submissions, provided that none of their rows exists.
 func insertion(batch []*Submission) rowstore.Transaction {
 	t := rowstore.Transaction{}
--- /dev/null
+++ b/internal/holder/intake_test.go
@@ -0,0 +1,81 @@
+package holder_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// newIntake starts an intake of an entry on a store and returns its inbox and what it announces.
+func newIntake(t *testing.T, store holder.Store) (*ring.Ring[holder.IntakeEvent], *ring.Ring[*holder.Submission]) {
+	t.Helper()
+	group, ctx := duty.NewGroup(context.Background())
+	inbox, announced := ring.New[holder.IntakeEvent]("intake", 8), ring.New[*holder.Submission]("announced", 8)
+	calls := ring.New[holder.StoreCall]("calls", 4)
+	group.Start(ctx, &holder.Intake{
+		Inbox: inbox, Writer: calls, Latency: &ring.Latest[holder.StoreLatency]{}, Clock: clock.Real(), Log: zap.NewNop(),
+		Announce: func(s *holder.Submission) { _ = announced.Push(s) },
+	})
+	group.Start(ctx, &holder.IntakeWriter{Inbox: calls, Intake: inbox, Store: store, Log: zap.NewNop()})
+	t.Cleanup(func() { group.Stop(); _ = group.Wait() })
+	return inbox, announced
+}
+
+// submit submits a job for a service and returns its outcome.
+func submit(is *is.I, inbox *ring.Ring[holder.IntakeEvent], service fleet.ServiceID) *ring.Ring[holder.IntakeOutcome] {
+	is.Helper()
+	outcome := ring.New[holder.IntakeOutcome]("outcome", 1)
+	job := &fleet.Job{ID: "0123456789abcdef", Service: service, Queue: "queue", Steps: []fleet.Step{{Tasks: 1}}}
+	is.NoErr(inbox.Push(holder.IntakeEvent{Submission: &holder.Submission{
+		Job: job, Deadline: clock.Real().Now().Add(10 * time.Second), Reply: func(o holder.IntakeOutcome) { _ = outcome.Push(o) },
+	}}))
+	return outcome
+}
+
+// Guards against a job that two services run: its id came again, at another entry, after its queue had moved.
+func TestRepeatedSubmissionIsAnnouncedAsStored(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		entries  int
+		together bool
+	}{
+		{"at another entry", 2, false},
+		{"at the same entry", 1, false},
+		{"in the same transaction", 1, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			store := rows.New(clock.Real())
+			var inboxes []*ring.Ring[holder.IntakeEvent]
+			var announcements []*ring.Ring[*holder.Submission]
+			for range c.entries {
+				inbox, announced := newIntake(t, store)
+				inboxes, announcements = append(inboxes, inbox), append(announcements, announced)
+			}
+			for n, service := range []fleet.ServiceID{"earlier", "later"} {
+				outcome := submit(is, inboxes[n%c.entries], service)
+				if c.together && n == 0 {
+					continue
+				}
+				got, err := outcome.Pop(context.Background())
+				is.NoErr(err)
+				is.Equal(got, holder.IntakeStored)
+			}
+			for n := range 2 {
+				s, err := announcements[n%c.entries].Pop(context.Background())
+				is.NoErr(err)
+				is.Equal(s.Job.Service, fleet.ServiceID("earlier"))
+			}
+		})
+	}
+}
