holder: count a holder's validity from renewals only

What callers may see: a task on an endpoint that the next holder cannot reach runs on while its next run has started, for up to a quarter of a second.

Cause: a holder without the store goes on for seven seconds after its last transaction. The next holder counts the seven seconds from the last change of the lease row, which only renewals write: a batch between two renewals moved the holder's end by up to 0.6 s that the next one does not see. Its wait has a slack of 0.3 s.

Change: only a transaction with a renewal confirms the lease.

--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -105,8 +105,9 @@
 	release      *ring.Ring[struct{}]
 	writing      bool
 	batchWriting bool
+	renewing     bool
 	renewedAt    time.Time
-	// confirmedAt is when the last transaction that took effect was sent.
+	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
 	confirmedAt time.Time
 	releasing   bool
 	links       *links
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -59,7 +59,7 @@
 	if due {
 		h.renewedAt = now
 	}
-	h.writing, h.batchWriting = true, batch != nil
+	h.writing, h.batchWriting, h.renewing = true, batch != nil, due
 	// The ring has room: one write at a time is in flight.
 	_ = h.writes.Push(w)
 }
@@ -78,7 +78,9 @@
 		return
 	}
 	h.writing = false
-	h.confirmedAt = w.SentAt
+	if h.renewing {
+		h.confirmedAt = w.SentAt
+	}
 	if h.batchWriting {
 		h.engine.Committed(now)
 	}
