shard: give up no run on a list of ends that may be cut

An endpoint lists 500 ends at a time. A run whose end did not fit into the list is in neither list; the engine gave it up and started its task again, after an end that it acknowledges later.

Change: a list with 500 ends settles no missing run.

--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -121,4 +121,6 @@
 	SentAt  time.Time
 	Running []ListedRun
 	Ends    []ListedEnd
+	// MoreEnds is set when Ends may lack the latest ends.
+	MoreEnds bool
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -171,10 +171,10 @@
 }
 
 // isMissing reports whether a run that an endpoint does not list is certainly not executing there. A list says
-// nothing about an answer that arrived after it was requested.
+// nothing about an answer that arrived after it was requested, and nothing about a run whose end it may lack.
 func (a *assignment) isMissing(r Result) bool {
 	switch {
-	case a.phase == phasePlanned:
+	case a.phase == phasePlanned || r.MoreEnds:
 		return false
 	case a.evidence == EvidenceList:
 		return r.Clock > a.listedClock
