shard: take no clock or start time from another endpoint

A call to an address that another endpoint has taken over is answered 421, with the clock of that endpoint. When the worker's address had changed meanwhile, the answer was processed like the endpoint's own: its clock set the deadlines, and a start time would have counted as a restart, which gives up all listed runs.

Change: such an answer rejects the order and says nothing else.

TestAnswerOfOtherEndpointShowsNoRestart: before, one restart and one loss; after, none.

--- a/internal/shard/list_test.go
+++ b/internal/shard/list_test.go
@@ -39,3 +39,14 @@
 		})
 	}
 }
+
+// Guards against the clock or the start time of another endpoint, at an earlier address, in place of the endpoint's.
+func TestAnswerOfOtherEndpointShowsNoRestart(t *testing.T) {
+	is := is.New(t)
+	sim, r := runningTask(is)
+	r.Order.Address, r.Answer, r.StartMillis, r.Clock = "earlier", shard.AnswerGone, 99, 10*highClock
+	sim.engine.Apply(sim.now, r)
+	is.Equal(len(sim.observer.restarts), 0)
+	is.Equal(len(sim.observer.losses), 0)
+	sim.finish(is, "job")
+}
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -81,7 +81,7 @@
 // isRejection reports whether the endpoint, or this process, certainly did not execute a start and never will.
 func (a Answer) isRejection() bool {
 	switch a {
-	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerOld, AnswerLate, AnswerNoRoom, AnswerNoTicket, AnswerInvalid:
+	case AnswerUnsent, AnswerBusy, AnswerFenced, AnswerOld, AnswerLate, AnswerNoRoom, AnswerNoTicket, AnswerInvalid, AnswerGone:
 		return true
 	}
 	return false
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -30,6 +30,9 @@
 		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
 		return
 	}
+	if r.Answer == AnswerGone {
+		r.Clock, r.StartMillis = 0, 0 // They are those of another endpoint.
+	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
 		next := w.EndpointInfo
 		next.StartMillis = r.StartMillis
@@ -102,7 +105,7 @@
 	case AnswerNoTicket:
 		e.dropTicket(now, a.id, w)
 		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
-	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent:
+	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent, AnswerGone:
 		e.avoid[a.id] = w.Endpoint
 		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
 		if r.Answer == AnswerBusy {
