--- a/internal/shard/fake_check_test.go
+++ b/internal/shard/fake_check_test.go
@@ -10,6 +10,7 @@
 )
 
 func (sim *simulation) violation(format string, arguments ...any) {
+	sim.tracef("violation: "+format, arguments...)
 	sim.violations = append(sim.violations, fmt.Sprintf("%v: ", sim.now.Sub(fakeEpoch))+fmt.Sprintf(format, arguments...))
 }
 
--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -53,6 +53,9 @@
 	// registeredAt is when the registry shows the process. Until then it shows the one that began at listedMillis.
 	registeredAt time.Time
 	listedMillis int64
+	// seenBy is the token of the last holder that the process has answered a renewal, seenAt when it first did.
+	seenBy fleet.FencingToken
+	seenAt time.Time
 }
 
 // clock returns the time on the process's own clock.
@@ -64,6 +67,7 @@
 func (e *fakeEndpoint) restart(now time.Time, clock time.Duration, slow int) {
 	e.StartMillis++
 	e.began, e.clockStart, e.slow, e.deadline, e.token = now, clock, slow, 0, 0
+	e.seenBy, e.seenAt = 0, time.Time{}
 	e.lapsedAt, e.backAt, e.dead = time.Time{}, time.Time{}, false
 	e.running, e.highest = map[fleet.TaskID]*fakeRun{}, map[fleet.TaskID]fleet.RunNumber{}
 	e.ends, e.ended = nil, 0
@@ -125,6 +129,7 @@
 	if how == fleet.RunEndFailed {
 		sim.failedRuns[id]++
 	}
+	sim.tracef("%s %s run %d ends %s", e.Endpoint, id, r.run, how)
 	e.ended++
 	e.ends = append(e.ends, fakeEnd{shard.ListedEnd{Number: e.ended, Task: id, Run: r.run, How: how}, sim.now})
 	if e.highest[id] < r.run {
@@ -135,6 +140,12 @@
 // execute applies an order as the platform specifies. isLate is set for an order that is carried out long after
 // it was sent.
 func (sim *simulation) execute(e *fakeEndpoint, o shard.Order, isLate bool) shard.Answer {
+	answer := sim.apply(e, o, isLate)
+	sim.traceExecuted(e, o, answer, isLate)
+	return answer
+}
+
+func (sim *simulation) apply(e *fakeEndpoint, o shard.Order, isLate bool) shard.Answer {
 	if o.Token < e.token && !sim.ignoreFencing {
 		return shard.AnswerFenced
 	}
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -57,8 +57,10 @@
 	startedAt        map[fleet.TaskID]time.Time
 	failedRuns       map[fleet.TaskID]int
 	violations       []string
-	observer         *fakeObserver
-	frozen           bool
+	// trace, if set, is passed what happens.
+	trace    func(string)
+	observer *fakeObserver
+	frozen   bool
 
 	advicePending []pendingAdvice
 	adviceCount   int
--- /dev/null
+++ b/internal/shard/hostile_test.go
@@ -0,0 +1,155 @@
+package shard_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+var (
+	hostileSchedules = flag.Int("hostile-schedules", 20, "how many random schedules of restarts are run with each fault")
+	hostileFirst     = flag.Uint64("hostile-first", 0, "first seed of the random schedules of restarts")
+	traceOrders      = flag.Bool("trace-orders", false, "print the orders that endpoints execute, their answers and the events")
+)
+
+// hostileTime is how long faults are injected, hostileFinish how long the jobs may take afterwards: a run without an
+// answer may be executed for as long as orders are late and the longest lease lasts, and a job has up to three steps.
+const (
+	hostileTime   = 25 * time.Second
+	hostileFinish = 150 * time.Second
+)
+
+// hostileFaults are the faults of calls that are injected beside restarts and cuts, each alone and all together.
+var hostileFaults = []struct {
+	name   string
+	faults networkFaults
+}{
+	{"restarts and cuts", networkFaults{}},
+	{"late starts and stops", networkFaults{delayShare: 0.15}},
+	{"late renewals", networkFaults{delayHoldShare: 0.15}},
+	{"lost answers", networkFaults{loseAnswerShare: 0.1}},
+	{"overtaking answers", networkFaults{overtakeShare: 0.3}},
+	{"all faults", networkFaults{delayShare: 0.1, delayHoldShare: 0.1, loseAnswerShare: 0.05, overtakeShare: 0.2}},
+}
+
+// The invariants hold while endpoints restart, are cut off and return, with tasks that outlast every lease.
+func TestInvariantsHoldOverRestarts(t *testing.T) {
+	for _, c := range hostileFaults {
+		t.Run(c.name, func(t *testing.T) {
+			for n := range uint64(*hostileSchedules) {
+				seed := *hostileFirst + n
+				if violations := runHostileSchedule(t, seed, c.faults); len(violations) > 0 {
+					t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
+				}
+			}
+		})
+	}
+}
+
+// runHostileSchedule runs one random schedule in which most events concern two endpoints, and returns the violations.
+func runHostileSchedule(t *testing.T, seed uint64, faults networkFaults) []string {
+	t.Helper()
+	r := rand.New(rand.NewPCG(seed, 5))
+	sim := newSimulation(seed, 4+r.IntN(3), fleet.Capacity{Millicores: 16000, Memory: 64000})
+	sim.networkFaults = faults
+	if *traceOrders {
+		sim.trace = func(line string) { t.Log(line) }
+	}
+	sim.duration = func(id fleet.TaskID) time.Duration {
+		base := time.Duration(200+(len(id.String())*int(id.Task+7)*131)%1800) * time.Millisecond
+		if id.Task%2 == 1 {
+			return 6 * base // up to 12 s, longer than the longest lease
+		}
+		return base
+	}
+	for end := sim.now.Add(hostileTime); sim.now.Before(end); {
+		sim.hostileEvent(r)
+		sim.run(time.Duration(50+r.IntN(400)) * time.Millisecond)
+	}
+	sim.clearFaults()
+	for end := sim.now.Add(hostileFinish); sim.now.Before(end) && !sim.allEnded(); {
+		sim.run(time.Second)
+	}
+	sim.run(maxOrderDelay)
+	sim.checkJobs()
+	return sim.violations
+}
+
+// hostileEvent applies one random event.
+func (sim *simulation) hostileEvent(r *rand.Rand) {
+	endpoints := sim.sorted()
+	e := endpoints[r.IntN(2)]
+	if r.IntN(5) == 0 {
+		e = endpoints[r.IntN(len(endpoints))]
+	}
+	kind := r.IntN(14)
+	sim.tracef("event %d at %s", kind, e.Endpoint)
+	switch kind {
+	case 0, 1, 2:
+		sim.submit(randomJob(r, fleet.JobID(fmt.Sprintf("job-%d", len(sim.jobs)))))
+	case 3:
+		if !e.dead {
+			sim.restart(e)
+		}
+	case 4: // restarts and is cut off before or after its first answer
+		if !e.dead {
+			sim.restart(e)
+			sim.run(time.Duration(r.IntN(400)) * time.Millisecond)
+			e.unreachable = true
+		}
+	case 5: // crashes behind a cut and starts again
+		if !e.dead {
+			e.unreachable = true
+			sim.crash(e, time.Duration(r.IntN(4000))*time.Millisecond)
+		}
+	case 6:
+		if !e.dead {
+			sim.crash(e, time.Duration(r.IntN(2000))*time.Millisecond)
+		}
+	case 7, 8, 9:
+		e.unreachable, e.mute = false, false
+	case 10:
+		e.unreachable = true
+	case 11:
+		e.mute = true
+	case 12:
+		if r.IntN(4) == 0 {
+			sim.takeOver(sim.previousEnd())
+		}
+	case 13:
+		sim.engine.Vacate(sim.now, e.Endpoint, r.IntN(2) == 0)
+	}
+}
+
+func (sim *simulation) allEnded() bool {
+	for _, j := range sim.jobs {
+		if !sim.state(j.ID).IsFinal() {
+			return false
+		}
+	}
+	return true
+}
+
+// traceExecuted traces an order that an endpoint executes.
+func (sim *simulation) traceExecuted(e *fakeEndpoint, o shard.Order, answer shard.Answer, isLate bool) {
+	if sim.trace == nil {
+		return
+	}
+	late := ""
+	if isLate {
+		late = " late"
+	}
+	sim.tracef("%s start %d%s %s %s run %d for start %d, ack %d, deadline %v: %s, lease %v, ends %d", e.Endpoint, e.StartMillis, late, o.Kind, o.Task, o.Run,
+		o.Process.StartMillis, o.Acknowledged, o.Deadline-e.clock(sim.now), answer, e.deadline-e.clock(sim.now), len(e.ends))
+}
+
+func (sim *simulation) tracef(format string, arguments ...any) {
+	if sim.trace != nil {
+		sim.trace(fmt.Sprintf("%v: ", sim.now.Sub(fakeEpoch)) + fmt.Sprintf(format, arguments...))
+	}
+}
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -42,6 +42,12 @@
 	sim.clearFaults()
 	// A chain of three stragglers takes 30 s, and endpoints may be ejected for 16 s before.
 	sim.run(90 * time.Second)
+	sim.checkJobs()
+	return sim.violations
+}
+
+// checkJobs verifies that all jobs have ended, and that none has failed without cause.
+func (sim *simulation) checkJobs() {
 	for _, j := range sim.jobs {
 		state := sim.state(j.ID)
 		if _, cancelled := sim.cancelled[j.ID]; !cancelled && !state.IsFinal() {
@@ -51,7 +57,6 @@
 			sim.violation("job %s failed after %d failed runs of a task", j.ID, sim.mostFailures(j.ID))
 		}
 	}
-	return sim.violations
 }
 
 // mostFailures returns the most failed runs that any task of a job has had.
