--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -1,8 +1,10 @@
 package shard_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 
@@ -129,11 +131,17 @@
 	for _, j := range sim.jobs {
 		sim.engine.Accept(j)
 	}
-	for _, o := range sim.store.rows {
-		sim.engine.Restore(sim.now, clone(o))
+	for _, j := range sim.jobs {
+		for k := range j.OccurrenceCount() {
+			if o := sim.store.rows[job.Key{Job: j.ID, Occurrence: fleet.Occurrence(k)}]; o != nil {
+				sim.engine.Restore(sim.now, clone(o))
+			}
+		}
 	}
-	for id := range sim.cancelled {
-		sim.engine.Cancel(sim.now, id)
+	for _, j := range sim.jobs {
+		if _, ok := sim.cancelled[j.ID]; ok {
+			sim.engine.Cancel(sim.now, j.ID)
+		}
 	}
 }
 
@@ -186,7 +194,12 @@
 	sim.commit()
 	sim.engine.Plan(sim.now)
 	sim.commit()
-	for _, o := range sim.engine.Orders() {
+	orders := sim.engine.Orders()
+	// Orders for different tasks may be sent in any order; sorted, they make a schedule repeatable.
+	slices.SortStableFunc(orders, func(a, b shard.Order) int {
+		return cmp.Or(cmp.Compare(a.Process.Endpoint, b.Process.Endpoint), cmp.Compare(a.Task.String(), b.Task.String()))
+	})
+	for _, o := range orders {
 		sim.send(o)
 	}
 }
