shard: observe clock steps and takeovers

Answers to starts and stops do not name the process, so a process that answers in place of another one went unnoticed. Its clock starts anew: an answer whose clock does not continue that of the earlier ones is now reported, once until an answer fits again.

At a takeover the log now says how many runs are inherited, how long the predecessor's leases are taken to last, and whether it released the lease.

--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -89,7 +89,8 @@
 	if answer == shard.AnswerUnknown {
 		message = "shard: order without an answer"
 	}
-	o.log.Info(message, append(fields, zap.String("order", string(order.Kind)), zap.String("answer", string(answer)), zap.Duration("after", after))...)
+	o.log.Info(message, append(fields, zap.String("order", string(order.Kind)), zap.String("answer", string(answer)), zap.Duration("after", after),
+		zap.Duration("deadline", order.Deadline))...)
 }
 
 // Ejected implements shard.Observer.
@@ -142,6 +143,13 @@
 	o.log.Warn("shard: foreign run listed", fields...)
 }
 
+// ClockStepped implements shard.Observer.
+func (o *Observer) ClockStepped(s shard.ClockStep) {
+	o.scope.Counter("endpoint_clock_steps").Inc(1)
+	o.log.Warn("shard: endpoint clock stepped", append(processFields(s.Process), zap.String("order", string(s.Order)), zap.Duration("clock", s.Clock),
+		zap.Duration("earliest", s.Earliest), zap.Duration("latest", s.Latest))...)
+}
+
 // Reconnected implements shard.Observer.
 func (o *Observer) Reconnected(at fleet.EndpointID) {
 	o.log.Info("shard: endpoint answers again", zap.String("endpoint", string(at)))
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -97,6 +97,8 @@
 	service fleet.ServiceID
 	// engine is nil for maintenance.
 	engine *shard.Engine
+	// previousEnd is when the leases that earlier holders granted are taken to have expired.
+	previousEnd time.Time
 	// loaded is set once all rows that were committed before the lease was taken are known.
 	loaded   bool
 	progress []*ProgressRow
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -135,7 +135,8 @@
 		Duty: t.Duty, Entry: s.Self.Entry, Incarnation: s.Self.Incarnation, Address: s.Self.Address, Epoch: t.Chain.Epoch, Renewals: 1,
 	})
 	s.Log.Info("scheduler: lease taken", zap.String("duty", string(t.Duty)), zap.Uint64("epoch", uint64(t.Chain.Epoch)),
-		zap.Int("progress-rows", len(t.Progress)), zap.Duration("since-last-renewal", sinceOrZero(now, t.Previous)))
+		zap.Int("progress-rows", len(t.Progress)), zap.Duration("since-last-renewal", sinceOrZero(now, t.Previous)),
+		zap.Bool("released", t.Released))
 	if t.Duty == DutyMaintenance {
 		h.loaded = true
 		s.Duties.Start(h.ctx, s.Maintainer(t.Chain, t, h.release))
@@ -151,6 +152,7 @@
 		}
 		end = end.Add(shard.LeaseLength + shard.LeaseLength/10)
 	}
+	h.previousEnd = end
 	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), end)
 	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
@@ -191,6 +193,8 @@
 		h.engine.Cancel(now, id)
 	}
 	h.progress, h.loaded = nil, true
+	s.Log.Info("scheduler: service loaded", zap.String("duty", string(l.Duty)), zap.Uint64("epoch", uint64(l.Epoch)),
+		zap.Int("inherited", h.engine.InheritedRuns()), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.previousEnd))))
 }
 
 // rowsOf converts a batch to rows.
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -41,6 +41,9 @@
 	Restarted(r Restart)
 	// ForeignListed is called once for each run that an endpoint lists and that is not assigned to it.
 	ForeignListed(f ForeignRun)
+	// ClockStepped is called when the clock of an answer does not continue that of earlier answers: another
+	// process answers, or one of the clocks was suspended.
+	ClockStepped(s ClockStep)
 	// Reconnected is called when an endpoint answers a renewal again after it had missed one.
 	Reconnected(at fleet.EndpointID)
 }
@@ -312,6 +315,19 @@
 // Settled reports whether the leases granted by all earlier holders have expired.
 func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.previousEnd) }
 
+// InheritedRuns counts the runs that the previous holder assigned.
+func (e *Engine) InheritedRuns() int {
+	n := 0
+	for _, w := range e.workers {
+		for _, a := range w.runs {
+			if a.inherited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Fenced reports whether an endpoint has seen the token of a newer holder.
 func (e *Engine) Fenced() bool { return e.fenced }
 
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -108,6 +108,7 @@
 	losses    []shard.Loss
 	restarts  []shard.Restart
 	foreign   []shard.ForeignRun
+	steps     []shard.ClockStep
 }
 
 func (*fakeObserver) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {}
@@ -125,8 +126,9 @@
 func (*fakeObserver) Reconnected(fleet.EndpointID)                     {}
 func (o *fakeObserver) RunLost(loss shard.Loss)                        { o.losses = append(o.losses, loss) }
 func (*fakeObserver) RunsLost(fleet.EndpointID, int, shard.LossReason) {}
-func (o *fakeObserver) Restarted(r shard.Restart) { o.restarts = append(o.restarts, r) }
+func (o *fakeObserver) Restarted(r shard.Restart)                      { o.restarts = append(o.restarts, r) }
 
+func (o *fakeObserver) ClockStepped(s shard.ClockStep)   { o.steps = append(o.steps, s) }
 func (o *fakeObserver) ForeignListed(f shard.ForeignRun) { o.foreign = append(o.foreign, f) }
 
 var fakeEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -100,11 +100,39 @@
 	Evidence Evidence
 }
 
+// ClockStep is an answer whose clock does not continue that of the earlier answers of a process.
+type ClockStep struct {
+	Process fleet.EndpointProcess
+	Order   OrderKind
+	// Clock is the clock of the answer. It was expected between Earliest and Latest.
+	Clock, Earliest, Latest time.Duration
+}
+
+// maxClockStep is the difference, beyond the drift of clocks, that is attributed to transit.
+const maxClockStep = time.Second
+
 // markSeen records evidence that a run has started.
 func (a *assignment) markSeen(now time.Time, evidence Evidence) {
 	a.evidence, a.evidenceAt = evidence, now
 }
 
+// observeClock reports an answer that does not continue the clock of a worker, once until one does.
+func (e *Engine) observeClock(now time.Time, w *worker, r Result) {
+	if w.clock == 0 {
+		return
+	}
+	margin := maxClockStep + now.Sub(w.clockAt)*clockDriftPercent/100
+	step := ClockStep{
+		Process: w.Process(), Order: r.Order.Kind, Clock: r.Clock,
+		Earliest: w.deadline(r.SentAt, -margin), Latest: w.deadline(now, margin),
+	}
+	stepped := step.Clock < step.Earliest || step.Clock > step.Latest
+	if stepped && !w.clockStepped {
+		e.Observer.ClockStepped(step)
+	}
+	w.clockStepped = stepped
+}
+
 // observeLoss reports a run that is given up.
 func (e *Engine) observeLoss(now time.Time, w *worker, a *assignment, loss Loss) {
 	loss.Task, loss.Run, loss.Assigned, loss.Process, loss.Inherited = a.id, a.run, a.process, w.Process(), a.inherited
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -39,6 +39,7 @@
 		w.StartMillis = r.StartMillis
 	}
 	if r.Clock > 0 {
+		e.observeClock(now, w, r)
 		e.updateClock(w, r, now)
 	}
 	// Of consecutive failed renewals only the first is reported.
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -81,6 +81,8 @@
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
+	// clockStepped is set while answers do not continue the clock.
+	clockStepped bool
 	// firstSeen is when the holder learned of the process.
 	firstSeen time.Time
 	// leaseEnd is when all leases that were granted to the process have expired.
