--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -35,6 +35,31 @@
 	Answer   string  `json:"answer"`
 	Ran      float64 `json:"ran"`
 	SinceDue float64 `json:"since-due"`
+
+	// StartedMillis is the start time of the endpoint's process.
+	StartedMillis         int64   `json:"started-ms"`
+	AssignedStartedMillis int64   `json:"assigned-started-ms"`
+	PreviousStartedMillis int64   `json:"previous-started-ms"`
+	CurrentStartedMillis  int64   `json:"current-started-ms"`
+	CurrentEndpoint       string  `json:"current-endpoint"`
+	CurrentRun            int     `json:"current-run"`
+	Evidence              string  `json:"evidence"`
+	EvidenceAge           float64 `json:"evidence-age"`
+	SinceAnswer           float64 `json:"since-answer"`
+	LeaseLeft             float64 `json:"lease-left"`
+	Source                string  `json:"source"`
+	Lost                  int     `json:"runs"`
+	Kept                  int     `json:"kept"`
+	InheritedRuns         int     `json:"inherited-runs"`
+	FromPredecessor       bool    `json:"from-predecessor"`
+	PredecessorLeasesLeft float64 `json:"predecessor-leases-left"`
+	After                 float64 `json:"after"`
+	Deadline              float64 `json:"deadline"`
+	Clock                 float64 `json:"clock"`
+	Earliest              float64 `json:"earliest"`
+	Latest                float64 `json:"latest"`
+	ListClock             float64 `json:"list-clock"`
+	StartedClock          float64 `json:"started-clock"`
 }
 
 // maxLineBytes bounds a line of a log, in bytes.
@@ -109,8 +134,28 @@
 	return e
 }
 
-// cause describes the decision that ended a job, or how far the job came.
+// cause describes the decision that ended a job, or how far the job came, and the first of its foreign runs.
 func cause(lines []logLine, job string) string {
+	outcome, foreign, first := jobOutcome(lines, job), 0, ""
+	for _, l := range lines {
+		if l.Message != "shard: foreign run listed" || l.Job != job {
+			continue
+		}
+		if foreign++; foreign == 1 {
+			first = fmt.Sprintf("run %d of %s at %s", l.Run, l.Task, l.Endpoint)
+			if l.CurrentEndpoint != "" {
+				first += fmt.Sprintf(" while run %d was assigned to %s", l.CurrentRun, l.CurrentEndpoint)
+			}
+		}
+	}
+	if foreign == 0 {
+		return outcome
+	}
+	return fmt.Sprintf("%s; %d foreign runs, first: %s", outcome, foreign, first)
+}
+
+// jobOutcome describes the decision that ended a job, or how far the job came.
+func jobOutcome(lines []logLine, job string) string {
 	stored, refusal := false, ""
 	firstAssigned := -1.0
 	failed, repeated, taken := 0, 0, 0
@@ -124,7 +169,7 @@
 			firstAssigned = l.SinceDue
 		case l.Message == "shard: run ended" && l.How == "failed":
 			failed++
-		case l.Message == "shard: run ended" && l.How != "done", l.Message == "shard: runs of an endpoint given up":
+		case l.Message == "shard: run ended" && l.How != "done", l.Message == "shard: run given up":
 			repeated++
 		case l.Message == "scheduler: lease taken":
 			taken++
@@ -171,23 +216,63 @@
 	row := []string{l.Time, l.Message, cmp.Or(l.Task, l.Duty), l.Endpoint}
 	var details []string
 	for _, d := range []struct{ name, value string }{
-		{"method", l.Method}, {"reason", l.Reason}, {"how", l.How}, {"state", l.State}, {"order", l.Order}, {"answer", l.Answer},
+		{"method", l.Method},
+		{"reason", l.Reason},
+		{"how", l.How},
+		{"state", l.State},
+		{"order", l.Order},
+		{"answer", l.Answer},
+		{"evidence", l.Evidence},
+		{"source", l.Source},
+		{"current-endpoint", l.CurrentEndpoint},
 	} {
 		if d.value != "" {
 			details = append(details, d.name+"="+d.value)
 		}
 	}
-	if l.Status > 0 {
-		details = append(details, fmt.Sprintf("status=%d", l.Status))
-	}
-	if l.Run > 0 {
-		details = append(details, fmt.Sprintf("run=%d", l.Run))
+	for _, d := range []struct {
+		name  string
+		value int64
+	}{
+		{"status", int64(l.Status)},
+		{"run", int64(l.Run)},
+		{"started-ms", l.StartedMillis},
+		{"assigned-started-ms", l.AssignedStartedMillis},
+		{"previous-started-ms", l.PreviousStartedMillis},
+		{"current-run", int64(l.CurrentRun)},
+		{"current-started-ms", l.CurrentStartedMillis},
+		{"runs", int64(l.Lost)},
+		{"kept", int64(l.Kept)},
+		{"inherited-runs", int64(l.InheritedRuns)},
+	} {
+		if d.value != 0 {
+			details = append(details, fmt.Sprintf("%s=%d", d.name, d.value))
+		}
 	}
-	if l.SinceDue > 0 {
-		details = append(details, fmt.Sprintf("since-due=%.2fs", l.SinceDue))
+	for _, d := range []struct {
+		name  string
+		value float64
+	}{
+		{"since-due", l.SinceDue},
+		{"ran", l.Ran},
+		{"after", l.After},
+		{"evidence-age", l.EvidenceAge},
+		{"since-answer", l.SinceAnswer},
+		{"lease-left", l.LeaseLeft},
+		{"predecessor-leases-left", l.PredecessorLeasesLeft},
+		{"deadline", l.Deadline},
+		{"clock", l.Clock},
+		{"earliest", l.Earliest},
+		{"latest", l.Latest},
+		{"list-clock", l.ListClock},
+		{"started-clock", l.StartedClock},
+	} {
+		if d.value != 0 {
+			details = append(details, fmt.Sprintf("%s=%.2fs", d.name, d.value))
+		}
 	}
-	if l.Ran > 0 {
-		details = append(details, fmt.Sprintf("ran=%.2fs", l.Ran))
+	if l.FromPredecessor {
+		details = append(details, "from-predecessor")
 	}
 	return append(row, strings.Join(details, " "))
 }
--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -102,16 +102,16 @@
 // RunLost implements shard.Observer.
 func (o *Observer) RunLost(l shard.Loss) {
 	o.scope.Tagged(map[string]string{"reason": string(l.Reason)}).Counter("job_runs_given_up").Inc(1)
+	if l.Reason == shard.LossRejected {
+		return // Rejected logs the order of the run.
+	}
 	fields := append(runFields(l.Task, l.Run, l.Process), zap.String("reason", string(l.Reason)), zap.String("evidence", string(l.Evidence)),
 		zap.Duration("evidence-age", l.EvidenceAge), zap.Duration("since-answer", l.SinceAnswer), zap.Duration("lease-left", l.LeaseLeft))
-	if l.Answer != "" {
-		fields = append(fields, zap.String("answer", string(l.Answer)))
-	}
 	if l.Assigned.StartMillis != l.Process.StartMillis {
 		fields = append(fields, zap.Int64("assigned-started-ms", l.Assigned.StartMillis))
 	}
 	if l.Inherited {
-		fields = append(fields, zap.Bool("inherited", true))
+		fields = append(fields, zap.Bool("from-predecessor", true))
 	}
 	if l.Reason == shard.LossNotListed {
 		fields = append(fields, zap.Duration("list-clock", l.ListClock), zap.Duration("started-clock", l.StartedClock))
@@ -121,6 +121,9 @@
 
 // RunsLost implements shard.Observer.
 func (o *Observer) RunsLost(at fleet.EndpointID, lost int, reason shard.LossReason) {
+	if lost == 0 {
+		return
+	}
 	o.log.Warn("shard: runs of an endpoint given up", zap.String("endpoint", string(at)), zap.Int("runs", lost), zap.String("reason", string(reason)))
 }
 
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -194,7 +194,7 @@
 	}
 	h.progress, h.loaded = nil, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(l.Duty)), zap.Uint64("epoch", uint64(l.Epoch)),
-		zap.Int("inherited", h.engine.InheritedRuns()), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.previousEnd))))
+		zap.Int("inherited-runs", h.engine.InheritedRuns()), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.previousEnd))))
 }
 
 // rowsOf converts a batch to rows.
