--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -125,7 +125,7 @@
 	for _, l := range lines {
 		inRange := l.Time >= first && l.Time <= last
 		ofJob := l.Job == job
-		related := inRange && l.Job == "" && (service != "" && l.Duty == "jobs-"+service || endpoints[l.Endpoint] && strings.HasPrefix(l.Message, "shard:"))
+		related := inRange && l.Job == "" && (service != "" && l.Duty == "jobs-"+service || endpoints[l.Endpoint] && (strings.HasPrefix(l.Message, "shard:") || strings.HasPrefix(l.Message, "lease:")))
 		if ofJob || related {
 			e.Lines = append(e.Lines, l)
 		}
@@ -138,7 +138,7 @@
 func cause(lines []logLine, job string) string {
 	outcome, foreign, first := jobOutcome(lines, job), 0, ""
 	for _, l := range lines {
-		if l.Message != "shard: foreign run listed" || l.Job != job {
+		if l.Message != "lease: foreign run listed" || l.Job != job {
 			continue
 		}
 		if foreign++; foreign == 1 {
@@ -169,7 +169,7 @@
 			firstAssigned = l.SinceDue
 		case l.Message == "shard: run ended" && l.How == "failed":
 			failed++
-		case l.Message == "shard: run ended" && l.How != "done", l.Message == "shard: run given up":
+		case l.Message == "shard: run ended" && l.How != "done", l.Message == "lease: run given up":
 			repeated++
 		case l.Message == "scheduler: lease taken":
 			taken++
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -21,14 +21,14 @@
 not a log line
 `
 	holderLog = `{"ts":"2026-01-01T00:00:02Z","msg":"shard: task assigned","service":"s","job":"aa","task":"aa.0.0.0","run":1,"endpoint":"i-1","since-due":1.5}
-{"ts":"2026-01-01T00:00:03Z","msg":"shard: runs of an endpoint given up","service":"s","endpoint":"i-1","runs":1,"reason":"restarted"}
-{"ts":"2026-01-01T00:00:03Z","msg":"shard: run given up","service":"s","job":"aa","task":"aa.0.0.0","run":1,"endpoint":"i-1","started-ms":2001,"assigned-started-ms":1001,"reason":"restarted","evidence":"start-answered","evidence-age":0.25,"since-answer":0.25,"lease-left":3.5}
-{"ts":"2026-01-01T00:00:03Z","msg":"shard: endpoint restarted","service":"s","endpoint":"i-1","started-ms":2001,"previous-started-ms":1001,"source":"registry","runs":1,"kept":0}
+{"ts":"2026-01-01T00:00:03Z","msg":"lease: runs of an endpoint given up","service":"s","endpoint":"i-1","runs":1,"reason":"restarted"}
+{"ts":"2026-01-01T00:00:03Z","msg":"lease: run given up","service":"s","job":"aa","task":"aa.0.0.0","run":1,"endpoint":"i-1","started-ms":2001,"assigned-started-ms":1001,"reason":"restarted","evidence":"start-answered","evidence-age":0.25,"since-answer":0.25,"lease-left":3.5}
+{"ts":"2026-01-01T00:00:03Z","msg":"lease: endpoint restarted","service":"s","endpoint":"i-1","started-ms":2001,"previous-started-ms":1001,"source":"registry","runs":1,"kept":0}
 {"ts":"2026-01-01T00:00:03.5Z","msg":"shard: endpoint set aside","service":"s","endpoint":"i-9"}
 {"ts":"2026-01-01T00:00:04Z","msg":"shard: run ended","service":"s","job":"aa","task":"aa.0.0.0","run":2,"endpoint":"i-2","how":"done","ran":0.5}
 {"ts":"2026-01-01T00:00:04Z","msg":"shard: job ended","service":"s","job":"aa","state":"completed","since-due":3}
 {"ts":"2026-01-01T00:00:05Z","msg":"shard: task assigned","service":"s","job":"dd","task":"dd.0.0.0","run":2,"endpoint":"i-2","since-due":1}
-{"ts":"2026-01-01T00:00:06Z","msg":"shard: foreign run listed","service":"s","job":"dd","task":"dd.0.0.0","run":1,"endpoint":"i-1","started-ms":2001,"clock":12.5,"current-run":2,"current-endpoint":"i-2","current-started-ms":3001,"evidence":"listed"}
+{"ts":"2026-01-01T00:00:06Z","msg":"lease: foreign run listed","service":"s","job":"dd","task":"dd.0.0.0","run":1,"endpoint":"i-1","started-ms":2001,"clock":12.5,"current-run":2,"current-endpoint":"i-2","current-started-ms":3001,"evidence":"listed"}
 `
 )
 
--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -10,7 +10,8 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Observer logs and counts the decisions of one service.
+// Observer logs and counts the decisions of one service. Messages about leases have a prefix of their own, so that
+// the rate limit of the log keeps them when there are many assignments and orders.
 type Observer struct {
 	log   *zap.Logger
 	scope tally.Scope
@@ -49,7 +50,7 @@
 // LateEnd implements shard.Observer.
 func (o *Observer) LateEnd(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, how fleet.RunEnd) {
 	o.countEnd(how)
-	o.log.Info("shard: run ended after it was given up", append(runFields(id, run, at), zap.String("how", string(how)))...)
+	o.log.Info("lease: run ended after it was given up", append(runFields(id, run, at), zap.String("how", string(how)))...)
 }
 
 func (o *Observer) countEnd(how fleet.RunEnd) {
@@ -116,7 +117,7 @@
 	if l.Reason == shard.LossNotListed {
 		fields = append(fields, zap.Duration("list-clock", l.ListClock), zap.Duration("started-clock", l.StartedClock))
 	}
-	o.log.Info("shard: run given up", fields...)
+	o.log.Info("lease: run given up", fields...)
 }
 
 // RunsLost implements shard.Observer.
@@ -124,13 +125,13 @@
 	if lost == 0 {
 		return
 	}
-	o.log.Warn("shard: runs of an endpoint given up", zap.String("endpoint", string(at)), zap.Int("runs", lost), zap.String("reason", string(reason)))
+	o.log.Warn("lease: runs of an endpoint given up", zap.String("endpoint", string(at)), zap.Int("runs", lost), zap.String("reason", string(reason)))
 }
 
 // Restarted implements shard.Observer.
 func (o *Observer) Restarted(r shard.Restart) {
 	o.scope.Tagged(map[string]string{"source": string(r.Source)}).Counter("endpoints_restarted").Inc(1)
-	o.log.Warn("shard: endpoint restarted", append(processFields(r.Process), zap.Int64("previous-started-ms", r.PreviousStartMillis),
+	o.log.Warn("lease: endpoint restarted", append(processFields(r.Process), zap.Int64("previous-started-ms", r.PreviousStartMillis),
 		zap.String("source", string(r.Source)), zap.Duration("since-answer", r.SinceAnswer), zap.Int("runs", r.Lost), zap.Int("kept", r.Kept),
 		zap.Duration("lease-left", r.LeaseLeft))...)
 }
@@ -143,13 +144,13 @@
 		fields = append(fields, zap.String("current-endpoint", string(f.Current.Endpoint)), zap.Int64("current-started-ms", f.Current.StartMillis),
 			zap.String("evidence", string(f.Evidence)))
 	}
-	o.log.Warn("shard: foreign run listed", fields...)
+	o.log.Warn("lease: foreign run listed", fields...)
 }
 
 // ClockStepped implements shard.Observer.
 func (o *Observer) ClockStepped(s shard.ClockStep) {
 	o.scope.Counter("endpoint_clock_steps").Inc(1)
-	o.log.Warn("shard: endpoint clock stepped", append(processFields(s.Process), zap.String("order", string(s.Order)), zap.Duration("clock", s.Clock),
+	o.log.Warn("lease: endpoint clock stepped", append(processFields(s.Process), zap.String("order", string(s.Order)), zap.Duration("clock", s.Clock),
 		zap.Duration("earliest", s.Earliest), zap.Duration("latest", s.Latest))...)
 }
 
