--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -10,7 +10,8 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Observer logs and counts the decisions of one service.
+// Observer logs and counts the decisions of one service. Messages about leases have a prefix of their own, so that
+// the rate limit of the log keeps them when there are many assignments and orders.
 type Observer struct {
 	log   *zap.Logger
 	scope tally.Scope
@@ -49,7 +50,7 @@
 // LateEnd implements shard.Observer.
 func (o *Observer) LateEnd(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, how fleet.RunEnd) {
 	o.countEnd(how)
-	o.log.Info("shard: run ended after it was given up", append(runFields(id, run, at), zap.String("how", string(how)))...)
+	o.log.Info("lease: run ended after it was given up", append(runFields(id, run, at), zap.String("how", string(how)))...)
 }
 
 func (o *Observer) countEnd(how fleet.RunEnd) {
@@ -89,7 +90,8 @@
 	if answer == shard.AnswerUnknown {
 		message = "shard: order without an answer"
 	}
-	o.log.Info(message, append(fields, zap.String("order", string(order.Kind)), zap.String("answer", string(answer)), zap.Duration("after", after))...)
+	o.log.Info(message, append(fields, zap.String("order", string(order.Kind)), zap.String("answer", string(answer)), zap.Duration("after", after),
+		zap.Duration("deadline", order.Deadline))...)
 }
 
 // Ejected implements shard.Observer.
@@ -101,32 +103,35 @@
 // RunLost implements shard.Observer.
 func (o *Observer) RunLost(l shard.Loss) {
 	o.scope.Tagged(map[string]string{"reason": string(l.Reason)}).Counter("job_runs_given_up").Inc(1)
+	if l.Reason == shard.LossRejected {
+		return // Rejected logs the order of the run.
+	}
 	fields := append(runFields(l.Task, l.Run, l.Process), zap.String("reason", string(l.Reason)), zap.String("evidence", string(l.Evidence)),
 		zap.Duration("evidence-age", l.EvidenceAge), zap.Duration("since-answer", l.SinceAnswer), zap.Duration("lease-left", l.LeaseLeft))
-	if l.Answer != "" {
-		fields = append(fields, zap.String("answer", string(l.Answer)))
-	}
 	if l.Assigned.StartMillis != l.Process.StartMillis {
 		fields = append(fields, zap.Int64("assigned-started-ms", l.Assigned.StartMillis))
 	}
 	if l.Inherited {
-		fields = append(fields, zap.Bool("inherited", true))
+		fields = append(fields, zap.Bool("from-predecessor", true))
 	}
 	if l.Reason == shard.LossNotListed {
 		fields = append(fields, zap.Duration("list-clock", l.ListClock), zap.Duration("started-clock", l.StartedClock))
 	}
-	o.log.Info("shard: run given up", fields...)
+	o.log.Info("lease: run given up", fields...)
 }
 
 // RunsLost implements shard.Observer.
 func (o *Observer) RunsLost(at fleet.EndpointID, lost int, reason shard.LossReason) {
-	o.log.Warn("shard: runs of an endpoint given up", zap.String("endpoint", string(at)), zap.Int("runs", lost), zap.String("reason", string(reason)))
+	if lost == 0 {
+		return
+	}
+	o.log.Warn("lease: runs of an endpoint given up", zap.String("endpoint", string(at)), zap.Int("runs", lost), zap.String("reason", string(reason)))
 }
 
 // Restarted implements shard.Observer.
 func (o *Observer) Restarted(r shard.Restart) {
 	o.scope.Tagged(map[string]string{"source": string(r.Source)}).Counter("endpoints_restarted").Inc(1)
-	o.log.Warn("shard: endpoint restarted", append(processFields(r.Process), zap.Int64("previous-started-ms", r.PreviousStartMillis),
+	o.log.Warn("lease: endpoint restarted", append(processFields(r.Process), zap.Int64("previous-started-ms", r.PreviousStartMillis),
 		zap.String("source", string(r.Source)), zap.Duration("since-answer", r.SinceAnswer), zap.Int("runs", r.Lost), zap.Int("kept", r.Kept),
 		zap.Duration("lease-left", r.LeaseLeft))...)
 }
@@ -139,7 +144,14 @@
 		fields = append(fields, zap.String("current-endpoint", string(f.Current.Endpoint)), zap.Int64("current-started-ms", f.Current.StartMillis),
 			zap.String("evidence", string(f.Evidence)))
 	}
-	o.log.Warn("shard: foreign run listed", fields...)
+	o.log.Warn("lease: foreign run listed", fields...)
+}
+
+// ClockStepped implements shard.Observer.
+func (o *Observer) ClockStepped(s shard.ClockStep) {
+	o.scope.Counter("endpoint_clock_steps").Inc(1)
+	o.log.Warn("lease: endpoint clock stepped", append(processFields(s.Process), zap.String("order", string(s.Order)), zap.Duration("clock", s.Clock),
+		zap.Duration("earliest", s.Earliest), zap.Duration("latest", s.Latest))...)
 }
 
 // Reconnected implements shard.Observer.
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -41,6 +41,9 @@
 	Restarted(r Restart)
 	// ForeignListed is called once for each run that an endpoint lists and that is not assigned to it.
 	ForeignListed(f ForeignRun)
+	// ClockStepped is called when the clock of an answer does not continue that of earlier answers: another
+	// process answers, or one of the clocks was suspended.
+	ClockStepped(s ClockStep)
 	// Reconnected is called when an endpoint answers a renewal again after it had missed one.
 	Reconnected(at fleet.EndpointID)
 }
@@ -169,7 +172,7 @@
 			task := &o.Tasks[s][t]
 			entry.started = entry.started || task.LastEnded > 0
 			if task.Running() {
-				w := e.workerOf(now, task.Process)
+				w := e.workerOf(task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, fenced: true, evidence: EvidenceNone})
@@ -182,10 +185,10 @@
 // workerOf returns the worker of an endpoint, and creates it when the endpoint is known from an assignment
 // only. An assignment to an earlier process of the endpoint stays with the same worker, because only the
 // endpoint's first answer shows which process is running.
-func (e *Engine) workerOf(now time.Time, p fleet.EndpointProcess) *worker {
+func (e *Engine) workerOf(p fleet.EndpointProcess) *worker {
 	w := e.workers[p.Endpoint]
 	if w == nil {
-		w = newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
+		w = newWorker(EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
 		w.leaseEnd = e.previousEnd
 		e.setWorker(w)
 	}
@@ -314,6 +317,19 @@
 // Settled reports whether the leases granted by all earlier holders have expired.
 func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.previousEnd) }
 
+// InheritedRuns counts the runs that the previous holder assigned.
+func (e *Engine) InheritedRuns() int {
+	n := 0
+	for _, w := range e.workers {
+		for _, a := range w.runs {
+			if a.inherited {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Fenced reports whether an endpoint has seen the token of a newer holder.
 func (e *Engine) Fenced() bool { return e.fenced }
 
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -84,6 +84,7 @@
 	losses    []shard.Loss
 	restarts  []shard.Restart
 	foreign   []shard.ForeignRun
+	steps     []shard.ClockStep
 }
 
 func (*fakeObserver) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {}
@@ -103,6 +104,7 @@
 func (*fakeObserver) RunsLost(fleet.EndpointID, int, shard.LossReason) {}
 func (o *fakeObserver) Restarted(r shard.Restart)                      { o.restarts = append(o.restarts, r) }
 
+func (o *fakeObserver) ClockStepped(s shard.ClockStep)   { o.steps = append(o.steps, s) }
 func (o *fakeObserver) ForeignListed(f shard.ForeignRun) { o.foreign = append(o.foreign, f) }
 
 var fakeEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -63,7 +63,7 @@
 	for _, a := range w.runs {
 		e.markLost(now, w, a, Loss{Reason: reason})
 	}
-	successor := newWorker(now, next)
+	successor := newWorker(next)
 	successor.listed, successor.cordonedUntil = w.listed, w.cordonedUntil
 	e.setWorker(successor)
 	return successor
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -44,7 +44,10 @@
 		}
 		w.StartMillis = r.StartMillis
 	}
-	w.updateClock(now, r)
+	if r.Clock > 0 {
+		e.observeClock(now, w, r)
+		w.updateClock(now, r)
+	}
 	// Of consecutive failed renewals only the first is reported.
 	repeated := r.Order.Kind == OrderHold && w.missed
 	switch r.Order.Kind {
@@ -64,9 +67,6 @@
 // other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of arrival never
 // runs ahead of the endpoint, and a lease never lasts longer than assumed.
 func (w *worker) updateClock(now time.Time, r Result) {
-	if r.Clock <= 0 {
-		return
-	}
 	w.lastAnswerAt = later(w.lastAnswerAt, now)
 	if r.Order.Kind == OrderHold && r.Answer == AnswerDone && r.Clock >= w.clock {
 		w.clock, w.clockAt = r.Clock, now
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -85,9 +85,8 @@
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
-	// firstSeen is when the holder learned of the process. An answer to an order that was sent before may come
-	// from an earlier process.
-	firstSeen time.Time
+	// clockStepped is set while answers do not continue the clock.
+	clockStepped bool
 	// leaseEnd is when all leases that were granted to the process have expired.
 	leaseEnd time.Time
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
@@ -152,8 +151,8 @@
 	stopRetryInterval = 500 * time.Millisecond
 )
 
-func newWorker(now time.Time, info EndpointInfo) *worker {
-	return &worker{EndpointInfo: info, runs: map[fleet.TaskID]*assignment{}, firstSeen: now}
+func newWorker(info EndpointInfo) *worker {
+	return &worker{EndpointInfo: info, runs: map[fleet.TaskID]*assignment{}}
 }
 
 // deadline returns the end of a lease of the given length on the endpoint's clock.
