shard: test observations of renewals and takeovers

An unreachable endpoint is reported once for each outage, and a takeover shows how many runs the new holder inherits.

--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -109,6 +109,7 @@
 	restarts  []shard.Restart
 	foreign   []shard.ForeignRun
 	steps     []shard.ClockStep
+	rejected  []shard.Order
 }
 
 func (*fakeObserver) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {}
@@ -119,7 +120,10 @@
 func (*fakeObserver) LateEnd(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, fleet.RunEnd) {}
 func (*fakeObserver) JobEnded(fleet.JobID, fleet.JobState, time.Duration)                        {}
 func (*fakeObserver) Cancelled(fleet.JobID)                                                      {}
-func (*fakeObserver) Rejected(shard.Order, shard.Answer, time.Duration)                          {}
+func (o *fakeObserver) Rejected(order shard.Order, _ shard.Answer, _ time.Duration) {
+	o.rejected = append(o.rejected, order)
+}
+
 func (o *fakeObserver) Ejected(at fleet.EndpointID, _ int, _ time.Duration) {
 	o.ejections[at]++
 }
--- a/internal/shard/observation_test.go
+++ b/internal/shard/observation_test.go
@@ -152,3 +152,30 @@
 	is.Equal(s.Process, e.Process())
 	is.True(s.Clock < s.Earliest)
 }
+
+// Guards against a report for each renewal that an unreachable endpoint does not answer.
+func TestUnansweredRenewalsAreObservedOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 1, worker64)
+	sim.run(2 * time.Second)
+	for outage := 1; outage <= 2; outage++ {
+		sim.sorted()[0].unreachable = true
+		sim.run(8 * time.Second)
+		is.Equal(len(sim.observer.rejected), outage)
+		is.Equal(sim.observer.rejected[outage-1].Kind, shard.OrderHold)
+		sim.sorted()[0].unreachable = false
+		sim.run(3 * time.Second)
+	}
+}
+
+// Guards against a takeover that does not show how many runs the new holder has to wait for.
+func TestInheritedRunsAreCounted(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2, worker64)
+	sim.duration = func(fleet.TaskID) time.Duration { return 30 * time.Second }
+	sim.submit(batchJob("job", 3, 1000))
+	sim.run(3 * time.Second)
+	is.Equal(sim.engine.InheritedRuns(), 0)
+	sim.takeOver(sim.now.Add(5 * time.Second))
+	is.Equal(sim.engine.InheritedRuns(), 3)
+}
