--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -97,6 +97,8 @@
 	service fleet.ServiceID
 	// engine is nil for maintenance.
 	engine *shard.Engine
+	// previousEnd is when the leases that earlier holders granted are taken to have expired.
+	previousEnd time.Time
 	// loaded is set once all rows that were committed before the lease was taken are known.
 	loaded   bool
 	progress []*ProgressRow
@@ -105,8 +107,9 @@
 	release      *ring.Ring[struct{}]
 	writing      bool
 	batchWriting bool
+	renewing     bool
 	renewedAt    time.Time
-	// confirmedAt is when the last transaction that took effect was sent.
+	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
 	confirmedAt time.Time
 	releasing   bool
 	links       *links
@@ -158,7 +161,7 @@
 	case e.Config != nil:
 		s.applyConfig(e.Config)
 	case e.Result != nil:
-		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Token {
+		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Epoch {
 			h.links.answered(now, e.Result.Order)
 			h.engine.Apply(now, *e.Result)
 			if h.engine.Fenced() {
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -42,6 +42,12 @@
 	sim.clearFaults()
 	// A chain of three stragglers takes 30 s, and endpoints may be ejected for 16 s before.
 	sim.run(90 * time.Second)
+	sim.checkJobs()
+	return sim.violations
+}
+
+// checkJobs verifies that all jobs have ended, and that none has failed without cause.
+func (sim *simulation) checkJobs() {
 	for _, j := range sim.jobs {
 		state := sim.state(j.ID)
 		if _, cancelled := sim.cancelled[j.ID]; !cancelled && !state.IsFinal() {
@@ -51,7 +57,6 @@
 			sim.violation("job %s failed after %d failed runs of a task", j.ID, sim.mostFailures(j.ID))
 		}
 	}
-	return sim.violations
 }
 
 // mostFailures returns the most failed runs that any task of a job has had.
@@ -93,7 +98,7 @@
 		if !sim.commitAt.IsZero() && r.IntN(2) == 0 {
 			sim.commitNow()
 		}
-		sim.takeOver(sim.now.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10))
+		sim.takeOver(sim.previousEnd())
 	case 12:
 		e.Draining = !e.Draining
 		sim.list()
@@ -102,27 +107,16 @@
 	}
 }
 
-// restart replaces an endpoint's process by another one under its id.
-func (sim *simulation) restart(e *fakeEndpoint) {
-	e.StartMillis++
-	e.began, e.deadline, e.token = sim.now, time.Time{}, 0
-	e.running, e.highest = map[fleet.TaskID]*fakeRun{}, map[fleet.TaskID]fleet.RunNumber{}
-	e.ends, e.ended = nil, 0
-	held := e.held
-	e.held, e.heldAt = nil, nil
-	for _, o := range held { // its connections are closed
-		if o.Token == sim.epoch && !sim.frozen {
-			sim.engine.Apply(sim.now, shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now})
-		}
-	}
-	sim.listAt = sim.now.Add(time.Duration(sim.random.IntN(3)) * 400 * time.Millisecond) // the registry shows it later
+// previousEnd returns when the leases of a holder that ends now have expired, as the next holder computes it.
+func (sim *simulation) previousEnd() time.Time {
+	return sim.now.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10)
 }
 
 // clearFaults ends all faults.
 func (sim *simulation) clearFaults() {
-	sim.storeDown, sim.delayShare = false, 0
+	sim.storeDown, sim.networkFaults = false, networkFaults{}
 	for _, e := range sim.endpoints {
-		e.unreachable, e.failAll, e.stall, e.Draining = false, false, false, false
+		e.unreachable, e.mute, e.failAll, e.stall, e.Draining = false, false, false, false, false
 	}
 	sim.list()
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -13,6 +13,10 @@
 	if w == nil {
 		return
 	}
+	if e.isForEarlierProcess(w, r.Order) {
+		e.applyForEarlierProcess(now, w, r)
+		return
+	}
 	if r.Order.Kind == OrderHold && r.Order.Address == w.Address {
 		w.holdInFlight = false
 	}
@@ -21,24 +25,28 @@
 		return
 	}
 	if r.Answer == AnswerGone && w.Address == r.Order.Address && w.StartMillis == r.Order.Process.StartMillis {
-		e.replaceWorker(now, w, w.EndpointInfo, "another process listens at its address")
+		e.Observer.RunsLost(w.Endpoint, len(w.runs), LossGone)
+		e.replaceWorker(now, w, w.EndpointInfo, LossGone)
 		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
 		return
 	}
+	if r.Answer == AnswerGone {
+		r.Clock, r.StartMillis = 0, 0 // They are those of another endpoint.
+	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
-		if w.StartMillis != 0 && r.StartMillis < w.StartMillis {
-			return
-		}
 		next := w.EndpointInfo
 		next.StartMillis = r.StartMillis
 		if w.StartMillis != 0 {
-			e.handleRestart(now, w, next)
-			w = e.workers[r.Order.Process.Endpoint]
+			// The list may be older than orders that are on their way. The next one, with the token of the
+			// new process, is not.
+			e.hold(now, e.handleRestart(now, w, next, RestartInAnswer))
+			return
 		}
 		w.StartMillis = r.StartMillis
 	}
 	if r.Clock > 0 {
-		e.updateClock(w, r, now)
+		e.observeClock(now, w, r)
+		w.updateClock(now, r)
 	}
 	// Of consecutive failed renewals only the first is reported.
 	repeated := r.Order.Kind == OrderHold && w.missed
@@ -48,23 +56,31 @@
 	case OrderStart:
 		e.applyStart(now, w, r)
 	case OrderStop:
-		e.applyStop(w, r)
+		e.applyStop(now, w, r)
 	}
 	if r.Answer != AnswerDone && !repeated {
-		e.Observer.Rejected(r.Order, r.Answer)
+		e.Observer.Rejected(r.Order, r.Answer, since(now, r.SentAt))
 	}
 }
 
-// updateClock updates the estimate of the endpoint's clock. The clock was read before the answer arrived, so
-// an estimate from the time of arrival never runs ahead of the endpoint, and a lease never lasts longer than
-// assumed.
-func (e *Engine) updateClock(w *worker, r Result, now time.Time) {
+// updateClock updates the estimate of the endpoint's clock from a list: each process has a clock of its own, and
+// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of arrival never
+// runs ahead of the endpoint, and a lease never lasts longer than assumed.
+func (w *worker) updateClock(now time.Time, r Result) {
 	w.lastAnswerAt = later(w.lastAnswerAt, now)
-	if r.Clock >= w.clock {
+	if r.Order.Kind == OrderHold && r.Answer == AnswerDone && r.Clock >= w.clock {
 		w.clock, w.clockAt = r.Clock, now
 	}
 }
 
+// applyForEarlierProcess processes the answer to an order that was created for an earlier process. Either process
+// may have given it, so only a rejection settles anything: the next list shows whether a start was accepted.
+func (e *Engine) applyForEarlierProcess(now time.Time, w *worker, r Result) {
+	if a := w.runs[r.Order.Task]; r.Order.Kind == OrderStart && a != nil && a.run == r.Order.Run && r.Answer.isRejection() {
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
+	}
+}
+
 func (e *Engine) applyStart(now time.Time, w *worker, r Result) {
 	a := w.runs[r.Order.Task]
 	if a == nil || a.run != r.Order.Run {
@@ -74,38 +90,43 @@
 	case AnswerDone:
 		e.markStarted(a.id.Job)
 		if a.phase == phaseOrdered {
-			a.phase = phaseStarted
-			a.startedClock, a.startedAt = r.Clock, now
+			a.markSeen(now, EvidenceAnswer)
+			a.phase, a.startedAt = phaseStarted, now
+			// Whichever process answered, its clock shows the lease that it granted.
+			a.leaseEnd = leaseEnd(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
 	case AnswerOld:
 		// The endpoint lists the run as ended, or a stop for it arrived first.
-		e.markLost(now, w, a, a.id)
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
 	case AnswerNoRoom:
 		w.full = true
-		e.markLost(now, w, a, a.id)
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
 		w.full = true
 	case AnswerNoTicket:
 		e.dropTicket(now, a.id, w)
-		e.markLost(now, w, a, a.id)
-	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent:
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
+	case AnswerLate, AnswerBusy, AnswerInvalid, AnswerUnsent, AnswerGone:
 		e.avoid[a.id] = w.Endpoint
-		e.markLost(now, w, a, a.id)
+		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
 		if r.Answer == AnswerBusy {
 			e.recordFailure(now, w, a.id.Job)
 		}
 	default:
+		if a.evidence == EvidenceList {
+			return // Only the answer was lost.
+		}
 		// The start may still be executed later. A stop that is answered rules that out.
+		a.leaseEnd = leaseEnd(now, e.Bounds.MaxLease)
 		e.avoid[a.id] = w.Endpoint
 		e.stop(now, w, a.id)
 	}
 }
 
 // applyStop records that a run can no longer start. If it ran, the endpoint lists its end.
-func (e *Engine) applyStop(w *worker, r Result) {
+func (e *Engine) applyStop(now time.Time, w *worker, r Result) {
 	a := w.runs[r.Order.Task]
-	if a != nil && a.run == r.Order.Run && r.Answer == AnswerDone && a.phase == phaseStopping {
-		a.stopAcked = true
-		a.startedClock = max(a.startedClock, r.Clock)
+	if a != nil && a.run == r.Order.Run && r.Answer == AnswerDone && a.phase == phaseStopping && !a.stopAcked {
+		a.stopAcked, a.stopAckedAt = true, now
 	}
 }
 
@@ -125,6 +146,11 @@
 		w.contacted = true
 		w.nextHoldAt = now
 	}
+	if w.mayHoldLongestLease {
+		// From now on the process rejects orders that were meant for an earlier one.
+		w.mayHoldLongestLease = false
+		w.extendLease(now, e.Bounds.MaxLease)
+	}
 	for _, end := range r.Ends {
 		if end.Number > w.cursor {
 			w.cursor = end.Number
@@ -136,32 +162,32 @@
 		listed[run.Task] = run.Run
 		e.applyRunning(now, w, run, r.Clock)
 	}
+	w.forgetForeign(listed)
 	for id, a := range w.runs {
 		if run, ok := listed[id]; ok && run == a.run {
 			continue
 		}
-		if a.maybeMisdirected && a.phase == phaseOrdered {
-			e.stop(now, w, id)
-		}
-		if e.missing(a, r) {
-			e.markLost(now, w, a, id)
+		if a.isMissing(r) {
+			e.markLost(now, w, a, Loss{Reason: LossNotListed, ListClock: r.Clock})
 		}
 	}
 }
 
-// missing reports whether a run that an endpoint does not list is certainly not executing there.
-func (e *Engine) missing(a *assignment, r Result) bool {
-	switch a.phase {
-	case phaseStarted:
-		return r.Clock > a.startedClock
-	case phaseOrdered:
-		// Orders of the previous holder are rejected once the endpoint has seen this holder's token.
-		return a.inherited
-	case phaseStopping:
+// isMissing reports whether a run that an endpoint does not list is certainly not executing there. A list says
+// nothing about an answer that arrived after it was requested, and nothing about a run whose end it may lack.
+func (a *assignment) isMissing(r Result) bool {
+	switch {
+	case a.phase == phasePlanned || r.MoreEnds:
+		return false
+	case a.evidence == EvidenceList:
+		return r.Clock > a.listedClock
+	case a.fenced:
+		return true
+	case a.phase == phaseStopping:
 		// An answered stop rules out a later start.
-		return a.stopAcked && r.Clock > a.startedClock
+		return a.stopAcked && r.SentAt.After(a.stopAckedAt)
 	}
-	return false
+	return a.evidence == EvidenceAnswer && r.SentAt.After(a.evidenceAt)
 }
 
 func (e *Engine) applyRunning(now time.Time, w *worker, run ListedRun, clock time.Duration) {
@@ -169,14 +195,17 @@
 	a := w.runs[run.Task]
 	o := e.occurrence(run.Task)
 	if a == nil || a.run != run.Run || o == nil {
+		e.observeForeign(w, run, o, clock)
 		e.stopForeign(now, w, run, o)
 		return
 	}
+	a.markSeen(now, EvidenceList)
+	a.listedClock = max(a.listedClock, clock)
 	if run.Checkpoint != "" {
 		o.Task(run.Task).Checkpoint = run.Checkpoint
 	}
 	if a.phase == phaseOrdered {
-		a.phase, a.startedClock = phaseStarted, clock
+		a.phase = phaseStarted
 		if a.startedAt.IsZero() {
 			a.startedAt = now
 		}
@@ -236,7 +265,7 @@
 	if !a.startedAt.IsZero() {
 		ran = now.Sub(a.startedAt)
 	}
-	e.Observer.RunEnded(end.Task, end.Run, w.Endpoint, end.How, ran)
+	e.Observer.RunEnded(end.Task, end.Run, w.Process(), end.How, ran)
 	wasEnded := o.State.IsFinal()
 	if !o.End(now, end.Task, end.Run, end.How, end.Checkpoint, e.policy(o.Job.Queue).MaxAttempts) {
 		return
@@ -271,7 +300,7 @@
 		return
 	}
 	e.dirty[o.Key()] = true
-	e.Observer.RunEnded(end.Task, end.Run, w.Endpoint, end.How, 0)
+	e.Observer.LateEnd(end.Task, end.Run, w.Process(), end.How)
 	if t := o.Task(end.Task); t.Done && t.Running() {
 		if other := e.workers[t.Process.Endpoint]; other != nil {
 			e.stop(now, other, end.Task)
