holder, shard: leave room for restarts between epochs

The token of an order held the epoch in its high bits. An entry of before the change sends bare epochs, which are lower than any such token: during a rolling update it would have been fenced by every endpoint and given its leases up again and again.

Change: the epoch rises by 65,536 from holder to holder and a token is the epoch plus the restarts of the endpoint. An older entry, which raises it by one, is still higher than the newer one before it, but at endpoints that have restarted. TestNewHolderResumesWave passed the first holder's epoch as 1; it passes what that holder has now. TestEpochsLeaveRoomForRestarts: before, 1; after, 65,536.

--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -15,6 +15,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -176,7 +177,7 @@
 		}
 	}
 	p.mu.Unlock()
-	maintain(t, store, p, "entry-b", 1, func() bool { _, complete := p.progress(); return complete })
+	maintain(t, store, p, "entry-b", shard.EpochStep, func() bool { _, complete := p.progress(); return complete })
 	begun, complete := p.progress()
 	is.Equal(begun, waveVMs)
 	is.True(complete)
--- a/internal/holder/take_test.go
+++ b/internal/holder/take_test.go
@@ -13,6 +13,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -61,3 +62,16 @@
 		})
 	}
 }
+
+// Guards against a token of one holder, which counts restarts of an endpoint, that reaches the next holder's.
+func TestEpochsLeaveRoomForRestarts(t *testing.T) {
+	is := is.New(t)
+	ctx, store := context.Background(), rows.New(clock.Real())
+	first := &holder.Chain{Duty: "jobs-s", Self: holder.Identity{Entry: "first", Incarnation: "life"}, Store: store, Clock: clock.Real()}
+	_, err := holder.TakeLease(ctx, first, election.Lease{})
+	is.NoErr(err)
+	second := &holder.Chain{Duty: "jobs-s", Self: holder.Identity{Entry: "second", Incarnation: "life"}, Store: store, Clock: clock.Real()}
+	_, err = holder.TakeLease(ctx, second, readLease(t, store, "jobs-s"))
+	is.NoErr(err)
+	is.Equal(second.Epoch-first.Epoch, fleet.FencingToken(shard.EpochStep))
+}
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -11,6 +11,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -203,7 +204,7 @@
 			return trace.Wrap(&LostLeaseError{Duty: c.Duty})
 		}
 	}
-	c.Epoch = previous + 1
+	c.Epoch = previous + shard.EpochStep
 	return trace.Wrap(c.Write(ctx, Write{Renew: true}))
 }
 
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -140,7 +140,7 @@
 
 // takeOver starts a new holder that knows only what is stored.
 func (sim *simulation) takeOver(previousEnd time.Time) {
-	sim.epoch++
+	sim.epoch += shard.EpochStep
 	sim.committing, sim.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
 	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: sim.statusRetention}
 	sim.engine = shard.NewEngine("service", sim.epoch, bounds, sim.observer, previousEnd)
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -28,7 +28,7 @@
 	Service fleet.ServiceID
 	Process fleet.EndpointProcess
 	Address fleet.Address
-	// Epoch is the epoch of the holder's lease. Token is the epoch and the number of restarts of the endpoint that
+	// Epoch is the epoch of the holder's lease. Token is the epoch plus the number of restarts of the endpoint that
 	// the holder has seen.
 	Epoch, Token fleet.FencingToken
 
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -7,18 +7,15 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// restartBits is the number of low bits of a fencing token that count the restarts of an endpoint; the bits above
-// hold the epoch of the lease. Tokens have to stay below 2^53, up to which JSON numbers are exact.
-const restartBits = 16
-
-// maxRestarts is the highest number of restarts that a token can count.
-const maxRestarts = 1<<restartBits - 1
+// EpochStep is the distance between the epochs of a lease's holders, and so the number of fencing tokens that a
+// holder can use for an endpoint. Tokens stay below 2^53, up to which JSON numbers are exact, for 2^37 holders.
+const EpochStep = 1 << 16
 
 // fencingToken returns the token of the orders to a worker. Orders name an endpoint and not its process, so each
 // next process under the endpoint's id gets a higher token: once it has answered an order with that token, it
 // rejects the orders that were meant for an earlier process and arrive late.
 func (e *Engine) fencingToken(w *worker) fleet.FencingToken {
-	return e.Epoch<<restartBits | e.restarts[w.Endpoint]
+	return e.Epoch + e.restarts[w.Endpoint]
 }
 
 // isForEarlierProcess reports whether an order was created before the holder learned of the worker's process. The
@@ -31,7 +28,7 @@
 // earlier process has listed ended with it. Other runs may have been started by the next process instead: they are
 // kept until it answers a renewal with its own token, when its list shows which of them it executes.
 func (e *Engine) handleRestart(now time.Time, w *worker, next EndpointInfo, source RestartSource) *worker {
-	e.restarts[w.Endpoint] = min(e.restarts[w.Endpoint]+1, maxRestarts)
+	e.restarts[w.Endpoint] = min(e.restarts[w.Endpoint]+1, EpochStep-1)
 	var kept []*assignment
 	for id, a := range w.runs {
 		if a.phase != phasePlanned && a.evidence != EvidenceList {
