shard: remember that an endpoint had an earlier process

Cause: a worker that is not listed and has no runs is removed, and a new holder starts without any. With it went the knowledge that orders to an earlier process under the id may still be carried out: the next worker got the same token, and its leases were counted as usual ones. A late start ran beside the task's next run; a late renewal granted ten seconds where four were counted.

Change: a token is the epoch plus the number of workers discarded by then, so that each new worker's is higher than those of all earlier ones. A worker of an endpoint that was forgotten less than a minute ago, or whose row in the registry has shown another process, may hold the longest lease.

TestLateStartReachesNextProcessOfForgottenEndpoint: red before, passes after. TestLateHoldExtendsLeaseOfForgottenEndpoint: red before, passes after. TestLateHoldOfEarlierHolderExtendsLeaseBeforeContact: red before, passes after.

--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -242,10 +242,13 @@
 }
 
 func (s *Scheduler) applyEndpoints(now time.Time, l *EndpointList) {
+	before := s.endpoints
 	if l.All {
-		clear(s.endpoints)
+		s.endpoints = map[fleet.EndpointID]shard.EndpointInfo{}
 	}
 	for _, endpoint := range l.Endpoints {
+		old, known := before[endpoint.Endpoint]
+		endpoint.Restarted = known && (old.Restarted || old.StartMillis != endpoint.StartMillis)
 		s.endpoints[endpoint.Endpoint] = endpoint
 	}
 	for _, id := range l.Removed {
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -15,7 +15,7 @@
 		listed[endpoint.Endpoint] = true
 		w := e.workers[endpoint.Endpoint]
 		if w == nil {
-			w = newWorker(endpoint)
+			w = e.newWorker(endpoint)
 			e.setWorker(w)
 		}
 		if w.isRestart(endpoint) {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -61,8 +61,10 @@
 	jobs     map[fleet.JobID]*jobEntry
 	active   map[job.Key]*job.Occurrence
 	workers  map[fleet.EndpointID]*worker
-	// restarts counts the restarts of endpoints under their ids that this holder has seen.
-	restarts map[fleet.EndpointID]fleet.FencingToken
+	// discarded counts the workers that were replaced or forgotten.
+	discarded fleet.FencingToken
+	// forgottenAt is when the worker of an endpoint was last forgotten.
+	forgottenAt map[fleet.EndpointID]time.Time
 	// byID caches the workers sorted by id; it is nil after the set has changed.
 	byID []*worker
 	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
@@ -121,7 +123,7 @@
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
 		workers:          map[fleet.EndpointID]*worker{},
-		restarts:         map[fleet.EndpointID]fleet.FencingToken{},
+		forgottenAt:      map[fleet.EndpointID]time.Time{},
 		runTimes:         map[runTimeKey]*runTime{},
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
@@ -188,7 +190,7 @@
 func (e *Engine) workerOf(p fleet.EndpointProcess) *worker {
 	w := e.workers[p.Endpoint]
 	if w == nil {
-		w = newWorker(EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
+		w = e.newWorker(EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
 		w.leaseEnd = e.previousEnd
 		e.setWorker(w)
 	}
@@ -378,7 +380,7 @@
 }
 
 func (e *Engine) order(w *worker, kind OrderKind, a *assignment) Order {
-	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Epoch: e.Epoch, Token: e.fencingToken(w)}
+	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Epoch: e.Epoch, Token: w.token}
 	if a != nil {
 		o.Task, o.Run = a.id, a.run
 	}
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -238,6 +238,7 @@
 		if sim.now.Before(e.registeredAt) {
 			info.StartMillis = e.listedMillis
 		}
+		info.Restarted = info.StartMillis != fakeStartMillis
 		list = append(list, info)
 	}
 	sim.engine.SetEndpoints(sim.now, list)
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -21,6 +21,8 @@
 	fakeStop    = 100 * time.Millisecond
 	// fakeMaxLease is the longest lease that a fake endpoint grants.
 	fakeMaxLease = 10 * time.Second
+	// fakeStartMillis is the start time of the first process of an endpoint.
+	fakeStartMillis = 1
 	// fakeSlowLimit is the exclusive upper bound of the percentage by which an endpoint's clock is slow.
 	fakeSlowLimit = 3
 )
@@ -129,7 +131,7 @@
 	for i := range endpoints {
 		id := fleet.EndpointID(fmt.Sprintf("endpoint-%02d", i))
 		sim.endpoints[id] = &fakeEndpoint{
-			EndpointInfo: shard.EndpointInfo{Endpoint: id, Service: "service", Address: fleet.Address(id), Rack: fleet.RackID(fmt.Sprintf("rack-%d", i/4)), Capacity: capacity, StartMillis: 1},
+			EndpointInfo: shard.EndpointInfo{Endpoint: id, Service: "service", Address: fleet.Address(id), Rack: fleet.RackID(fmt.Sprintf("rack-%d", i/4)), Capacity: capacity, StartMillis: fakeStartMillis},
 			clockStart:   time.Second + time.Duration(sim.clocks.Int64N(int64(fakeClockRange))), slow: sim.clocks.IntN(fakeSlowLimit),
 			began: sim.now, running: map[fleet.TaskID]*fakeRun{}, highest: map[fleet.TaskID]fleet.RunNumber{},
 		}
--- /dev/null
+++ b/internal/shard/lease_test.go
@@ -0,0 +1,81 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+)
+
+// leaveAndReturn ends an endpoint's process, has the registry remove it, and starts another one under its id.
+func (sim *simulation) leaveAndReturn(e *fakeEndpoint, away time.Duration) {
+	sim.crash(e, 0)
+	e.backAt = time.Time{}
+	sim.list()
+	sim.run(away)
+	sim.restartWith(e, lowClock, 0)
+	sim.list()
+}
+
+// Guards against a start without an answer at the next process of an endpoint that the registry removed in between.
+func TestLateStartReachesNextProcessOfForgottenEndpoint(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.delayOnce(shard.OrderStart, 8*time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	e.Draining = false
+	sim.run(time.Second)
+	e.Draining = true // the next run starts on the other endpoint
+	sim.list()
+	sim.run(time.Second)
+	sim.engine.Vacate(sim.now, e.Endpoint, true)
+	sim.leaveAndReturn(e, 2*time.Second)
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
+}
+
+// Guards against counting the usual lease at the next process of an endpoint that the registry removed in between.
+func TestLateHoldExtendsLeaseOfForgottenEndpoint(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.delayOnce(shard.OrderHold, 6*time.Second)
+	sim.run(1500 * time.Millisecond)
+	is.Equal(len(sim.delayedOrders), 1)
+	sim.leaveAndReturn(e, 2*time.Second)
+	sim.run(time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	for len(sim.delayedOrders) > 0 {
+		sim.step()
+	}
+	is.Equal(len(e.running), 1)
+	e.unreachable = true
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
+}
+
+// Guards against counting the usual lease at the first contact, before which a renewal by the former holder arrived late.
+func TestLateHoldOfEarlierHolderExtendsLeaseBeforeContact(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.delayOnce(shard.OrderHold, 6*time.Second)
+	sim.reachesUnseen = true
+	sim.run(1500 * time.Millisecond)
+	is.Equal(len(sim.delayedOrders), 1)
+	sim.restartWith(e, lowClock, 0)
+	e.unreachable = true
+	sim.list()
+	sim.takeOver(sim.previousEnd())
+	for len(sim.delayedOrders) > 0 {
+		sim.step()
+	}
+	e.unreachable = false
+	sim.run(time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(200 * time.Millisecond)
+	is.Equal(len(e.running), 1)
+	e.unreachable = true
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
+}
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -28,8 +28,8 @@
 	Service fleet.ServiceID
 	Process fleet.EndpointProcess
 	Address fleet.Address
-	// Epoch is the epoch of the holder's lease. Token is the epoch plus the number of restarts of the endpoint that
-	// the holder has seen.
+	// Epoch is the epoch of the holder's lease. Token is the epoch plus the number of processes that the holder
+	// had discarded when it learned of this one.
 	Epoch, Token fleet.FencingToken
 
 	// Task and Run are set for starts, stops and paces, Payload and Checkpoint for starts only.
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -8,27 +8,49 @@
 )
 
 // EpochStep is the distance between the epochs of a lease's holders, and so the number of fencing tokens that a
-// holder can use for an endpoint. Tokens stay below 2^53, up to which JSON numbers are exact, for 2^37 holders.
-const EpochStep = 1 << 16
+// holder can use. Tokens stay below 2^53, up to which JSON numbers are exact, for 2^29 holders.
+const EpochStep = 1 << 24
 
-// fencingToken returns the token of the orders to a worker. Orders name an endpoint and not its process, so each
-// next process under the endpoint's id gets a higher token: once it has answered an order with that token, it
-// rejects the orders that were meant for an earlier process and arrive late.
-func (e *Engine) fencingToken(w *worker) fleet.FencingToken {
-	return e.Epoch + e.restarts[w.Endpoint]
+// newWorker returns the worker of a process. Orders name an endpoint and not its process, so the worker's token is
+// higher than those of all processes that the holder no longer reckons with: once the process has answered an order
+// with its token, it rejects the orders that were meant for an earlier one and arrive late.
+func (e *Engine) newWorker(info EndpointInfo) *worker {
+	return &worker{
+		EndpointInfo: info, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{}, mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
+	}
 }
 
+// discard counts a worker that no further orders are sent to.
+func (e *Engine) discard() { e.discarded = min(e.discarded+1, EpochStep-1) }
+
+// forget removes a worker that is not listed and has no runs.
+func (e *Engine) forget(now time.Time, w *worker) {
+	e.discard()
+	delete(e.workers, w.Endpoint)
+	e.byID = nil
+	e.forgottenAt[w.Endpoint] = now
+	for id, at := range e.forgottenAt {
+		if now.Sub(at) >= lateOrderTime {
+			delete(e.forgottenAt, id)
+		}
+	}
+}
+
+// lateOrderTime bounds the effect of orders to a forgotten endpoint: how late they may be carried out and the lease
+// that they may grant.
+const lateOrderTime = time.Minute
+
 // isForEarlierProcess reports whether an order was created before the holder learned of the worker's process. The
 // answer may come from either process, because only lists name the process.
-func (e *Engine) isForEarlierProcess(w *worker, o Order) bool {
-	return o.Token < e.fencingToken(w)
+func (w *worker) isForEarlierProcess(o Order) bool {
+	return o.Token < w.token
 }
 
 // handleRestart replaces the worker of an endpoint that another process has started under its id. Runs that the
 // earlier process has listed ended with it. Other runs may have been started by the next process instead: they are
 // kept until it answers a renewal with its own token, when its list shows which of them it executes.
 func (e *Engine) handleRestart(now time.Time, w *worker, next EndpointInfo, source RestartSource) *worker {
-	e.restarts[w.Endpoint] = min(e.restarts[w.Endpoint]+1, EpochStep-1)
+	e.discard()
 	var kept []*assignment
 	for id, a := range w.runs {
 		if a.phase != phasePlanned && a.evidence != EvidenceList {
@@ -60,7 +82,7 @@
 	for _, a := range w.runs {
 		e.markLost(now, w, a, Loss{Reason: reason})
 	}
-	successor := newWorker(next)
+	successor := e.newWorker(next)
 	successor.listed, successor.cordonedUntil = w.listed, w.cordonedUntil
 	e.setWorker(successor)
 	return successor
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -13,7 +13,7 @@
 	if w == nil {
 		return
 	}
-	if e.isForEarlierProcess(w, r.Order) {
+	if w.isForEarlierProcess(r.Order) {
 		e.applyForEarlierProcess(now, w, r)
 		return
 	}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -18,8 +18,7 @@
 		e.evacuate(now, w)
 		e.hold(now, w)
 		if !w.listed && len(w.runs) == 0 && !w.holdInFlight {
-			delete(e.workers, w.Endpoint)
-			e.byID = nil
+			e.forget(now, w)
 		}
 	}
 }
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -17,6 +17,8 @@
 	Capacity    fleet.Capacity
 	Draining    bool
 	StartMillis int64
+	// Restarted is set when the registry has shown another process under the endpoint's id before.
+	Restarted bool
 }
 
 // Process returns the process that the registry lists.
@@ -77,6 +79,8 @@
 // worker is the state of one endpoint process.
 type worker struct {
 	EndpointInfo
+	// token is the fencing token of the orders to the process.
+	token fleet.FencingToken
 	// listed is false for an endpoint that left the registry or is known from an assignment only.
 	listed bool
 	// contacted is set once the process has answered a renewal of this holder.
@@ -91,8 +95,8 @@
 	leaseEnd time.Time
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
 	replaced []int64
-	// mayHoldLongestLease is set for the successor of another process until it has answered a renewal: deadlines
-	// that were set on the clock of the earlier process may have granted it the longest lease.
+	// mayHoldLongestLease is set until the first answer to a renewal where the endpoint may have had another process:
+	// deadlines that were set on the clock of that one may have granted the longest lease.
 	mayHoldLongestLease bool
 	// cursor is the last end that was processed, acked the last one whose effect is committed.
 	cursor, acked fleet.EndCursor
@@ -151,11 +155,7 @@
 	stopRetryInterval = 500 * time.Millisecond
 )
 
-func newWorker(info EndpointInfo) *worker {
-	return &worker{EndpointInfo: info, runs: map[fleet.TaskID]*assignment{}}
-}
-
-// deadline returns the end of a lease of the given length on the endpoint's clock.
+// deadline returns the end of a lease of the given length on the endpoint's clock, which may be slow.
 func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
 	return w.clock + now.Sub(w.clockAt) + length
 }
