shard: count a lease at an unseen process for all its runs

Cause: the lease that an answered start shows, or a start without an answer may have granted, was kept with that start's run. A lease holds for everything that runs at the process, so a later start extended that of earlier runs too.

Change: it is kept with the worker and counts for all runs that no list has named.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -223,7 +223,7 @@
 	}
 	order.Deadline = w.deadline(now, e.leaseLength())
 	w.extendLease(now, e.leaseLength())
-	a.leaseEnd = leaseEnd(now.Add(orderTransit), e.Bounds.MaxLease)
+	w.unprovenLeaseEnd = later(w.unprovenLeaseEnd, now.Add(orderTransit))
 	a.phase = phaseOrdered
 	e.out = append(e.out, order)
 }
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -79,3 +79,27 @@
 	sim.run(20 * time.Second)
 	sim.finish(is, "job")
 }
+
+// Guards against a lease of a kept run that a later start, by the earlier process's clock, has extended.
+func TestStartExtendsLeaseOfRunAtUnseenProcess(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.restartWith(e, lowClock, 14*time.Second)
+	sim.delay = func(o shard.Order) time.Duration { // its renewals get no answer
+		if o.Kind == shard.OrderHold && o.Process.Endpoint == e.Endpoint {
+			return 20 * time.Second
+		}
+		return 0
+	}
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(50 * time.Millisecond)
+	is.Equal(len(e.running), 1) // the next process has started the task
+	sim.run(1400 * time.Millisecond)
+	e.mute = true
+	sim.submit(batchJob("second", 1, 4000))
+	sim.run(100 * time.Millisecond)
+	is.Equal(len(e.running), 2)
+	e.unreachable = true
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -93,7 +93,7 @@
 			a.markSeen(now, EvidenceAnswer)
 			a.phase, a.startedAt = phaseStarted, now
 			// Whichever process answered, its clock shows the lease that it granted.
-			a.leaseEnd = leaseEnd(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
+			w.extendUnprovenLease(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
 	case AnswerOld:
 		// The endpoint lists the run as ended, or a stop for it arrived first.
@@ -116,7 +116,7 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		a.leaseEnd = leaseEnd(now, e.Bounds.MaxLease)
+		w.extendUnprovenLease(now, e.Bounds.MaxLease)
 		e.avoid[a.id] = w.Endpoint
 		e.stop(now, w, a.id)
 	}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -54,9 +54,6 @@
 	// listedClock is the endpoint's clock in the latest list with the run.
 	listedClock time.Duration
 	startedAt   time.Time
-	// leaseEnd is when the longest lease that the process which took the start can have granted has expired. It
-	// counts until a list shows which process that is.
-	leaseEnd time.Time
 	// progressedAt is when the reported progress last rose.
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
@@ -91,8 +88,9 @@
 	lastAnswerAt time.Time
 	// clockStepped is set while answers do not continue the clock.
 	clockStepped bool
-	// leaseEnd is when all leases that were granted to the process have expired.
-	leaseEnd time.Time
+	// leaseEnd is when all leases that were granted to the process have expired. unprovenLeaseEnd is the same for
+	// a process that may have taken starts in its place: it counts for runs that no list has shown.
+	leaseEnd, unprovenLeaseEnd time.Time
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
 	replaced []int64
 	// mayHoldLongestLease is set until the first answer to a renewal where the endpoint may have had another process:
@@ -165,6 +163,11 @@
 	w.leaseEnd = later(w.leaseEnd, leaseEnd(now, length))
 }
 
+// extendUnprovenLease does the same for a process that may have taken a start in place of the worker's.
+func (w *worker) extendUnprovenLease(now time.Time, length time.Duration) {
+	w.unprovenLeaseEnd = later(w.unprovenLeaseEnd, leaseEnd(now, length))
+}
+
 // leaseEnd returns when a lease of the given length that is granted now has expired on any endpoint's clock.
 func leaseEnd(now time.Time, length time.Duration) time.Time {
 	return now.Add(length + length*clockDriftPercent/100 + leaseMargin)
@@ -175,7 +178,7 @@
 	if a.evidence == EvidenceList {
 		return w.leaseEnd
 	}
-	return later(w.leaseEnd, a.leaseEnd)
+	return later(w.leaseEnd, w.unprovenLeaseEnd)
 }
 
 // reachable reports whether the worker answered recently.
