shard: release a lease unsettled while a longer one is out

Cause: after a release that is settled the next holder waits for the usual lease only. A process that started under the id of another may hold the longest one.

TestReleaseWaitsForLongestLease: red before, passes after.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -316,8 +316,17 @@
 	}
 }
 
-// Settled reports whether the leases granted by all earlier holders have expired.
-func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.previousEnd) }
+// Settled reports whether all leases end within the usual length: those of earlier holders have expired, and no
+// process may hold a longer one.
+func (e *Engine) Settled(now time.Time) bool {
+	usual := leaseEnd(now, e.leaseLength())
+	for _, w := range e.workers {
+		if len(w.runs) > 0 && (w.leaseEnd.After(usual) || w.unprovenLeaseEnd.After(usual)) {
+			return false
+		}
+	}
+	return !now.Before(e.previousEnd)
+}
 
 // InheritedRuns counts the runs that the previous holder assigned.
 func (e *Engine) InheritedRuns() int {
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -103,3 +103,31 @@
 	sim.run(20 * time.Second)
 	sim.finish(is, "job")
 }
+
+// Guards against a released lease whose next holder does not wait for the longest lease of a next process.
+func TestReleaseWaitsForLongestLease(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.delayOnce(shard.OrderHold, 4*time.Second)
+	sim.reachesUnseen = true
+	sim.run(1500 * time.Millisecond)
+	is.Equal(len(sim.delayedOrders), 1)
+	sim.restartWith(e, lowClock, 0)
+	e.unreachable = true
+	for len(sim.delayedOrders) > 0 { // the next process takes the longest lease
+		sim.step()
+	}
+	e.unreachable = false
+	sim.run(2 * time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(200 * time.Millisecond)
+	is.Equal(len(e.running), 1)
+	e.unreachable = true
+	end := sim.now // as the scheduler computes it for a lease that is released and settled
+	if !sim.engine.Settled(sim.now) {
+		end = end.Add(7 * time.Second)
+	}
+	sim.takeOver(end.Add(shard.LeaseLength + shard.LeaseLength/10))
+	sim.run(20 * time.Second)
+	sim.finish(is, "job")
+}
