shard: let deadlines allow for a slow clock since the last list

While renewals fail and starts are answered, the estimate of a slow clock runs ahead of it by 2% of its age, and leases outlast what is counted.

Change: the time since the last list counts for 3% less.

--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
 // leaveAndReturn ends an endpoint's process, has the registry remove it, and starts another one under its id.
@@ -131,3 +132,28 @@
 	sim.run(20 * time.Second)
 	sim.finish(is, "job")
 }
+
+// Guards against leases that outlast the engine's count because its estimate of an endpoint's clock is old.
+func TestOldClockEstimateGrantsNoLongerLease(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.endpoints["endpoint-01"].Draining = true
+	sim.list()
+	e.slow = 2
+	sim.delay = func(o shard.Order) time.Duration { // its renewals get no answer
+		if o.Kind == shard.OrderHold && o.Process.Endpoint == e.Endpoint {
+			return 50 * time.Second
+		}
+		return 0
+	}
+	for i := range 15 {
+		sim.submit(batchJob(fleet.JobID(rune('a'+i)), 1, 4000))
+		sim.run(time.Second)
+	}
+	is.True(len(e.running) > 1)
+	e.unreachable = true
+	sim.endpoints["endpoint-01"].Draining = false
+	sim.list()
+	sim.run(10 * time.Second)
+	is.Equal(sim.violations, nil)
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -155,7 +155,8 @@
 
 // deadline returns the end of a lease of the given length on the endpoint's clock, which may be slow.
 func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
-	return w.clock + now.Sub(w.clockAt) + length
+	elapsed := now.Sub(w.clockAt)
+	return w.clock + elapsed - elapsed*clockDriftPercent/100 + length
 }
 
 // extendLease records that a lease of the given length may have been granted now.
