shard: ignore a 421 that is older than an answer of the endpoint

Cause: an answer that another endpoint listens at the address gives up all runs, also when the endpoint has answered since the order was sent. Needs an address that changes hands twice while a renewal is open. Found by the review.

Change: such an answer counts only if nothing has come from the endpoint since.

TestLateAnswerOfOtherEndpointKeepsLaterRun: red before, passes after.

--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -157,3 +157,25 @@
 	sim.run(10 * time.Second)
 	is.Equal(sim.violations, nil)
 }
+
+// Guards against a late answer of a former listener at an address, which gives up a run that started there since.
+func TestLateAnswerOfOtherEndpointKeepsLaterRun(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	var hold shard.Order
+	sim.delay = func(o shard.Order) time.Duration {
+		if o.Kind == shard.OrderHold && o.Process.Endpoint == e.Endpoint && hold.Kind == "" {
+			hold = o
+			return 5 * time.Second
+		}
+		return 0
+	}
+	sim.run(1100 * time.Millisecond)
+	sentAt := sim.now
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(100 * time.Millisecond)
+	is.Equal(len(e.running), 1)
+	sim.engine.Apply(sim.now, shard.Result{Order: hold, Answer: shard.AnswerGone, SentAt: sentAt})
+	sim.run(300 * time.Millisecond)
+	sim.finish(is, "job")
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -24,7 +24,7 @@
 		e.fenced = true
 		return
 	}
-	if r.Answer == AnswerGone && w.Address == r.Order.Address && w.StartMillis == r.Order.Process.StartMillis {
+	if r.Answer == AnswerGone && w.Address == r.Order.Address && !r.SentAt.Before(w.lastAnswerAt) {
 		e.Observer.RunsLost(w.Endpoint, len(w.runs), LossGone)
 		e.replaceWorker(now, w, w.EndpointInfo, LossGone)
 		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
