shard: believe a restart that shows an earlier start time

Cause: a process that starts after its clock was set back, at another address, shows an earlier start time. Its row was taken for an old one and its address never called until the next takeover: lost capacity.

Change: such a row is believed when the worker does not answer, unless it shows a process that has been replaced.

TestEndpointWithEarlierStartAtOtherAddressIsUsed: red before, passes after.

--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -18,7 +18,7 @@
 			w = e.newWorker(endpoint)
 			e.setWorker(w)
 		}
-		if w.isRestart(endpoint) {
+		if w.isRestart(now, endpoint) {
 			w = e.handleRestart(now, w, endpoint, RestartInRegistry)
 		}
 		if w.Address != endpoint.Address {
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -179,3 +179,28 @@
 	sim.run(300 * time.Millisecond)
 	sim.finish(is, "job")
 }
+
+// Guards against an endpoint that is never called again after a restart at another address with an earlier start time.
+func TestEndpointWithEarlierStartAtOtherAddressIsUsed(t *testing.T) {
+	is := is.New(t)
+	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease}, &fakeObserver{ejections: map[fleet.EndpointID]int{}}, time.Time{})
+	info := shard.EndpointInfo{Endpoint: "endpoint", Service: "service", Address: "address", Capacity: worker64, StartMillis: 100}
+	engine.SetEndpoints(fakeEpoch, []shard.EndpointInfo{info})
+	engine.Tick(fakeEpoch)
+	o := engine.Orders()[0]
+	engine.Apply(fakeEpoch, shard.Result{Order: o, Answer: shard.AnswerDone, Clock: time.Second, StartMillis: 100, SentAt: fakeEpoch})
+	info.Address, info.StartMillis = "other-address", 50
+	now := fakeEpoch
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		engine.SetEndpoints(now, []shard.EndpointInfo{info})
+		engine.Tick(now)
+		for _, o := range engine.Orders() {
+			if o.Address == "other-address" {
+				return
+			}
+			engine.Apply(now, shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: now})
+		}
+	}
+	is.Fail() // the registered address is never called
+}
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -72,9 +72,13 @@
 }
 
 // isRestart reports whether a row of the registry shows a process that started after the worker's. The registry
-// lags: it may still show a process that has been replaced, whose start time is later if clocks have jumped.
-func (w *worker) isRestart(row EndpointInfo) bool {
-	return w.StartMillis != 0 && row.StartMillis > w.StartMillis && !slices.Contains(w.replaced, row.StartMillis)
+// lags: it may still show a process that has been replaced. Start times may be out of order, because clocks jump; a
+// row with an earlier one is believed when the worker does not answer and the address has changed too.
+func (w *worker) isRestart(now time.Time, row EndpointInfo) bool {
+	if w.StartMillis == 0 || row.StartMillis == w.StartMillis || slices.Contains(w.replaced, row.StartMillis) {
+		return false
+	}
+	return row.StartMillis > w.StartMillis || row.Address != w.Address && !w.reachable(now)
 }
 
 // replaceWorker marks the runs of a process that no longer exists as lost and adds a worker for the next one.
