holder: bound the VMs of a wave without adding to the limit

The limit of VMs that a wave takes in a round is max_count of op/wave/N plus two.

The limit is now capped by the length of the list before two is added. TestWaveWithHugeBoundCompletes ended with 'slice bounds out of range [:-]' before.

--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -187,6 +188,16 @@
 	}
 }
 
+// Guards against a wave whose bound of VMs that are down overflows: each holder of the duty ended.
+func TestWaveWithHugeBoundCompletes(t *testing.T) {
+	is := is.New(t)
+	store, p := rows.New(clock.Real()), newVMPlatform()
+	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), "entry", 0, math.MaxInt, func() bool { _, complete := p.progress(); return complete })
+	begun, complete := p.progress()
+	is.Equal(begun, waveVMs)
+	is.True(complete)
+}
+
 // Guards against a maintenance lease that expires within a round: the holder of a service took long to answer
 // for each VM, and every few seconds another entry took the lease from a healthy one.
 func TestLongRoundRenewsLease(t *testing.T) {
--- a/internal/holder/wave.go
+++ b/internal/holder/wave.go
@@ -83,10 +83,8 @@
 	slices.SortStableFunc(list, func(a, b fleet.VMID) int {
 		return w.rank(b) - w.rank(a)
 	})
-	if limit = max(limit, 0) + vacateAhead; len(list) > limit {
-		list = list[:limit]
-	}
-	return list
+	// The limit may be the largest integer, so nothing is added to it.
+	return list[:min(len(list), min(max(limit, 0), len(list))+vacateAhead)]
 }
 
 // rank ranks a VM: ordered ones first, then those that are being vacated.
