shard: leave endpoints that never answered out of the mean capacity

The planner of pool sizes divides the waiting demand by the mean capacity of the listed endpoints. An entry of another writer whose address leads nowhere counted with the capacity that it claims: with three such entries at the largest capacity that is decoded, the mean was 7,226,806 instead of 64,000 millicores, so a pool with a backlog would get next to no VMs.

The mean now covers the endpoints that have answered this holder, or all of them before any has. TestLoadLeavesOutEndpointThatNeverAnswered failed before.

--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -13,7 +13,7 @@
 	Used, Waiting fleet.Millicores
 	// Late is the demand of tasks which could start at once but can no longer meet their objective.
 	Late fleet.Millicores
-	// PerEndpoint is the average processor capacity of an endpoint.
+	// PerEndpoint is the average processor capacity of the endpoints that have answered, or of all before any has.
 	PerEndpoint fleet.Millicores
 	// Endpoints lists the load of each endpoint that may get work.
 	Endpoints []EndpointLoad
@@ -32,27 +32,27 @@
 // Load returns the current demand.
 func (e *Engine) Load(now time.Time) Load {
 	var l Load
-	var capacity fleet.Millicores
-	listed := 0
+	var listed, contacted capacityMean
 	for _, w := range e.sorted() {
 		l.Used += w.used.Millicores
 		l.Waiting += e.stranded(now, w)
 		if !w.listed || w.Draining {
 			continue
 		}
-		listed++
-		capacity += w.Capacity.Millicores
+		listed.add(w.Capacity.Millicores)
 		if !w.contacted {
 			continue
 		}
+		contacted.add(w.Capacity.Millicores)
 		load := EndpointLoad{Endpoint: w.Endpoint, Used: w.used.Millicores, Runs: len(w.runs)}
 		for _, a := range w.runs {
 			load.Lasting = load.Lasting || a.step.Lasting
 		}
 		l.Endpoints = append(l.Endpoints, load)
 	}
-	if listed > 0 {
-		l.PerEndpoint = capacity / fleet.Millicores(listed)
+	// An entry of the registry may name an endpoint that doesn't exist.
+	if l.PerEndpoint = contacted.mean(); l.PerEndpoint == 0 {
+		l.PerEndpoint = listed.mean()
 	}
 	for _, c := range e.candidates(now) {
 		step := c.occurrence.Job.Steps[c.step]
@@ -70,6 +70,13 @@
 	return l
 }
 
+// capacityMean is the mean of processor capacities.
+type capacityMean struct{ sum, count fleet.Millicores }
+
+func (m *capacityMean) add(c fleet.Millicores) { m.sum, m.count = m.sum+c, m.count+1 }
+
+func (m *capacityMean) mean() fleet.Millicores { return m.sum / max(1, m.count) }
+
 // stranded returns the demand of lasting tasks that have to leave a worker and fit on no other.
 func (e *Engine) stranded(now time.Time, w *worker) fleet.Millicores {
 	if !w.Draining && !now.Before(w.cordonedUntil) {
