shard: expect no room in racks whose endpoints never answered

A step that has to share a rack is spread over several if no rack could ever hold it. The room of a rack counted each listed endpoint. An entry of another writer with a large capacity in a rack of its own therefore kept the step waiting forever, although no endpoint of that rack ever got work.

An endpoint that has not answered within 5 s of its first appearance no longer counts; the time goes on when a process that never answered is replaced.

--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -65,7 +65,11 @@
 	for id, a := range w.runs {
 		e.markLost(now, w, a, id)
 	}
-	e.setWorker(&worker{EndpointInfo: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: now, cordonedUntil: w.cordonedUntil})
+	firstSeen := now
+	if !w.contacted {
+		firstSeen = w.firstSeen
+	}
+	e.setWorker(&worker{EndpointInfo: next, listed: w.listed, runs: map[fleet.TaskID]*assignment{}, firstSeen: firstSeen, cordonedUntil: w.cordonedUntil})
 	e.Observer.RunsLost(w.Endpoint, lost, reason)
 }
 
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -265,17 +265,21 @@
 		}
 	}
 	// If no rack could ever hold the step, it runs on several racks: slow is better than never.
-	if e.fitsOneRack(len(ids), step) {
+	if e.fitsOneRack(now, len(ids), step) {
 		return nil
 	}
 	return e.chooseAll(now, ids, step, nil)
 }
 
+// contactTimeout is how long an endpoint that has not answered yet is expected to answer: it may just have started,
+// or a new holder may not have reached it. After that it may not exist.
+const contactTimeout = 5 * time.Second
+
 // fitsOneRack reports whether the endpoints of any rack, if empty, could hold the tasks.
-func (e *Engine) fitsOneRack(tasks int, step fleet.Step) bool {
+func (e *Engine) fitsOneRack(now time.Time, tasks int, step fleet.Step) bool {
 	room := map[fleet.RackID]int{}
 	for _, w := range e.workers {
-		if !w.listed || w.Draining || !w.hasLabel(step.RequiredLabel) {
+		if !w.listed || w.Draining || !w.hasLabel(step.RequiredLabel) || !w.contacted && now.Sub(w.firstSeen) > contactTimeout {
 			continue
 		}
 		free, n := w.Capacity, 0
--- a/internal/shard/unanswered_test.go
+++ b/internal/shard/unanswered_test.go
@@ -36,3 +36,36 @@
 	is.Equal(len(load.Endpoints), 4)
 	is.True(load.Waiting+load.Late > 0)
 }
+
+// Guards against a step that waits forever for room in a rack whose endpoints never answered.
+func TestStepDoesNotWaitForRackThatNeverAnswered(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8, worker64)
+	sim.addUnanswered(2, hugeCapacity)
+	j := batchJob("wide", 12, 32000)
+	j.Steps[0].SameRack = true
+	sim.submit(j)
+	sim.run(20 * time.Second)
+	state, _ := sim.engine.State("wide")
+	is.Equal(state, fleet.JobStateCompleted) // a rack holds 8 of the 12 tasks
+	is.Equal(len(sim.violations), 0)
+}
+
+// Guards against a step that waits forever for room in a rack whose only entry names the address of another endpoint.
+func TestStepDoesNotWaitForEntryWithAddressOfAnother(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 8, worker64)
+	sim.addUnanswered(1, hugeCapacity)
+	odd := sim.endpoints["odd-a"].EndpointInfo
+	j := batchJob("wide", 12, 32000)
+	j.Steps[0].SameRack = true
+	sim.submit(j)
+	for end := sim.now.Add(20 * time.Second); sim.now.Before(end); {
+		sim.step()
+		hold := shard.Order{Kind: shard.OrderHold, Service: "service", Process: odd.Process(), Address: odd.Address, Token: sim.epoch}
+		sim.engine.Apply(sim.now, shard.Result{Order: hold, Answer: shard.AnswerGone, SentAt: sim.now})
+	}
+	state, _ := sim.engine.State("wide")
+	is.Equal(state, fleet.JobStateCompleted)
+	is.Equal(len(sim.violations), 0)
+}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -76,7 +76,7 @@
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
-	// firstSeen is when the holder learned of the process.
+	// firstSeen is when the holder learned of the process, or of the first one of those that never answered.
 	firstSeen time.Time
 	// leaseEnd is when all leases that were granted to the process have expired.
 	leaseEnd time.Time
