shard: take the share of ejections from endpoints that have answered

At most 40% of a service's endpoints are ejected at a time. The share was taken from all known endpoints, so entries that lead nowhere raised it: beside 20 of them, faulty jobs took all 5 real endpoints out of use.

Only endpoints that have answered this holder count now. TestEndpointsThatNeverAnsweredAllowNoEjections failed before.

--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -14,8 +14,8 @@
 	// minEjection and maxEjection bound the duration of an ejection, which doubles each time.
 	minEjection = 2 * time.Second
 	maxEjection = 16 * time.Second
-	// maxEjectedPercent is the largest share of a service's endpoints that is ejected at a time, so that faulty
-	// jobs never take all endpoints out of use.
+	// maxEjectedPercent is the largest share of a service's endpoints, of those that have answered, that is ejected
+	// at a time, so that faulty jobs never take all endpoints out of use.
 	maxEjectedPercent = 40
 	// jobFaultEndpoints is the number of endpoints on which a job has to fail before its failures are attributed
 	// to the job.
@@ -55,13 +55,16 @@
 // eject withholds tasks from a worker for a while. After that it is on probation: it gets one task at a time
 // until a run succeeds.
 func (e *Engine) eject(now time.Time, w *worker) {
-	ejected := 0
+	ejected, contacted := 0, 0
 	for _, other := range e.workers {
+		if other.contacted {
+			contacted++
+		}
 		if other != w && now.Before(other.ejectedUntil) {
 			ejected++
 		}
 	}
-	if (ejected+1)*100 > len(e.workers)*maxEjectedPercent {
+	if (ejected+1)*100 > contacted*maxEjectedPercent {
 		return
 	}
 	w.ejectedFor = min(max(minEjection, 2*w.ejectedFor), maxEjection)
--- a/internal/shard/unanswered_test.go
+++ b/internal/shard/unanswered_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -69,3 +70,21 @@
 	is.Equal(state, fleet.JobStateCompleted)
 	is.Equal(len(sim.violations), 0)
 }
+
+// Guards against faulty jobs that take all endpoints out of use because the share counts endpoints that never
+// answered.
+func TestEndpointsThatNeverAnsweredAllowNoEjections(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 5, worker64)
+	sim.addUnanswered(20, hugeCapacity)
+	sim.policy.MaxAttempts = 1
+	sim.engine.SetPolicies([]job.Policy{sim.policy})
+	for _, e := range sim.endpoints {
+		e.failAll = true
+	}
+	for i := range 40 {
+		sim.submit(batchJob(fleet.JobID("faulty-"+string(rune('A'+i))), 1, 40000))
+	}
+	sim.run(3 * time.Second)
+	is.True(len(sim.observer.ejections) <= 2) // 40% of 5
+}
