shard: test the search for room at the largest capacity

fitsOneRack takes a demand from a capacity until nothing fits. The loop is bounded by the number of tasks, at most 1,000, also for a demand of zero and the largest capacity that is decoded; the sums of Load stay positive.

--- a/internal/shard/unanswered_test.go
+++ b/internal/shard/unanswered_test.go
@@ -88,3 +88,21 @@
 	sim.run(3 * time.Second)
 	is.True(len(sim.observer.ejections) <= 2) // 40% of 5
 }
+
+// Guards against a search for room that takes long, or a sum that overflows, when a demand is zero or a capacity
+// is the largest that is decoded.
+func TestRoomOfLargestCapacityIsFoundAtOnce(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, hugeCapacity)
+	for _, millicores := range []fleet.Millicores{0, 1, hugeCapacity.Millicores, 1 << 32} {
+		j := batchJob(fleet.JobID("job-"+string(rune('a'+millicores%7))), 1000, millicores)
+		j.Steps[0].Demand.Memory = 0
+		j.Steps[0].SameRack = true
+		sim.submit(j)
+	}
+	began := time.Now()
+	sim.run(500 * time.Millisecond)
+	is.True(time.Since(began) < 30*time.Second)
+	load := sim.engine.Load(sim.now)
+	is.True(load.Used >= 0 && load.Waiting >= 0 && load.Late >= 0 && load.PerEndpoint == hugeCapacity.Millicores)
+}
