--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -162,7 +162,7 @@
 	page, err := f.Store.Changes(ctx, f.Table, f.after, f.Wait)
 	var historyErr *rowstore.HistoryError
 	if errors.As(err, &historyErr) {
-		f.Log.Warn("follower: store has dropped the change history, reading the table in full", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
+		f.Log.Warn("follower: store cannot list the changes, reading the table in full", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
 		f.loaded = false
 		return false, trace.Wrap(f.load(ctx))
 	}
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -111,12 +111,13 @@
 // Unwrap returns the cause.
 func (e *UnknownError) Unwrap() error { return e.Cause }
 
-// HistoryError reports that the store no longer has the changes since a version.
+// HistoryError reports that the store no longer has the changes since a version, or more of them than one response
+// may hold.
 type HistoryError struct {
 	Since Version
 }
 
 // Error implements error.
 func (e *HistoryError) Error() string {
-	return fmt.Sprintf("the store has dropped the changes since version %d", e.Since)
+	return fmt.Sprintf("the store cannot list the changes since version %d", e.Since)
 }
