shard: call an entry with the address of another endpoint less often

An entry of another writer with the address of a live endpoint is answered with 421. Each time the holder replaced the worker, which forgot the pause after failed renewals, so that the live endpoint was called ten times a second, with a line in the log each time. The pause now doubles as for an endpoint that does not answer. TestEntryWithAddressOfAnotherIsCalledLessOften failed before.

--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -21,8 +21,10 @@
 		return
 	}
 	if r.Answer == AnswerGone && w.Address == r.Order.Address && w.StartMillis == r.Order.Process.StartMillis {
+		backoff := min(max(minHoldBackoff, 2*w.holdBackoff), maxHoldBackoff)
 		e.replaceWorker(now, w, w.EndpointInfo, "another process listens at its address")
-		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
+		w = e.workers[r.Order.Process.Endpoint]
+		w.nextHoldAt, w.holdBackoff = now.Add(backoff), backoff
 		return
 	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
--- a/internal/shard/unanswered_test.go
+++ b/internal/shard/unanswered_test.go
@@ -106,3 +106,20 @@
 	load := sim.engine.Load(sim.now)
 	is.True(load.Used >= 0 && load.Waiting >= 0 && load.Late >= 0 && load.PerEndpoint == hugeCapacity.Millicores)
 }
+
+// Guards against an entry with the address of another endpoint that has it called ten times a second.
+func TestEntryWithAddressOfAnotherIsCalledLessOften(t *testing.T) {
+	is := is.New(t)
+	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop}, &fakeObserver{}, time.Time{})
+	now := fakeEpoch
+	engine.SetEndpoints(now, []shard.EndpointInfo{{Endpoint: "odd", Service: "service", Address: "taken", Capacity: worker64, StartMillis: 1}})
+	holds := 0
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(fakeTick) {
+		engine.Tick(now)
+		for _, o := range engine.Orders() {
+			holds++
+			engine.Apply(now, shard.Result{Order: o, Answer: shard.AnswerGone, SentAt: now})
+		}
+	}
+	is.True(holds >= 10 && holds <= 20) // as often as an endpoint that does not answer
+}
