shard: take no clock from a process that an order was not meant for

The answer 421 of another process carries that process's clock. It was taken for the clock of the worker that the order was sent for, unless the worker was replaced at once: an order to the former address of an endpoint, or one for an earlier process of its id, is enough. Deadlines of later leases were then set on the wrong clock. With one 95 s ahead, the endpoint grants its longest lease of 10 s while the holder counts 4 s, and the task may be started elsewhere while it still runs.

TestMisdirectedAnswerLeavesClock failed before.

--- /dev/null
+++ b/internal/shard/address_test.go
@@ -0,0 +1,117 @@
+package shard_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// addressedEndpoint is an endpoint process that answers orders at its own address only.
+type addressedEndpoint struct {
+	shard.EndpointInfo
+	clock    time.Duration
+	deadline time.Duration
+	running  map[fleet.TaskID]fleet.RunNumber
+}
+
+// addressed runs an engine whose endpoints are reached by their addresses, as on the platform.
+type addressed struct {
+	now       time.Time
+	engine    *shard.Engine
+	endpoints []*addressedEndpoint
+	twice     bool
+}
+
+func (addressed) Encode(*job.Occurrence) ([]byte, error) { return []byte{1}, nil }
+
+func newAddressed(clocks ...time.Duration) *addressed {
+	a := &addressed{now: fakeEpoch}
+	a.engine = shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: time.Hour}, &fakeObserver{}, time.Time{})
+	for i, clock := range clocks {
+		id := fleet.EndpointID("i-" + string(rune('1'+i)))
+		a.endpoints = append(a.endpoints, &addressedEndpoint{
+			EndpointInfo: shard.EndpointInfo{Endpoint: id, Service: "service", Address: fleet.Address("at-" + id), Capacity: worker64, StartMillis: 1},
+			clock:        clock, running: map[fleet.TaskID]fleet.RunNumber{},
+		})
+	}
+	return a
+}
+
+func (a *addressed) step() {
+	a.now = a.now.Add(fakeTick)
+	places := map[fleet.TaskID]int{}
+	for _, e := range a.endpoints {
+		if e.clock += fakeTick; e.clock > e.deadline {
+			clear(e.running)
+		}
+		for id := range e.running {
+			places[id]++
+			a.twice = a.twice || places[id] > 1
+		}
+	}
+	a.engine.Tick(a.now)
+	a.engine.Plan(a.now)
+	if batch, _ := a.engine.NextBatch(a); batch != nil {
+		a.engine.Committed(a.now)
+	}
+	for _, o := range a.engine.Orders() {
+		a.engine.Apply(a.now, a.execute(o))
+	}
+}
+
+func (a *addressed) execute(o shard.Order) shard.Result {
+	r := shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: a.now}
+	for _, e := range a.endpoints {
+		if e.Address != o.Address {
+			continue
+		}
+		r.Clock, r.Answer = e.clock, shard.AnswerGone
+		if e.Endpoint != o.Process.Endpoint {
+			return r
+		}
+		r.Answer, r.StartMillis = shard.AnswerDone, e.StartMillis
+		e.deadline = max(e.deadline, min(o.Deadline, e.clock+fakeMaxLease))
+		switch o.Kind {
+		case shard.OrderStart:
+			e.running[o.Task] = o.Run
+		case shard.OrderStop:
+			delete(e.running, o.Task)
+		case shard.OrderHold:
+			for id, run := range e.running {
+				r.Running = append(r.Running, shard.ListedRun{Task: id, Run: run})
+			}
+		}
+	}
+	return r
+}
+
+// Guards against a lease that is measured on the clock of another process, which answered at the endpoint's former
+// address.
+func TestMisdirectedAnswerLeavesClock(t *testing.T) {
+	is := is.New(t)
+	a := newAddressed(5*time.Second, 100*time.Second)
+	first, second := a.endpoints[0], a.endpoints[1]
+	a.engine.SetEndpoints(a.now, []shard.EndpointInfo{first.EndpointInfo, second.EndpointInfo})
+	for range 50 {
+		a.step()
+	}
+	late := shard.Order{Kind: shard.OrderStop, Service: "service", Process: first.Process(), Address: second.Address, Token: 1}
+	a.engine.Apply(a.now, a.execute(late))
+	for range 500 {
+		a.now = a.now.Add(fakeTick)
+		first.clock += fakeTick
+		second.clock += fakeTick
+		a.engine.Tick(a.now)
+		for _, o := range a.engine.Orders() {
+			if o.Process.Endpoint == first.Endpoint && o.Deadline > 0 {
+				is.True(o.Deadline-first.clock <= shard.LeaseLength) // longer than the holder counts
+			}
+			a.engine.Apply(a.now, a.execute(o))
+		}
+	}
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -39,7 +39,7 @@
 		}
 		w.StartMillis = r.StartMillis
 	}
-	if r.Clock > 0 {
+	if r.Clock > 0 && r.Answer != AnswerGone {
 		e.updateClock(w, r, now)
 	}
 	// Of consecutive failed renewals only the first is reported.
