shard: test runs of an endpoint whose entry turns odd

The run of a live endpoint goes on, and is not doubled, while the endpoint's entry is malformed, or names an earlier start, no start, another rack or less capacity than is in use.

--- a/internal/shard/address_test.go
+++ b/internal/shard/address_test.go
@@ -90,6 +90,24 @@
 	return r
 }
 
+// startTask runs a task that lasts on the first endpoint.
+func (a *addressed) startTask(is *is.I) {
+	is.Helper()
+	var list []shard.EndpointInfo
+	for _, e := range a.endpoints {
+		list = append(list, e.EndpointInfo)
+	}
+	a.engine.SetEndpoints(a.now, list)
+	j := batchJob("job", 1, 4000)
+	j.Queue, j.Service, j.AcceptedAt = "queue", "service", a.now
+	j.Steps[0].Estimate = time.Hour
+	a.engine.Accept(j)
+	for range 100 {
+		a.step()
+	}
+	is.Equal(len(a.endpoints[0].running), 1)
+}
+
 // Guards against a task that runs twice because the entry of its live endpoint names the address of another one: an
 // answer from there doesn't say that the endpoint is gone.
 func TestEntryWithWrongAddressLosesNoRun(t *testing.T) {
@@ -104,15 +122,7 @@
 			is := is.New(t)
 			a := newAddressed(c.clocks...)
 			first, second := a.endpoints[0], a.endpoints[1]
-			a.engine.SetEndpoints(a.now, []shard.EndpointInfo{first.EndpointInfo, second.EndpointInfo})
-			j := batchJob("job", 1, 4000)
-			j.Queue, j.Service, j.AcceptedAt = "queue", "service", a.now
-			j.Steps[0].Estimate = time.Hour
-			a.engine.Accept(j)
-			for range 100 {
-				a.step()
-			}
-			is.Equal(len(first.running), 1)
+			a.startTask(is)
 			odd := first.EndpointInfo
 			odd.Address = second.Address
 			a.engine.SetEndpoints(a.now, []shard.EndpointInfo{odd, second.EndpointInfo})
@@ -150,3 +160,41 @@
 		}
 	}
 }
+
+// Guards against a run that is lost or doubled because the entry of its live endpoint is malformed for a while, or
+// names an earlier start or another capacity.
+func TestOddEntryOfLiveEndpointKeepsItsRun(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		odd  func(*shard.EndpointInfo)
+	}{
+		{"malformed", nil},
+		{"no start", func(i *shard.EndpointInfo) { i.StartMillis = 0 }},
+		{"earlier start", func(i *shard.EndpointInfo) { i.StartMillis-- }},
+		{"less capacity than in use", func(i *shard.EndpointInfo) { i.Capacity = fleet.Capacity{Millicores: 1, Memory: 1} }},
+		{"other rack", func(i *shard.EndpointInfo) { i.Rack = "other" }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			a := newAddressed(100*time.Second, 5*time.Second)
+			first, second := a.endpoints[0], a.endpoints[1]
+			first.StartMillis = 7
+			a.startTask(is)
+			list := []shard.EndpointInfo{second.EndpointInfo}
+			if c.odd != nil {
+				odd := first.EndpointInfo
+				c.odd(&odd)
+				list = append(list, odd)
+			}
+			for _, registry := range [][]shard.EndpointInfo{list, {first.EndpointInfo, second.EndpointInfo}, list} {
+				a.engine.SetEndpoints(a.now, registry)
+				for range 1000 {
+					a.step()
+					is.Equal(len(first.running), 1)
+				}
+			}
+			is.True(!a.twice)
+			is.Equal(len(second.running), 0)
+		})
+	}
+}
