holder: close the links of endpoints that are forgotten

A holder keeps two senders, a ring for 512 orders and connections for each endpoint that was ever listed, until it gives up the lease. Entries of another writer under ever new keys, or endpoints that come and go, make them pile up. Links are now closed once the engine has forgotten the endpoint: it is not listed, has no runs and owes no answer to a renewal. TestLinksOfForgottenEndpointsAreClosed shows it; without the change there is nothing to call.

--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -118,6 +118,16 @@
 	}
 }
 
+// closeForgotten ends the senders of endpoints that are not known any more.
+func (l *links) closeForgotten(known func(fleet.EndpointID) bool) {
+	for id, k := range l.byEndpoint {
+		if !known(id) {
+			k.cancel()
+			delete(l.byEndpoint, id)
+		}
+	}
+}
+
 // startSender adds a sender for the orders of an endpoint.
 func (l *links) startSender(k *link, id fleet.EndpointID) {
 	k.senders++
--- a/internal/holder/links_test.go
+++ b/internal/holder/links_test.go
@@ -91,3 +91,22 @@
 	is.Equal(first.Answer, shard.AnswerUnsent)
 	is.Equal(l.result(t).Answer, shard.AnswerDone) // a stop is never too old
 }
+
+// Guards against connections and rings that stay for each endpoint that was ever listed.
+func TestLinksOfForgottenEndpointsAreClosed(t *testing.T) {
+	is := is.New(t)
+	l, _ := newLinks(t, 1)
+	l.order(shard.OrderStop, 1)
+	l.order(shard.OrderStop, 2)
+	known := map[fleet.EndpointID]bool{"e": true}
+	isKnown := func(id fleet.EndpointID) bool { return known[id] }
+	l.closeForgotten(isKnown)
+	k := l.byEndpoint["e"]
+	is.True(k != nil && k.ctx.Err() == nil) // orders are outstanding
+	delete(known, "e")
+	l.closeForgotten(isKnown)
+	is.Equal(len(l.byEndpoint), 0)
+	is.True(k.ctx.Err() != nil)
+	l.order(shard.OrderStop, 3)
+	is.Equal(l.result(t).Order.Run, fleet.RunNumber(3)) // it is opened again when the endpoint is back
+}
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -300,6 +300,7 @@
 		if h.engine != nil && h.loaded {
 			h.engine.Tick(now)
 			h.links.addSenders(now)
+			h.links.closeForgotten(h.engine.Knows)
 		}
 		if s.stopping {
 			s.release(h)
