--- a/internal/holder/links_test.go
+++ b/internal/holder/links_test.go
@@ -110,3 +110,22 @@
 	is.Equal(answers[2], shard.AnswerUnsent)
 	is.Equal(answers[3], shard.AnswerDone)
 }
+
+// Guards against connections and rings that stay for each endpoint that was ever listed.
+func TestLinksOfForgottenEndpointsAreClosed(t *testing.T) {
+	is := is.New(t)
+	l, _ := newLinks(t, 1)
+	l.order(shard.OrderStop, 1)
+	l.order(shard.OrderStop, 2)
+	known := map[fleet.EndpointID]bool{"e": true}
+	isKnown := func(id fleet.EndpointID) bool { return known[id] }
+	l.closeForgotten(isKnown)
+	k := l.byEndpoint["e"]
+	is.True(k != nil && k.ctx.Err() == nil) // orders are outstanding
+	delete(known, "e")
+	l.closeForgotten(isKnown)
+	is.Equal(len(l.byEndpoint), 0)
+	is.True(k.ctx.Err() != nil)
+	l.order(shard.OrderStop, 3)
+	is.Equal(l.result(t).Order.Run, fleet.RunNumber(3)) // it is opened again when the endpoint is back
+}
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -174,7 +174,7 @@
 			task := &o.Tasks[s][t]
 			entry.started = entry.started || task.LastEnded > 0
 			if task.Running() {
-				w := e.workerOf(task.Process)
+				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, fenced: true, evidence: EvidenceNone})
@@ -187,10 +187,10 @@
 // workerOf returns the worker of an endpoint, and creates it when the endpoint is known from an assignment
 // only. An assignment to an earlier process of the endpoint stays with the same worker, because only the
 // endpoint's first answer shows which process is running.
-func (e *Engine) workerOf(p fleet.EndpointProcess) *worker {
+func (e *Engine) workerOf(now time.Time, p fleet.EndpointProcess) *worker {
 	w := e.workers[p.Endpoint]
 	if w == nil {
-		w = e.newWorker(EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
+		w = e.newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
 		w.leaseEnd = e.previousEnd
 		e.setWorker(w)
 	}
@@ -396,6 +396,9 @@
 	return o
 }
 
+// Knows reports whether an endpoint is listed or has runs or a renewal that is not answered.
+func (e *Engine) Knows(id fleet.EndpointID) bool { return e.workers[id] != nil }
+
 // Orders returns the orders to be sent, each once.
 func (e *Engine) Orders() []Order {
 	out := e.out
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -14,9 +14,9 @@
 // newWorker returns the worker of a process. Orders name an endpoint and not its process, so the worker's token is
 // higher than those of all processes that the holder no longer reckons with: once the process has answered an order
 // with its token, it rejects the orders that were meant for an earlier one and arrive late.
-func (e *Engine) newWorker(info EndpointInfo) *worker {
+func (e *Engine) newWorker(now time.Time, info EndpointInfo) *worker {
 	return &worker{
-		EndpointInfo: info, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{}, mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
+		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{}, mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
 	}
 }
 
@@ -86,8 +86,11 @@
 	for _, a := range w.runs {
 		e.markLost(now, w, a, Loss{Reason: reason})
 	}
-	successor := e.newWorker(next)
+	successor := e.newWorker(now, next)
 	successor.listed, successor.cordonedUntil = w.listed, w.cordonedUntil
+	if !w.contacted {
+		successor.firstSeen = w.firstSeen
+	}
 	e.setWorker(successor)
 	return successor
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -24,10 +24,11 @@
 		e.fenced = true
 		return
 	}
-	if r.Answer == AnswerGone && w.Address == r.Order.Address && !r.SentAt.Before(w.lastAnswerAt) {
+	if r.Answer == AnswerGone && w.Address == r.Order.Address && !r.SentAt.Before(w.lastAnswerAt) && (!w.contacted || w.heldAt == w.Address) {
 		e.Observer.RunsLost(w.Endpoint, len(w.runs), LossGone)
-		e.replaceWorker(now, w, w.EndpointInfo, LossGone)
-		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
+		successor := e.replaceWorker(now, w, w.EndpointInfo, LossGone)
+		successor.holdBackoff = min(max(minHoldBackoff, 2*w.holdBackoff), maxHoldBackoff)
+		successor.nextHoldAt = now.Add(successor.holdBackoff)
 		return
 	}
 	if r.Answer == AnswerGone {
@@ -141,7 +142,7 @@
 	if w.missed {
 		e.Observer.Reconnected(w.Endpoint)
 	}
-	w.missed, w.holdBackoff = false, 0
+	w.missed, w.holdBackoff, w.heldAt = false, 0, r.Order.Address
 	if !w.contacted {
 		w.contacted = true
 		w.nextHoldAt = now
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -82,10 +82,15 @@
 	listed bool
 	// contacted is set once the process has answered a renewal of this holder.
 	contacted bool
+	// heldAt is the address at which the process last answered a renewal. Another process at a different address
+	// doesn't show that this one is gone.
+	heldAt fleet.Address
 	// clock is the endpoint's monotonic clock at clockAt.
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
+	// firstSeen is when the holder learned of the process, or of the first one of those that never answered.
+	firstSeen time.Time
 	// clockStepped is set while answers do not continue the clock.
 	clockStepped bool
 	// leaseEnd is when all leases that were granted to the process have expired. unprovenLeaseEnd is the same for
