shard: tell a process of a fence before late orders reach it

The simulation let late orders reach the next process 100 ms after the holder's first list of it. Now they reach it once it has executed an order that the holder sent after that list.

--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -53,9 +53,9 @@
 	// registeredAt is when the registry shows the process. Until then it shows the one that began at listedMillis.
 	registeredAt time.Time
 	listedMillis int64
-	// seenBy is the token of the last holder that the process has answered a renewal, seenAt when it first did.
-	seenBy fleet.FencingToken
-	seenAt time.Time
+	// seenBy is the epoch of the last holder that has received a list of the process, toldBy that of the last one
+	// whose order the process has executed after that.
+	seenBy, toldBy fleet.FencingToken
 }
 
 // clock returns the time on the process's own clock.
@@ -67,7 +67,7 @@
 func (e *fakeEndpoint) restart(now time.Time, clock time.Duration, slow int) {
 	e.StartMillis++
 	e.began, e.clockStart, e.slow, e.deadline, e.token = now, clock, slow, 0, 0
-	e.seenBy, e.seenAt = 0, time.Time{}
+	e.seenBy, e.toldBy = 0, 0
 	e.lapsedAt, e.backAt, e.dead = time.Time{}, time.Time{}, false
 	e.running, e.highest = map[fleet.TaskID]*fakeRun{}, map[fleet.TaskID]fleet.RunNumber{}
 	e.ends, e.ended = nil, 0
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -68,6 +68,9 @@
 		sim.answer(o.Wait+fakeOrderTimeout, unknown)
 		return
 	}
+	if e.seenBy == sim.epoch {
+		e.toldBy = sim.epoch
+	}
 	answer := sim.execute(e, o, false)
 	if o.Kind == shard.OrderHold && answer == shard.AnswerDone {
 		e.held, e.heldAt = append(e.held, o), append(e.heldAt, sim.now)
@@ -98,8 +101,8 @@
 		return
 	}
 	if r.Order.Epoch == sim.epoch && !sim.frozen {
-		if e := sim.endpoints[r.Order.Process.Endpoint]; e != nil && r.StartMillis == e.StartMillis && e.seenBy != sim.epoch {
-			e.seenBy, e.seenAt = sim.epoch, sim.now
+		if e := sim.endpoints[r.Order.Process.Endpoint]; e != nil && r.StartMillis == e.StartMillis {
+			e.seenBy = sim.epoch
 		}
 		sim.tracef("answer to %s %s run %d of %s: %s", r.Order.Kind, r.Order.Task, r.Order.Run, r.Order.Process.Endpoint, r.Answer)
 		sim.engine.Apply(sim.now, r)
@@ -115,7 +118,7 @@
 			continue
 		}
 		e := sim.endpoints[d.order.Process.Endpoint]
-		if e != nil && !e.dead && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasSeen(e)) {
+		if e != nil && !e.dead && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasTold(e)) {
 			sim.execute(e, d.order, true)
 		}
 	}
@@ -130,13 +133,9 @@
 	}
 }
 
-// seenGrace is how long after the first list of a process the holder's next orders have reached it.
-const seenGrace = 100 * time.Millisecond
-
-// hasSeen reports whether the holder has had the time to react to the first list of a process.
-func (sim *simulation) hasSeen(e *fakeEndpoint) bool {
-	return e.seenBy == sim.epoch && sim.now.Sub(e.seenAt) >= seenGrace
-}
+// hasTold reports whether a process has executed an order that the holder sent after the first list of the process.
+// Nothing before that can tell the process that orders to an earlier one are void.
+func (sim *simulation) hasTold(e *fakeEndpoint) bool { return e.toldBy == sim.epoch }
 
 // answerHolds answers the renewals that the endpoint holds open.
 func (sim *simulation) answerHolds(e *fakeEndpoint) {
