shard: let only a list show that an endpoint has restarted

Cause: a row of the registry with a later start time counted as a restart and gave up all listed runs.

Ruled out: that this makes restarts late to be seen; a restart breaks the connection of the renewal, and the next one shows it.

Change: a row with another start time says where to ask when the known address does not answer. Its capacity and labels apply once a list has shown its process.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -47,7 +47,6 @@
 	EvidenceAge           float64 `json:"evidence-age"`
 	SinceAnswer           float64 `json:"since-answer"`
 	LeaseLeft             float64 `json:"lease-left"`
-	Source                string  `json:"source"`
 	Lost                  int     `json:"runs"`
 	Kept                  int     `json:"kept"`
 	InheritedRuns         int     `json:"inherited-runs"`
@@ -223,7 +222,6 @@
 		{"order", l.Order},
 		{"answer", l.Answer},
 		{"evidence", l.Evidence},
-		{"source", l.Source},
 		{"current-endpoint", l.CurrentEndpoint},
 	} {
 		if d.value != "" {
--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -130,9 +130,9 @@
 
 // Restarted implements shard.Observer.
 func (o *Observer) Restarted(r shard.Restart) {
-	o.scope.Tagged(map[string]string{"source": string(r.Source)}).Counter("endpoints_restarted").Inc(1)
+	o.scope.Counter("endpoints_restarted").Inc(1)
 	o.log.Warn("lease: endpoint restarted", append(processFields(r.Process), zap.Int64("previous-started-ms", r.PreviousStartMillis),
-		zap.String("source", string(r.Source)), zap.Duration("since-answer", r.SinceAnswer), zap.Int("runs", r.Lost), zap.Int("kept", r.Kept),
+		zap.Duration("since-answer", r.SinceAnswer), zap.Int("runs", r.Lost), zap.Int("kept", r.Kept),
 		zap.Duration("lease-left", r.LeaseLeft))...)
 }
 
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
@@ -18,15 +19,7 @@
 			w = e.newWorker(now, endpoint)
 			e.setWorker(w)
 		}
-		if w.isRestart(now, endpoint) {
-			w = e.handleRestart(now, w, endpoint, RestartInRegistry)
-		}
-		if w.Address != endpoint.Address {
-			w.holdInFlight = false
-		}
-		if endpoint.StartMillis == w.StartMillis || w.StartMillis == 0 {
-			w.EndpointInfo = endpoint
-		}
+		w.setRow(now, endpoint)
 		w.listed = true
 	}
 	for id, w := range e.workers {
@@ -36,6 +29,23 @@
 	}
 }
 
+// setRow records the registry's row of an endpoint. A row with another start time may be old, of the next process,
+// or left by another writer: only a list shows which process there is, so the row says no more than where to ask when
+// the known address does not answer.
+func (w *worker) setRow(now time.Time, row EndpointInfo) {
+	w.row = row
+	address := w.Address
+	switch {
+	case row.StartMillis == w.StartMillis || w.StartMillis == 0:
+		w.EndpointInfo = row
+	case !w.reachable(now) && !slices.Contains(w.replaced, row.StartMillis):
+		w.Address = row.Address
+	}
+	if w.Address != address {
+		w.holdInFlight = false
+	}
+}
+
 // markLost ends a run whose end was not reported.
 func (e *Engine) markLost(now time.Time, w *worker, a *assignment, loss Loss) {
 	w.remove(a.id)
--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -62,22 +62,12 @@
 	ListClock, StartedClock time.Duration
 }
 
-// RestartSource is how a holder learned of the restart of an endpoint.
-type RestartSource string
-
-// Sources of restarts.
-const (
-	RestartInRegistry RestartSource = "registry"
-	RestartInAnswer   RestartSource = "answer"
-)
-
 // Restart is the replacement of an endpoint's process by another one under its id.
 type Restart struct {
 	// Process is the present process.
 	Process fleet.EndpointProcess
 	// PreviousStartMillis is the start time of the earlier process.
 	PreviousStartMillis int64
-	Source              RestartSource
 	// SinceAnswer is the time since the last answer of the earlier process; 0 when there was none.
 	SinceAnswer time.Duration
 	// Lost counts the runs that were given up, Kept those that the present process may execute.
@@ -142,9 +132,9 @@
 }
 
 // observeRestart reports that a worker was replaced by a successor.
-func (e *Engine) observeRestart(now time.Time, w, successor *worker, source RestartSource, lost int) {
+func (e *Engine) observeRestart(now time.Time, w, successor *worker, lost int) {
 	e.Observer.Restarted(Restart{
-		Process: successor.Process(), PreviousStartMillis: w.StartMillis, Source: source, SinceAnswer: since(now, w.lastAnswerAt),
+		Process: successor.Process(), PreviousStartMillis: w.StartMillis, SinceAnswer: since(now, w.lastAnswerAt),
 		Lost: lost, Kept: len(successor.runs), LeaseLeft: -since(now, successor.leaseEnd),
 	})
 }
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -46,10 +45,15 @@
 	return o.Token < w.token
 }
 
-// handleRestart replaces the worker of an endpoint that another process has started under its id. Runs that the
+// handleRestart replaces the worker of an endpoint after a list of another process under its id. Runs that the
 // earlier process has listed ended with it. Other runs may have been started by the next process instead: they are
 // kept until it answers a renewal with its own token, when its list shows which of them it executes.
-func (e *Engine) handleRestart(now time.Time, w *worker, next EndpointInfo, source RestartSource) *worker {
+func (e *Engine) handleRestart(now time.Time, w *worker, startMillis int64) *worker {
+	next := w.EndpointInfo
+	if w.row.StartMillis == startMillis {
+		next = w.row
+	}
+	next.StartMillis = startMillis
 	e.discard()
 	var kept []*assignment
 	for id, a := range w.runs {
@@ -67,27 +71,17 @@
 	successor.replaced = append(w.replaced, w.StartMillis)
 	successor.mayHoldLongestLease = true
 	successor.extendLease(now, e.Bounds.MaxLease)
-	e.observeRestart(now, w, successor, source, lost)
+	e.observeRestart(now, w, successor, lost)
 	return successor
 }
 
-// isRestart reports whether a row of the registry shows a process that started after the worker's. The registry
-// lags: it may still show a process that has been replaced. Start times may be out of order, because clocks jump; a
-// row with an earlier one is believed when the worker does not answer and the address has changed too.
-func (w *worker) isRestart(now time.Time, row EndpointInfo) bool {
-	if w.StartMillis == 0 || row.StartMillis == w.StartMillis || slices.Contains(w.replaced, row.StartMillis) {
-		return false
-	}
-	return row.StartMillis > w.StartMillis || row.Address != w.Address && !w.reachable(now)
-}
-
 // replaceWorker marks the runs of a process that no longer exists as lost and adds a worker for the next one.
 func (e *Engine) replaceWorker(now time.Time, w *worker, next EndpointInfo, reason LossReason) *worker {
 	for _, a := range w.runs {
 		e.markLost(now, w, a, Loss{Reason: reason})
 	}
 	successor := e.newWorker(now, next)
-	successor.listed, successor.cordonedUntil = w.listed, w.cordonedUntil
+	successor.row, successor.listed, successor.cordonedUntil = w.row, w.listed, w.cordonedUntil
 	if !w.contacted {
 		successor.firstSeen = w.firstSeen
 	}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -35,12 +35,10 @@
 		r.Clock, r.StartMillis = 0, 0 // They are those of another endpoint.
 	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
-		next := w.EndpointInfo
-		next.StartMillis = r.StartMillis
 		if w.StartMillis != 0 {
 			// The list may be older than orders that are on their way. The next one, with the token of the
 			// new process, is not.
-			e.hold(now, e.handleRestart(now, w, next, RestartInAnswer))
+			e.hold(now, e.handleRestart(now, w, r.StartMillis))
 			return
 		}
 		w.StartMillis = r.StartMillis
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -76,6 +76,8 @@
 // worker is the state of one endpoint process.
 type worker struct {
 	EndpointInfo
+	// row is the registry's latest row of the endpoint, which may be of another process.
+	row EndpointInfo
 	// token is the fencing token of the orders to the process.
 	token fleet.FencingToken
 	// listed is false for an endpoint that left the registry or is known from an assignment only.
