shard: replace endpoints at their address and cut lists at 500 ends

The simulation's endpoints are also followed by others, with ids of their own, at the same address; a list holds at most 500 ends; a process may have a lower start time than the earlier one.

TestRunWithUnlistedEndIsKept fails without any restart: 600 runs end while the answers are lost, the next list shows 500 ends, and the other 100 runs count as lost and start again. TestProcessWithEarlierStartTimeIsUsed fails: the next process is ignored and its job stays running. 300 schedules with all faults but no restart under the same id have no violation.

--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -50,6 +50,8 @@
 	stall             bool
 	// backAt is when a dead process is replaced under its id; zero is never.
 	backAt time.Time
+	// goneAt is when the registry no longer shows a dead process that is not replaced under its id.
+	goneAt time.Time
 	// registeredAt is when the registry shows the process. Until then it shows the one that began at listedMillis.
 	registeredAt time.Time
 	listedMillis int64
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -17,6 +17,8 @@
 	maxAnswerDelay = 500 * time.Millisecond
 	// maxRegistryDelay bounds how late the registry shows another process.
 	maxRegistryDelay = 3 * time.Second
+	// maxListedEnds is the limit of ends in one list.
+	maxListedEnds = 500
 	// fakeClockRange bounds what the clock of a process shows at its start.
 	fakeClockRange = time.Hour
 )
@@ -49,7 +51,7 @@
 
 // send delivers an order, or delays it and reports that there was no answer.
 func (sim *simulation) send(o shard.Order) {
-	e := sim.endpoints[o.Process.Endpoint]
+	e := sim.listener(o)
 	unknown := shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now}
 	if e == nil {
 		sim.answer(0, unknown)
@@ -68,6 +70,10 @@
 		sim.answer(o.Wait+fakeOrderTimeout, unknown)
 		return
 	}
+	if e.Endpoint != o.Process.Endpoint {
+		sim.answer(0, shard.Result{Order: o, Answer: shard.AnswerGone, Clock: e.clock(sim.now), SentAt: sim.now})
+		return
+	}
 	answer := sim.execute(e, o, false)
 	if o.Kind == shard.OrderHold && answer == shard.AnswerDone {
 		e.held, e.heldAt = append(e.held, o), append(e.heldAt, sim.now)
@@ -76,6 +82,17 @@
 	sim.reply(e, o, answer)
 }
 
+// listener returns the endpoint that listens at an order's address, or nil.
+func (sim *simulation) listener(o shard.Order) *fakeEndpoint {
+	var found *fakeEndpoint
+	for _, e := range sim.sorted() {
+		if e.Address == o.Address && (found == nil || found.dead) {
+			found = e
+		}
+	}
+	return found
+}
+
 // orderDelay returns how late an order is carried out; 0 is in time.
 func (sim *simulation) orderDelay(o shard.Order) time.Duration {
 	if sim.delay != nil {
@@ -114,8 +131,8 @@
 			sim.delayedOrders = append(sim.delayedOrders, d)
 			continue
 		}
-		e := sim.endpoints[d.order.Process.Endpoint]
-		if e != nil && !e.dead && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasSeen(e)) {
+		e := sim.listener(d.order)
+		if e != nil && !e.dead && e.Endpoint == d.order.Process.Endpoint && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasSeen(e)) {
 			sim.execute(e, d.order, true)
 		}
 	}
@@ -163,7 +180,7 @@
 		for _, id := range e.tasks() {
 			r.Running = append(r.Running, shard.ListedRun{Task: id, Run: e.running[id].run, Progress: e.running[id].progress(sim.now)})
 		}
-		for _, end := range e.ends {
+		for _, end := range e.ends[:min(len(e.ends), maxListedEnds)] {
 			r.Ends = append(r.Ends, end.ListedEnd)
 		}
 	}
@@ -214,6 +231,18 @@
 	e.dead, e.backAt = true, sim.now.Add(downtime)
 }
 
+// replace ends an endpoint's process and lets another endpoint start at its address, with an id of its own.
+func (sim *simulation) replace(e *fakeEndpoint) {
+	sim.closeConnections(e)
+	e.dead, e.backAt, e.goneAt = true, time.Time{}, sim.now.Add(maxRegistryDelay)
+	next := *e
+	next.Endpoint += "+"
+	next.restart(sim.now, time.Second+time.Duration(sim.clocks.Int64N(int64(fakeClockRange))), sim.clocks.IntN(fakeSlowLimit))
+	next.listedMillis, next.goneAt = 0, time.Time{}
+	next.registeredAt = sim.now.Add(time.Duration(sim.random.Int64N(int64(maxRegistryDelay))))
+	sim.endpoints[next.Endpoint] = &next
+}
+
 // closeConnections ends the renewals that an endpoint holds open.
 func (sim *simulation) closeConnections(e *fakeEndpoint) {
 	held := e.held
@@ -231,7 +260,8 @@
 func (sim *simulation) list() {
 	var list []shard.EndpointInfo
 	for _, e := range sim.sorted() {
-		if e.dead && e.backAt.IsZero() {
+		isNew := e.listedMillis == 0 && sim.now.Before(e.registeredAt)
+		if e.dead && e.backAt.IsZero() && !sim.now.Before(e.goneAt) || isNew {
 			continue
 		}
 		info := e.EndpointInfo
@@ -253,6 +283,9 @@
 		if !e.registeredAt.IsZero() && !sim.now.Before(e.registeredAt) {
 			e.registeredAt, changed = time.Time{}, true
 		}
+		if e.dead && !e.goneAt.IsZero() && !sim.now.Before(e.goneAt) {
+			e.goneAt, changed = time.Time{}, true
+		}
 	}
 	if changed && !sim.frozen {
 		sim.list()
--- a/internal/shard/hostile_test.go
+++ b/internal/shard/hostile_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -28,13 +29,16 @@
 var hostileFaults = []struct {
 	name   string
 	faults networkFaults
+	// newIDs is set where a process that ends is followed by one with another id only.
+	newIDs bool
 }{
-	{"restarts and cuts", networkFaults{}},
-	{"late starts and stops", networkFaults{delayShare: 0.15}},
-	{"late renewals", networkFaults{delayHoldShare: 0.15}},
-	{"lost answers", networkFaults{loseAnswerShare: 0.1}},
-	{"overtaking answers", networkFaults{overtakeShare: 0.3}},
-	{"all faults", networkFaults{delayShare: 0.1, delayHoldShare: 0.1, loseAnswerShare: 0.05, overtakeShare: 0.2}},
+	{"restarts and cuts", networkFaults{}, false},
+	{"late starts and stops", networkFaults{delayShare: 0.15}, false},
+	{"late renewals", networkFaults{delayHoldShare: 0.15}, false},
+	{"lost answers", networkFaults{loseAnswerShare: 0.1}, false},
+	{"overtaking answers", networkFaults{overtakeShare: 0.3}, false},
+	{"all faults", networkFaults{delayShare: 0.1, delayHoldShare: 0.1, loseAnswerShare: 0.05, overtakeShare: 0.2}, false},
+	{"all faults and new ids", networkFaults{delayShare: 0.1, delayHoldShare: 0.1, loseAnswerShare: 0.05, overtakeShare: 0.2, reachesUnseen: true}, true},
 }
 
 // The invariants hold while endpoints restart, are cut off and return, with tasks that outlast every lease.
@@ -43,7 +47,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			for n := range uint64(*hostileSchedules) {
 				seed := *hostileFirst + n
-				if violations := runHostileSchedule(t, seed, c.faults); len(violations) > 0 {
+				if violations := runHostileSchedule(t, seed, c.faults, c.newIDs); len(violations) > 0 {
 					t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
 				}
 			}
@@ -52,7 +56,7 @@
 }
 
 // runHostileSchedule runs one random schedule in which most events concern two endpoints, and returns the violations.
-func runHostileSchedule(t *testing.T, seed uint64, faults networkFaults) []string {
+func runHostileSchedule(t *testing.T, seed uint64, faults networkFaults, newIDs bool) []string {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 5))
 	sim := newSimulation(seed, 4+r.IntN(3), fleet.Capacity{Millicores: 16000, Memory: 64000})
@@ -68,7 +72,7 @@
 		return base
 	}
 	for end := sim.now.Add(hostileTime); sim.now.Before(end); {
-		sim.hostileEvent(r)
+		sim.hostileEvent(r, newIDs)
 		sim.run(time.Duration(50+r.IntN(400)) * time.Millisecond)
 	}
 	sim.clearFaults()
@@ -81,13 +85,17 @@
 }
 
 // hostileEvent applies one random event.
-func (sim *simulation) hostileEvent(r *rand.Rand) {
+func (sim *simulation) hostileEvent(r *rand.Rand, newIDs bool) {
 	endpoints := sim.sorted()
+	endpoints = slices.DeleteFunc(endpoints, func(e *fakeEndpoint) bool { return e.dead && e.backAt.IsZero() })
 	e := endpoints[r.IntN(2)]
 	if r.IntN(5) == 0 {
 		e = endpoints[r.IntN(len(endpoints))]
 	}
-	kind := r.IntN(14)
+	kind := r.IntN(15)
+	if newIDs && kind >= 3 && kind <= 6 { // restarts under the same id
+		kind = 8 + kind%3 // 8 to 10
+	}
 	sim.tracef("event %d at %s", kind, e.Endpoint)
 	switch kind {
 	case 0, 1, 2:
@@ -122,6 +130,10 @@
 			sim.takeOver(sim.previousEnd())
 		}
 	case 13:
+		if !e.dead {
+			sim.replace(e)
+		}
+	case 14:
 		sim.engine.Vacate(sim.now, e.Endpoint, r.IntN(2) == 0)
 	}
 }
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -199,6 +199,35 @@
 	sim.finish(is, "job")
 }
 
+// Guards against a run that counts as lost because its end is beyond the limit of ends in one list.
+func TestRunWithUnlistedEndIsKept(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 1, worker64)
+	j := batchJob("job", 600, 100)
+	j.Steps[0].Demand.Memory = 100
+	sim.submit(j)
+	sim.run(900 * time.Millisecond)
+	sim.endpoints["endpoint-00"].mute = true
+	sim.run(time.Second)
+	is.Equal(len(sim.endpoints["endpoint-00"].ends), 600)
+	sim.finish(is, "job")
+}
+
+// Guards against a process that is ignored because its start time is lower than that of the earlier one.
+func TestProcessWithEarlierStartTimeIsUsed(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	e.StartMillis = 10_000
+	sim.list()
+	sim.run(2 * time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(time.Second)
+	is.Equal(len(e.running), 1)
+	sim.restartWith(e, lowClock, 500*time.Millisecond)
+	e.StartMillis = 5_000 // the clock of the machine was set back
+	sim.finish(is, "job")
+}
+
 // Guards against a new holder that waits for usual leases only, while a late renewal may grant the longest one.
 func TestNewHolderOutwaitsLateRenewals(t *testing.T) {
 	is := is.New(t)
