--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -164,6 +164,19 @@
 	sim.finish(is, "job")
 }
 
+// Guards against an end that is forgotten unlisted: the first renewal at the next process acknowledges earlier ends.
+func TestFirstHoldAtNextProcessAcknowledgesNothing(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.duration = func(fleet.TaskID) time.Duration { return 50 * time.Millisecond }
+	sim.submit(batchJob("earlier", 2, 4000))
+	sim.run(3 * time.Second)
+	sim.restartWith(e, lowClock, time.Second)
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(time.Second)
+	sim.finish(is, "job")
+}
+
 // Guards against a late answer of the earlier process that sets the clock by which the next one's deadlines are set.
 func TestLateAnswerOfEarlierProcessSetsNoClock(t *testing.T) {
 	is := is.New(t)
