--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -183,6 +183,7 @@
 		for _, end := range e.ends[:min(len(e.ends), maxListedEnds)] {
 			r.Ends = append(r.Ends, end.ListedEnd)
 		}
+		r.MoreEnds = len(r.Ends) >= maxListedEnds
 	}
 	var delay time.Duration
 	if sim.random.Float64() < sim.overtakeShare {
