shard: acknowledge ends only right after a list

Cause: a renewal that waits for a commit is sent up to a second after the list that it acknowledges. If the endpoint restarts meanwhile, no renewal fails, and the next process forgets its own ends by the numbers of the earlier one: a task that it had done started again.

Change: after 300 ms without a list a renewal acknowledges nothing and returns at once; the one after it acknowledges.

TestRenewalAfterSlowCommitForgetsNoEnd: red before, passes after.

--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -204,3 +204,26 @@
 	}
 	is.Fail() // the registered address is never called
 }
+
+// Guards against an end that a renewal, held back for a slow commit, has the next process forget unlisted.
+func TestRenewalAfterSlowCommitForgetsNoEnd(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	sim.duration = func(fleet.TaskID) time.Duration { return 300 * time.Millisecond }
+	sim.submit(batchJob("first", 1, 4000))
+	sim.run(100 * time.Millisecond)
+	is.Equal(len(e.running), 1)
+	sim.storeDown = true
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(500 * time.Millisecond) // the end of the first task is listed, its commit waits for that of the start
+	sim.restartWith(e, lowClock, 2*time.Second)
+	sim.storeDown = false
+	sim.step()
+	sim.storeDown = true
+	sim.run(50 * time.Millisecond)
+	is.Equal(len(e.running), 1) // the next process has started the task
+	sim.run(350 * time.Millisecond)
+	sim.storeDown = false
+	sim.run(5 * time.Second)
+	sim.finish(is, "job")
+}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -81,10 +81,12 @@
 	}
 	order := e.order(w, OrderHold, nil)
 	if w.contacted && !w.missed {
-		order.Acknowledged = w.acked
+		if now.Sub(w.clockAt) < maxRenewalGap {
+			order.Acknowledged = w.acked
+		}
 		order.Deadline = w.deadline(now, e.leaseLength())
 		w.extendLease(now, e.leaseLength())
-		if w.acked == w.cursor && !w.awaitsList() {
+		if order.Acknowledged == w.cursor && !w.awaitsList() {
 			order.Wait = HoldWait
 		}
 	}
@@ -92,6 +94,10 @@
 	e.out = append(e.out, order)
 }
 
+// maxRenewalGap is the longest time since a list after which a renewal acknowledges ends: no endpoint restarts that
+// fast, and a next process would forget its own ends by those numbers.
+const maxRenewalGap = 300 * time.Millisecond
+
 // awaitsList reports whether the next list settles a run that has been stopped without having been listed.
 func (w *worker) awaitsList() bool {
 	for _, a := range w.runs {
