--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -247,6 +247,16 @@
 			details = append(details, fmt.Sprintf("%s=%d", d.name, d.value))
 		}
 	}
+	details = append(details, l.times()...)
+	if l.FromPredecessor {
+		details = append(details, "from-predecessor")
+	}
+	return append(row, strings.Join(details, " "))
+}
+
+// times returns the durations of a line, in seconds.
+func (l logLine) times() []string {
+	var details []string
 	for _, d := range []struct {
 		name  string
 		value float64
@@ -269,8 +279,5 @@
 			details = append(details, fmt.Sprintf("%s=%.2fs", d.name, d.value))
 		}
 	}
-	if l.FromPredecessor {
-		details = append(details, "from-predecessor")
-	}
-	return append(row, strings.Join(details, " "))
+	return details
 }
