holder: take no lease that was renewed since it was read

What callers may see: a task on an endpoint that only the earlier holder reaches runs on while its next run has started.

Cause: a taker compared the epoch of the lease row only. A renewal that takes effect between its last read and its transaction confirms the holder, which goes on for seven seconds from there, while the taker counts them from the last change that it has read: on a store that is slow for two seconds, two seconds too few.

Change: a lease whose renewals have gone on is held, and not taken; one that was released meanwhile is. The tests of waves pass the lease as read in place of its epoch.

TestLeaseThatWasRenewedIsNotTaken: before, the lease was taken; after, passes.

--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -16,7 +16,6 @@
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
-	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -123,7 +122,7 @@
 }
 
 // maintain runs a holder of the maintenance duty until the condition holds.
-func maintain(t *testing.T, store *rows.Store, p *vmPlatform, name fleet.EntryID, previous fleet.FencingToken, until func() bool) {
+func maintain(t *testing.T, store *rows.Store, p *vmPlatform, name fleet.EntryID, previous election.Lease, until func() bool) {
 	t.Helper()
 	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), name, previous, waveDown, until)
 }
@@ -131,15 +130,15 @@
 // maintainWith is maintain with a scheduler that answers, and with all VMs down at a time if need be.
 func maintainWith(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], until func() bool) {
 	t.Helper()
-	run(t, store, p, scheduler, "entry", 0, waveVMs, until)
+	run(t, store, p, scheduler, "entry", election.Lease{}, waveVMs, until)
 }
 
-func run(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], name fleet.EntryID, previous fleet.FencingToken, down int, until func() bool) {
+func run(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], name fleet.EntryID, previous election.Lease, down int, until func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	c := clock.Real()
 	chain := &holder.Chain{Duty: holder.DutyMaintenance, Self: holder.Identity{Entry: name, Incarnation: fleet.NewIncarnation()}, Store: store, Clock: c}
-	taken, err := holder.TakeLease(ctx, chain, election.Lease{Epoch: previous})
+	taken, err := holder.TakeLease(ctx, chain, previous)
 	is.New(t).NoErr(err)
 	m := &holder.Maintainer{
 		Chain: chain, Taken: taken, Platform: p, Scheduler: scheduler, Waves: &ring.Latest[[]holder.WaveOrder]{},
@@ -169,7 +168,7 @@
 	is := is.New(t)
 	store, p := rows.New(clock.Real()), newVMPlatform()
 	// The first holder ends in the middle of the wave, a while after the first VMs were up again.
-	maintain(t, store, p, "entry-a", 0, func() bool { begun, _ := p.progress(); return begun >= 4 })
+	maintain(t, store, p, "entry-a", election.Lease{}, func() bool { begun, _ := p.progress(); return begun >= 4 })
 	p.mu.Lock()
 	var over []fleet.VMID
 	for vm, at := range p.downTo {
@@ -178,7 +177,7 @@
 		}
 	}
 	p.mu.Unlock()
-	maintain(t, store, p, "entry-b", shard.EpochStep, func() bool { _, complete := p.progress(); return complete })
+	maintain(t, store, p, "entry-b", readLease(t, store, holder.DutyMaintenance), func() bool { _, complete := p.progress(); return complete })
 	begun, complete := p.progress()
 	is.Equal(begun, waveVMs)
 	is.True(complete)
@@ -193,7 +192,7 @@
 func TestWaveWithHugeBoundCompletes(t *testing.T) {
 	is := is.New(t)
 	store, p := rows.New(clock.Real()), newVMPlatform()
-	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), "entry", 0, math.MaxInt, func() bool { _, complete := p.progress(); return complete })
+	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), "entry", election.Lease{}, math.MaxInt, func() bool { _, complete := p.progress(); return complete })
 	begun, complete := p.progress()
 	is.Equal(begun, waveVMs)
 	is.True(complete)
@@ -208,7 +207,7 @@
 	var renewals uint64
 	seen, longest := time.Now(), time.Duration(0)
 	began := seen
-	maintain(t, store, p, "entry", 0, func() bool {
+	maintain(t, store, p, "entry", election.Lease{}, func() bool {
 		now := time.Now()
 		if l := readLease(t, store, holder.DutyMaintenance); l.Renewals != renewals {
 			renewals, seen = l.Renewals, now
@@ -232,7 +231,7 @@
 		{Table: "mimosawharf-progress", Part: "duty-maintenance", Key: "wave-1", Value: value},
 	}})
 	is.NoErr(err)
-	maintain(t, store, p, "entry", 0, func() bool { _, complete := p.progress(); return complete })
+	maintain(t, store, p, "entry", election.Lease{}, func() bool { _, complete := p.progress(); return complete })
 	begun, complete := p.progress()
 	is.True(complete)
 	is.Equal(begun, waveVMs) // the first VM among them
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -58,7 +58,7 @@
 		// outstanding.
 		result.Released = t.previous.Released && t.previous.Settled
 	}
-	if err := t.chain.Take(ctx, t.previous.Epoch); err != nil {
+	if err := t.chain.Take(ctx, t.previous); err != nil {
 		result.Err = err
 		return result
 	}
--- a/internal/holder/take_test.go
+++ b/internal/holder/take_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -75,3 +76,22 @@
 	is.NoErr(err)
 	is.Equal(second.Epoch-first.Epoch, fleet.FencingToken(shard.EpochStep))
 }
+
+// Guards against a holder that is taken for gone while a renewal was on its way, and renews for longer than waited for.
+func TestLeaseThatWasRenewedIsNotTaken(t *testing.T) {
+	is := is.New(t)
+	ctx, store := context.Background(), rows.New(clock.Real())
+	holding := &holder.Chain{Duty: "jobs-s", Self: holder.Identity{Entry: "holder", Incarnation: "life"}, Store: store, Clock: clock.Real()}
+	_, err := holder.TakeLease(ctx, holding, election.Lease{})
+	is.NoErr(err)
+	read := readLease(t, store, "jobs-s")
+	is.NoErr(holding.Write(ctx, holder.Write{Renew: true}))
+	taker := &holder.Chain{Duty: "jobs-s", Self: holder.Identity{Entry: "taker", Incarnation: "life"}, Store: store, Clock: clock.Real()}
+	_, err = holder.TakeLease(ctx, taker, read)
+	var lost *holder.LostLeaseError
+	is.True(errors.As(err, &lost))
+	is.NoErr(holding.Write(ctx, holder.Write{Renew: true})) // the holder goes on
+	is.NoErr(holding.Write(ctx, holder.Write{Release: true}))
+	_, err = holder.TakeLease(ctx, taker, read)
+	is.NoErr(err) // a lease that is released is free at once
+}
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -9,6 +9,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
@@ -179,9 +180,10 @@
 }
 
 // Take takes the lease. It returns *LostLeaseError when another entry was faster or still holds it,
-// *rowstore.RefusedError or *rowstore.UnknownError when the store did not answer in time. previous is the
-// epoch of the lease as last read, or 0 for a duty that never had a holder.
-func (c *Chain) Take(ctx context.Context, previous fleet.FencingToken) error {
+// *rowstore.RefusedError or *rowstore.UnknownError when the store did not answer in time. previous is the lease as
+// last read, or the zero value for a duty that never had a holder. The time to wait for the previous holder counts from
+// that read, so a lease that has been renewed since is not taken.
+func (c *Chain) Take(ctx context.Context, previous election.Lease) error {
 	page, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
 	if err != nil {
 		return trace.Wrap(err)
@@ -200,11 +202,12 @@
 		if row.Key != keyLease || proto.Unmarshal(row.Value, m) != nil {
 			continue
 		}
-		if fleet.FencingToken(m.GetEpoch()) > previous {
+		epoch := fleet.FencingToken(m.GetEpoch())
+		if epoch > previous.Epoch || epoch == previous.Epoch && m.GetRenewals() != previous.Renewals && !m.GetReleased() {
 			return trace.Wrap(&LostLeaseError{Duty: c.Duty})
 		}
 	}
-	c.Epoch = previous + shard.EpochStep
+	c.Epoch = previous.Epoch + shard.EpochStep
 	return trace.Wrap(c.Write(ctx, Write{Renew: true}))
 }
 
