--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -61,8 +61,10 @@
 	jobs     map[fleet.JobID]*jobEntry
 	active   map[job.Key]*job.Occurrence
 	workers  map[fleet.EndpointID]*worker
-	// restarts counts the restarts of endpoints under their ids that this holder has seen.
-	restarts map[fleet.EndpointID]fleet.FencingToken
+	// discarded counts the workers that were replaced or forgotten.
+	discarded fleet.FencingToken
+	// forgottenAt is when the worker of an endpoint was last forgotten.
+	forgottenAt map[fleet.EndpointID]time.Time
 	// byID caches the workers sorted by id; it is nil after the set has changed.
 	byID []*worker
 	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
@@ -121,7 +123,7 @@
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
 		workers:          map[fleet.EndpointID]*worker{},
-		restarts:         map[fleet.EndpointID]fleet.FencingToken{},
+		forgottenAt:      map[fleet.EndpointID]time.Time{},
 		runTimes:         map[runTimeKey]*runTime{},
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
@@ -172,7 +174,7 @@
 			task := &o.Tasks[s][t]
 			entry.started = entry.started || task.LastEnded > 0
 			if task.Running() {
-				w := e.workerOf(task.Process)
+				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, fenced: true, evidence: EvidenceNone})
@@ -185,10 +187,10 @@
 // workerOf returns the worker of an endpoint, and creates it when the endpoint is known from an assignment
 // only. An assignment to an earlier process of the endpoint stays with the same worker, because only the
 // endpoint's first answer shows which process is running.
-func (e *Engine) workerOf(p fleet.EndpointProcess) *worker {
+func (e *Engine) workerOf(now time.Time, p fleet.EndpointProcess) *worker {
 	w := e.workers[p.Endpoint]
 	if w == nil {
-		w = newWorker(EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
+		w = e.newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
 		w.leaseEnd = e.previousEnd
 		e.setWorker(w)
 	}
@@ -265,48 +267,6 @@
 	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
 }
 
-// State returns the committed state of a job, and false when the job is not known.
-func (e *Engine) State(id fleet.JobID) (fleet.JobState, bool) {
-	entry := e.jobs[id]
-	if entry == nil {
-		return "", false
-	}
-	return entry.committed, true
-}
-
-// JobStatus is a job and its committed state.
-type JobStatus struct {
-	ID    fleet.JobID
-	State fleet.JobState
-}
-
-// maxListedJobs is the limit of jobs that Jobs returns.
-const maxListedJobs = 500
-
-// Jobs returns the jobs of a queue sorted by id, at most maxListedJobs.
-func (e *Engine) Jobs(q fleet.QueueID) []JobStatus {
-	var list []JobStatus
-	for id, entry := range e.jobs {
-		if entry.job.Queue == q {
-			list = append(list, JobStatus{id, entry.committed})
-		}
-	}
-	slices.SortFunc(list, func(a, b JobStatus) int { return cmp.Compare(a.ID, b.ID) })
-	return list[:min(len(list), maxListedJobs)]
-}
-
-// Waiting returns how many jobs of each queue have not ended and, as far as this holder knows, not started a
-// task.
-func (e *Engine) Waiting() map[fleet.QueueID]int {
-	counts := map[fleet.QueueID]int{}
-	for _, entry := range e.jobs {
-		if !entry.started && !entry.state().IsFinal() {
-			counts[entry.job.Queue]++
-		}
-	}
-	return counts
-}
-
 // markStarted records that an endpoint has started a task of a job.
 func (e *Engine) markStarted(id fleet.JobID) {
 	if entry := e.jobs[id]; entry != nil {
@@ -314,8 +274,17 @@
 	}
 }
 
-// Settled reports whether the leases granted by all earlier holders have expired.
-func (e *Engine) Settled(now time.Time) bool { return !now.Before(e.previousEnd) }
+// Settled reports whether all leases end within the usual length: those of earlier holders have expired, and no
+// process may hold a longer one.
+func (e *Engine) Settled(now time.Time) bool {
+	usual := leaseEnd(now, e.leaseLength())
+	for _, w := range e.workers {
+		if len(w.runs) > 0 && (w.leaseEnd.After(usual) || w.unprovenLeaseEnd.After(usual)) {
+			return false
+		}
+	}
+	return !now.Before(e.previousEnd)
+}
 
 // InheritedRuns counts the runs that the previous holder assigned.
 func (e *Engine) InheritedRuns() int {
@@ -378,13 +347,16 @@
 }
 
 func (e *Engine) order(w *worker, kind OrderKind, a *assignment) Order {
-	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Epoch: e.Epoch, Token: e.fencingToken(w)}
+	o := Order{Kind: kind, Service: e.Service, Process: w.Process(), Address: w.Address, Epoch: e.Epoch, Token: w.token}
 	if a != nil {
 		o.Task, o.Run = a.id, a.run
 	}
 	return o
 }
 
+// Knows reports whether an endpoint is listed or has runs or a renewal that is not answered.
+func (e *Engine) Knows(id fleet.EndpointID) bool { return e.workers[id] != nil }
+
 // Orders returns the orders to be sent, each once.
 func (e *Engine) Orders() []Order {
 	out := e.out
