--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -47,7 +47,6 @@
 	EvidenceAge           float64 `json:"evidence-age"`
 	SinceAnswer           float64 `json:"since-answer"`
 	LeaseLeft             float64 `json:"lease-left"`
-	Source                string  `json:"source"`
 	Lost                  int     `json:"runs"`
 	Kept                  int     `json:"kept"`
 	InheritedRuns         int     `json:"inherited-runs"`
@@ -223,7 +222,6 @@
 		{"order", l.Order},
 		{"answer", l.Answer},
 		{"evidence", l.Evidence},
-		{"source", l.Source},
 		{"current-endpoint", l.CurrentEndpoint},
 	} {
 		if d.value != "" {
@@ -249,6 +247,16 @@
 			details = append(details, fmt.Sprintf("%s=%d", d.name, d.value))
 		}
 	}
+	details = append(details, l.times()...)
+	if l.FromPredecessor {
+		details = append(details, "from-predecessor")
+	}
+	return append(row, strings.Join(details, " "))
+}
+
+// times returns the durations of a line, in seconds.
+func (l logLine) times() []string {
+	var details []string
 	for _, d := range []struct {
 		name  string
 		value float64
@@ -271,8 +279,5 @@
 			details = append(details, fmt.Sprintf("%s=%.2fs", d.name, d.value))
 		}
 	}
-	if l.FromPredecessor {
-		details = append(details, "from-predecessor")
-	}
-	return append(row, strings.Join(details, " "))
+	return details
 }
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -17,6 +17,8 @@
 	maxAnswerDelay = 500 * time.Millisecond
 	// maxRegistryDelay bounds how late the registry shows another process.
 	maxRegistryDelay = 3 * time.Second
+	// maxListedEnds is the limit of ends in one list.
+	maxListedEnds = 500
 	// fakeClockRange bounds what the clock of a process shows at its start.
 	fakeClockRange = time.Hour
 )
@@ -49,7 +51,7 @@
 
 // send delivers an order, or delays it and reports that there was no answer.
 func (sim *simulation) send(o shard.Order) {
-	e := sim.endpoints[o.Process.Endpoint]
+	e := sim.listener(o)
 	unknown := shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now}
 	if e == nil {
 		sim.answer(0, unknown)
@@ -68,6 +70,13 @@
 		sim.answer(o.Wait+fakeOrderTimeout, unknown)
 		return
 	}
+	if e.Endpoint != o.Process.Endpoint {
+		sim.answer(0, shard.Result{Order: o, Answer: shard.AnswerGone, Clock: e.clock(sim.now), SentAt: sim.now})
+		return
+	}
+	if e.seenBy == sim.epoch {
+		e.toldBy = sim.epoch
+	}
 	answer := sim.execute(e, o, false)
 	if o.Kind == shard.OrderHold && answer == shard.AnswerDone {
 		e.held, e.heldAt = append(e.held, o), append(e.heldAt, sim.now)
@@ -76,6 +85,17 @@
 	sim.reply(e, o, sim.now, answer)
 }
 
+// listener returns the endpoint that listens at an order's address, or nil.
+func (sim *simulation) listener(o shard.Order) *fakeEndpoint {
+	var found *fakeEndpoint
+	for _, e := range sim.sorted() {
+		if e.Address == o.Address && (found == nil || found.dead) {
+			found = e
+		}
+	}
+	return found
+}
+
 // orderDelay returns how late an order is carried out; 0 is in time.
 func (sim *simulation) orderDelay(o shard.Order) time.Duration {
 	if sim.delay != nil {
@@ -98,8 +118,8 @@
 		return
 	}
 	if r.Order.Epoch == sim.epoch && !sim.frozen {
-		if e := sim.endpoints[r.Order.Process.Endpoint]; e != nil && r.StartMillis == e.StartMillis && e.seenBy != sim.epoch {
-			e.seenBy, e.seenAt = sim.epoch, sim.now
+		if e := sim.endpoints[r.Order.Process.Endpoint]; e != nil && r.StartMillis == e.StartMillis {
+			e.seenBy = sim.epoch
 		}
 		sim.tracef("answer to %s %s run %d of %s: %s", r.Order.Kind, r.Order.Task, r.Order.Run, r.Order.Process.Endpoint, r.Answer)
 		sim.engine.Apply(sim.now, r)
@@ -114,8 +134,8 @@
 			sim.delayedOrders = append(sim.delayedOrders, d)
 			continue
 		}
-		e := sim.endpoints[d.order.Process.Endpoint]
-		if e != nil && !e.dead && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasSeen(e)) {
+		e := sim.listener(d.order)
+		if e != nil && !e.dead && e.Endpoint == d.order.Process.Endpoint && (d.order.Process == e.Process() || sim.reachesUnseen || sim.hasTold(e)) {
 			sim.execute(e, d.order, true)
 		}
 	}
@@ -130,13 +150,9 @@
 	}
 }
 
-// seenGrace is how long after the first list of a process the holder's next orders have reached it.
-const seenGrace = 100 * time.Millisecond
-
-// hasSeen reports whether the holder has had the time to react to the first list of a process.
-func (sim *simulation) hasSeen(e *fakeEndpoint) bool {
-	return e.seenBy == sim.epoch && sim.now.Sub(e.seenAt) >= seenGrace
-}
+// hasTold reports whether a process has executed an order that the holder sent after the first list of the process.
+// Nothing before that can tell the process that orders to an earlier one are void.
+func (sim *simulation) hasTold(e *fakeEndpoint) bool { return e.toldBy == sim.epoch }
 
 // answerHolds answers the renewals that the endpoint holds open.
 func (sim *simulation) answerHolds(e *fakeEndpoint) {
@@ -163,9 +179,10 @@
 		for _, id := range e.tasks() {
 			r.Running = append(r.Running, shard.ListedRun{Task: id, Run: e.running[id].run, Progress: e.running[id].progress(sim.now)})
 		}
-		for _, end := range e.ends {
+		for _, end := range e.ends[:min(len(e.ends), maxListedEnds)] {
 			r.Ends = append(r.Ends, end.ListedEnd)
 		}
+		r.MoreEnds = len(r.Ends) >= maxListedEnds
 	}
 	var delay time.Duration
 	if sim.random.Float64() < sim.overtakeShare {
@@ -214,6 +231,18 @@
 	e.dead, e.backAt = true, sim.now.Add(downtime)
 }
 
+// replace ends an endpoint's process and lets another endpoint start at its address, with an id of its own.
+func (sim *simulation) replace(e *fakeEndpoint) {
+	sim.closeConnections(e)
+	e.dead, e.backAt, e.goneAt = true, time.Time{}, sim.now.Add(maxRegistryDelay)
+	next := *e
+	next.Endpoint += "+"
+	next.restart(sim.now, time.Second+time.Duration(sim.clocks.Int64N(int64(fakeClockRange))), sim.clocks.IntN(fakeSlowLimit))
+	next.listedMillis, next.goneAt = 0, time.Time{}
+	next.registeredAt = sim.now.Add(time.Duration(sim.random.Int64N(int64(maxRegistryDelay))))
+	sim.endpoints[next.Endpoint] = &next
+}
+
 // closeConnections ends the renewals that an endpoint holds open.
 func (sim *simulation) closeConnections(e *fakeEndpoint) {
 	held := e.held
@@ -231,13 +260,15 @@
 func (sim *simulation) list() {
 	var list []shard.EndpointInfo
 	for _, e := range sim.sorted() {
-		if e.dead && e.backAt.IsZero() {
+		isNew := e.listedMillis == 0 && sim.now.Before(e.registeredAt)
+		if e.dead && e.backAt.IsZero() && !sim.now.Before(e.goneAt) || isNew {
 			continue
 		}
 		info := e.EndpointInfo
 		if sim.now.Before(e.registeredAt) {
 			info.StartMillis = e.listedMillis
 		}
+		info.Restarted = info.StartMillis != fakeStartMillis
 		list = append(list, info)
 	}
 	sim.engine.SetEndpoints(sim.now, list)
@@ -253,6 +284,9 @@
 		if !e.registeredAt.IsZero() && !sim.now.Before(e.registeredAt) {
 			e.registeredAt, changed = time.Time{}, true
 		}
+		if e.dead && !e.goneAt.IsZero() && !sim.now.Before(e.goneAt) {
+			e.goneAt, changed = time.Time{}, true
+		}
 	}
 	if changed && !sim.frozen {
 		sim.list()
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -13,7 +13,7 @@
 	if w == nil {
 		return
 	}
-	if e.isForEarlierProcess(w, r.Order) {
+	if w.isForEarlierProcess(r.Order) {
 		e.applyForEarlierProcess(now, w, r)
 		return
 	}
@@ -24,22 +24,21 @@
 		e.fenced = true
 		return
 	}
-	if r.Answer == AnswerGone && w.Address == r.Order.Address && w.StartMillis == r.Order.Process.StartMillis {
+	if r.Answer == AnswerGone && w.Address == r.Order.Address && !r.SentAt.Before(w.lastAnswerAt) && (!w.contacted || w.heldAt == w.Address) {
 		e.Observer.RunsLost(w.Endpoint, len(w.runs), LossGone)
-		e.replaceWorker(now, w, w.EndpointInfo, LossGone)
-		e.workers[r.Order.Process.Endpoint].nextHoldAt = now.Add(minHoldBackoff)
+		successor := e.replaceWorker(now, w, w.EndpointInfo, LossGone)
+		successor.holdBackoff = min(max(minHoldBackoff, 2*w.holdBackoff), maxHoldBackoff)
+		successor.nextHoldAt = now.Add(successor.holdBackoff)
 		return
 	}
 	if r.Answer == AnswerGone {
 		r.Clock, r.StartMillis = 0, 0 // They are those of another endpoint.
 	}
 	if r.StartMillis != 0 && r.StartMillis != w.StartMillis {
-		next := w.EndpointInfo
-		next.StartMillis = r.StartMillis
 		if w.StartMillis != 0 {
 			// The list may be older than orders that are on their way. The next one, with the token of the
 			// new process, is not.
-			e.hold(now, e.handleRestart(now, w, next, RestartInAnswer))
+			e.hold(now, e.handleRestart(now, w, r.StartMillis))
 			return
 		}
 		w.StartMillis = r.StartMillis
@@ -93,7 +92,7 @@
 			a.markSeen(now, EvidenceAnswer)
 			a.phase, a.startedAt = phaseStarted, now
 			// Whichever process answered, its clock shows the lease that it granted.
-			a.leaseEnd = leaseEnd(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
+			w.extendUnprovenLease(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
 	case AnswerOld:
 		// The endpoint lists the run as ended, or a stop for it arrived first.
@@ -116,7 +115,7 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		a.leaseEnd = leaseEnd(now, e.Bounds.MaxLease)
+		w.extendUnprovenLease(now, e.Bounds.MaxLease)
 		e.avoid[a.id] = w.Endpoint
 		e.stop(now, w, a.id)
 	}
@@ -141,7 +140,7 @@
 	if w.missed {
 		e.Observer.Reconnected(w.Endpoint)
 	}
-	w.missed, w.holdBackoff = false, 0
+	w.missed, w.holdBackoff, w.heldAt = false, 0, r.Order.Address
 	if !w.contacted {
 		w.contacted = true
 		w.nextHoldAt = now
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -17,6 +17,8 @@
 	Capacity    fleet.Capacity
 	Draining    bool
 	StartMillis int64
+	// Restarted is set when the registry has shown another process under the endpoint's id before.
+	Restarted bool
 }
 
 // Process returns the process that the registry lists.
@@ -52,9 +54,6 @@
 	// listedClock is the endpoint's clock in the latest list with the run.
 	listedClock time.Duration
 	startedAt   time.Time
-	// leaseEnd is when the longest lease that the process which took the start can have granted has expired. It
-	// counts until a list shows which process that is.
-	leaseEnd time.Time
 	// progressedAt is when the reported progress last rose.
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
@@ -77,22 +76,32 @@
 // worker is the state of one endpoint process.
 type worker struct {
 	EndpointInfo
+	// row is the registry's latest row of the endpoint, which may be of another process.
+	row EndpointInfo
+	// token is the fencing token of the orders to the process.
+	token fleet.FencingToken
 	// listed is false for an endpoint that left the registry or is known from an assignment only.
 	listed bool
 	// contacted is set once the process has answered a renewal of this holder.
 	contacted bool
+	// heldAt is the address at which the process last answered a renewal. Another process at a different address
+	// doesn't show that this one is gone.
+	heldAt fleet.Address
 	// clock is the endpoint's monotonic clock at clockAt.
 	clock        time.Duration
 	clockAt      time.Time
 	lastAnswerAt time.Time
+	// firstSeen is when the holder learned of the process, or of the first one of those that never answered.
+	firstSeen time.Time
 	// clockStepped is set while answers do not continue the clock.
 	clockStepped bool
-	// leaseEnd is when all leases that were granted to the process have expired.
-	leaseEnd time.Time
+	// leaseEnd is when all leases that were granted to the process have expired. unprovenLeaseEnd is the same for
+	// a process that may have taken starts in its place: it counts for runs that no list has shown.
+	leaseEnd, unprovenLeaseEnd time.Time
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
 	replaced []int64
-	// mayHoldLongestLease is set for the successor of another process until it has answered a renewal: deadlines
-	// that were set on the clock of the earlier process may have granted it the longest lease.
+	// mayHoldLongestLease is set until the first answer to a renewal where the endpoint may have had another process:
+	// deadlines that were set on the clock of that one may have granted the longest lease.
 	mayHoldLongestLease bool
 	// cursor is the last end that was processed, acked the last one whose effect is committed.
 	cursor, acked fleet.EndCursor
@@ -151,13 +160,10 @@
 	stopRetryInterval = 500 * time.Millisecond
 )
 
-func newWorker(info EndpointInfo) *worker {
-	return &worker{EndpointInfo: info, runs: map[fleet.TaskID]*assignment{}}
-}
-
-// deadline returns the end of a lease of the given length on the endpoint's clock.
+// deadline returns the end of a lease of the given length on the endpoint's clock, which may be slow.
 func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
-	return w.clock + now.Sub(w.clockAt) + length
+	elapsed := now.Sub(w.clockAt)
+	return w.clock + elapsed - elapsed*clockDriftPercent/100 + length
 }
 
 // extendLease records that a lease of the given length may have been granted now.
@@ -165,6 +171,11 @@
 	w.leaseEnd = later(w.leaseEnd, leaseEnd(now, length))
 }
 
+// extendUnprovenLease does the same for a process that may have taken a start in place of the worker's.
+func (w *worker) extendUnprovenLease(now time.Time, length time.Duration) {
+	w.unprovenLeaseEnd = later(w.unprovenLeaseEnd, leaseEnd(now, length))
+}
+
 // leaseEnd returns when a lease of the given length that is granted now has expired on any endpoint's clock.
 func leaseEnd(now time.Time, length time.Duration) time.Time {
 	return now.Add(length + length*clockDriftPercent/100 + leaseMargin)
@@ -175,7 +186,7 @@
 	if a.evidence == EvidenceList {
 		return w.leaseEnd
 	}
-	return later(w.leaseEnd, a.leaseEnd)
+	return later(w.leaseEnd, w.unprovenLeaseEnd)
 }
 
 // reachable reports whether the worker answered recently.
