--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -49,7 +49,7 @@
 // links sends the orders of one service. Each endpoint has a sender for renewals, which the endpoint keeps
 // open, and one for all other orders, so that neither waits for the other. More senders are added when an
 // order stays without an answer. They may reorder a start and its stop, which is safe: an endpoint rejects
-// the start of a run for which it has received a stop.
+// the start of a run for which it has received a stop, and the next process of an endpoint that of an earlier token.
 type links struct {
 	scheduler  *Scheduler
 	held       *heldDuty
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -300,7 +300,7 @@
 func (s *Scheduler) tick(ctx context.Context, now time.Time) {
 	for _, h := range s.sorted() {
 		if h.engine != nil && now.Sub(h.confirmedAt) > holderValidity {
-			s.drop(h, "no transaction took effect for too long")
+			s.drop(h, "no renewal took effect for too long")
 			continue
 		}
 		if h.engine != nil && h.loaded {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -177,7 +177,7 @@
 				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
-				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, fenced: true, evidence: EvidenceNone})
+				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
 			}
 		}
 	}
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -65,7 +65,7 @@
 	lost := len(w.runs)
 	successor := e.replaceWorker(now, w, next, LossRestarted)
 	for _, a := range kept {
-		a.fenced, a.stopAcked, a.nextStopAt = true, false, time.Time{}
+		a.hasOldToken, a.stopAcked, a.nextStopAt = true, false, time.Time{}
 		successor.add(a)
 	}
 	successor.replaced = append(w.replaced, w.StartMillis)
--- a/internal/shard/hostile_test.go
+++ b/internal/shard/restart_property_test.go
@@ -13,20 +13,20 @@
 )
 
 var (
-	hostileSchedules = flag.Int("hostile-schedules", 10, "how many random schedules of restarts are run with each fault")
-	hostileFirst     = flag.Uint64("hostile-first", 0, "first seed of the random schedules of restarts")
+	restartSchedules = flag.Int("restart-schedules", 10, "how many random schedules of restarts are run with each fault")
+	restartFirst     = flag.Uint64("restart-first", 0, "first seed of the random schedules of restarts")
 	traceOrders      = flag.Bool("trace-orders", false, "print the orders that endpoints execute, their answers and the events")
 )
 
-// hostileTime is how long faults are injected, hostileFinish how long the jobs may take afterwards: a run without an
+// restartTime is how long faults are injected, restartFinish how long the jobs may take afterwards: a run without an
 // answer may be executed for as long as orders are late and the longest lease lasts, and a job has up to three steps.
 const (
-	hostileTime   = 25 * time.Second
-	hostileFinish = 150 * time.Second
+	restartTime   = 25 * time.Second
+	restartFinish = 150 * time.Second
 )
 
-// hostileFaults are the faults of calls that are injected beside restarts and cuts, each alone and all together.
-var hostileFaults = []struct {
+// restartFaults are the faults of calls that are injected beside restarts and cuts, each alone and all together.
+var restartFaults = []struct {
 	name   string
 	faults networkFaults
 	// newIDs is set where a process that ends is followed by one with another id only.
@@ -43,11 +43,11 @@
 
 // The invariants hold while endpoints restart, are cut off and return, with tasks that outlast every lease.
 func TestInvariantsHoldOverRestarts(t *testing.T) {
-	for _, c := range hostileFaults {
+	for _, c := range restartFaults {
 		t.Run(c.name, func(t *testing.T) {
-			for n := range uint64(*hostileSchedules) {
-				seed := *hostileFirst + n
-				if violations := runHostileSchedule(t, seed, c.faults, c.newIDs); len(violations) > 0 {
+			for n := range uint64(*restartSchedules) {
+				seed := *restartFirst + n
+				if violations := runRestartSchedule(t, seed, c.faults, c.newIDs); len(violations) > 0 {
 					t.Errorf("seed %d: %d violations, first: %s", seed, len(violations), violations[0])
 				}
 			}
@@ -55,8 +55,8 @@
 	}
 }
 
-// runHostileSchedule runs one random schedule in which most events concern two endpoints, and returns the violations.
-func runHostileSchedule(t *testing.T, seed uint64, faults networkFaults, newIDs bool) []string {
+// runRestartSchedule runs one random schedule in which most events concern two endpoints, and returns the violations.
+func runRestartSchedule(t *testing.T, seed uint64, faults networkFaults, newIDs bool) []string {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 5))
 	sim := newSimulation(seed, 4+r.IntN(3), fleet.Capacity{Millicores: 16000, Memory: 64000})
@@ -71,12 +71,12 @@
 		}
 		return base
 	}
-	for end := sim.now.Add(hostileTime); sim.now.Before(end); {
-		sim.hostileEvent(r, newIDs)
+	for end := sim.now.Add(restartTime); sim.now.Before(end); {
+		sim.restartEvent(r, newIDs)
 		sim.run(time.Duration(50+r.IntN(400)) * time.Millisecond)
 	}
 	sim.clearFaults()
-	for end := sim.now.Add(hostileFinish); sim.now.Before(end) && !sim.allEnded(); {
+	for end := sim.now.Add(restartFinish); sim.now.Before(end) && !sim.allEnded(); {
 		sim.run(time.Second)
 	}
 	sim.run(maxOrderDelay)
@@ -84,8 +84,8 @@
 	return sim.violations
 }
 
-// hostileEvent applies one random event.
-func (sim *simulation) hostileEvent(r *rand.Rand, newIDs bool) {
+// restartEvent applies one random event.
+func (sim *simulation) restartEvent(r *rand.Rand, newIDs bool) {
 	endpoints := sim.sorted()
 	endpoints = slices.DeleteFunc(endpoints, func(e *fakeEndpoint) bool { return e.dead && e.backAt.IsZero() })
 	e := endpoints[r.IntN(2)]
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -180,7 +180,7 @@
 		return false
 	case a.evidence == EvidenceList:
 		return r.Clock > a.listedClock
-	case a.fenced:
+	case a.hasOldToken:
 		return true
 	case a.phase == phaseStopping:
 		// An answered stop rules out a later start.
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -58,9 +58,9 @@
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
 	inherited bool
-	// fenced is set when a process that has answered an order of this holder rejects the start: its token is that
-	// of the previous holder or of an order to an earlier process.
-	fenced bool
+	// hasOldToken is set when the start carried the token of the previous holder or of an earlier process: a process
+	// that has answered an order with the present token rejects it.
+	hasOldToken bool
 	// stopAcked is set when the endpoint has answered a stop order for the run, stopAckedAt is when.
 	stopAcked   bool
 	stopAckedAt time.Time
