--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -15,7 +15,8 @@
 // with its token, it rejects the orders that were meant for an earlier one and arrive late.
 func (e *Engine) newWorker(now time.Time, info EndpointInfo) *worker {
 	return &worker{
-		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{}, mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
+		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{},
+		mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
 	}
 }
 
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -63,8 +63,8 @@
 }
 
 // updateClock updates the estimate of the endpoint's clock from a list: each process has a clock of its own, and
-// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of arrival never
-// runs ahead of the endpoint, and a lease never lasts longer than assumed.
+// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of
+// arrival never runs ahead of the endpoint, and a lease never lasts longer than assumed.
 func (w *worker) updateClock(now time.Time, r Result) {
 	w.lastAnswerAt = later(w.lastAnswerAt, now)
 	if r.Order.Kind == OrderHold && r.Answer == AnswerDone && r.Clock >= w.clock {
