shard: outwait a start without an answer at restarted endpoints only

Change: the longest lease counts for a start without an answer only where the endpoint is known to have restarted under its id. TestRunWithoutAnswerIsKeptOnceListed: red without it, passes.

--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -14,9 +14,10 @@
 // higher than those of all processes that the holder no longer reckons with: once the process has answered an order
 // with its token, it rejects the orders that were meant for an earlier one and arrive late.
 func (e *Engine) newWorker(now time.Time, info EndpointInfo) *worker {
+	hasRestarted := info.Restarted || !e.forgottenAt[info.Endpoint].IsZero()
 	return &worker{
 		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{},
-		mayHoldLongestLease: info.Restarted || !e.forgottenAt[info.Endpoint].IsZero(),
+		hasRestarted: hasRestarted, mayHoldLongestLease: hasRestarted,
 	}
 }
 
@@ -70,7 +71,7 @@
 		successor.add(a)
 	}
 	successor.replaced = append(w.replaced, w.StartMillis)
-	successor.mayHoldLongestLease = true
+	successor.hasRestarted, successor.mayHoldLongestLease = true, true
 	successor.extendLease(now, e.Bounds.MaxLease)
 	e.observeRestart(now, w, successor, lost)
 	return successor
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -257,3 +257,24 @@
 	sim.run(25 * time.Second)
 	sim.finish(is, "job")
 }
+
+// Guards against a task that is stopped while it runs, because its start and the first stops had no answer.
+func TestRunWithoutAnswerIsKeptOnceListed(t *testing.T) {
+	is := is.New(t)
+	sim, e := newRestartSimulation()
+	settled := sim.now.Add(4 * time.Second)
+	sim.delay = func(o shard.Order) time.Duration {
+		switch {
+		case o.Kind == shard.OrderStart:
+			return 2500 * time.Millisecond
+		case o.Kind == shard.OrderStop && sim.now.Before(settled):
+			return time.Hour
+		}
+		return 0
+	}
+	sim.submit(batchJob("job", 1, 4000))
+	sim.run(6 * time.Second)
+	r := e.running[fleet.TaskID{Job: "job"}]
+	is.True(r != nil && r.stopAt.IsZero())
+	sim.finish(is, "job")
+}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -115,8 +115,11 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		w.extendUnprovenLease(now, e.Bounds.MaxLease)
+		if w.hasRestarted {
+			w.extendUnprovenLease(now, e.Bounds.MaxLease)
+		}
 		e.avoid[a.id] = w.Endpoint
+		a.inDoubt = true
 		e.stop(now, w, a.id)
 	}
 }
@@ -203,8 +206,8 @@
 	if run.Checkpoint != "" {
 		o.Task(run.Task).Checkpoint = run.Checkpoint
 	}
-	if a.phase == phaseOrdered {
-		a.phase = phaseStarted
+	if a.phase == phaseOrdered || a.phase == phaseStopping && a.inDoubt && !a.stopAcked {
+		a.phase, a.inDoubt = phaseStarted, false
 		if a.startedAt.IsZero() {
 			a.startedAt = now
 		}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -61,6 +61,8 @@
 	// hasOldToken is set when the start carried the token of the previous holder or of an earlier process: a process
 	// that has answered an order with the present token rejects it.
 	hasOldToken bool
+	// inDoubt is set for a run that is being stopped only because its start had no answer.
+	inDoubt bool
 	// stopAcked is set when the endpoint has answered a stop order for the run, stopAckedAt is when.
 	stopAcked   bool
 	stopAckedAt time.Time
@@ -100,6 +102,9 @@
 	leaseEnd, unprovenLeaseEnd time.Time
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
 	replaced []int64
+	// hasRestarted is set when the endpoint is known to have had another process. A start without an answer may then
+	// have reached a next one.
+	hasRestarted bool
 	// mayHoldLongestLease is set until the first answer to a renewal where the endpoint may have had another process:
 	// deadlines that were set on the clock of that one may have granted the longest lease.
 	mayHoldLongestLease bool
