--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -63,8 +63,8 @@
 }
 
 // updateClock updates the estimate of the endpoint's clock from a list: each process has a clock of its own, and
-// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of arrival never
-// runs ahead of the endpoint, and a lease never lasts longer than assumed.
+// other answers do not name theirs. The clock was read before the answer arrived, so an estimate from the time of
+// arrival never runs ahead of the endpoint, and a lease never lasts longer than assumed.
 func (w *worker) updateClock(now time.Time, r Result) {
 	w.lastAnswerAt = later(w.lastAnswerAt, now)
 	if r.Order.Kind == OrderHold && r.Answer == AnswerDone && r.Clock >= w.clock {
@@ -115,8 +115,11 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		w.extendUnprovenLease(now, e.Bounds.MaxLease)
+		if w.hasRestarted {
+			w.extendUnprovenLease(now, e.Bounds.MaxLease)
+		}
 		e.avoid[a.id] = w.Endpoint
+		a.inDoubt = true
 		e.stop(now, w, a.id)
 	}
 }
@@ -180,7 +183,7 @@
 		return false
 	case a.evidence == EvidenceList:
 		return r.Clock > a.listedClock
-	case a.fenced:
+	case a.hasOldToken:
 		return true
 	case a.phase == phaseStopping:
 		// An answered stop rules out a later start.
@@ -203,8 +206,8 @@
 	if run.Checkpoint != "" {
 		o.Task(run.Task).Checkpoint = run.Checkpoint
 	}
-	if a.phase == phaseOrdered {
-		a.phase = phaseStarted
+	if a.phase == phaseOrdered || a.phase == phaseStopping && a.inDoubt && !a.stopAcked {
+		a.phase, a.inDoubt = phaseStarted, false
 		if a.startedAt.IsZero() {
 			a.startedAt = now
 		}
