shard: let lasting tasks end probation, count no silence as a stall

Cause: an endpoint that was ejected gets one task at a time until a run ends done, which a lasting one never does. And a cut counted as a stall of each run in the same round, so one cut doubled the ejection from 2 s to 16 s at once.

Change: a lasting task that begins to work is a success; runs on an endpoint that does not answer are not stalled, and a round ejects an endpoint once.

--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -214,6 +214,9 @@
 	}
 	if run.Progress > a.progress {
 		a.progressedAt = now
+		if a.step.Lasting && run.Progress >= 100 {
+			e.recordSuccess(w) // A lasting task has no other success.
+		}
 	}
 	a.progress = run.Progress
 	if a.step.TailTarget > 0 {
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -125,6 +125,10 @@
 
 // stopStalled stops runs without progress, so that their tasks restart elsewhere.
 func (e *Engine) stopStalled(now time.Time, w *worker) {
+	if !w.reachable(now) {
+		return // Nothing is known of their progress.
+	}
+	stalled := w.stalled
 	for id, a := range w.runs {
 		if a.phase != phaseStarted || a.step.Lasting || a.startedAt.IsZero() {
 			continue
@@ -139,9 +143,10 @@
 		}
 		e.avoid[id] = w.Endpoint
 		e.stop(now, w, id)
-		if w.stalled++; w.stalled >= ejectionThreshold {
-			e.eject(now, w)
-		}
+		w.stalled++
+	}
+	if w.stalled > stalled && w.stalled >= ejectionThreshold {
+		e.eject(now, w)
 	}
 }
 
