--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -57,8 +57,8 @@
 	EvidenceAge, SinceAnswer time.Duration
 	// LeaseLeft is the time until all leases of the endpoint have expired; it is negative after that.
 	LeaseLeft time.Duration
-	// ListClock is the clock of the list that lacks the run, StartedClock that of the evidence or of the
-	// answer to the last stop order.
+	// ListClock is the clock of the list that lacks the run, StartedClock that of the latest list with the run; 0
+	// when there was none.
 	ListClock, StartedClock time.Duration
 }
 
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// discard counts a worker that no further orders are sent to.
+// discard counts a worker that was forgotten or that another process has replaced.
 func (e *Engine) discard() { e.discarded = min(e.discarded+1, EpochStep-1) }
 
 // forget removes a worker that is not listed and has no runs.
