Review case 4: a wave is said to be completed without the upkeep of its machines

Shown: two waves for the same machines, and a rolling restart of the entries; the next holder takes the upkeep for one wave for that of the other (rule MIXED).

--- a/review/standin/cloud.go
+++ b/review/standin/cloud.go
@@ -34,8 +34,9 @@
 	mu       sync.Mutex
 	machines []*machine
 	waves    map[int][]string
-	// giver is the entry that gave the last order.
-	giver string
+	// giver is the entry that gave the last order that began an upkeep, at gaveAt.
+	giver  string
+	gaveAt time.Time
 }
 
 // addMachine adds a machine with its runner.
@@ -77,9 +78,12 @@
 		answer(w, http.StatusOK, map[string]any{"machines": list, "next_token": nil})
 	case "/mimosawharf/machine-upkeep":
 		status, reason := c.maintain(m.Machine, m.Wave)
-		c.giver = r.Header.Get("Mimosawharf-Lease-Holder")
+		giver := r.Header.Get("Mimosawharf-Lease-Holder")
+		if status == http.StatusOK {
+			c.giver, c.gaveAt = giver, time.Now()
+		}
 		c.world.record.print("upkeep of %s for wave %d ordered by %s with token %s: %d %s", m.Machine, m.Wave,
-			c.giver, r.Header.Get("Mimosawharf-Fencing-Token"), status, reason)
+			giver, r.Header.Get("Mimosawharf-Fencing-Token"), status, reason)
 		answer(w, status, map[string]any{"reason": reason})
 	default:
 		w.WriteHeader(http.StatusNotFound)
@@ -140,34 +144,36 @@
 	waveMaxCount = 3
 	waveSeconds  = 26
 	waveWatch    = 75 * time.Second
-	// rollAt is when the first entry is stopped, after the waves were ordered; rollPause is the time from the start
-	// of one to the stop of the next.
-	rollAt    = 1500 * time.Millisecond
+	// rollPause is the time from the start of one entry to the stop of the next. The one that gives orders is stopped
+	// some rollAfter after an order; if none is given for rollWait, another one is.
 	rollPause = 2 * time.Second
+	rollAfter = 200 * time.Millisecond
+	rollWait  = 3 * time.Second
 )
 
-// lastGiver returns the entry that gave the last order.
-func (c *cloud) lastGiver() string {
+// lastGiver returns the entry that gave the last order that began an upkeep, and when.
+func (c *cloud) lastGiver() (string, time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.giver
+	return c.giver, c.gaveAt
 }
 
-// roll stops the entries in turn, first the one that gave the last order, and starts them again.
+// roll stops the entries in turn and starts them again, each time the one that has just given an order if it has not
+// been stopped yet.
 func (d *world) roll(c *cloud) {
-	giver := c.lastGiver()
-	slices.SortStableFunc(d.entries, func(a, b *entry) int {
-		switch {
-		case a.name == giver:
-			return -1
-		case b.name == giver:
-			return 1
+	left := slices.Clone(d.entries)
+	for len(left) > 0 {
+		n := 0
+		for end := time.Now().Add(rollWait); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+			giver, at := c.lastGiver()
+			n = max(0, slices.IndexFunc(left, func(e *entry) bool { return e.name == giver }))
+			if left[n].name == giver && time.Since(at) > rollAfter && time.Since(at) < 2*rollAfter {
+				break
+			}
 		}
-		return 0
-	})
-	for _, e := range d.entries {
-		d.record.print("%s gets SIGTERM", e.name)
-		e.terminate()
+		d.record.print("%s gets SIGTERM", left[n].name)
+		left[n].terminate()
+		left = slices.Delete(left, n, n+1)
 		time.Sleep(rollPause)
 	}
 }
@@ -203,10 +209,7 @@
 	began := time.Now()
 	held := true
 	if trouble {
-		go func() {
-			time.Sleep(rollAt)
-			d.roll(c)
-		}()
+		go d.roll(c)
 	}
 	reported := map[int]bool{}
 	for time.Since(began) < waveWatch && len(reported) < 2 {
