--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -16,6 +16,7 @@
 	"advice":   caseAdvice,
 	"attempts": caseAttempts,
 	"kind":     caseKind,
+	"late":     caseLate,
 	"label":    caseLabel,
 	"rack":     caseRack,
 	"waves":    caseWaves,
--- a/review/standin/runner.go
+++ b/review/standin/runner.go
@@ -19,6 +19,8 @@
 	runnerStopTime  = 100 * time.Millisecond
 	runnerListed    = 500
 	runnerMaxWait   = 2 * time.Second
+	// runnerTick is how often a runner checks what has ended.
+	runnerTick = 10 * time.Millisecond
 	// lastingStartup is the time from the start of a task that lasts until it is at work.
 	lastingStartup = 500 * time.Millisecond
 )
@@ -49,6 +51,7 @@
 	run        int64
 	how        string
 	checkpoint string
+	at         time.Duration
 }
 
 // runner is a stand-in for one runner: one life under one id.
@@ -63,8 +66,10 @@
 
 	mu   sync.Mutex
 	gone bool
-	// grey is set while all that is started fails.
-	grey     bool
+	// grey is set while all that is started fails, cut while no entry reaches the runner.
+	grey, cut bool
+	// lapsedAt is when a lease last lapsed.
+	lapsedAt time.Duration
 	token    int64
 	deadline time.Duration
 	running  map[string]*run
@@ -81,6 +86,13 @@
 
 // startRunnerAt starts a runner at an address.
 func (d *world) startRunnerAt(address, id, service string, room capacity, labels ...string) *runner {
+	r := d.prepareRunner(address, id, service, room, labels...)
+	r.begin()
+	return r
+}
+
+// prepareRunner returns a runner that listens and does not answer yet.
+func (d *world) prepareRunner(address, id, service string, room capacity, labels ...string) *runner {
 	l, err := net.Listen("tcp4", address)
 	if err != nil {
 		d.record.fail("a runner cannot listen: %v", err)
@@ -90,10 +102,17 @@
 		running: map[string]*run{}, highest: map[string]int64{},
 	}
 	r.server = &http.Server{Handler: r}
-	go func() { _ = r.server.Serve(l) }()
+	return r
+}
+
+// begin makes a runner serve and register itself.
+func (r *runner) begin() {
+	go func() { _ = r.server.Serve(r.listener) }()
+	r.world.mu.Lock()
+	r.world.current[r.id] = r
+	r.world.mu.Unlock()
 	r.register()
 	go r.beat()
-	return r
 }
 
 // register writes the runner's entry.
@@ -117,12 +136,14 @@
 }
 
 func (r *runner) beat() {
-	for {
-		time.Sleep(runnerHeartbeat)
-		if r.isGone() {
-			return
+	for next := time.Now().Add(runnerHeartbeat); !r.isGone(); time.Sleep(runnerTick) {
+		r.mu.Lock()
+		r.advance()
+		r.mu.Unlock()
+		if time.Now().After(next) {
+			next = next.Add(runnerHeartbeat)
+			r.register()
 		}
-		r.register()
 	}
 }
 
@@ -139,6 +160,9 @@
 	for task, current := range r.running {
 		r.world.record.print("runner %s crashes while it runs %s run %d", r.id, task, current.number)
 	}
+	for task, current := range r.running {
+		r.world.ended(r, task, current.number, "lost")
+	}
 	r.running = map[string]*run{}
 	r.mu.Unlock()
 	_ = r.server.Close()
@@ -174,6 +198,9 @@
 func (r *runner) advance() {
 	now := time.Now()
 	lapsed := r.clock() > r.deadline
+	if lapsed {
+		r.lapsedAt = r.deadline
+	}
 	for task, current := range r.running {
 		switch {
 		case lapsed:
@@ -190,7 +217,7 @@
 
 func (r *runner) end(task string, current *run, how string) {
 	r.lastEnd++
-	r.ends = append(r.ends, end{r.lastEnd, task, current.number, how, current.checkpoint})
+	r.ends = append(r.ends, end{r.lastEnd, task, current.number, how, current.checkpoint, r.clock()})
 	delete(r.running, task)
 	r.world.ended(r, task, current.number, how)
 }
@@ -219,6 +246,35 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	if r.isCut() {
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	if r.world.isLate(q.URL.Path) {
+		r.world.carryOutLate(r.id, q.URL.Path, o)
+		<-q.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+	r.handle(w, q, o)
+}
+
+// isCut reports whether no entry reaches the runner.
+func (r *runner) isCut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
+}
+
+// setCut cuts the runner off from all entries, or not.
+func (r *runner) setCut(cut bool) {
+	r.world.record.print("runner %s is cut off from the entries: %v", r.id, cut)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+}
+
+// handle carries out an order.
+func (r *runner) handle(w http.ResponseWriter, q *http.Request, o order) {
 	r.mu.Lock()
 	r.advance()
 	if o.Token < r.token {
@@ -308,7 +364,7 @@
 func (r *runner) hold(w http.ResponseWriter, q *http.Request, o order) {
 	r.ends = slices.DeleteFunc(r.ends, func(e end) bool {
 		if e.number <= o.Ack {
-			r.world.acknowledged(r, e.task, e.run, e.how)
+			r.world.acknowledged(r, e.task, e.run, e.how, r.lapsedAt < e.at)
 		}
 		return e.number <= o.Ack
 	})
--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -65,6 +65,9 @@
 	lasts bool
 	// poison is set for a job whose tasks always fail.
 	poison bool
+	// at is the runner on which a task is at work, noted holds the tasks whose end done was taken note of.
+	at    map[string]string
+	noted map[string]bool
 	// failed counts the failed ends of each task that were acknowledged, startsAfter its starts after the last attempt.
 	failed, startsAfter map[string]int
 }
@@ -106,6 +109,14 @@
 	jobs map[string]*job
 	// reborn holds the incarnations of runners that another one has followed.
 	reborn map[*runner]bool
+	// current is the present incarnation of each runner.
+	current map[string]*runner
+	// lateShare is the share of orders that get no answer and are carried out late.
+	lateShare float64
+	// lateStarts counts the starts at each runner that are still to be carried out late.
+	lateStarts map[string]int
+	// twice counts the starts of a task that was at work, or done.
+	twice int
 	// misplaced counts the starts on a runner without the label that the step needs.
 	misplaced int
 	// policy returns whether a runner may run a job's steps; nil when no queue has a policy.
@@ -119,7 +130,7 @@
 	if err != nil {
 		r.fail("no temporary folder: %v", err)
 	}
-	d := &world{record: r, store: newStore(r), folder: folder, jobs: map[string]*job{}, reborn: map[*runner]bool{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
+	d := &world{record: r, store: newStore(r), folder: folder, jobs: map[string]*job{}, reborn: map[*runner]bool{}, current: map[string]*runner{}, lateStarts: map[string]int{}, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}}
 	r.clean = d.close
 	d.address = d.serve(d.store)
 	return d
@@ -178,6 +189,11 @@
 		d.misplaced++
 		d.record.print("runner %s with the labels %v starts %s run %d, which needs the label %q", r.id, r.labels, task, number, need)
 	}
+	if at := j.at[task]; at != "" || j.noted[task] {
+		d.twice++
+		d.record.print("TWICE: runner %s starts %s run %d; at work on %q, done and taken note of: %v", r.id, task, number, at, j.noted[task])
+	}
+	j.at[task] = r.id
 	j.open++
 	if j.failed[task] >= attemptsMax {
 		if j.startsAfter == nil {
@@ -200,6 +216,9 @@
 	d.mu.Lock()
 	j := d.jobs[id]
 	j.open--
+	if j.at[task] == r.id {
+		delete(j.at, task)
+	}
 	if how == "done" {
 		j.done++
 	}
@@ -211,13 +230,17 @@
 }
 
 // acknowledged records that a holder has taken note of an end.
-func (d *world) acknowledged(r *runner, task string, number int64, how string) {
-	if how != "failed" {
-		return
-	}
+func (d *world) acknowledged(r *runner, task string, number int64, how string, held bool) {
 	id, _ := taskJob(task)
 	d.mu.Lock()
 	j := d.jobs[id]
+	if how == "done" && held {
+		j.noted[task] = true
+	}
+	if how != "failed" {
+		d.mu.Unlock()
+		return
+	}
 	if j.failed == nil {
 		j.failed = map[string]int{}
 	}
@@ -482,6 +505,7 @@
 // submit hands a job in as a client does, at changing entries.
 func (d *world) submit(j *job, prefix string) bool {
 	d.mu.Lock()
+	j.at, j.noted = map[string]string{}, map[string]bool{}
 	d.jobs[j.id] = j
 	d.calls++
 	first := d.calls
