shard: end probation by the runs that were assigned during it

Cause: a worker on probation took no task while it had any run, and left the probation when a run succeeded. A lasting run at work has no success left to report and no end, so neither ever happened.

Change: only a run that was assigned during the probation and may yet show something counts as a trial; members of a gang or a same-rack step are one trial; a lasting trial that never comes to work counts for 3 s.

The same cause elsewhere: a rejection for lack of room excluded the endpoint until one of its runs ended, for ever if it had none or only lasting ones. It is tried again after 0.5 s to 8 s now. The fakes list a lasting run that stands still with 0 %, as the page does.

--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -194,7 +194,7 @@
 // progress returns the percentage that a run is listed with.
 func (r *fakeRun) progress(now time.Time) int {
 	switch {
-	case !r.lasting && r.stalled:
+	case r.stalled:
 		return 0
 	case !r.lasting:
 		return int(min(100, 100*now.Sub(r.began)/max(1, r.duration)))
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -52,8 +52,8 @@
 	}
 }
 
-// eject withholds tasks from a worker for a while. After that it is on probation: it gets one task at a time
-// until a run succeeds.
+// eject withholds tasks from a worker for a while. After that it is on probation: it gets the tasks of one trial at
+// a time until a run succeeds.
 func (e *Engine) eject(now time.Time, w *worker) {
 	ejected, contacted := 0, 0
 	for _, other := range e.workers {
@@ -74,3 +74,29 @@
 
 // onProbation reports whether a worker was ejected and no run has succeeded on it since.
 func (w *worker) onProbation() bool { return w.ejectedFor > 0 }
+
+// acceptsTrial reports whether a worker may get a task as far as its probation is concerned: it is on none, or no run
+// that was assigned during the probation may yet show that the worker is sound. Earlier runs show nothing that is not
+// known, and a lasting one would never end. The members of a step that starts at once are one trial, because none of
+// them can start alone.
+func (w *worker) acceptsTrial(now time.Time, id fleet.TaskID, step fleet.Step) bool {
+	if !w.onProbation() {
+		return true
+	}
+	startsAtOnce := step.Gang || step.SameRack
+	for other, a := range w.runs {
+		if a.isOnTrial(now) && !(startsAtOnce && sameStep(other, id)) {
+			return false
+		}
+	}
+	return true
+}
+
+// isOnTrial reports whether a run may yet show that its worker is sound. A lasting run does so when it comes to work,
+// which ends the probation; it has no end to wait for if it never does.
+func (a *assignment) isOnTrial(now time.Time) bool {
+	return a.trial && (!a.step.Lasting || a.startedAt.IsZero() || now.Sub(a.startedAt) < lastingTrialTime)
+}
+
+// lastingTrialTime is how long a lasting task may take to come to work before a worker on probation gets another task.
+const lastingTrialTime = 3 * time.Second
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -177,7 +177,7 @@
 		if step.MaxPerEndpoint > 0 && w.count(id) >= step.MaxPerEndpoint {
 			continue
 		}
-		if w.onProbation() && len(w.runs) > 0 {
+		if !w.acceptsTrial(now, id, step) {
 			continue
 		}
 		if needsTicket {
@@ -331,49 +331,3 @@
 	}
 	return slices.Clone(chosen)
 }
-
-// preempt makes room for a lasting task by stopping other tasks on one worker, the most recently started
-// first, because they lose the least work.
-func (e *Engine) preempt(now time.Time, id fleet.TaskID, step fleet.Step) {
-	var best *worker
-	var victims []*assignment
-	for _, w := range e.sorted() {
-		if !w.listed || w.Draining || !w.reachable(now) || now.Before(w.ejectedUntil) || now.Before(w.cordonedUntil) ||
-			!w.hasLabel(step.RequiredLabel) || step.MaxPerEndpoint > 0 && w.count(id) >= step.MaxPerEndpoint {
-			continue
-		}
-		list := w.victims(step)
-		if list != nil && (best == nil || len(list) < len(victims)) {
-			best, victims = w, list
-		}
-	}
-	for _, a := range victims {
-		e.stop(now, best, a.id)
-	}
-}
-
-// victims returns the most recently started tasks, as few as make room for a task of the step, or nil when all
-// of them are not enough or room becomes free anyway.
-func (w *worker) victims(step fleet.Step) []*assignment {
-	free := w.free()
-	var running []*assignment
-	for _, a := range w.runs {
-		switch {
-		case a.phase == phaseStopping:
-			free = free.Plus(a.step.CountedDemand())
-		case !a.step.Lasting:
-			running = append(running, a)
-		}
-	}
-	if step.CountedDemand().Fits(free) {
-		return nil
-	}
-	slices.SortFunc(running, func(a, b *assignment) int { return b.startedAt.Compare(a.startedAt) })
-	for i, a := range running {
-		free = free.Plus(a.step.CountedDemand())
-		if step.CountedDemand().Fits(free) {
-			return running[:i+1]
-		}
-	}
-	return nil
-}
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -90,7 +90,7 @@
 		e.markStarted(a.id.Job)
 		if a.phase == phaseOrdered {
 			a.markSeen(now, EvidenceAnswer)
-			a.phase, a.startedAt = phaseStarted, now
+			a.phase, a.startedAt, w.fullFor = phaseStarted, now, 0
 			// Whichever process answered, its clock shows the lease that it granted.
 			w.extendUnprovenLease(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
@@ -98,9 +98,9 @@
 		// The endpoint lists the run as ended, or a stop for it arrived first.
 		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
 	case AnswerNoRoom:
-		w.full = true
 		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
-		w.full = true
+		w.fullFor = min(max(minFullPause, 2*w.fullFor), maxFullPause)
+		w.fullUntil = now.Add(w.fullFor)
 	case AnswerNoTicket:
 		e.dropTicket(now, a.id, w)
 		e.markLost(now, w, a, Loss{Reason: LossRejected, Answer: r.Answer})
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -73,6 +73,8 @@
 	pace int
 	// nextStopAt is when the next stop order may be sent.
 	nextStopAt time.Time
+	// trial is set for a run that was assigned while the worker was on probation.
+	trial bool
 }
 
 // worker is the state of one endpoint process.
@@ -136,8 +138,10 @@
 	nextForeignStopAt time.Time
 	// foreign holds the runs of the latest list that are not assigned here.
 	foreign map[fleet.TaskID]fleet.RunNumber
-	// full is set when the endpoint rejected a start for lack of room, until one of its runs is removed.
-	full bool
+	// fullUntil is when a worker that rejected a start for lack of room is tried again, unless one of its runs ends
+	// before. fullFor is the pause, which doubles with each rejection until a start is accepted.
+	fullUntil time.Time
+	fullFor   time.Duration
 }
 
 // Timing of calls to endpoints.
@@ -164,6 +168,9 @@
 	// minHoldBackoff and maxHoldBackoff bound the pause after failed renewals, which doubles each time.
 	minHoldBackoff = 100 * time.Millisecond
 	maxHoldBackoff = 800 * time.Millisecond
+	// minFullPause and maxFullPause bound the pause after a start was rejected for lack of room.
+	minFullPause = 500 * time.Millisecond
+	maxFullPause = 8 * time.Second
 	// orderTransit bounds the time from the creation of an order to its answer or timeout.
 	orderTransit = time.Second
 	// stopRetryInterval is the pause between two stop orders for the same run.
@@ -211,12 +218,18 @@
 
 // usable reports whether the worker may get new work.
 func (w *worker) usable(now time.Time) bool {
-	return w.listed && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil) && !w.full
+	return w.inService(now) && !now.Before(w.fullUntil)
+}
+
+// inService reports whether the worker may get new work once it has room.
+func (w *worker) inService(now time.Time) bool {
+	return w.listed && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
 }
 
 func (w *worker) free() fleet.Capacity { return w.Capacity.Minus(w.used) }
 
 func (w *worker) add(a *assignment) {
+	a.trial = w.onProbation()
 	w.runs[a.id] = a
 	w.used = w.used.Plus(a.step.CountedDemand())
 }
@@ -228,20 +241,25 @@
 	}
 	delete(w.runs, id)
 	w.used = w.used.Minus(a.step.CountedDemand())
-	w.full = false
+	w.fullUntil = time.Time{}
 }
 
 // count returns how many tasks of one step the worker has.
 func (w *worker) count(id fleet.TaskID) int {
 	n := 0
 	for other := range w.runs {
-		if other.Job == id.Job && other.Occurrence == id.Occurrence && other.Step == id.Step {
+		if sameStep(other, id) {
 			n++
 		}
 	}
 	return n
 }
 
+// sameStep reports whether two tasks belong to the same step of the same occurrence.
+func sameStep(a, b fleet.TaskID) bool {
+	return a.Job == b.Job && a.Occurrence == b.Occurrence && a.Step == b.Step
+}
+
 func (w *worker) hasLabel(l fleet.Label) bool {
 	if l == "" {
 		return true
