holder: count a VM as maintained once the platform confirms its wave

Cause: the intent to maintain a VM is stored before its order is sent, and taken back in memory only when the platform rejects the order. The next holder restored the intent, saw the VM in maintenance and later up again, and took that for the maintenance of this wave. The list of VMs does not say for which wave a VM is down, so it cannot prove that.

Hypotheses: (1) the inference from the list, (2) a rejected order that is never repeated by the holder that got the rejection, (3) a row of the other wave that is read as this one's. The cases of TestMaintenanceForOtherWaveIsNotCounted separate them: a stored intent and a lost order failed without any second wave's row, a rejected order passed.

Change: only an answer 200 to an order that names the wave proves that the maintenance has begun. The confirmation is stored with the wave (field begun of WaveProgress), also by the write that releases the lease, so that the next holder neither vacates nor orders such a VM again. Other stored intents are ordered again once the VM is up.

The same cause elsewhere: a VM that a single list lacked counted as gone for good, and so as done; it has to be missing for 3 s now, and counts again when it is back.

Before: go test ./internal/holder -run 'OtherWave|MissingFromOne' failed with "5 != 6" in three cases; -run ReleaseStores without the rows in the release failed with "a was ordered 2 times".

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -117,6 +117,7 @@
 // WaveRow is the stored progress of a maintenance wave.
 type WaveRow struct {
 	Wave      fleet.WaveID
+	Begun     []fleet.VMID
 	Ordered   []fleet.VMID
 	Done      []fleet.VMID
 	Completed bool
--- a/internal/holder/maintain.go
+++ b/internal/holder/maintain.go
@@ -69,10 +69,7 @@
 		zap.Uint64("epoch", uint64(m.Chain.Epoch)), zap.String("answer", string(o.answer)), zap.Bool("again", repeated))
 	switch o.answer {
 	case MaintenanceDone:
-		w.ordered[o.vm] = m.Clock.Now()
-		// An order that is repeated for a VM that is up succeeds only when its maintenance is over or
-		// begins now; in both cases the next list that shows it up is final.
-		w.seenDown[o.vm] = true
+		w.ordered[o.vm], w.begun[o.vm], w.changed = m.Clock.Now(), true, true
 	case MaintenanceRefused:
 		w.done[o.vm], w.changed = true, true
 	case MaintenanceFenced:
--- a/internal/holder/maintainer_test.go
+++ b/internal/holder/maintainer_test.go
@@ -36,6 +36,14 @@
 	services []fleet.ServiceID
 	// maintained is called with each order; it may be nil.
 	maintained func()
+	// otherWave is until when VMs are down for another wave.
+	otherWave map[fleet.VMID]time.Time
+	// beforeOrder is called with each order before it is carried out; it may be nil. The order is lost when it returns
+	// false.
+	beforeOrder func(vm fleet.VMID) bool
+	// unlisted is the VM that lists lack until unlistedUntil.
+	unlisted      fleet.VMID
+	unlistedUntil time.Time
 	// holderUnreachable is set when the VMs have endpoints of a service whose holder does not answer.
 	holderUnreachable bool
 }
@@ -47,7 +55,7 @@
 )
 
 func newVMPlatform() *vmPlatform {
-	return &vmPlatform{downTo: map[fleet.VMID]time.Time{}, begun: map[fleet.VMID]int{}, orders: map[fleet.VMID]int{}}
+	return &vmPlatform{downTo: map[fleet.VMID]time.Time{}, otherWave: map[fleet.VMID]time.Time{}, begun: map[fleet.VMID]int{}, orders: map[fleet.VMID]int{}}
 }
 
 func vmName(i int) fleet.VMID { return fleet.VMID(rune('a' + i)) }
@@ -78,7 +86,10 @@
 		if p.holderUnreachable {
 			vm.Service, vm.Endpoint = "working", fleet.EndpointID(vm.VM)
 		}
-		if time.Now().Before(p.downTo[vm.VM]) {
+		if vm.VM == p.unlisted && time.Now().Before(p.unlistedUntil) {
+			continue
+		}
+		if time.Now().Before(p.downTo[vm.VM]) || time.Now().Before(p.otherWave[vm.VM]) {
 			vm.Condition = holder.VMConditionMaintenance
 		}
 		list = append(list, vm)
@@ -94,9 +105,15 @@
 	if p.maintained != nil {
 		p.maintained()
 	}
+	if p.beforeOrder != nil && !p.beforeOrder(vm) {
+		return holder.MaintenanceUnknown
+	}
 	if p.begun[vm] > 0 {
 		return holder.MaintenanceDone
 	}
+	if time.Now().Before(p.otherWave[vm]) {
+		return holder.MaintenanceBusy
+	}
 	p.begun[vm]++
 	p.downTo[vm] = time.Now().Add(vmDownTime)
 	p.peakDown = max(p.peakDown, p.down())
@@ -125,16 +142,17 @@
 // maintain runs a holder of the maintenance duty until the condition holds.
 func maintain(t *testing.T, store *rows.Store, p *vmPlatform, name fleet.EntryID, previous election.Lease, until func() bool) {
 	t.Helper()
-	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), name, previous, waveDown, until)
+	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), name, previous, waveDown, false, until)
 }
 
 // maintainWith is maintain with a scheduler that answers, and with all VMs down at a time if need be.
 func maintainWith(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], until func() bool) {
 	t.Helper()
-	run(t, store, p, scheduler, "entry", election.Lease{}, waveVMs, until)
+	run(t, store, p, scheduler, "entry", election.Lease{}, waveVMs, false, until)
 }
 
-func run(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], name fleet.EntryID, previous election.Lease, down int, until func() bool) {
+// run runs a holder of the maintenance duty until the condition holds. With release it releases its lease then.
+func run(t *testing.T, store *rows.Store, p *vmPlatform, scheduler *ring.Ring[holder.Event], name fleet.EntryID, previous election.Lease, down int, release bool, until func() bool) {
 	t.Helper()
 	group, ctx := duty.NewGroup(context.Background())
 	ctx, cancel := context.WithCancel(ctx)
@@ -160,6 +178,15 @@
 		}
 		_ = clock.Wait(ctx, c, 10*time.Millisecond)
 	}
+	if release {
+		is.New(t).NoErr(m.Release.Push(struct{}{}))
+		for range 100 {
+			if readLease(t, store, holder.DutyMaintenance).Released {
+				break
+			}
+			_ = clock.Wait(ctx, c, 10*time.Millisecond)
+		}
+	}
 	cancel()
 	<-done
 	group.Stop()
@@ -196,7 +223,7 @@
 func TestWaveWithHugeBoundCompletes(t *testing.T) {
 	is := is.New(t)
 	store, p := rows.New(clock.Real()), newVMPlatform()
-	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), "entry", election.Lease{}, math.MaxInt, func() bool { _, complete := p.progress(); return complete })
+	run(t, store, p, ring.New[holder.Event]("scheduler", 1024), "entry", election.Lease{}, math.MaxInt, false, func() bool { _, complete := p.progress(); return complete })
 	begun, complete := p.progress()
 	is.Equal(begun, waveVMs)
 	is.True(complete)
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -231,6 +231,9 @@
 	for _, vm := range m.GetOrdered() {
 		w.Ordered = append(w.Ordered, fleet.VMID(vm))
 	}
+	for _, vm := range m.GetBegun() {
+		w.Begun = append(w.Begun, fleet.VMID(vm))
+	}
 	for _, vm := range m.GetDone() {
 		w.Done = append(w.Done, fleet.VMID(vm))
 	}
--- a/internal/holder/wave.go
+++ b/internal/holder/wave.go
@@ -13,60 +13,81 @@
 type waveState struct {
 	order     WaveOrder
 	startedAt time.Time
-	ordered   map[fleet.VMID]time.Time
-	seenDown  map[fleet.VMID]bool
-	done      map[fleet.VMID]bool
-	vacating  map[fleet.VMID]time.Time
-	reported  bool
-	completed bool
+	// ordered is when a VM's order was last sent, or when the intent to send it was stored.
+	ordered map[fleet.VMID]time.Time
+	// begun holds the VMs whose maintenance for this wave the platform has confirmed. Only the answer to an order that
+	// names the wave does so: the list of VMs does not say for which wave a VM is down, or whether it crashed.
+	begun map[fleet.VMID]bool
+	done  map[fleet.VMID]bool
+	// missingSince is when a VM was first missing from the list.
+	missingSince map[fleet.VMID]time.Time
+	vacating     map[fleet.VMID]time.Time
+	reported     bool
+	completed    bool
 	// changed is set while the stored progress is out of date.
 	changed bool
 }
 
+// missingTimeout is how long a VM has to be missing from the list before it counts as gone. Its pages are not a
+// snapshot, so one list may lack a VM.
+const missingTimeout = 3 * time.Second
+
+func newWaveState(now time.Time) *waveState {
+	return &waveState{
+		startedAt: now, ordered: map[fleet.VMID]time.Time{}, begun: map[fleet.VMID]bool{}, done: map[fleet.VMID]bool{},
+		missingSince: map[fleet.VMID]time.Time{}, vacating: map[fleet.VMID]time.Time{},
+	}
+}
+
 // row returns the stored form of the wave.
 func (w *waveState) row() rowstore.Row {
 	row := &jobv1.WaveProgress{Wave: string(w.order.Wave), Completed: w.completed}
 	for vm := range w.ordered {
 		row.Ordered = append(row.Ordered, string(vm))
 	}
+	for vm := range w.begun {
+		row.Begun = append(row.Begun, string(vm))
+	}
 	for vm := range w.done {
 		row.Done = append(row.Done, string(vm))
 	}
 	slices.Sort(row.Ordered)
+	slices.Sort(row.Begun)
 	slices.Sort(row.Done)
 	return mustRow(tableProgress, dutyPart(DutyMaintenance), rowstore.Key(keyWave+string(w.order.Wave)), row)
 }
 
 // observe updates which VMs are done and returns how many are down for the wave, or may be.
 func (w *waveState) observe(now time.Time, vms map[fleet.VMID]PoolVM) int {
+	for _, vm := range w.order.VMs {
+		if _, listed := vms[vm]; listed {
+			delete(w.missingSince, vm)
+		} else if w.missingSince[vm].IsZero() {
+			w.missingSince[vm] = now
+		}
+	}
 	down := 0
 	for vm, at := range w.ordered {
-		if w.done[vm] {
-			continue
-		}
 		listed, known := vms[vm]
 		switch {
-		case !known:
-			w.done[vm], w.changed = true, true
-		case listed.Condition == VMConditionMaintenance:
-			w.seenDown[vm] = true
-			down++
-		case listed.Condition != VMConditionUp:
-			// It crashed or is being moved, which says nothing about its order.
-			down++
-		case now.Sub(at) < settleAfterOrder:
-			down++
-		case w.seenDown[vm]:
+		case w.done[vm] || !known && w.isGone(now, vm):
+		case w.begun[vm] && known && listed.Condition == VMConditionUp && now.Sub(at) >= settleAfterOrder:
 			w.done[vm], w.changed = true, true
 		default:
-			// Listed as up, and never seen down: either the maintenance is over, or the order was lost.
-			// It is sent again, which is harmless when the maintenance is over.
+			// Without a confirmation the VM may be down for another cause, or its order may have been lost. The order
+			// is sent again once the VM is up, which is harmless when the maintenance is over.
 			down++
 		}
 	}
 	return down
 }
 
+// isGone reports whether a VM has been missing from the list for so long that it no longer exists.
+func (w *waveState) isGone(now time.Time, vm fleet.VMID) bool {
+	since, missing := w.missingSince[vm]
+	return missing && now.Sub(since) >= missingTimeout
+}
+
 // next returns the VMs to vacate or maintain now, those in progress first.
 func (w *waveState) next(vms map[fleet.VMID]PoolVM, limit int) []fleet.VMID {
 	var list []fleet.VMID
@@ -75,7 +96,7 @@
 		if w.done[vm] || !known {
 			continue
 		}
-		if _, ordered := w.ordered[vm]; ordered && (w.seenDown[vm] || listed.Condition != VMConditionUp) {
+		if _, ordered := w.ordered[vm]; ordered && (w.begun[vm] || listed.Condition != VMConditionUp) {
 			continue
 		}
 		list = append(list, vm)
@@ -98,9 +119,10 @@
 	return 0
 }
 
-func (w *waveState) finished(vms map[fleet.VMID]PoolVM) bool {
+// finished reports whether each VM has had its maintenance, cannot have it, or is gone.
+func (w *waveState) finished(now time.Time) bool {
 	for _, vm := range w.order.VMs {
-		if _, known := vms[vm]; known && !w.done[vm] {
+		if !w.done[vm] && !w.isGone(now, vm) {
 			return false
 		}
 	}
