--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -27,7 +27,9 @@
 	Sink  Sink
 	Clock clock.Clock
 	Log   *zap.Logger
-	// Interval returns the time between reads. With Wait, the store holds each read until something changes.
+	// Interval returns the time between reads. With Wait, the store holds each read until something changes. MaxWait
+	// bounds it: a read that the store has swallowed is noticed only after the wait. After a failure a read does not
+	// wait, so that it shows at once whether the store answers.
 	Interval func() time.Duration
 	Wait     time.Duration
 	// Inbox receives requests for a read; it may be nil when Wait is set.
@@ -128,7 +130,11 @@
 
 // readChanges reads one page of changes and returns whether there are more.
 func (f *Follower) readChanges(ctx context.Context) (bool, error) {
-	page, err := f.changes(ctx, f.after, f.Wait)
+	wait := f.Wait
+	if f.failed {
+		wait = 0
+	}
+	page, err := f.changes(ctx, f.after, wait)
 	var historyErr *rowstore.HistoryError
 	if errors.As(err, &historyErr) {
 		f.Log.Warn("follower: store cannot list the changes, reading the table in full", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(f.after)))
