--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -36,8 +36,10 @@
 	w.row = row
 	address := w.Address
 	switch {
-	case row.StartMillis == w.StartMillis || w.StartMillis == 0:
+	case row.describes(w.StartMillis):
+		startMillis := max(row.StartMillis, w.StartMillis) // One of them may be missing.
 		w.EndpointInfo = row
+		w.StartMillis = startMillis
 	case !w.reachable(now) && !slices.Contains(w.replaced, row.StartMillis):
 		w.Address = row.Address
 	}
--- a/internal/shard/fake_check_test.go
+++ b/internal/shard/fake_check_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
@@ -42,6 +43,10 @@
 			sim.violation("%s runs on %s (run %d) and %s (run %d)", o.Task, other.Endpoint, r.run, e.Endpoint, o.Run)
 		}
 	}
+	// A start that was meant for an earlier process may reach the next one; the holder cannot know.
+	if step.RequiredLabel != "" && !slices.Contains(e.Labels, step.RequiredLabel) && o.Process == e.Process() {
+		sim.violation("%s starts on %s without the label that it needs", o.Task, e.Endpoint)
+	}
 	if sim.doneRecorded[o.Task] {
 		sim.violation("%s starts after its end was recorded", o.Task)
 	}
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -104,7 +104,7 @@
 func (e *Engine) meanCapacity() fleet.Capacity {
 	var listed, contacted capacityMean
 	for _, w := range e.workers {
-		if !w.listed || w.Draining {
+		if !w.isDescribed() || w.Draining {
 			continue
 		}
 		listed.add(w.Capacity)
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -51,8 +51,8 @@
 // earlier process has listed ended with it. Other runs may have been started by the next process instead: they are
 // kept until it answers a renewal with its own token, when its list shows which of them it executes.
 func (e *Engine) handleRestart(now time.Time, w *worker, startMillis int64) *worker {
-	next := w.EndpointInfo
-	if w.row.StartMillis == startMillis {
+	next := EndpointInfo{Endpoint: w.Endpoint, Service: w.Service, Address: w.Address}
+	if w.row.describes(startMillis) {
 		next = w.row
 	}
 	next.StartMillis = startMillis
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -26,6 +26,12 @@
 	return fleet.EndpointProcess{Endpoint: i.Endpoint, StartMillis: i.StartMillis}
 }
 
+// describes reports whether the row is that of a process. A row or a process without a start time cannot be told from
+// others.
+func (i EndpointInfo) describes(startMillis int64) bool {
+	return i.StartMillis == startMillis || i.StartMillis == 0 || startMillis == 0
+}
+
 // phase is the stage that a run has reached.
 type phase string
 
@@ -79,6 +85,7 @@
 
 // worker is the state of one endpoint process.
 type worker struct {
+	// EndpointInfo has only the id, the service and the address until the registry lists the process.
 	EndpointInfo
 	// row is the registry's latest row of the endpoint, which may be of another process.
 	row EndpointInfo
@@ -223,9 +230,13 @@
 
 // inService reports whether the worker may get new work once it has room.
 func (w *worker) inService(now time.Time) bool {
-	return w.listed && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
+	return w.isDescribed() && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
 }
 
+// isDescribed reports whether the registry lists the worker's process. The next process of an endpoint may have other
+// labels and another capacity, and its lists do not name them.
+func (w *worker) isDescribed() bool { return w.listed && w.row.describes(w.StartMillis) }
+
 func (w *worker) free() fleet.Capacity { return w.Capacity.Minus(w.used) }
 
 func (w *worker) add(a *assignment) {
