shard: let only a trial end a probation

Change: while a worker is on probation only a run that was assigned during it counts as a success.

Before: TestEarlierRunDoesNotEndProbation FAIL.

--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -47,6 +47,8 @@
 	unreachable, mute bool
 	dead              bool
 	failAll           bool
+	// failFrom, if set, spares the runs that began earlier from failAll.
+	failFrom time.Time
 	stall             bool
 	// backAt is when a dead process is replaced under its id; zero is never.
 	backAt time.Time
@@ -107,7 +109,7 @@
 		switch {
 		case !r.stopAt.IsZero() && !sim.now.Before(r.stopAt):
 			sim.end(e, id, fleet.RunEndStopped)
-		case e.failAll && sim.now.Sub(r.began) >= 50*time.Millisecond && !r.lasting:
+		case e.failAll && !r.began.Before(e.failFrom) && sim.now.Sub(r.began) >= 50*time.Millisecond && !r.lasting:
 			sim.end(e, id, fleet.RunEndFailed)
 		case !r.lasting && !r.stalled && sim.now.Sub(r.began) >= r.duration:
 			sim.end(e, id, fleet.RunEndDone)
--- a/internal/shard/health.go
+++ b/internal/shard/health.go
@@ -22,9 +22,12 @@
 	jobFaultEndpoints = 2
 )
 
-// recordSuccess resets the failure counts of a worker and ends its probation.
-func (e *Engine) recordSuccess(w *worker) {
-	w.failures, w.stalled, w.ejectedFor = 0, 0, 0
+// recordSuccess resets the failure counts of a worker and ends its probation. A run that was assigned before the
+// ejection says nothing about a worker on probation.
+func (w *worker) recordSuccess(a *assignment) {
+	if !w.onProbation() || a.trial {
+		w.failures, w.stalled, w.ejectedFor = 0, 0, 0
+	}
 }
 
 // recordFailure counts a failed run of a job against the worker, unless the job fails on other workers too.
@@ -53,7 +56,7 @@
 }
 
 // eject withholds tasks from a worker for a while. After that it is on probation: it gets the tasks of one trial at
-// a time until a run succeeds.
+// a time until one of them succeeds.
 func (e *Engine) eject(now time.Time, w *worker) {
 	ejected, contacted := 0, 0
 	for _, other := range e.workers {
@@ -72,7 +75,7 @@
 	e.Observer.Ejected(w.Endpoint, w.failures, w.ejectedFor)
 }
 
-// onProbation reports whether a worker was ejected and no run has succeeded on it since.
+// onProbation reports whether a worker was ejected and no run that was assigned since has succeeded on it.
 func (w *worker) onProbation() bool { return w.ejectedFor > 0 }
 
 // acceptsTrial reports whether a worker may get a task as far as its probation is concerned: it is on none, or no run
--- a/internal/shard/probation_test.go
+++ b/internal/shard/probation_test.go
@@ -71,6 +71,29 @@
 	}
 }
 
+// Guards against a run of before the ejection that ends the probation: the endpoint got all waiting tasks at once and
+// failed them.
+func TestEarlierRunDoesNotEndProbation(t *testing.T) {
+	is := is.New(t)
+	sim, special := newSpecialSimulation()
+	sim.duration = func(id fleet.TaskID) time.Duration {
+		if id.Job == "before" {
+			return 2 * time.Second
+		}
+		return time.Second
+	}
+	sim.run(time.Second)
+	sim.submit(specialJob("before", 1, 3000))
+	sim.run(time.Second)
+	special.failFrom = sim.now
+	sim.ejectSpecial(is, special)
+	special.failAll = true
+	sim.submit(specialJob("later", 6, 3000))
+	sim.run(3 * time.Second)
+	is.Equal(sim.state("before"), fleet.JobStateCompleted)
+	is.True(special.ended <= 5) // that of before, those that led to the ejection, and the trial
+}
+
 // Guards against a gang that never starts because its members would be the first tasks on an endpoint after an ejection.
 func TestGangRunsOnEndpointOnProbation(t *testing.T) {
 	is := is.New(t)
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -215,7 +215,7 @@
 	if run.Progress > a.progress {
 		a.progressedAt = now
 		if a.step.Lasting && run.Progress >= 100 {
-			e.recordSuccess(w) // A lasting task has no other success.
+			w.recordSuccess(a) // A lasting task has no other success.
 		}
 	}
 	a.progress = run.Progress
@@ -278,7 +278,7 @@
 	e.markUnavailable(now, end.Task, a)
 	switch end.How {
 	case fleet.RunEndDone:
-		e.recordSuccess(w)
+		w.recordSuccess(a)
 		if !a.startedAt.IsZero() && !a.step.Lasting {
 			e.recordRunTime(o, a, ran)
 		}
