--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -49,7 +49,7 @@
 	failAll           bool
 	// failFrom, if set, spares the runs that began earlier from failAll.
 	failFrom time.Time
-	stall             bool
+	stall    bool
 	// backAt is when a dead process is replaced under its id; zero is never.
 	backAt time.Time
 	// goneAt is when the registry no longer shows a dead process that is not replaced under its id.
