shard: keep the policy of a queue that was moved or removed

Cause: a holder kept the policies of the queues that the configuration sends to its service, and served jobs of other queues under a default policy of four attempts. A job of a queue with tickets was started without one, so never.

Change: a holder gets the policies of all queues. The attempts and the need for tickets are stored with a job when it is accepted, for when its queue is not configured any more, also at the next holder.

--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -229,11 +229,10 @@
 	if h.engine == nil || s.config == nil {
 		return
 	}
-	var policies []job.Policy
+	// A queue that has moved to another service may have jobs here.
+	policies := make([]job.Policy, 0, len(s.config.Queues))
 	for _, q := range s.config.Queues {
-		if q.Service == h.service {
-			policies = append(policies, q.Policy)
-		}
+		policies = append(policies, q.Policy)
 	}
 	h.engine.SetPolicies(policies)
 }
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -21,6 +21,12 @@
 	NeedsTickets bool
 }
 
+// Admit fills in what a job takes from its queue when it is accepted.
+func (p Policy) Admit(j *fleet.Job, now time.Time) {
+	j.Queue, j.Service, j.AcceptedAt = p.Queue, p.Service, now.UTC()
+	j.MaxAttempts, j.NeedsTickets = p.MaxAttempts, p.NeedsTickets
+}
+
 // Rank is the scheduling order of waiting work.
 type Rank struct {
 	Priority int
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -73,7 +73,7 @@
 	if len(job.Steps) == 0 {
 		return nil, requestError(connect.CodeInvalidArgument, "the job has no steps")
 	}
-	job.Service, job.AcceptedAt = queue.Service, j.Clock.Now().UTC()
+	queue.Admit(job, j.Clock.Now())
 	reply := ring.New[holder.IntakeOutcome]("reply", 1)
 	s := &holder.Submission{Job: job, Deadline: j.deadline(ctx), Reply: func(o holder.IntakeOutcome) { _ = reply.Push(o) }} // The ring has room for the single reply.
 	if err := j.Feeds.Intakes[holder.IntakeIndex(job.ID)].Push(holder.IntakeEvent{Submission: s}); err != nil {
--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -97,7 +97,7 @@
 // ticketedKeys returns the active occurrences in queues that need tickets, the earliest due first.
 func (e *Engine) ticketedKeys() []job.Key {
 	var keys []job.Key
-	needed := false
+	needed := e.ticketed
 	for _, p := range e.policies {
 		needed = needed || p.NeedsTickets
 	}
@@ -105,7 +105,7 @@
 		return nil
 	}
 	for key, o := range e.active {
-		if e.policy(o.Job.Queue).NeedsTickets {
+		if e.policy(o.Job).NeedsTickets {
 			keys = append(keys, key)
 		}
 	}
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -213,7 +213,7 @@
 	if a.step.Gang {
 		order.Checkpoint = o.Tasks[a.id.Step][0].Checkpoint
 	}
-	if e.policy(o.Job.Queue).NeedsTickets {
+	if e.policy(o.Job).NeedsTickets {
 		ticket, ok := e.ticket(now, StepID{a.id.Job, a.id.Occurrence, a.id.Step}, w)
 		if !ok {
 			e.markLost(now, w, a, Loss{Reason: LossNotSent})
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -85,6 +85,8 @@
 
 	// advice holds the tickets of steps; advicePending counts requests in flight.
 	advice         map[StepID]*stepAdvice
+	// ticketed is set once a job was accepted that needs tickets whether or not its queue is configured.
+	ticketed bool
 	advicePending  int
 	adviceRequests []AdviceRequest
 
@@ -144,7 +146,7 @@
 
 func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
 
-// SetPolicies replaces the policies of the service's queues.
+// SetPolicies replaces the policies of the configured queues, also of those that have moved to other services.
 func (e *Engine) SetPolicies(policies []job.Policy) {
 	clear(e.policies)
 	for _, p := range policies {
@@ -152,16 +154,20 @@
 	}
 }
 
-// policy returns the policy of a queue. Jobs that were accepted by a queue that is no longer configured are
-// still served, under a default policy.
-func (e *Engine) policy(q fleet.QueueID) job.Policy {
-	if p, ok := e.policies[q]; ok {
+// policy returns the policy of a job's queue. A job of a queue that is no longer configured is served under the policy
+// with which it was accepted.
+func (e *Engine) policy(j *fleet.Job) job.Policy {
+	if p, ok := e.policies[j.Queue]; ok {
 		return p
 	}
-	return job.Policy{Queue: q, Service: e.Service, MaxAttempts: defaultAttempts, Stretch: defaultStretch}
+	p := job.Policy{Queue: j.Queue, Service: e.Service, MaxAttempts: j.MaxAttempts, Stretch: defaultStretch, NeedsTickets: j.NeedsTickets}
+	if p.MaxAttempts == 0 {
+		p.MaxAttempts = defaultAttempts
+	}
+	return p
 }
 
-// Default policy of a queue that was removed while it had jobs.
+// Policy of a job of a removed queue where the job does not name it.
 const (
 	defaultAttempts = 4
 	defaultStretch  = 2
@@ -215,6 +221,7 @@
 	if entry != nil {
 		return entry
 	}
+	e.ticketed = e.ticketed || j.NeedsTickets
 	entry = &jobEntry{job: j, committed: fleet.JobStatePending}
 	for k := range j.OccurrenceCount() {
 		o := job.New(j, fleet.Occurrence(k))
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -182,7 +182,7 @@
 }
 
 func (sim *simulation) submit(j *fleet.Job) {
-	j.Queue, j.Service, j.AcceptedAt = sim.policy.Queue, sim.policy.Service, sim.now
+	sim.policy.Admit(j, sim.now)
 	sim.jobs = append(sim.jobs, j)
 	sim.engine.Accept(j)
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -93,7 +93,7 @@
 
 // rank returns the scheduling order of an occurrence.
 func (e *Engine) rank(now time.Time, o *job.Occurrence) job.Rank {
-	return o.RankOf(now, e.policy(o.Job.Queue), func(s fleet.Step) time.Duration { return e.expectedStep(o.Job.Queue, s) })
+	return o.RankOf(now, e.policy(o.Job), func(s fleet.Step) time.Duration { return e.expectedStep(o.Job.Queue, s) })
 }
 
 func compareSteps(a, b candidate) int {
@@ -129,7 +129,7 @@
 }
 
 func (e *Engine) placeEach(now time.Time, c candidate, step fleet.Step, skip *unplaceable) {
-	plain := step.RequiredLabel == "" && step.MaxPerEndpoint == 0 && !e.policy(c.occurrence.Job.Queue).NeedsTickets
+	plain := step.RequiredLabel == "" && step.MaxPerEndpoint == 0 && !e.policy(c.occurrence.Job).NeedsTickets
 	if plain && skip.covers(step.CountedDemand()) {
 		return
 	}
@@ -166,7 +166,7 @@
 	var best *worker
 	var bestScore float64
 	need := step.CountedDemand()
-	needsTicket := e.jobs[id.Job] != nil && e.policy(e.jobs[id.Job].job.Queue).NeedsTickets
+	needsTicket := e.jobs[id.Job] != nil && e.policy(e.jobs[id.Job].job).NeedsTickets
 	for _, w := range e.sorted() {
 		if !w.usable(now) || !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
 			continue
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -272,7 +272,7 @@
 	}
 	e.Observer.RunEnded(end.Task, end.Run, w.Process(), end.How, ran)
 	wasEnded := o.State.IsFinal()
-	if !o.End(now, end.Task, end.Run, end.How, end.Checkpoint, e.policy(o.Job.Queue).MaxAttempts) {
+	if !o.End(now, end.Task, end.Run, end.How, end.Checkpoint, e.policy(o.Job).MaxAttempts) {
 		return
 	}
 	e.markUnavailable(now, end.Task, a)
@@ -301,7 +301,7 @@
 // current run is stopped.
 func (e *Engine) applyLateEnd(now time.Time, w *worker, o *job.Occurrence, end ListedEnd) {
 	wasEnded := o.State.IsFinal()
-	if !o.EndLate(now, end.Task, end.Run, end.How, e.policy(o.Job.Queue).MaxAttempts) {
+	if !o.EndLate(now, end.Task, end.Run, end.How, e.policy(o.Job).MaxAttempts) {
 		return
 	}
 	e.dirty[o.Key()] = true
--- a/pkg/fleet/job.go
+++ b/pkg/fleet/job.go
@@ -176,6 +176,10 @@
 	Occurrences int
 	FirstDue    time.Time
 	Interval    time.Duration
+	// MaxAttempts and NeedsTickets are the policy of the queue when the job was accepted. They apply once the queue is
+	// no longer configured; MaxAttempts is 0 when it is not known.
+	MaxAttempts  int
+	NeedsTickets bool
 }
 
 // OccurrenceCount returns how often the steps run, at least 1.
