--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -84,9 +84,9 @@
 	unavailableSince map[fleet.TaskID]time.Time
 
 	// advice holds the tickets of steps; advicePending counts requests in flight.
-	advice         map[StepID]*stepAdvice
+	advice map[StepID]*stepAdvice
 	// ticketed is set once a job was accepted that needs tickets whether or not its queue is configured.
-	ticketed bool
+	ticketed       bool
 	advicePending  int
 	adviceRequests []AdviceRequest
 
