shard: ask for tickets of all endpoints, not of the first ones

Cause: advice was asked about the first 30 usable endpoints by id, again and again; and a ticket for an endpoint that was lost or full counted as enough.

Change: an endpoint that the answer leaves out is not asked about again for the step, whose policy does not change, so that the next request names others. A ticket is enough only while its endpoint is usable and has room for a task. An answer that could be read in part only denies nothing.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -33,6 +33,8 @@
 	ValidUntil time.Time
 	// Failed is set when there was no response; the request may be repeated.
 	Failed bool
+	// Incomplete is set when a part of the response could not be read, so that a missing endpoint says nothing.
+	Incomplete bool
 }
 
 const (
@@ -41,8 +43,8 @@
 	maxAdviceEndpoints = 30
 	// ticketRenewBefore is how long before their expiry tickets are requested again.
 	ticketRenewBefore = 500 * time.Millisecond
-	// adviceBackoff is the pause before the next request for a step after a request that failed or returned no
-	// ticket, or after a rejected ticket.
+	// adviceBackoff is the pause before the next request for a step after a request that failed, or after a rejected
+	// ticket.
 	adviceBackoff = 400 * time.Millisecond
 	// maxAdvicePending is the limit of requests in flight: the advice service handles one call at a time.
 	maxAdvicePending = 4
@@ -53,6 +55,8 @@
 	pending bool
 	retryAt time.Time
 	tickets map[fleet.EndpointProcess]heldTicket
+	// denied holds the processes that may not run the step, which does not change.
+	denied map[fleet.EndpointProcess]bool
 }
 
 type heldTicket struct {
@@ -122,20 +126,23 @@
 func (e *Engine) requestStepAdvice(now time.Time, id StepID, step fleet.Step) {
 	a := e.advice[id]
 	if a == nil {
-		a = &stepAdvice{tickets: map[fleet.EndpointProcess]heldTicket{}}
+		a = &stepAdvice{tickets: map[fleet.EndpointProcess]heldTicket{}, denied: map[fleet.EndpointProcess]bool{}}
 		e.advice[id] = a
 	}
 	if a.pending || now.Before(a.retryAt) {
 		return
 	}
-	for _, t := range a.tickets {
-		if now.Add(ticketRenewBefore).Before(t.expiresAt) {
-			return
-		}
-	}
 	request := AdviceRequest{Service: e.Service, Token: e.Epoch, Step: id}
 	for _, w := range e.sorted() {
-		if w.usable(now) && w.hasLabel(step.RequiredLabel) && len(request.Endpoints) < maxAdviceEndpoints {
+		if !w.usable(now) || !w.hasLabel(step.RequiredLabel) {
+			continue
+		}
+		switch {
+		case now.Add(ticketRenewBefore).Before(a.tickets[w.Process()].expiresAt):
+			if step.CountedDemand().Fits(w.free()) {
+				return // The step can go on there.
+			}
+		case !a.denied[w.Process()] && len(request.Endpoints) < maxAdviceEndpoints:
 			request.Endpoints = append(request.Endpoints, w.Endpoint)
 		}
 	}
@@ -162,13 +169,18 @@
 		return
 	}
 	a.pending = false
-	if answer.Failed || len(answer.Tickets) == 0 {
+	if answer.Failed || answer.Incomplete {
 		a.retryAt = now.Add(adviceBackoff)
 	}
 	for _, id := range answer.Request.Endpoints {
 		w := e.workers[id]
-		if t, ok := answer.Tickets[id]; ok && w != nil {
+		if w == nil {
+			continue
+		}
+		if t, ok := answer.Tickets[id]; ok {
 			a.tickets[w.Process()] = heldTicket{t, answer.ValidUntil}
+		} else if !answer.Failed && !answer.Incomplete {
+			a.denied[w.Process()] = true
 		}
 	}
 }
