shard: bound the wait of a step for one rack

Cause: such a step waited as long as some rack could hold it if it were empty. The lasting tasks there have no end, and a lost endpoint counts as long as the registry lists it.

Change: a step waits for one rack for as long as its tasks are expected to run, at most 2 s, which is about what they lose on several racks.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -83,6 +83,9 @@
 	// unavailableSince is when a task of a lasting step became unavailable.
 	unavailableSince map[fleet.TaskID]time.Time
 
+	// rackWaits is since when steps have waited for room on one rack.
+	rackWaits map[StepID]time.Time
+
 	// advice holds the tickets of steps; advicePending counts requests in flight.
 	advice map[StepID]*stepAdvice
 	// ticketed is set once a job was accepted that needs tickets whether or not its queue is configured.
@@ -109,19 +112,6 @@
 	evacuateFrom time.Time
 }
 
-// jobEntry is one job with its occurrences.
-type jobEntry struct {
-	job         *fleet.Job
-	occurrences []*job.Occurrence
-	// committed is the committed state, which callers see.
-	committed fleet.JobState
-	endedAt   time.Time
-	cancelled bool
-	// started is set once an endpoint has reported a run of the job. A start order alone does not count: it may
-	// be lost or executed seconds later.
-	started bool
-}
-
 // NewEngine returns an engine without jobs. previousEnd is when the leases that the previous holder granted
 // have certainly expired at endpoints that this holder cannot reach.
 func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, previousEnd time.Time) *Engine {
@@ -137,6 +127,7 @@
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
 		unavailableSince: map[fleet.TaskID]time.Time{},
+		rackWaits:        map[StepID]time.Time{},
 		advice:           map[StepID]*stepAdvice{},
 		dirty:            map[job.Key]bool{},
 		drop:             map[fleet.JobID]bool{},
@@ -146,33 +137,6 @@
 
 func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
 
-// SetPolicies replaces the policies of the configured queues, also of those that have moved to other services.
-func (e *Engine) SetPolicies(policies []job.Policy) {
-	clear(e.policies)
-	for _, p := range policies {
-		e.policies[p.Queue] = p
-	}
-}
-
-// policy returns the policy of a job's queue. A job of a queue that is no longer configured is served under the policy
-// with which it was accepted.
-func (e *Engine) policy(j *fleet.Job) job.Policy {
-	if p, ok := e.policies[j.Queue]; ok {
-		return p
-	}
-	p := job.Policy{Queue: j.Queue, Service: e.Service, MaxAttempts: j.MaxAttempts, Stretch: defaultStretch, NeedsTickets: j.NeedsTickets}
-	if p.MaxAttempts == 0 {
-		p.MaxAttempts = defaultAttempts
-	}
-	return p
-}
-
-// Policy of a job of a removed queue where the job does not name it.
-const (
-	defaultAttempts = 4
-	defaultStretch  = 2
-)
-
 // Restore adds an occurrence as read from the store.
 func (e *Engine) Restore(now time.Time, o *job.Occurrence) {
 	o.Recount()
@@ -216,86 +180,6 @@
 	e.byID = nil
 }
 
-func (e *Engine) entry(j *fleet.Job) *jobEntry {
-	entry := e.jobs[j.ID]
-	if entry != nil {
-		return entry
-	}
-	e.ticketed = e.ticketed || j.NeedsTickets
-	entry = &jobEntry{job: j, committed: fleet.JobStatePending}
-	for k := range j.OccurrenceCount() {
-		o := job.New(j, fleet.Occurrence(k))
-		entry.occurrences = append(entry.occurrences, o)
-		e.active[o.Key()] = o
-	}
-	e.jobs[j.ID] = entry
-	return entry
-}
-
-// Accept adds a stored job. A job that is already known stays as it is.
-func (e *Engine) Accept(j *fleet.Job) {
-	if e.jobs[j.ID] == nil && j.OccurrenceCount() == 1 {
-		e.arrived += e.workOf(j)
-	}
-	e.entry(j)
-}
-
-// Cancel ends a job and stops its tasks. It returns false when the job is not known.
-func (e *Engine) Cancel(now time.Time, id fleet.JobID) bool {
-	entry := e.jobs[id]
-	if entry == nil {
-		return false
-	}
-	if entry.cancelled {
-		return true
-	}
-	entry.cancelled = true
-	changed := false
-	for _, o := range entry.occurrences {
-		if o.Cancel(now) {
-			changed = true
-			e.finish(now, o)
-		}
-	}
-	if changed {
-		e.Observer.Cancelled(id)
-	}
-	return true
-}
-
-// finish stops the remaining runs of an occurrence that has ended and removes its scheduling state.
-func (e *Engine) finish(now time.Time, o *job.Occurrence) {
-	delete(e.active, o.Key())
-	e.deleteAdvice(o)
-	e.dirty[o.Key()] = true
-	for s := range o.Tasks {
-		for t := range o.Tasks[s] {
-			task := &o.Tasks[s][t]
-			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
-			delete(e.avoid, id)
-			delete(e.unavailableSince, id)
-			if !task.Running() {
-				continue
-			}
-			if w := e.workers[task.Process.Endpoint]; w != nil {
-				e.stop(now, w, id)
-			}
-		}
-	}
-	delete(e.failedOn, o.Job.ID)
-	for s := range o.Tasks {
-		delete(e.stepRuns, StepID{o.Job.ID, o.Number, fleet.StepIndex(s)})
-	}
-	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
-}
-
-// markStarted records that an endpoint has started a task of a job.
-func (e *Engine) markStarted(id fleet.JobID) {
-	if entry := e.jobs[id]; entry != nil {
-		entry.started = true
-	}
-}
-
 // Settled reports whether all leases end within the usual length: those of earlier holders have expired, and no
 // process may hold a longer one.
 func (e *Engine) Settled(now time.Time) bool {
@@ -324,34 +208,6 @@
 // Fenced reports whether an endpoint has seen the token of a newer holder.
 func (e *Engine) Fenced() bool { return e.fenced }
 
-// state derives the state of a job from its occurrences.
-func (j *jobEntry) state() fleet.JobState {
-	state, pending, done := fleet.JobStateRunning, true, true
-	for _, o := range j.occurrences {
-		switch o.State {
-		case fleet.JobStateFailed, fleet.JobStateCancelled:
-			return o.State
-		}
-		pending = pending && o.State == fleet.JobStatePending
-		done = done && o.State == fleet.JobStateCompleted
-	}
-	switch {
-	case done:
-		state = fleet.JobStateCompleted
-	case pending:
-		state = fleet.JobStatePending
-	}
-	return state
-}
-
-// markCommitted sets the committed state of the job to its current state.
-func (j *jobEntry) markCommitted() {
-	j.committed = j.state()
-	for _, o := range j.occurrences {
-		j.endedAt = later(j.endedAt, o.EndedAt)
-	}
-}
-
 // stop orders an endpoint to stop a run. The run keeps its capacity until the endpoint lists its end.
 func (e *Engine) stop(now time.Time, w *worker, id fleet.TaskID) {
 	a := w.runs[id]
--- /dev/null
+++ b/internal/shard/jobs.go
@@ -0,0 +1,131 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// jobEntry is one job with its occurrences.
+type jobEntry struct {
+	job         *fleet.Job
+	occurrences []*job.Occurrence
+	// committed is the committed state, which callers see.
+	committed fleet.JobState
+	endedAt   time.Time
+	cancelled bool
+	// started is set once an endpoint has reported a run of the job. A start order alone does not count: it may
+	// be lost or executed seconds later.
+	started bool
+}
+
+func (e *Engine) entry(j *fleet.Job) *jobEntry {
+	entry := e.jobs[j.ID]
+	if entry != nil {
+		return entry
+	}
+	e.ticketed = e.ticketed || j.NeedsTickets
+	entry = &jobEntry{job: j, committed: fleet.JobStatePending}
+	for k := range j.OccurrenceCount() {
+		o := job.New(j, fleet.Occurrence(k))
+		entry.occurrences = append(entry.occurrences, o)
+		e.active[o.Key()] = o
+	}
+	e.jobs[j.ID] = entry
+	return entry
+}
+
+// Accept adds a stored job. A job that is already known stays as it is.
+func (e *Engine) Accept(j *fleet.Job) {
+	if e.jobs[j.ID] == nil && j.OccurrenceCount() == 1 {
+		e.arrived += e.workOf(j)
+	}
+	e.entry(j)
+}
+
+// Cancel ends a job and stops its tasks. It returns false when the job is not known.
+func (e *Engine) Cancel(now time.Time, id fleet.JobID) bool {
+	entry := e.jobs[id]
+	if entry == nil {
+		return false
+	}
+	if entry.cancelled {
+		return true
+	}
+	entry.cancelled = true
+	changed := false
+	for _, o := range entry.occurrences {
+		if o.Cancel(now) {
+			changed = true
+			e.finish(now, o)
+		}
+	}
+	if changed {
+		e.Observer.Cancelled(id)
+	}
+	return true
+}
+
+// finish stops the remaining runs of an occurrence that has ended and removes its scheduling state.
+func (e *Engine) finish(now time.Time, o *job.Occurrence) {
+	delete(e.active, o.Key())
+	e.deleteAdvice(o)
+	e.dirty[o.Key()] = true
+	for s := range o.Tasks {
+		for t := range o.Tasks[s] {
+			task := &o.Tasks[s][t]
+			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
+			delete(e.avoid, id)
+			delete(e.unavailableSince, id)
+			if !task.Running() {
+				continue
+			}
+			if w := e.workers[task.Process.Endpoint]; w != nil {
+				e.stop(now, w, id)
+			}
+		}
+	}
+	delete(e.failedOn, o.Job.ID)
+	for s := range o.Tasks {
+		id := StepID{o.Job.ID, o.Number, fleet.StepIndex(s)}
+		delete(e.stepRuns, id)
+		delete(e.rackWaits, id)
+	}
+	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
+}
+
+// markStarted records that an endpoint has started a task of a job.
+func (e *Engine) markStarted(id fleet.JobID) {
+	if entry := e.jobs[id]; entry != nil {
+		entry.started = true
+	}
+}
+
+// state derives the state of a job from its occurrences.
+func (j *jobEntry) state() fleet.JobState {
+	state, pending, done := fleet.JobStateRunning, true, true
+	for _, o := range j.occurrences {
+		switch o.State {
+		case fleet.JobStateFailed, fleet.JobStateCancelled:
+			return o.State
+		}
+		pending = pending && o.State == fleet.JobStatePending
+		done = done && o.State == fleet.JobStateCompleted
+	}
+	switch {
+	case done:
+		state = fleet.JobStateCompleted
+	case pending:
+		state = fleet.JobStatePending
+	}
+	return state
+}
+
+// markCommitted sets the committed state of the job to its current state.
+func (j *jobEntry) markCommitted() {
+	j.committed = j.state()
+	for _, o := range j.occurrences {
+		j.endedAt = later(j.endedAt, o.EndedAt)
+	}
+}
