--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -21,12 +21,15 @@
 		}
 		w.setRow(now, endpoint)
 		w.listed = true
+		w.describe()
 	}
 	for id, w := range e.workers {
 		if !listed[id] {
 			w.listed = false
+			w.describe()
 		}
 	}
+	e.mean = nil
 }
 
 // setRow records the registry's row of an endpoint. A row with another start time may be old, of the next process,
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -67,6 +67,10 @@
 	forgottenAt map[fleet.EndpointID]time.Time
 	// byID caches the workers sorted by id; it is nil after the set has changed.
 	byID []*worker
+	// open holds the workers that may get work while Plan runs; openBuffer is its memory.
+	open, openBuffer []openWorker
+	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
+	mean *fleet.Capacity
 	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
 	plannedAt  time.Time
 	backlogged bool
@@ -177,7 +181,7 @@
 // setWorker adds or replaces a worker.
 func (e *Engine) setWorker(w *worker) {
 	e.workers[w.Endpoint] = w
-	e.byID = nil
+	e.byID, e.mean = nil, nil
 }
 
 // Settled reports whether all leases end within the usual length: those of earlier holders have expired, and no
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -102,9 +102,17 @@
 // meanCapacity returns the average capacity of the endpoints that have answered, or of all before any has: an entry of
 // the registry may name an endpoint that doesn't exist.
 func (e *Engine) meanCapacity() fleet.Capacity {
+	if e.mean == nil {
+		mean := e.computeMeanCapacity()
+		e.mean = &mean
+	}
+	return *e.mean
+}
+
+func (e *Engine) computeMeanCapacity() fleet.Capacity {
 	var listed, contacted capacityMean
 	for _, w := range e.workers {
-		if !w.isDescribed() || w.Draining {
+		if !w.described || w.Draining {
 			continue
 		}
 		listed.add(w.Capacity)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -42,6 +42,8 @@
 	}
 	e.planDue = time.Time{}
 	e.requestAdvice(now)
+	e.open = e.openWorkers(now)
+	defer func() { e.open = nil }()
 	skip := unplaceable{}
 	candidates := e.candidates(now)
 	e.plannedAt, e.backlogged = now, len(candidates) > backlogSteps
@@ -133,13 +135,17 @@
 	if plain && skip.covers(step.CountedDemand()) {
 		return
 	}
+	var last *worker
 	for t := range c.occurrence.Tasks[c.step] {
 		task := &c.occurrence.Tasks[c.step][t]
 		if task.Done || task.Running() {
 			continue
 		}
 		id := c.occurrence.ID(c.step, fleet.TaskIndex(t))
-		w := e.choose(now, id, step, nil)
+		w := last
+		if !e.staysBest(now, id, step, last) {
+			w = e.choose(now, id, step, nil)
+		}
 		if w == nil {
 			if plain {
 				skip.demands = append(skip.demands, step.CountedDemand())
@@ -150,13 +156,31 @@
 			return
 		}
 		e.assign(now, c.occurrence, id, step, w)
+		last = nil
+		if e.avoid[id] == "" {
+			last = w
+		}
+	}
+}
+
+// staysBest reports whether the worker that choose has returned for a task of a step is the best one for another task
+// too, where neither has an endpoint to avoid. The first one has only raised its score, so that the workers need not be
+// compared again.
+func (e *Engine) staysBest(now time.Time, id fleet.TaskID, step fleet.Step, w *worker) bool {
+	if w == nil || step.Fill || step.TailTarget > 0 || e.avoid[id] != "" {
+		return false
 	}
+	return w.usable(now) && step.CountedDemand().Fits(w.free()) && (step.MaxPerEndpoint == 0 || w.count(id) < step.MaxPerEndpoint) &&
+		w.acceptsTrial(now, id, step)
 }
 
 // assign plans the next run of a task on a worker.
 func (e *Engine) assign(now time.Time, o *job.Occurrence, id fleet.TaskID, step fleet.Step, w *worker) {
 	run := o.Start(id, w.Process())
 	w.add(&assignment{id: id, run: run, process: w.Process(), step: step, phase: phasePlanned, pace: 100, evidence: EvidenceNone})
+	if e.open != nil {
+		e.open[w.openIndex].free = w.free()
+	}
 	e.dirty[o.Key()] = true
 	e.Observer.Assigned(id, run, w.Process(), now.Sub(o.Job.Due(o.Number)))
 }
@@ -167,8 +191,16 @@
 	var bestScore float64
 	need := step.CountedDemand()
 	needsTicket := e.jobs[id.Job] != nil && e.policy(e.jobs[id.Job].job).NeedsTickets
-	for _, w := range e.sorted() {
-		if !w.usable(now) || !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
+	open := e.open
+	if open == nil {
+		open = e.openWorkers(now)
+	}
+	for i := range open {
+		if !need.Fits(open[i].free) {
+			continue
+		}
+		w := open[i].worker
+		if !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
 			continue
 		}
 		if allowed != nil && !allowed(w) {
@@ -192,6 +224,25 @@
 	return best
 }
 
+// openWorker is a worker that may get work. What becomes free during a placement is used in the next one.
+type openWorker struct {
+	worker *worker
+	free   fleet.Capacity
+}
+
+// openWorkers returns the workers that may get work, sorted by id. Each placement goes through them many times, in a
+// list that fits into the processor's cache.
+func (e *Engine) openWorkers(now time.Time) []openWorker {
+	e.openBuffer = e.openBuffer[:0]
+	for _, w := range e.sorted() {
+		if w.usable(now) {
+			w.openIndex = len(e.openBuffer)
+			e.openBuffer = append(e.openBuffer, openWorker{w, w.free()})
+		}
+	}
+	return e.openBuffer
+}
+
 // Weights of the score of a worker. The used share of the processor lies between 0 and 1, so each weight
 // above 1 outranks it.
 const (
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -28,7 +28,7 @@
 func (e *Engine) forget(now time.Time, w *worker) {
 	e.discard()
 	delete(e.workers, w.Endpoint)
-	e.byID = nil
+	e.byID, e.mean = nil, nil
 	e.forgottenAt[w.Endpoint] = now
 	for id, at := range e.forgottenAt {
 		if now.Sub(at) >= lateOrderTime {
@@ -87,6 +87,7 @@
 	if !w.contacted {
 		successor.firstSeen = w.firstSeen
 	}
+	successor.describe()
 	e.setWorker(successor)
 	return successor
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -42,6 +42,7 @@
 			return
 		}
 		w.StartMillis = r.StartMillis
+		w.describe()
 	}
 	if r.Clock > 0 {
 		e.observeClock(now, w, r)
@@ -147,6 +148,7 @@
 	if !w.contacted {
 		w.contacted = true
 		w.nextHoldAt = now
+		e.mean = nil
 	}
 	if w.mayHoldLongestLease {
 		// From now on the process rejects orders that were meant for an earlier one.
--- a/internal/shard/together.go
+++ b/internal/shard/together.go
@@ -81,7 +81,7 @@
 func (e *Engine) fitsOneRack(now time.Time, tasks int, step fleet.Step) bool {
 	room := map[fleet.RackID]int{}
 	for _, w := range e.workers {
-		if !w.isDescribed() || w.Draining || !w.hasLabel(step.RequiredLabel) || !w.contacted && now.Sub(w.firstSeen) > contactTimeout {
+		if !w.described || w.Draining || !w.hasLabel(step.RequiredLabel) || !w.contacted && now.Sub(w.firstSeen) > contactTimeout {
 			continue
 		}
 		free, n := w.Capacity, 0
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -91,8 +91,10 @@
 	row EndpointInfo
 	// token is the fencing token of the orders to the process.
 	token fleet.FencingToken
-	// listed is false for an endpoint that left the registry or is known from an assignment only.
-	listed bool
+	// listed is false for an endpoint that left the registry or is known from an assignment only. described is set
+	// while the registry lists the process itself: the next process of an endpoint may have other labels and another
+	// capacity, and its lists do not name them.
+	listed, described bool
 	// contacted is set once the process has answered a renewal of this holder.
 	contacted bool
 	// heldAt is the address at which the process last answered a renewal. Another process at a different address
@@ -127,8 +129,10 @@
 	// nextPaceAt is when the pace of fill tasks may change again.
 	nextPaceAt time.Time
 	nextHoldAt time.Time
-	runs       map[fleet.TaskID]*assignment
-	used       fleet.Capacity
+	// openIndex is the worker's index in Engine.open.
+	openIndex int
+	runs      map[fleet.TaskID]*assignment
+	used      fleet.Capacity
 	// failures counts the jobs that failed on the worker since its last success.
 	failures int
 	// ejectedUntil is when the last ejection ends, ejectedFor its duration.
@@ -230,12 +234,11 @@
 
 // inService reports whether the worker may get new work once it has room.
 func (w *worker) inService(now time.Time) bool {
-	return w.isDescribed() && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
+	return w.described && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
 }
 
-// isDescribed reports whether the registry lists the worker's process. The next process of an endpoint may have other
-// labels and another capacity, and its lists do not name them.
-func (w *worker) isDescribed() bool { return w.listed && w.row.describes(w.StartMillis) }
+// describe updates whether the registry lists the worker's process. It is called after each change of either.
+func (w *worker) describe() { w.described = w.listed && w.row.describes(w.StartMillis) }
 
 func (w *worker) free() fleet.Capacity { return w.Capacity.Minus(w.used) }
 
