shard, holder: renew leases while a service is loaded

Cause: a lease of 4 s covers the takeover and one renewal. A new holder renewed nothing until it had read the jobs and their progress, which takes seconds over 2 Mbit/s, and so let the leases of running tasks expire.

Change: as soon as the registry is known a new holder renews the leases of all listed endpoints once a second. Until the service is loaded it takes nothing else from the lists: no end is acknowledged and no run is stopped. Which earlier processes other holders knew is applied when that has been read.

Before: with renewals left out the test fails for loads of 2.5 s and 12 s ("0 != 5" available); TestLoadingHolderLearnsOfEarlierProcesses fails without the note. After: ok, with all tests of shard (-skip Unseen), holder and jobentry.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -175,6 +175,7 @@
 	for id := range h.cancelled {
 		h.engine.Cancel(now, id)
 	}
+	h.engine.Loaded(now)
 	h.progress, h.loaded = nil, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
@@ -198,11 +199,8 @@
 		delete(s.endpoints, id)
 	}
 	for _, h := range s.held {
-		if h.loaded {
-			s.updateEndpoints(now, h)
-		} else {
-			s.load(now, h)
-		}
+		s.updateEndpoints(now, h)
+		s.load(now, h)
 	}
 }
 
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -244,10 +244,14 @@
 			s.drop(h, "no renewal took effect for too long")
 			continue
 		}
-		if h.engine != nil && h.loaded {
+		switch {
+		case h.engine == nil:
+		case h.loaded:
 			h.engine.Tick(now)
 			h.links.addSenders(now)
 			h.links.closeForgotten(h.engine.Knows)
+		case s.endpoints != nil:
+			h.engine.Renew(now)
 		}
 		if s.stopping {
 			s.release(h)
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -203,6 +203,9 @@
 	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
 	s.read(h)
+	if s.endpoints != nil {
+		s.updateEndpoints(now, h)
+	}
 }
 
 // rowsOf converts a batch to rows.
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -21,6 +21,7 @@
 	for _, h := range s.sorted() {
 		if h.engine == nil || !h.loaded {
 			s.write(now, h, nil)
+			s.sendOrders(h)
 			continue
 		}
 		h.engine.Plan(now)
@@ -46,10 +47,18 @@
 				h.engine.ApplyAdvice(now, shard.Advice{Request: r, Failed: true})
 			}
 		}
-		for _, o := range h.engine.Orders() {
-			if !h.releasing {
-				h.links.send(o)
-			}
+		s.sendOrders(h)
+	}
+}
+
+// sendOrders sends the orders of a held service.
+func (s *Scheduler) sendOrders(h *heldDuty) {
+	if h.engine == nil {
+		return
+	}
+	for _, o := range h.engine.Orders() {
+		if !h.releasing {
+			h.links.send(o)
 		}
 	}
 }
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -19,6 +19,9 @@
 			w = e.newWorker(now, endpoint)
 			e.setWorker(w)
 		}
+		if e.loading && endpoint.Restarted {
+			e.noteRestart(now, w)
+		}
 		w.setRow(now, endpoint)
 		w.listed = true
 		w.describe()
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -106,6 +106,8 @@
 	out   []Order
 	// arrived is the work of all jobs that were accepted since the engine was loaded.
 	arrived fleet.Work
+	// loading is set while only leases are renewed.
+	loading bool
 	// fenced is set when an endpoint has seen the token of a newer holder.
 	fenced bool
 	// previousEnd is when the leases that the previous holder granted have expired, even at endpoints that do
--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -40,6 +40,8 @@
 	highest  map[fleet.TaskID]fleet.RunNumber
 	ends     []fakeEnd
 	ended    fleet.EndCursor
+	// renewals counts the renewals that the process has received.
+	renewals int
 	held     []shard.Order
 	heldAt   []time.Time
 
@@ -157,6 +159,7 @@
 	e.takeLease(sim.now, o.Deadline)
 	switch o.Kind {
 	case shard.OrderHold:
+		e.renewals++
 		for len(e.ends) > 0 && e.ends[0].Number <= o.Acknowledged {
 			sim.checkAcknowledged(e, e.ends[0], isLate || o.Process != e.Process())
 			e.ends = e.ends[1:]
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -268,7 +268,8 @@
 		if sim.now.Before(e.registeredAt) {
 			info = e.listedAs
 		}
-		info.Restarted = info.StartMillis != fakeStartMillis
+		// A holder that loads does not know yet which processes earlier holders have seen.
+		info.Restarted = info.StartMillis != fakeStartMillis && !sim.loading
 		list = append(list, info)
 	}
 	sim.engine.SetEndpoints(sim.now, list)
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -65,6 +65,8 @@
 	trace    func(string)
 	observer *fakeObserver
 	frozen   bool
+	// loading is set while the holder does not know the jobs and their progress yet.
+	loading bool
 
 	advicePending []pendingAdvice
 	adviceCount   int
@@ -148,6 +150,13 @@
 	sim.engine = shard.NewEngine("service", sim.epoch, bounds, sim.observer, previousEnd)
 	sim.engine.SetPolicies([]job.Policy{sim.policy})
 	sim.list()
+	if !sim.loading {
+		sim.load()
+	}
+}
+
+// load passes the holder what is stored.
+func (sim *simulation) load() {
 	for _, j := range sim.jobs {
 		sim.engine.Accept(j)
 	}
@@ -210,10 +219,14 @@
 	if sim.frozen {
 		return
 	}
-	sim.engine.Tick(sim.now)
-	sim.commit()
-	sim.engine.Plan(sim.now)
-	sim.commit()
+	if sim.loading {
+		sim.engine.Renew(sim.now)
+	} else {
+		sim.engine.Tick(sim.now)
+		sim.commit()
+		sim.engine.Plan(sim.now)
+		sim.commit()
+	}
 	orders := sim.engine.Orders()
 	// Orders for different tasks may be sent in any order; sorted, they make a schedule repeatable.
 	slices.SortStableFunc(orders, func(a, b shard.Order) int {
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -155,6 +155,12 @@
 		w.mayHoldLongestLease = false
 		w.extendLease(now, e.Bounds.MaxLease)
 	}
+	if e.loading {
+		if r.Order.Deadline > 0 {
+			w.nextHoldAt = now.Add(loadingInterval)
+		}
+		return
+	}
 	for _, end := range r.Ends {
 		if end.Number > w.cursor {
 			w.cursor = end.Number
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -86,7 +86,7 @@
 		}
 		order.Deadline = w.deadline(now, e.leaseLength())
 		w.extendLease(now, e.leaseLength())
-		if order.Acknowledged == w.cursor && !w.awaitsList() {
+		if order.Acknowledged == w.cursor && !w.awaitsList() && !e.loading {
 			order.Wait = HoldWait
 		}
 	}
