shard: bound the starts on their way by the rate at which they are sent

Cause: a new holder with 0.12 cores planned hundreds of starts at once.

Hypotheses: (1) that; (2) leases of endpoints that the new holder cannot reach and waits for, again with each takeover.

Change: the starts that are planned or have no result are bounded by a window, which grows with each start that is carried out and is halved when one has waited too long.

--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -194,7 +194,8 @@
 			return trace.Wrap(err)
 		}
 		result := shard.Result{Order: queued.order, Answer: shard.AnswerUnsent, SentAt: s.clock.Now()}
-		if queued.order.Kind != shard.OrderStart || result.SentAt.Sub(queued.at) <= maxStartAge {
+		result.Stale = queued.order.Kind == shard.OrderStart && result.SentAt.Sub(queued.at) > maxStartAge
+		if !result.Stale {
 			result = s.caller.Execute(ctx, queued.order)
 		}
 		s.done(result)
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -69,6 +69,8 @@
 	byID []*worker
 	// open holds the workers that may get work while Plan runs; openBuffer is its memory.
 	open, openBuffer []openWorker
+	// starts bounds the starts that are on their way.
+	starts startWindow
 	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
 	mean *fleet.Capacity
 	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
@@ -134,6 +136,7 @@
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
 		unavailableSince: map[fleet.TaskID]time.Time{},
 		rackWaits:        map[StepID]time.Time{},
+		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
 		dirty:            map[job.Key]bool{},
 		drop:             map[fleet.JobID]bool{},
--- a/internal/shard/fake_network_test.go
+++ b/internal/shard/fake_network_test.go
@@ -49,8 +49,15 @@
 	result shard.Result
 }
 
-// send delivers an order, or delays it and reports that there was no answer.
+// send delivers an order unless a test takes it over.
 func (sim *simulation) send(o shard.Order) {
+	if sim.intercept == nil || !sim.intercept(o) {
+		sim.deliver(o)
+	}
+}
+
+// deliver delivers an order, or delays it and reports that there was no answer.
+func (sim *simulation) deliver(o shard.Order) {
 	e := sim.listener(o)
 	unknown := shard.Result{Order: o, Answer: shard.AnswerUnknown, SentAt: sim.now}
 	if e == nil {
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -65,6 +65,8 @@
 	trace    func(string)
 	observer *fakeObserver
 	frozen   bool
+	// intercept, if set, returns whether it takes an order over before it is sent.
+	intercept func(shard.Order) bool
 	// loading is set while the holder does not know the jobs and their progress yet.
 	loading bool
 
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -110,6 +110,8 @@
 
 // Result is the response to an order.
 type Result struct {
+	// Stale is set for an order that was not sent because it had waited for too long.
+	Stale  bool
 	Order  Order
 	Answer Answer
 	// Clock is the endpoint's monotonic clock; 0 when the answer has none.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -42,12 +42,16 @@
 	}
 	e.planDue = time.Time{}
 	e.requestAdvice(now)
+	e.countStarts(now)
 	e.open = e.openWorkers(now)
 	defer func() { e.open = nil }()
 	skip := unplaceable{}
 	candidates := e.candidates(now)
 	e.plannedAt, e.backlogged = now, len(candidates) > backlogSteps
 	for _, c := range candidates {
+		if e.starts.isFull() {
+			break
+		}
 		step := c.occurrence.Job.Steps[c.step]
 		switch {
 		case step.Gang || step.SameRack:
@@ -141,6 +145,9 @@
 		if task.Done || task.Running() {
 			continue
 		}
+		if e.starts.isFull() {
+			return
+		}
 		id := c.occurrence.ID(c.step, fleet.TaskIndex(t))
 		w := last
 		if !e.staysBest(now, id, step, last) {
@@ -181,6 +188,7 @@
 	if e.open != nil {
 		e.open[w.openIndex].free = w.free()
 	}
+	e.starts.outstanding++
 	e.dirty[o.Key()] = true
 	e.Observer.Assigned(id, run, w.Process(), now.Sub(o.Job.Due(o.Number)))
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -9,6 +9,9 @@
 
 // Apply processes the response to an order.
 func (e *Engine) Apply(now time.Time, r Result) {
+	if r.Order.Kind == OrderStart {
+		e.starts.answered(now, r)
+	}
 	w := e.workers[r.Order.Process.Endpoint]
 	if w == nil {
 		return
