mimosawharf-entry: keep a handler for reloads at all times

Cause: the handler was removed before the next one was registered, and the default action of the signal ends the process; the same before the first one.

Change: the next handler is registered before the last one is removed, and the signal is ignored until the logger is there.

--- a/cmd/mimosawharf-entry/main.go
+++ b/cmd/mimosawharf-entry/main.go
@@ -36,6 +36,7 @@
 }
 
 func run(arguments []string) int {
+	signal.Ignore(syscall.SIGHUP) // Until there is a logger; its default action ends the process.
 	flags := ff.NewFlagSet("mimosawharf-entry")
 	path := flags.String(0, "settings", os.Getenv(platform.SettingsVariable), "path of the platform's settings file")
 	level := flags.StringEnum(0, "log-level", "lowest level of log lines", "info", "debug", "warn", "error")
@@ -82,7 +83,7 @@
 	}
 	group, dutyContext := duty.NewGroup(context.Background())
 	group.Start(dutyContext, logWriter)
-	group.Start(dutyContext, &reloadLogger{log: log})
+	group.Start(dutyContext, newReloadLogger(dutyContext, log))
 	ctx, stop := signal.NotifyContext(dutyContext, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	code := exitOK
@@ -101,20 +102,34 @@
 
 // reloadLogger is the duty that logs signals to reload the settings file. The settings that a running process uses
 // do not change, so it does nothing else.
-type reloadLogger struct{ log *zap.Logger }
+type reloadLogger struct {
+	log *zap.Logger
+	// next ends with the next signal. A handler is registered from the construction on: the default action of the
+	// signal ends the process.
+	next context.Context
+	stop context.CancelFunc
+}
+
+func newReloadLogger(ctx context.Context, log *zap.Logger) *reloadLogger {
+	r := &reloadLogger{log: log}
+	r.next, r.stop = signal.NotifyContext(ctx, syscall.SIGHUP)
+	return r
+}
 
 // Name implements duty.Duty.
 func (*reloadLogger) Name() fleet.DutyName { return "reloads" }
 
 // Run implements duty.Duty.
 func (r *reloadLogger) Run(ctx context.Context) error {
+	defer func() { r.stop() }()
 	for {
-		signalled, stop := signal.NotifyContext(ctx, syscall.SIGHUP)
-		<-signalled.Done()
-		stop()
+		<-r.next.Done()
 		if ctx.Err() != nil {
 			return trace.Wrap(ctx.Err())
 		}
+		stop := r.stop
+		r.next, r.stop = signal.NotifyContext(ctx, syscall.SIGHUP)
+		stop() // The next handler is registered already.
 		r.log.Info("entry: settings file has changed, restart to apply it")
 	}
 }
