shard: pause the search for endpoints to ask about

A step whose tickets are all for full endpoints, with all others denied, went through all endpoints on each placement.

--- a/internal/shard/advice.go
+++ b/internal/shard/advice.go
@@ -43,8 +43,8 @@
 	maxAdviceEndpoints = 30
 	// ticketRenewBefore is how long before their expiry tickets are requested again.
 	ticketRenewBefore = 500 * time.Millisecond
-	// adviceBackoff is the pause before the next request for a step after a request that failed, or after a rejected
-	// ticket.
+	// adviceBackoff is the pause before the next request for a step after a request that failed, after a rejected
+	// ticket, or while there is no endpoint to ask about.
 	adviceBackoff = 400 * time.Millisecond
 	// maxAdvicePending is the limit of requests in flight: the advice service handles one call at a time.
 	maxAdvicePending = 4
@@ -147,6 +147,7 @@
 		}
 	}
 	if len(request.Endpoints) == 0 {
+		a.retryAt = now.Add(adviceBackoff) // Each search goes through all endpoints.
 		return
 	}
 	a.pending = true
--- a/internal/shard/window.go
+++ b/internal/shard/window.go
@@ -7,7 +7,7 @@
 // than that spends its time on starts that are planned, dropped and planned again.
 type startWindow struct {
 	size float64
-	// outstanding counts the starts that are planned or have no answer. It may be too high until count is called.
+	// outstanding counts the starts that are planned or have no answer. It may be too high until countStarts is called.
 	outstanding int
 	cutAt       time.Time
 	countedAt   time.Time
