--- a/internal/daemon/overhead_bench_test.go
+++ b/internal/daemon/overhead_bench_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"syscall"
@@ -58,13 +57,7 @@
 	s.group.Start(s.ctx, e)
 	s.endpoint = s.serve(is, "http-endpoint", e.Handler())
 	is.NoErr(p.PutVM(s.ctx, standin.NewVM("vm", "zone-a", "rack", s.endpoint)))
-	var addresses []fleet.Address
-	for range 3 {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		is.NoErr(err)
-		addresses = append(addresses, fleet.Address(l.Addr().String()))
-		is.NoErr(l.Close())
-	}
+	addresses := freeAddresses(is, 3)
 	var err error
 	s.settings, err = settings.Defaults(func(o *settings.Settings) {
 		o.EntryID, o.Zone, o.Insecure, o.PlatformAddress = "entry", "zone-a", true, "http://"+string(platformAddress)
--- a/internal/daemon/setup_test.go
+++ b/internal/daemon/setup_test.go
@@ -77,7 +77,8 @@
 	s.is.NoErr(p.PutVM(ctx, standin.NewVM("vm-1", "a", "rack-1", s.serve(group, "http-endpoint", s.endpoint.Handler(), credential.RoleEndpoint))))
 	s.settings, err = settings.Defaults(func(v *settings.Settings) {
 		v.EntryID, v.Zone, v.PeerAddress, v.PlatformAddress = "entry-a", "a", "127.0.0.1:0", "https://"+string(platformAddress)
-		v.CallerAddress, v.OperatorAddress, v.HealthAddress = freeAddress(s.is), freeAddress(s.is), freeAddress(s.is)
+		free := freeAddresses(s.is, 3)
+		v.CallerAddress, v.OperatorAddress, v.HealthAddress = free[0], free[1], free[2]
 		v.TLSCertFile, v.TLSKeyFile, v.TLSCAFile = "cert", "key", "ca" // checked; the credentials come from the authority
 		v.PollInterval, v.VMListInterval, v.MaxConnectionsPerAccount = 50*time.Millisecond, 50*time.Millisecond, 16
 		v.SettleTime = 0
@@ -99,11 +100,18 @@
 func (*stoppableDaemon) Name() fleet.DutyName          { return "daemon" }
 func (d *stoppableDaemon) Run(_ context.Context) error { return d.daemon.Run(d.stopRequested) }
 
-func freeAddress(is *is.I) fleet.Address {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = l.Close() }()
-	return fleet.Address(l.Addr().String())
+// freeAddresses returns unused loopback addresses. All are taken before one is released: the system may assign a port
+// again that was just released.
+func freeAddresses(is *is.I, count int) []fleet.Address {
+	is.Helper()
+	var list []fleet.Address
+	for range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		is.NoErr(err)
+		defer func() { _ = l.Close() }()
+		list = append(list, fleet.Address(l.Addr().String()))
+	}
+	return list
 }
 
 // source returns credentials that the authority of the setup issued.
