holder: tests of lasting tasks that wait through takeovers

Several schedulers with their writers, takers, followers and heartbeats run over the stand-ins of the store and of endpoints, in virtual time.

--- /dev/null
+++ b/internal/holder/fake_calls_test.go
@@ -0,0 +1,188 @@
+package holder_test
+
+import (
+	"context"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
+	"github.com/mimosawharf/mimosawharf/internal/standin/runner"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// storeMode is how the store treats calls.
+type storeMode string
+
+const (
+	storeAnswers storeMode = ""
+	storeRefuses storeMode = "refuses"
+	// storeSilent answers nothing and carries out some transactions late.
+	storeSilent storeMode = "silent"
+	// storeLossy loses half of the calls of transactions, or their answers.
+	storeLossy storeMode = "lossy"
+)
+
+// silenceLimit is when a call without an answer fails.
+const silenceLimit = 1200 * time.Millisecond
+
+// fakeStore is the store as one process of an entry reaches it.
+type fakeStore struct{ life *fakeLife }
+
+// mode returns how the store treats the process's calls.
+func (s *fakeStore) mode() storeMode {
+	c := s.life.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.storeMode != storeAnswers {
+		return c.storeMode
+	}
+	return s.life.entry.storeMode
+}
+
+// reach carries a call to the store. It returns an error when the call has no effect.
+func (s *fakeStore) reach(ctx context.Context, name string) error {
+	if err := s.life.wait(ctx, s.life.cluster.duration(time.Millisecond, 5*time.Millisecond)); err != nil {
+		return trace.Wrap(&rowstore.UnknownError{Call: name, Cause: err})
+	}
+	switch s.mode() {
+	case storeRefuses:
+		return trace.Wrap(&rowstore.RefusedError{Call: name, Status: 503, Cause: &rows.LostError{}})
+	case storeSilent:
+		ctx, cancel := context.WithTimeout(ctx, silenceLimit)
+		defer cancel()
+		<-ctx.Done()
+		_ = s.life.wait(s.life.ctx, 0)
+		return trace.Wrap(&rowstore.UnknownError{Call: name, Cause: ctx.Err()})
+	}
+	return nil
+}
+
+// Transact implements holder.Store.
+func (s *fakeStore) Transact(ctx context.Context, t rowstore.Transaction) (rowstore.Version, error) {
+	c := s.life.cluster
+	lost := s.mode() == storeLossy && c.duration(0, 2) == 0
+	if lost && c.duration(0, 2) == 0 {
+		return 0, trace.Wrap(&rowstore.UnknownError{Call: "transact", Cause: &rows.LostError{}})
+	}
+	if err := s.reach(ctx, "transact"); err != nil {
+		if s.mode() == storeSilent && s.life.ctx.Err() == nil && c.duration(0, 4) == 0 {
+			_, _ = c.store.Transact(ctx, t) // The process isn't told.
+		}
+		return 0, err
+	}
+	version, err := c.store.Transact(ctx, t)
+	for _, row := range t.Puts {
+		if err == nil && row.Table == holder.MembersTable && row.Part != holder.NodesPart {
+			s.life.mu.Lock()
+			s.life.renewedAt = time.Now()
+			s.life.mu.Unlock()
+		}
+	}
+	if wait := s.life.wait(ctx, c.duration(time.Millisecond, 5*time.Millisecond)); lost || wait != nil {
+		return 0, trace.Wrap(&rowstore.UnknownError{Call: "transact", Cause: &rows.LostError{}})
+	}
+	return version, err
+}
+
+// Scan implements holder.Store.
+func (s *fakeStore) Scan(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
+	if err := s.reach(ctx, "scan"); err != nil {
+		return rowstore.Page{}, err
+	}
+	page, err := s.life.cluster.store.Scan(ctx, r)
+	_ = s.life.wait(ctx, 0)
+	return page, err
+}
+
+// Parts implements holder.Store.
+func (s *fakeStore) Parts(ctx context.Context, table rowstore.Table) ([]rowstore.Part, error) {
+	if err := s.reach(ctx, "parts"); err != nil {
+		return nil, err
+	}
+	return s.life.cluster.store.Parts(ctx, table)
+}
+
+// Changes implements holder.Store.
+func (s *fakeStore) Changes(ctx context.Context, table rowstore.Table, after rowstore.Version, wait time.Duration) (rowstore.Page, error) {
+	if err := s.reach(ctx, "changes"); err != nil {
+		return rowstore.Page{}, err
+	}
+	page, err := s.life.cluster.store.Changes(ctx, table, after, wait)
+	_ = s.life.wait(ctx, 0)
+	return page, err
+}
+
+// fakeCaller is one connection of a process to an endpoint.
+type fakeCaller struct {
+	life        *fakeLife
+	isConnected bool
+}
+
+// Close implements holder.EndpointCaller.
+func (*fakeCaller) Close() {}
+
+// orderTimeout bounds an order, beyond the time for which the endpoint may wait.
+const orderTimeout = 600 * time.Millisecond
+
+// Execute implements holder.EndpointCaller.
+func (f *fakeCaller) Execute(ctx context.Context, o shard.Order) shard.Result {
+	c, result := f.life.cluster, shard.Result{Order: o, Answer: shard.AnswerUnsent, SentAt: time.Now()}
+	if f.life.wait(ctx, c.duration(200*time.Microsecond, 2*time.Millisecond)) != nil {
+		return result
+	}
+	timeout := time.Until(result.SentAt) + o.Wait + orderTimeout
+	p := c.reach(f.life.entry.id, o)
+	if p != nil && o.Kind == shard.OrderStart && o.Process.StartMillis != 0 && o.Process != p.Process {
+		return result // A start is sent only on a connection to its process.
+	}
+	if p != nil && f.life.ctx.Err() == nil {
+		f.isConnected = true
+		c.observeOrder(f.life, p, o)
+		executed := p.Execute(ctx, o)
+		timeout -= min(timeout, time.Since(result.SentAt))
+		if c.reach(f.life.entry.id, o) == p && f.life.wait(ctx, c.duration(200*time.Microsecond, 2*time.Millisecond)) == nil {
+			executed.SentAt = result.SentAt
+			return executed
+		}
+	}
+	if f.isConnected {
+		result.Answer, f.isConnected = shard.AnswerUnknown, false
+	}
+	_ = f.life.wait(ctx, max(0, timeout))
+	return result
+}
+
+// reach returns the process that an order reaches, or nil.
+func (c *fakeCluster) reach(from fleet.EntryID, o shard.Order) *runner.Endpoint {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range c.endpoints {
+		if fleet.Address(e.id) == o.Address && !e.isCut && !e.cutFrom[from] {
+			return e.process
+		}
+	}
+	return nil
+}
+
+// observeOrder verifies what a process may order.
+func (c *fakeCluster) observeOrder(l *fakeLife, p *runner.Endpoint, o shard.Order) {
+	l.mu.Lock()
+	age := time.Since(l.renewedAt)
+	l.mu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o.Kind == shard.OrderStart {
+		c.note("%s orders the start of %s run %d on %s", l.name, o.Task, o.Run, p.Process.Endpoint)
+	}
+	if o.Deadline > 0 && age > expiredAge {
+		c.violation("EXPIRED", o.Task, "%s sends %s to %s, its last renewal took effect %v ago", l.name, o.Kind, p.Process.Endpoint, age)
+	}
+}
+
+// expiredAge is the time after its last renewal from which on a holder must not extend leases: the next holder waits
+// for 7 s, and a tenth of a lease covers the rest.
+const expiredAge = 7*time.Second + shard.LeaseLength/10
