shard, holder: pass on until when the leases at each silent endpoint last

Cause: a holder that took a service over waited for one moment that counted for all endpoints, the takeover of the one before plus 7 s plus a lease.

Change: with each renewal and release a holder stores the endpoints that do not answer it, with the time that their leases may last, and grants them nothing until a list without them is stored. So the next holder takes that time over. Endpoints that may have been granted a longer lease are listed as well; for all others the time counts from the release, or from the last renewal. Outages of the store no longer move that time. A holder grants leases and starts, stops and vacates only while its last renewal permits it, so one that was paused orders nothing; it no longer drops the service for that and goes on when a renewal takes effect. Lease.settled stays for maintenance only.

Changed tests: Engine.Settled is gone; TestReleaseWaitsForLongestLease and TestLoadingHolderLearnsOfEarlierProcesses check the stored bound in its place.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -22,8 +22,10 @@
 	Released    bool
 	// Settled is set once the orders of all earlier holders have expired.
 	Settled bool
-	// ChangedAt is when this entry last saw the row change, by its own clock.
+	// ChangedAt is when this entry last saw the row change, by its own clock, moved by the outages of the store since.
 	ChangedAt time.Time
+	// SeenAt is the same, whatever outages followed: the holder's own time runs on during them.
+	SeenAt time.Time
 }
 
 // Node is the row of an entry as last read from the store.
@@ -85,9 +87,9 @@
 // SetLease records a lease row as read at now. It ignores rows of an older epoch.
 func (s *State) SetLease(now time.Time, l Lease) {
 	old, known := s.Leases[l.Duty]
-	l.ChangedAt = now
+	l.ChangedAt, l.SeenAt = now, now
 	if known && old.Epoch == l.Epoch && old.Renewals == l.Renewals && old.Released == l.Released {
-		l.ChangedAt = old.ChangedAt
+		l.ChangedAt, l.SeenAt = old.ChangedAt, old.SeenAt
 	}
 	if known && l.Epoch < old.Epoch {
 		return
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -101,9 +101,11 @@
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
 	Previous time.Time
-	// Released is set when the previous holder released the lease and no orders of earlier holders were
-	// outstanding.
+	// Released is set when the previous holder of the maintenance duty released the lease and no orders of earlier
+	// holders were outstanding.
 	Released bool
+	// Inherited is what earlier holders of a service stored of the leases that they granted.
+	Inherited shard.Inheritance
 	// Wave is the progress of waves that earlier holders of the maintenance duty committed.
 	Wave []WaveRow
 	Err  error
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -22,9 +22,9 @@
 	service fleet.ServiceID
 	// engine is nil for maintenance.
 	engine *shard.Engine
-	// previousEnd is when the leases that earlier holders granted are taken to have expired.
-	previousEnd time.Time
-	takenAt     time.Time
+	// inherited is what earlier holders have stored of the leases that they granted.
+	inherited shard.Inheritance
+	takenAt   time.Time
 	// jobs are those that are known to be stored, cancelled those whose cancellation is.
 	jobs      map[fleet.JobID]*fleet.Job
 	cancelled map[fleet.JobID]bool
@@ -47,6 +47,8 @@
 	// batchedAt is when the last batch was passed to the writer.
 	batchedAt time.Time
 	renewedAt time.Time
+	// boundsDue is set while the stored bounds of leases are out of date.
+	boundsDue bool
 	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
 	confirmedAt time.Time
 	releasing   bool
@@ -179,7 +181,7 @@
 	h.progress, h.loaded = nil, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
-		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.previousEnd))))
+		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
 }
 
 func (s *Scheduler) applyEndpoints(now time.Time, l *EndpointList) {
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -34,10 +34,14 @@
 const (
 	// tickInterval is how often leases, stalls and claims are checked.
 	tickInterval = 100 * time.Millisecond
-	// holderValidity is how long a holder continues to renew the leases of its runs while the store does
-	// not answer. A new holder waits for it only at endpoints that it cannot reach itself. It covers the
-	// longest outage of the store that the platform specifies.
+	// holderValidity is how long a holder grants leases to endpoints after its last renewal of the service's lease
+	// that took effect. A new holder waits for it, and for the leases, at endpoints that it cannot reach.
 	holderValidity = 7 * time.Second
+	// holderPatience is how long a holder that cannot renew keeps what it knows of the service. It grants nothing
+	// meanwhile and goes on when a renewal takes effect.
+	holderPatience = 7 * time.Second
+	// boundsInterval is the shortest time between renewals that are sent because the bounds of leases have changed.
+	boundsInterval = 200 * time.Millisecond
 	// claimDelay is how long an entry collects the rows of others after its start before it claims leases.
 	claimDelay = 800 * time.Millisecond
 	// eventsPerRound bounds the events that are handled before work is placed.
@@ -240,10 +244,13 @@
 // tick does the periodic work of all held duties.
 func (s *Scheduler) tick(ctx context.Context, now time.Time) {
 	for _, h := range s.sorted() {
-		if h.engine != nil && now.Sub(h.confirmedAt) > holderValidity {
+		if h.engine != nil && now.Sub(h.confirmedAt) > holderPatience {
 			s.drop(h, "no renewal took effect for too long")
 			continue
 		}
+		if h.engine != nil {
+			h.boundsDue = h.engine.BoundsDue(now)
+		}
 		switch {
 		case h.engine == nil:
 		case h.loaded:
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -58,10 +58,12 @@
 		// outstanding.
 		result.Released = t.previous.Released && t.previous.Settled
 	}
-	if err := t.chain.Take(ctx, t.previous); err != nil {
+	inherited, err := t.chain.Take(ctx, t.previous)
+	if err != nil {
 		result.Err = err
 		return result
 	}
+	result.Inherited = inherited
 	if t.chain.Duty == DutyMaintenance {
 		scan := progressScan(t.chain, t.clock, t.log)
 		if err := scan.Run(ctx); err != nil {
@@ -114,6 +116,9 @@
 	}
 	p := &ProgressRead{Duty: r.chain.Duty, Epoch: r.chain.Epoch}
 	for _, row := range scan.Rows() {
+		if row.Key == keyLeaseBounds {
+			continue // Read when the lease was taken.
+		}
 		if known, ok := decodeProcesses(row); ok {
 			p.Processes = append(p.Processes, known...)
 			continue
@@ -189,17 +194,8 @@
 		return
 	}
 	h.service, _ = serviceOf(t.Duty)
-	var end time.Time
-	if !t.Previous.IsZero() {
-		end = later(now, t.Previous.Add(holderValidity))
-		if t.Released {
-			// A holder that released the lease gives no more orders.
-			end = now
-		}
-		end = end.Add(shard.LeaseLength + shard.LeaseLength/10)
-	}
-	h.previousEnd = end
-	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), end)
+	h.inherited = t.Inherited
+	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), t.Inherited, t.SentAt.Add(holderValidity))
 	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
 	s.read(h)
@@ -249,10 +245,3 @@
 	}
 	return now.Sub(then)
 }
-
-func later(a, b time.Time) time.Time {
-	if b.After(a) {
-		return b
-	}
-	return a
-}
--- a/internal/holder/validity_test.go
+++ b/internal/holder/validity_test.go
@@ -17,7 +17,7 @@
 	is := is.New(t)
 	taken := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 	h := &heldDuty{
-		chain: &Chain{Duty: ServiceDuty("s"), Epoch: 1}, engine: shard.NewEngine("s", 1, shard.Bounds{}, nil, time.Time{}),
+		chain: &Chain{Duty: ServiceDuty("s"), Epoch: 1}, engine: shard.NewEngine("s", 1, shard.Bounds{}, nil, shard.Inheritance{}, taken.Add(holderValidity)),
 		writes: ring.New[Write]("writes", 1), renewedAt: taken, confirmedAt: taken,
 	}
 	s := &Scheduler{held: map[fleet.DutyName]*heldDuty{h.chain.Duty: h}}
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -75,16 +75,18 @@
 	if h.engine == nil || h.writing || h.releasing {
 		return
 	}
-	due := now.Sub(h.renewedAt) >= election.RenewInterval
+	sinceRenewal := now.Sub(h.renewedAt)
+	due := sinceRenewal >= election.RenewInterval || h.boundsDue && sinceRenewal >= boundsInterval
 	if batch == nil && !due {
 		return
 	}
-	w := Write{Renew: due, Settled: h.engine.Settled(now)}
+	w := Write{Renew: due}
 	if batch != nil {
 		w.Puts, w.Removes = rowsOf(h.chain.Duty, batch)
 	}
 	if due {
-		h.renewedAt = now
+		h.renewedAt, h.boundsDue = now, false
+		w.Bounds = storedBounds(now, h.engine.LeaseBounds(now))
 		if h.loaded && h.processes.due(now) {
 			w.Puts = append(w.Puts, h.processes.rows(now, h.chain.Duty)...)
 		}
@@ -110,6 +112,8 @@
 	h.writing = false
 	if h.renewing {
 		h.confirmedAt = w.SentAt
+		h.engine.BoundsStored(now)
+		h.engine.Confirm(now, h.confirmedAt.Add(holderValidity))
 	}
 	if h.batchWriting {
 		h.engine.Committed(now)
@@ -134,7 +138,8 @@
 		_ = h.release.Push(struct{}{}) // The ring has room for the only token.
 		return
 	}
-	_ = h.writes.Push(Write{Release: true, Settled: h.engine.Settled(s.Clock.Now())})
+	now := s.Clock.Now()
+	_ = h.writes.Push(Write{Release: true, Bounds: storedBounds(now, h.engine.LeaseBounds(now))})
 }
 
 // expiryInterval is the time between checks for jobs that need not be kept.
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -43,15 +43,17 @@
 	Removes []rowstore.Row
 	// Renew writes the lease row too; Release releases the lease.
 	Renew, Release bool
-	// Settled is set when the orders of all earlier holders have expired; the lease row records it.
+	// Settled is set when the orders of all earlier holders have expired; the lease row of maintenance records it.
 	Settled bool
+	// Bounds is stored with a renewal or a release; nil for a duty that runs no jobs.
+	Bounds *jobv1.LeaseBounds
 }
 
 // Written reports the outcome of a write.
 type Written struct {
 	Duty  fleet.DutyName
 	Epoch fleet.FencingToken
-	// SentAt is when the first attempt was sent.
+	// SentAt is when the attempt that took effect was sent, or the first one when that is not known.
 	SentAt time.Time
 	// Err is nil, or *LostLeaseError.
 	Err error
@@ -85,36 +87,47 @@
 	refusedRetry = 100 * time.Millisecond
 )
 
-// Write applies a transaction and repeats it until its outcome is known. It returns *LostLeaseError or the
-// context's error.
+// Write applies a transaction as WriteAt does.
 func (c *Chain) Write(ctx context.Context, w Write) error {
+	_, err := c.WriteAt(ctx, w)
+	return err
+}
+
+// WriteAt applies a transaction and repeats it until its outcome is known. It returns when the attempt that took effect
+// was sent, or the first one when that is not known, and *LostLeaseError or the context's error.
+func (c *Chain) WriteAt(ctx context.Context, w Write) (time.Time, error) {
+	first := c.Clock.Now()
 	c.sequence++
 	t := rowstore.Transaction{Puts: w.Puts, Removes: w.Removes}
 	t.Puts = append(t.Puts, c.chainRow())
 	if w.Renew || w.Release {
 		c.renewals++
 		t.Puts = append(t.Puts, c.leaseRow(w))
+		if w.Bounds != nil {
+			t.Puts = append(t.Puts, c.boundsRow(w.Bounds))
+		}
 	}
 	attempts := 0
 	for pause := writeRetry; ; pause, attempts = min(2*pause, maxWriteRetry), attempts+1 {
 		t.Conditions = []rowstore.Condition{{Table: tableChain, Part: dutyPart(c.Duty), Key: keyChain, Version: c.version}}
+		sent := c.Clock.Now()
 		version, err := c.attempt(ctx, t, attempts)
 		var conflict *rowstore.ConflictError
 		var refused *rowstore.RefusedError
 		switch {
 		case err == nil:
 			c.version = version
-			return nil
+			return sent, nil
 		case errors.As(err, &refused):
 			pause = min(pause, refusedRetry)
 		case errors.As(err, &conflict):
 			done, err := c.resolveConflict(conflict)
 			if done || err != nil {
-				return trace.Wrap(err)
+				return first, trace.Wrap(err)
 			}
 		}
 		if err := clock.Wait(ctx, c.Clock, pause); err != nil {
-			return trace.Wrap(err)
+			return first, trace.Wrap(err)
 		}
 	}
 }
@@ -190,14 +203,16 @@
 	return rowstore.Row{Table: table, Part: part, Key: key, Value: value}
 }
 
-// Take takes the lease. It returns *LostLeaseError when another entry was faster or still holds it,
-// *rowstore.RefusedError or *rowstore.UnknownError when the store did not answer in time. previous is the lease as
-// last read, or the zero value for a duty that never had a holder. The time to wait for the previous holder counts from
-// that read, so a lease that has been renewed since is not taken.
-func (c *Chain) Take(ctx context.Context, previous election.Lease) error {
+// Take takes the lease, and returns what is known of the leases that earlier holders granted. It returns
+// *LostLeaseError when another entry was faster or still holds it, *rowstore.RefusedError or *rowstore.UnknownError when
+// the store did not answer in time. previous is the lease as last read, or the zero value for a duty that never had a
+// holder. The time to wait for the previous holder counts from that read, so a lease that has been renewed since is not
+// taken.
+func (c *Chain) Take(ctx context.Context, previous election.Lease) (shard.Inheritance, error) {
+	var none shard.Inheritance
 	page, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
 	if err != nil {
-		return trace.Wrap(err)
+		return none, trace.Wrap(err)
 	}
 	var chainEpoch fleet.FencingToken
 	for _, row := range page.Rows {
@@ -211,8 +226,9 @@
 	}
 	leases, err := c.Store.Scan(ctx, rowstore.Only(MembersTable, dutyPart(c.Duty), keyLease))
 	if err != nil {
-		return trace.Wrap(err)
+		return none, trace.Wrap(err)
 	}
+	current := previous
 	for _, row := range leases.Rows {
 		m := &jobv1.Lease{}
 		if row.Key != keyLease || proto.Unmarshal(row.Value, m) != nil {
@@ -220,12 +236,24 @@
 		}
 		epoch := fleet.FencingToken(m.GetEpoch())
 		if epoch > previous.Epoch || epoch == previous.Epoch && m.GetRenewals() != previous.Renewals && !m.GetReleased() {
-			return trace.Wrap(&LostLeaseError{Duty: c.Duty})
+			return none, trace.Wrap(&LostLeaseError{Duty: c.Duty})
+		}
+		current = lease(m)
+	}
+	write := Write{Renew: true}
+	var inherited shard.Inheritance
+	if _, runsJobs := serviceOf(c.Duty); runsJobs {
+		bounds, err := c.readBounds(ctx)
+		if err != nil {
+			return none, trace.Wrap(err)
 		}
+		now := c.Clock.Now()
+		inherited = inheritance(now, previous, current, bounds)
+		write.Bounds = storedBounds(now, inherited)
 	}
 	// Endpoints may have seen the epoch of a holder whose lease row is missing.
 	c.Epoch = max(previous.Epoch, chainEpoch) + shard.EpochStep
-	return trace.Wrap(c.Write(ctx, Write{Renew: true}))
+	return inherited, trace.Wrap(c.Write(ctx, write))
 }
 
 // Writer is the duty that writes the rows of one duty.
@@ -247,8 +275,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		sent := w.Chain.Clock.Now()
-		err = w.Chain.Write(ctx, write)
+		sent, err := w.Chain.WriteAt(ctx, write)
 		if ctx.Err() != nil {
 			return trace.Wrap(ctx.Err())
 		}
--- a/internal/shard/address_test.go
+++ b/internal/shard/address_test.go
@@ -31,7 +31,7 @@
 
 func newAddressed(clocks ...time.Duration) *addressed {
 	a := &addressed{now: fakeEpoch}
-	a.engine = shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: time.Hour}, &fakeObserver{}, time.Time{})
+	a.engine = shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: time.Hour}, &fakeObserver{}, shard.Inheritance{}, fakeEpoch.Add(time.Hour))
 	for i, clock := range clocks {
 		id := fleet.EndpointID("i-" + string(rune('1'+i)))
 		a.endpoints = append(a.endpoints, &addressedEndpoint{
--- a/internal/shard/description_test.go
+++ b/internal/shard/description_test.go
@@ -70,7 +70,7 @@
 	sim.run(time.Second)
 	sim.restartWith(special, lowClock, 3*time.Second)
 	special.Labels = []fleet.Label{"other"}
-	sim.takeOver(sim.now)
+	sim.takeOver(shard.Inheritance{End: sim.now})
 	sim.submit(specialJob("job", 3, 3000))
 	sim.run(8 * time.Second)
 	is.Equal(sim.violations, nil)
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -112,19 +112,26 @@
 	loading bool
 	// fenced is set when an endpoint has seen the token of a newer holder.
 	fenced bool
-	// previousEnd is when the leases that the previous holder granted have expired, even at endpoints that do
-	// not answer.
-	previousEnd time.Time
+	// loaded is set once the engine has the jobs and their progress.
+	loaded bool
+	// inherited is what is known of the leases that earlier holders granted.
+	inherited Inheritance
+	// validUntil is until when the holder may grant leases.
+	validUntil time.Time
+	// withheld holds the endpoints that are granted nothing, because a list that is stored or being stored says so.
+	withheld map[fleet.EndpointID]bool
+	// pendingBounds is the latest list of bounds.
+	pendingBounds map[fleet.EndpointID]LeaseBound
 	// evacuateFrom is when stops that the previous holder ordered have taken effect. Until then a task that
 	// is being stopped may still be listed as running.
 	evacuateFrom time.Time
 }
 
-// NewEngine returns an engine without jobs. previousEnd is when the leases that the previous holder granted
-// have certainly expired at endpoints that this holder cannot reach.
-func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, previousEnd time.Time) *Engine {
-	return &Engine{
-		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, previousEnd: previousEnd,
+// NewEngine returns an engine without jobs, which may grant leases until validUntil.
+func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, inherited Inheritance, validUntil time.Time) *Engine {
+	e := &Engine{
+		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, inherited: inherited, validUntil: validUntil,
+		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{},
 		policies:         map[fleet.QueueID]job.Policy{},
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
@@ -142,6 +149,10 @@
 		drop:             map[fleet.JobID]bool{},
 		orphans:          map[job.Key]bool{},
 	}
+	for _, b := range inherited.Bounds {
+		e.pendingBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b.Silent
+	}
+	return e
 }
 
 func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
@@ -161,7 +172,7 @@
 			entry.started = entry.started || task.LastEnded > 0
 			if task.Running() {
 				w := e.workerOf(now, task.Process)
-				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
+				w.leaseEnd = later(w.leaseEnd, e.inherited.bound(w.Endpoint))
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
 			}
@@ -177,7 +188,7 @@
 	w := e.workers[p.Endpoint]
 	if w == nil {
 		w = e.newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
-		w.leaseEnd = e.previousEnd
+		w.leaseEnd = e.inherited.bound(p.Endpoint)
 		e.setWorker(w)
 	}
 	return w
@@ -189,18 +200,6 @@
 	e.byID, e.mean = nil, nil
 }
 
-// Settled reports whether all leases end within the usual length: those of earlier holders have expired, and no
-// process may hold a longer one.
-func (e *Engine) Settled(now time.Time) bool {
-	usual := leaseEnd(now, e.leaseLength())
-	for _, w := range e.workers {
-		if len(w.runs) > 0 && (w.leaseEnd.After(usual) || w.unprovenLeaseEnd.After(usual)) {
-			return false
-		}
-	}
-	return !now.Before(e.previousEnd)
-}
-
 // InheritedRuns counts the runs that the previous holder assigned.
 func (e *Engine) InheritedRuns() int {
 	n := 0
--- a/internal/shard/expiry_test.go
+++ b/internal/shard/expiry_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -15,7 +16,7 @@
 	is := is.New(t)
 	sim := newSimulation(1, 1, worker64)
 	sim.statusRetention = time.Second
-	sim.takeOver(time.Time{})
+	sim.takeOver(shard.Inheritance{})
 	sim.submit(batchJob("old", 2, 1000))
 	sim.run(5 * time.Second)
 	is.Equal(sim.state("old"), fleet.JobStateCompleted)
@@ -23,7 +24,7 @@
 	sim.run(40 * time.Second)
 	is.Equal(sim.engine.Expired(sim.now), []fleet.JobID{"old"})
 	is.Equal(len(sim.store.rows), 1) // kept until its acceptance is removed
-	sim.takeOver(sim.now)
+	sim.takeOver(shard.Inheritance{End: sim.now})
 	sim.run(5 * time.Second)
 	is.Equal(sim.state("old"), fleet.JobStateCompleted)
 	sim.engine.Forget("old")
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -75,6 +75,10 @@
 
 	statusRetention time.Duration
 
+	// stored is what the next holder learns of leases, renewing what a renewal of the service's lease stores at renewalAt.
+	stored, renewing     shard.Inheritance
+	renewedAt, renewalAt time.Time
+
 	// Mechanisms that a test disables.
 	ignoreLeases, ignoreFencing, loseCommits bool
 }
@@ -140,16 +144,17 @@
 			began: sim.now, running: map[fleet.TaskID]*fakeRun{}, highest: map[fleet.TaskID]fleet.RunNumber{},
 		}
 	}
-	sim.takeOver(time.Time{})
+	sim.takeOver(shard.Inheritance{})
 	return sim
 }
 
 // takeOver starts a new holder that knows only what is stored.
-func (sim *simulation) takeOver(previousEnd time.Time) {
+func (sim *simulation) takeOver(inherited shard.Inheritance) {
 	sim.epoch += shard.EpochStep
 	sim.committing, sim.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
 	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: sim.statusRetention}
-	sim.engine = shard.NewEngine("service", sim.epoch, bounds, sim.observer, previousEnd)
+	sim.engine = shard.NewEngine("service", sim.epoch, bounds, sim.observer, inherited, sim.now.Add(fakeValidity))
+	sim.stored, sim.renewedAt, sim.renewalAt = inherited, sim.now, time.Time{}
 	sim.engine.SetPolicies([]job.Policy{sim.policy})
 	sim.list()
 	if !sim.loading {
@@ -174,6 +179,7 @@
 			sim.engine.Cancel(sim.now, j.ID)
 		}
 	}
+	sim.engine.Loaded(sim.now)
 }
 
 func clone(o *job.Occurrence) *job.Occurrence {
@@ -221,6 +227,7 @@
 	if sim.frozen {
 		return
 	}
+	sim.renew()
 	if sim.loading {
 		sim.engine.Renew(sim.now)
 	} else {
--- a/internal/shard/lasting_test.go
+++ b/internal/shard/lasting_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -54,7 +55,7 @@
 			break
 		}
 	}
-	sim.takeOver(sim.now.Add(10 * time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(10 * time.Second)})
 	var working fleet.EndpointID
 	for id, e := range sim.endpoints {
 		if !e.dead && len(e.running) > 0 {
@@ -161,7 +162,7 @@
 	e.failAll = false
 	sim.commitNow()
 	is.True(len(e.ends) > 0) // it is listed to the new holder again
-	sim.takeOver(sim.now.Add(time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(time.Second)})
 	sim.run(5 * time.Second)
 	is.Equal(sim.state("failing"), fleet.JobStateCompleted)
 }
@@ -205,7 +206,7 @@
 	}
 	sim.engine.Vacate(sim.now, busy[0].Endpoint, false)
 	sim.step() // the predecessor orders a stop
-	sim.takeOver(sim.now.Add(5 * time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(5 * time.Second)})
 	for range 8 {
 		sim.engine.Vacate(sim.now, busy[1].Endpoint, false)
 		sim.step()
--- a/internal/shard/lease_test.go
+++ b/internal/shard/lease_test.go
@@ -67,7 +67,7 @@
 	sim.restartWith(e, lowClock, 0)
 	e.unreachable = true
 	sim.list()
-	sim.takeOver(sim.previousEnd())
+	sim.takeOver(sim.inheritance())
 	for len(sim.delayedOrders) > 0 {
 		sim.step()
 	}
@@ -124,11 +124,7 @@
 	sim.run(200 * time.Millisecond)
 	is.Equal(len(e.running), 1)
 	e.unreachable = true
-	end := sim.now // as the scheduler computes it for a lease that is released and settled
-	if !sim.engine.Settled(sim.now) {
-		end = end.Add(7 * time.Second)
-	}
-	sim.takeOver(end.Add(shard.LeaseLength + shard.LeaseLength/10))
+	sim.takeOver(sim.release())
 	sim.run(20 * time.Second)
 	sim.finish(is, "job")
 }
@@ -183,7 +179,7 @@
 // Guards against an endpoint that is never called again after a restart at another address with an earlier start time.
 func TestEndpointWithEarlierStartAtOtherAddressIsUsed(t *testing.T) {
 	is := is.New(t)
-	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease}, &fakeObserver{ejections: map[fleet.EndpointID]int{}}, time.Time{})
+	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease}, &fakeObserver{ejections: map[fleet.EndpointID]int{}}, shard.Inheritance{}, fakeEpoch.Add(time.Hour))
 	info := shard.EndpointInfo{Endpoint: "endpoint", Service: "service", Address: "address", Capacity: worker64, StartMillis: 100}
 	engine.SetEndpoints(fakeEpoch, []shard.EndpointInfo{info})
 	engine.Tick(fakeEpoch)
--- a/internal/shard/loading.go
+++ b/internal/shard/loading.go
@@ -19,6 +19,7 @@
 // Loaded ends the time of Renew. It is called once the jobs were accepted, their progress restored and the endpoints
 // set again: an earlier holder may have known other processes of them.
 func (e *Engine) Loaded(now time.Time) {
+	e.loaded = true
 	if !e.loading {
 		return
 	}
--- a/internal/shard/loading_test.go
+++ b/internal/shard/loading_test.go
@@ -13,16 +13,15 @@
 // takeOverAndLoad starts a new holder some time after the last renewal of the earlier one. It knows the endpoints at
 // once, and the jobs and their progress after the load.
 func (sim *simulation) takeOverAndLoad(silence, load time.Duration) {
-	last := sim.now
+	inherited := sim.inheritance()
 	sim.frozen = true
 	sim.run(silence)
 	sim.frozen, sim.loading = false, true
-	sim.takeOver(last.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10))
+	sim.takeOver(inherited)
 	sim.run(load)
 	sim.loading = false
 	sim.list()
 	sim.load()
-	sim.engine.Loaded(sim.now)
 }
 
 // Guards against a holder that lets the leases of running tasks expire while it reads the service's jobs and progress:
@@ -85,7 +84,8 @@
 	sim.run(time.Second)
 	is.Equal(len(sim.endpoints["endpoint-00"].running), 1)
 	sim.takeOverAndLoad(2500*time.Millisecond, 12*time.Second) // until the leases of the earlier holder have ended
-	is.True(!sim.engine.Settled(sim.now))
+	bounds := sim.engine.LeaseBounds(sim.now).Bounds
+	is.True(len(bounds) == 1 && bounds[0].End.After(shard.LeaseEnd(sim.now)))
 	sim.run(fakeMaxLease + time.Second)
-	is.True(sim.engine.Settled(sim.now))
+	is.Equal(sim.engine.LeaseBounds(sim.now), shard.Inheritance{})
 }
--- a/internal/shard/observation_test.go
+++ b/internal/shard/observation_test.go
@@ -173,6 +173,6 @@
 	sim.submit(batchJob("job", 3, 1000))
 	sim.run(3 * time.Second)
 	is.Equal(sim.engine.InheritedRuns(), 0)
-	sim.takeOver(sim.now.Add(5 * time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(5 * time.Second)})
 	is.Equal(sim.engine.InheritedRuns(), 3)
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -41,6 +41,9 @@
 		return
 	}
 	e.planDue = time.Time{}
+	if !e.valid(now) {
+		return
+	}
 	e.requestAdvice(now)
 	e.countStarts(now)
 	e.open = e.openWorkers(now)
@@ -243,7 +246,7 @@
 func (e *Engine) openWorkers(now time.Time) []openWorker {
 	e.openBuffer = e.openBuffer[:0]
 	for _, w := range e.sorted() {
-		if w.usable(now) {
+		if w.usable(now) && !e.withheld[w.Endpoint] {
 			w.openIndex = len(e.openBuffer)
 			e.openBuffer = append(e.openBuffer, openWorker{w, w.free()})
 		}
--- a/internal/shard/policy_test.go
+++ b/internal/shard/policy_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -24,7 +25,7 @@
 		sim.submit(batchJob("job", 2, 3000))
 		sim.run(20 * time.Millisecond)
 		if takeOver {
-			sim.takeOver(sim.now)
+			sim.takeOver(shard.Inheritance{End: sim.now})
 		}
 		sim.engine.SetPolicies(nil)
 		sim.run(15 * time.Second)
--- a/internal/shard/property_test.go
+++ b/internal/shard/property_test.go
@@ -10,7 +10,6 @@
 
 	"github.com/matryer/is"
 
-	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -98,7 +97,10 @@
 		if !sim.commitAt.IsZero() && r.IntN(2) == 0 {
 			sim.commitNow()
 		}
-		sim.takeOver(sim.previousEnd())
+		if !sim.renewalAt.IsZero() && r.IntN(2) == 0 {
+			sim.stored = sim.renewing
+		}
+		sim.takeOver(sim.inheritance())
 	case 12:
 		e.Draining = !e.Draining
 		sim.list()
@@ -107,11 +109,6 @@
 	}
 }
 
-// previousEnd returns when the leases of a holder that ends now have expired, as the next holder computes it.
-func (sim *simulation) previousEnd() time.Time {
-	return sim.now.Add(7*time.Second + shard.LeaseLength + shard.LeaseLength/10)
-}
-
 // clearFaults ends all faults.
 func (sim *simulation) clearFaults() {
 	sim.storeDown, sim.networkFaults = false, networkFaults{}
--- a/internal/shard/restart_property_test.go
+++ b/internal/shard/restart_property_test.go
@@ -127,7 +127,7 @@
 		e.mute = true
 	case 12:
 		if r.IntN(4) == 0 {
-			sim.takeOver(sim.previousEnd())
+			sim.takeOver(sim.inheritance())
 		}
 	case 13:
 		if !e.dead {
--- a/internal/shard/restart_test.go
+++ b/internal/shard/restart_test.go
@@ -203,7 +203,7 @@
 	sim.submit(batchJob("job", 1, 4000))
 	sim.run(200 * time.Millisecond)
 	e.Draining = true
-	sim.takeOver(sim.previousEnd())
+	sim.takeOver(sim.inheritance())
 	sim.run(time.Second)
 	e.unreachable = true
 	sim.restartWith(e, lowClock, 500*time.Millisecond)
@@ -253,7 +253,7 @@
 	sim.run(6 * time.Second)
 	is.Equal(len(e.running), 1)
 	e.unreachable = true
-	sim.takeOver(sim.previousEnd())
+	sim.takeOver(sim.inheritance())
 	sim.run(25 * time.Second)
 	sim.finish(is, "job")
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -158,6 +158,9 @@
 		w.mayHoldLongestLease = false
 		w.extendLease(now, e.Bounds.MaxLease)
 	}
+	if !e.mayGrant(now, w) {
+		w.nextHoldAt = now.Add(withheldInterval)
+	}
 	if e.loading {
 		if r.Order.Deadline > 0 {
 			w.nextHoldAt = now.Add(loadingInterval)
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -8,14 +8,17 @@
 )
 
 // Tick does the work that depends on time: it renews leases, marks runs lost whose lease has expired, repeats
-// stops, stops stalled runs, paces fill tasks and evacuates endpoints.
+// stops, stops stalled runs, paces fill tasks and evacuates endpoints. While the holder may not grant leases it stops
+// nothing, because another holder may have taken over.
 func (e *Engine) Tick(now time.Time) {
 	for _, w := range e.sorted() {
 		e.expire(now, w)
-		e.retryStops(now, w)
-		e.stopStalled(now, w)
-		e.protectServing(now, w)
-		e.evacuate(now, w)
+		if e.valid(now) {
+			e.retryStops(now, w)
+			e.stopStalled(now, w)
+			e.protectServing(now, w)
+			e.evacuate(now, w)
+		}
 		e.hold(now, w)
 		if !w.listed && len(w.runs) == 0 && !w.holdInFlight {
 			e.forget(now, w)
@@ -70,7 +73,7 @@
 	}
 }
 
-// hold renews the lease of a worker and requests its lists. After a failed renewal the lease is not extended, so
+// hold renews the lease of a worker, if the holder may grant one, and requests its lists. After a failed renewal the lease is not extended, so
 // that it is certain when it expires, and no end is acknowledged, because another process may answer.
 func (e *Engine) hold(now time.Time, w *worker) {
 	if w.holdInFlight || now.Before(w.nextHoldAt) || w.Address == "" {
@@ -84,10 +87,12 @@
 		if now.Sub(w.clockAt) < maxRenewalGap {
 			order.Acknowledged = w.acked
 		}
-		order.Deadline = w.deadline(now, e.leaseLength())
-		w.extendLease(now, e.leaseLength())
-		if order.Acknowledged == w.cursor && !w.awaitsList() && !e.loading {
-			order.Wait = HoldWait
+		if e.mayGrant(now, w) {
+			order.Deadline = w.deadline(now, e.leaseLength())
+			w.extendLease(now, e.leaseLength())
+			if order.Acknowledged == w.cursor && !w.awaitsList() && !e.loading {
+				order.Wait = HoldWait
+			}
 		}
 	}
 	w.holdInFlight = true
@@ -203,8 +208,12 @@
 
 // Vacate cordons an endpoint for maintenance. The request expires unless it is repeated. With patient set,
 // tasks that are not lasting are left to end by themselves. Vacate returns true when maintenance may begin:
-// no run is left that it could interrupt, and no end is left to be listed.
+// no run is left that it could interrupt, and no end is left to be listed. A holder that may not grant leases does not
+// know what runs there.
 func (e *Engine) Vacate(now time.Time, id fleet.EndpointID, patient bool) bool {
+	if !e.valid(now) {
+		return false
+	}
 	w := e.workers[id]
 	if w == nil {
 		return true
--- a/internal/shard/unanswered_test.go
+++ b/internal/shard/unanswered_test.go
@@ -110,7 +110,7 @@
 // Guards against an entry with the address of another endpoint that has it called ten times a second.
 func TestEntryWithAddressOfAnotherIsCalledLessOften(t *testing.T) {
 	is := is.New(t)
-	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop}, &fakeObserver{}, time.Time{})
+	engine := shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop}, &fakeObserver{}, shard.Inheritance{}, fakeEpoch.Add(time.Hour))
 	now := fakeEpoch
 	engine.SetEndpoints(now, []shard.EndpointInfo{{Endpoint: "odd", Service: "service", Address: "taken", Capacity: worker64, StartMillis: 1}})
 	holds := 0
--- a/internal/shard/waiting_test.go
+++ b/internal/shard/waiting_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+
 	"github.com/matryer/is"
 )
 
@@ -17,7 +19,7 @@
 	sim.run(time.Second)
 	is.Equal(sim.started(), 0)
 	is.Equal(sim.engine.Waiting()["queue"], 1)
-	sim.takeOver(sim.now.Add(5 * time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(5 * time.Second)})
 	sim.step()
 	is.Equal(sim.engine.Waiting()["queue"], 1) // the next holder knows the order from the store only
 	sim.delayShare = 0
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -214,6 +214,9 @@
 	return now.Add(length + length*clockDriftPercent/100 + leaseMargin)
 }
 
+// LeaseEnd returns when the leases have expired on any endpoint's clock that a holder grants until the given time.
+func LeaseEnd(lastGrant time.Time) time.Time { return leaseEnd(lastGrant, LeaseLength) }
+
 // runLeaseEnd returns when the lease of a run has expired.
 func (w *worker) runLeaseEnd(a *assignment) time.Time {
 	if a.evidence == EvidenceList {
