shard, holder: observe waits of lasting tasks and the steps of a start

Change: the engine looks at the lasting tasks that have run before and do not run, every 0.5 s, and reports a change of the reason with the time until which leases may last, and the next start that an endpoint confirmed with the time that the task waited. Reasons are counted in task-milliseconds, which stay right when a holder gives up its service. Starts are counted as sent, stale and answered, with histograms of each step; renewals that are missed, scheduler rounds and the inbox after them are counted too. Nothing is logged or allocated for each task; the counter of run ends is no longer looked up by its labels for each run. The new holder's line names its predecessor. explain names the longest wait of a job's lasting tasks.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -59,6 +59,7 @@
 	Latest                float64 `json:"latest"`
 	ListClock             float64 `json:"list-clock"`
 	StartedClock          float64 `json:"started-clock"`
+	Waited                float64 `json:"waited"`
 }
 
 // maxLineBytes bounds a line of a log, in bytes.
@@ -135,7 +136,7 @@
 
 // cause describes the decision that ended a job, or how far the job came, and the first of its foreign runs.
 func cause(lines []logLine, job string) string {
-	outcome, foreign, first := jobOutcome(lines, job), 0, ""
+	outcome, foreign, first := jobOutcome(lines, job)+lastingOutcome(lines, job), 0, ""
 	for _, l := range lines {
 		if l.Message != "lease: foreign run listed" || l.Job != job {
 			continue
@@ -153,6 +154,20 @@
 	return fmt.Sprintf("%s; %d foreign runs, first: %s", outcome, foreign, first)
 }
 
+// lastingOutcome describes the longest wait of the lasting tasks of a job that ran before, or nothing.
+func lastingOutcome(lines []logLine, job string) string {
+	var longest logLine
+	for _, l := range lines {
+		if l.Job == job && strings.HasPrefix(l.Message, "lasting:") && l.Waited >= longest.Waited {
+			longest = l
+		}
+	}
+	if longest.Message == "" {
+		return ""
+	}
+	return fmt.Sprintf("; longest wait of a lasting task: %s for %.1f s (%s)", longest.Task, longest.Waited, longest.Reason)
+}
+
 // jobOutcome describes the decision that ended a job, or how far the job came.
 func jobOutcome(lines []logLine, job string) string {
 	stored, refusal := false, ""
@@ -274,6 +289,7 @@
 		{"latest", l.Latest},
 		{"list-clock", l.ListClock},
 		{"started-clock", l.StartedClock},
+		{"waited", l.Waited},
 	} {
 		if d.value != 0 {
 			details = append(details, fmt.Sprintf("%s=%.2fs", d.name, d.value))
--- a/internal/command/explain_test.go
+++ b/internal/command/explain_test.go
@@ -29,6 +29,8 @@
 {"ts":"2026-01-01T00:00:04Z","msg":"shard: job ended","service":"s","job":"aa","state":"completed","since-due":3}
 {"ts":"2026-01-01T00:00:05Z","msg":"shard: task assigned","service":"s","job":"dd","task":"dd.0.0.0","run":2,"endpoint":"i-2","since-due":1}
 {"ts":"2026-01-01T00:00:06Z","msg":"lease: foreign run listed","service":"s","job":"dd","task":"dd.0.0.0","run":1,"endpoint":"i-1","started-ms":2001,"clock":12.5,"current-run":2,"current-endpoint":"i-2","current-started-ms":3001,"evidence":"listed"}
+{"ts":"2026-01-01T00:00:07Z","msg":"lasting: task waits","service":"s","job":"ee","task":"ee.0.0.1","run":1,"endpoint":"i-1","reason":"inherited-lease","waited":2,"lease-left":11.5}
+{"ts":"2026-01-01T00:00:20Z","msg":"lasting: task runs again","service":"s","job":"ee","task":"ee.0.0.1","run":2,"endpoint":"i-2","reason":"inherited-lease","waited":15.5,"from-predecessor":true}
 `
 )
 
@@ -46,6 +48,7 @@
 		{"late", "aa", []string{"given up", "cause: completed after 3.0 s: first task after 1.5 s, 0 failed and 1 repeated runs"}, "i-9"},
 		{"restarted", "aa", []string{"started-ms=2001 assigned-started-ms=1001", "reason=restarted evidence=start-answered", "lease-left=3.50s", "previous-started-ms=1001"}, "i-9"},
 		{"twice", "dd", []string{"; 1 foreign runs, first: run 1 of dd.0.0.0 at i-1 while run 2 was assigned to i-2", "current-endpoint=i-2"}, "i-9"},
+		{"waiting", "ee", []string{"; longest wait of a lasting task: ee.0.0.1 for 15.5 s (inherited-lease)", "lease-left=11.50s waited=2.00s"}, "aa"},
 		{"refused", "bb", []string{"cause: never accepted: refused with 503: the store is not available"}, "aa"},
 		{"unknown", "cc", []string{"cause: no line names the job"}, "front"},
 	} {
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -101,6 +101,8 @@
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
 	Previous time.Time
+	// PreviousEntry is the previous holder; empty when there was none.
+	PreviousEntry fleet.EntryID
 	// Released is set when the previous holder released the lease and no orders of earlier holders were
 	// outstanding.
 	Released bool
--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -16,7 +16,12 @@
 	log   *zap.Logger
 	scope tally.Scope
 
-	wait, run, latency tally.Histogram
+	wait, run, latency                    tally.Histogram
+	firstPlan, toSend, toAnswer, unserved tally.Histogram
+	sent, stale, missed                   tally.Counter
+	// ends and waited hold the counters by their label.
+	ends   map[fleet.RunEnd]tally.Counter
+	waited map[shard.WaitReason]tally.Counter
 }
 
 // LatencyBuckets are the buckets of the latency histograms.
@@ -25,18 +30,35 @@
 // NewObserver returns an observer of the holder of a service.
 func NewObserver(log *zap.Logger, scope tally.Scope, service fleet.ServiceID, epoch fleet.FencingToken) *Observer {
 	scope = scope.Tagged(map[string]string{"service": string(service)})
-	return &Observer{
+	o := &Observer{
 		log:     log.With(zap.String("service", string(service)), zap.Uint64("epoch", uint64(epoch))),
 		scope:   scope,
 		wait:    scope.Histogram("job_task_wait", LatencyBuckets),
 		run:     scope.Histogram("job_task_run", LatencyBuckets),
 		latency: scope.Histogram("job_latency", LatencyBuckets),
+
+		firstPlan: scope.Histogram("job_first_plan", LatencyBuckets),
+		toSend:    scope.Histogram("job_start_to_send", LatencyBuckets),
+		toAnswer:  scope.Histogram("job_start_to_answer", LatencyBuckets),
+		unserved:  scope.Histogram("job_lasting_wait", LatencyBuckets),
+		sent:      scope.Counter("job_starts_sent"),
+		stale:     scope.Counter("job_starts_stale"),
+		missed:    scope.Counter("job_renewals_missed"),
+		ends:      map[fleet.RunEnd]tally.Counter{},
+		waited:    map[shard.WaitReason]tally.Counter{},
+	}
+	for _, c := range []tally.Counter{o.sent, o.stale, o.missed} {
+		c.Inc(0) // Scrapers see the counter before the first event.
 	}
+	return o
 }
 
 // Assigned implements shard.Observer.
 func (o *Observer) Assigned(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, waited time.Duration) {
 	o.wait.RecordDuration(waited)
+	if run == 1 {
+		o.firstPlan.RecordDuration(waited)
+	}
 	o.log.Info("shard: task assigned", append(runFields(id, run, at), zap.Duration("since-due", waited))...)
 }
 
@@ -54,7 +76,60 @@
 }
 
 func (o *Observer) countEnd(how fleet.RunEnd) {
-	o.scope.Tagged(map[string]string{"how": string(how)}).Counter("job_runs_ended").Inc(1)
+	c := o.ends[how]
+	if c == nil {
+		c = o.scope.Tagged(map[string]string{"how": string(how)}).Counter("job_runs_ended")
+		o.ends[how] = c
+	}
+	c.Inc(1)
+}
+
+// RenewalMissed implements shard.Observer.
+func (o *Observer) RenewalMissed() { o.missed.Inc(1) }
+
+// StartAnswered implements shard.Observer. Answers other than done are counted by Rejected.
+func (o *Observer) StartAnswered(s shard.StartTimes) {
+	switch {
+	case s.Stale:
+		o.stale.Inc(1)
+		return
+	case s.Answer == shard.AnswerUnsent:
+		return
+	}
+	o.sent.Inc(1)
+	o.toAnswer.RecordDuration(s.ToAnswer)
+	if s.ToSend > 0 {
+		o.toSend.RecordDuration(s.ToSend)
+	}
+}
+
+// LastingWaits implements shard.Observer.
+func (o *Observer) LastingWaits(w shard.LastingWait) {
+	o.log.Info("lasting: task waits", append(waitFields(w), zap.Duration("lease-left", w.Left))...)
+}
+
+// LastingWaited implements shard.Observer.
+func (o *Observer) LastingWaited(reason shard.WaitReason, tasks int, during time.Duration) {
+	c := o.waited[reason]
+	if c == nil {
+		c = o.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("job_lasting_waiting_ms")
+		o.waited[reason] = c
+	}
+	c.Inc(int64(tasks) * during.Milliseconds())
+}
+
+// LastingResumed implements shard.Observer.
+func (o *Observer) LastingResumed(w shard.LastingWait) {
+	o.unserved.RecordDuration(w.Waited)
+	o.log.Info("lasting: task runs again", waitFields(w)...)
+}
+
+func waitFields(w shard.LastingWait) []zap.Field {
+	fields := append(runFields(w.Task, w.Run, w.Process), zap.String("reason", string(w.Reason)), zap.Duration("waited", w.Waited))
+	if w.Inherited {
+		fields = append(fields, zap.Bool("from-predecessor", true))
+	}
+	return fields
 }
 
 // runFields returns the fields that identify a run and the process that executes it.
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -30,6 +30,12 @@
 	Close()
 }
 
+// RoundObserver receives the time that a round of the scheduler took, without the wait for events, and how many events
+// were waiting at its end.
+type RoundObserver interface {
+	RoundEnded(took time.Duration, waiting int)
+}
+
 // Times of the scheduler.
 const (
 	// tickInterval is how often leases, stalls and claims are checked.
@@ -81,6 +87,8 @@
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
 	Maintainer func(c *Chain, taken *Taken, release *ring.Ring[struct{}]) duty.Duty
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
+	// Rounds observes the rounds of the scheduler.
+	Rounds RoundObserver
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
 	// Latency is how fast the store answers.
@@ -138,6 +146,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		began := s.Clock.Now()
 		for n := 0; ok; n++ {
 			s.handle(ctx, event)
 			if n == eventsPerRound {
@@ -150,6 +159,7 @@
 			next = now.Add(tickInterval)
 		}
 		s.runDuties()
+		s.Rounds.RoundEnded(s.Clock.Now().Sub(began), s.Inbox.Depth())
 	}
 }
 
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -51,7 +51,7 @@
 func (t *taker) take(ctx context.Context) Taken {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now()}
+	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now(), PreviousEntry: t.previous.Entry}
 	if !t.previous.ChangedAt.IsZero() {
 		result.Previous = t.previous.ChangedAt
 		// A holder that released the lease soon after it took it may leave orders of its predecessors
@@ -182,7 +182,7 @@
 	})
 	s.Log.Info("scheduler: lease taken", zap.String("duty", string(t.Duty)), zap.Uint64("epoch", uint64(t.Chain.Epoch)),
 		zap.Duration("since-last-renewal", sinceOrZero(now, t.Previous)),
-		zap.Bool("released", t.Released))
+		zap.Bool("released", t.Released), zap.String("previous-entry", string(t.PreviousEntry)))
 	if t.Duty == DutyMaintenance {
 		h.loaded = true
 		s.Duties.Start(h.ctx, s.Maintainer(t.Chain, t, h.release))
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -227,6 +227,7 @@
 	s := &holder.Scheduler{
 		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
 		Duties: e.group, NewRegistry: func() duty.Duty { return e.Platform.Registry(e.feeds) }, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, Latency: &e.storeLatency, NewCaller: e.Platform.NewCaller,
+		Rounds: holder.NewRounds(e.registry.Scope),
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -65,9 +65,15 @@
 }
 
 func (e *Engine) markUnavailable(now time.Time, id fleet.TaskID, a *assignment) {
-	if a.step.Lasting && e.unavailableSince[id].IsZero() {
+	if !a.step.Lasting {
+		return
+	}
+	if e.unavailableSince[id].IsZero() {
 		e.unavailableSince[id] = now
 	}
+	if a.evidence != EvidenceNone || a.inherited {
+		e.beginWait(now, id, a.run, false)
+	}
 }
 
 func (e *Engine) occurrence(id fleet.TaskID) *job.Occurrence {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -46,6 +46,16 @@
 	ClockStepped(s ClockStep)
 	// Reconnected is called when an endpoint answers a renewal again after it had missed one.
 	Reconnected(at fleet.EndpointID)
+	// RenewalMissed is called for each renewal that was not answered.
+	RenewalMissed()
+	// StartAnswered is called for each start order whose result is known.
+	StartAnswered(s StartTimes)
+	// LastingWaits is called when a lasting task that has run before does not run, and when the reason changes.
+	LastingWaits(w LastingWait)
+	// LastingWaited is called for each reason for which lasting tasks have waited during a time.
+	LastingWaited(reason WaitReason, tasks int, during time.Duration)
+	// LastingResumed is called when an endpoint has confirmed the next run of a lasting task that waited.
+	LastingResumed(w LastingWait)
 }
 
 // Engine schedules the jobs of one service. It is not safe for concurrent use.
@@ -88,6 +98,10 @@
 	avoid map[fleet.TaskID]fleet.EndpointID
 	// unavailableSince is when a task of a lasting step became unavailable.
 	unavailableSince map[fleet.TaskID]time.Time
+	// waits holds the lasting tasks that do not run although they have run before, waitsAt is when they were last
+	// observed.
+	waits   map[fleet.TaskID]*lastingWait
+	waitsAt time.Time
 
 	// rackWaits is since when steps have waited for room on one rack.
 	rackWaits map[StepID]time.Time
@@ -135,6 +149,7 @@
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
 		unavailableSince: map[fleet.TaskID]time.Time{},
+		waits:            map[fleet.TaskID]*lastingWait{},
 		rackWaits:        map[StepID]time.Time{},
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
@@ -159,6 +174,9 @@
 		for t := range o.Tasks[s] {
 			task := &o.Tasks[s][t]
 			entry.started = entry.started || task.LastEnded > 0
+			if o.Job.Steps[s].Lasting && task.LastEnded > 0 && !task.Running() {
+				e.beginWait(now, o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), task.Run, true)
+			}
 			if task.Running() {
 				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.previousEnd)
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -92,6 +92,8 @@
 	foreign   []shard.ForeignRun
 	steps     []shard.ClockStep
 	rejected  []shard.Order
+	waits     []shard.LastingWait
+	resumed   []shard.LastingWait
 }
 
 func (*fakeObserver) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {}
@@ -109,6 +111,12 @@
 func (o *fakeObserver) Ejected(at fleet.EndpointID, _ int, _ time.Duration) {
 	o.ejections[at]++
 }
+func (o *fakeObserver) LastingWaits(w shard.LastingWait)   { o.waits = append(o.waits, w) }
+func (o *fakeObserver) LastingResumed(w shard.LastingWait) { o.resumed = append(o.resumed, w) }
+func (*fakeObserver) LastingWaited(shard.WaitReason, int, time.Duration) {
+}
+func (*fakeObserver) RenewalMissed()                                   {}
+func (*fakeObserver) StartAnswered(shard.StartTimes)                   {}
 func (*fakeObserver) Reconnected(fleet.EndpointID)                     {}
 func (o *fakeObserver) RunLost(loss shard.Loss)                        { o.losses = append(o.losses, loss) }
 func (*fakeObserver) RunsLost(fleet.EndpointID, int, shard.LossReason) {}
--- a/internal/shard/observation.go
+++ b/internal/shard/observation.go
@@ -62,6 +62,16 @@
 	ListClock, StartedClock time.Duration
 }
 
+// StartTimes describes a start order whose result is known.
+type StartTimes struct {
+	Answer Answer
+	// Stale is set when it was dropped because it had waited for too long.
+	Stale bool
+	// ToSend is the time from the placement to the sending, or 0 when the run is not known any more; ToAnswer the one
+	// from there until the answer was processed.
+	ToSend, ToAnswer time.Duration
+}
+
 // Restart is the replacement of an endpoint's process by another one under its id.
 type Restart struct {
 	// Process is the present process.
@@ -101,6 +111,17 @@
 // maxClockStep is the difference, beyond the drift of clocks, that is attributed to transit.
 const maxClockStep = time.Second
 
+// observeStart reports the result of a start order.
+func (e *Engine) observeStart(now time.Time, r Result) {
+	s := StartTimes{Answer: r.Answer, Stale: r.Stale, ToAnswer: now.Sub(r.SentAt)}
+	if w := e.workers[r.Order.Process.Endpoint]; w != nil {
+		if a := w.runs[r.Order.Task]; a != nil && a.run == r.Order.Run && !a.plannedAt.IsZero() {
+			s.ToSend = r.SentAt.Sub(a.plannedAt)
+		}
+	}
+	e.Observer.StartAnswered(s)
+}
+
 // markSeen records evidence that a run has started.
 func (a *assignment) markSeen(now time.Time, evidence Evidence) {
 	a.evidence, a.evidenceAt = evidence, now
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -11,6 +11,7 @@
 func (e *Engine) Apply(now time.Time, r Result) {
 	if r.Order.Kind == OrderStart {
 		e.starts.answered(now, r)
+		e.observeStart(now, r)
 	}
 	w := e.workers[r.Order.Process.Endpoint]
 	if w == nil {
@@ -51,6 +52,9 @@
 		e.observeClock(now, w, r)
 		w.updateClock(now, r)
 	}
+	if r.Order.Kind == OrderHold && r.Answer != AnswerDone {
+		e.Observer.RenewalMissed()
+	}
 	// Of consecutive failed renewals only the first is reported.
 	repeated := r.Order.Kind == OrderHold && w.missed
 	switch r.Order.Kind {
@@ -95,6 +99,7 @@
 		if a.phase == phaseOrdered {
 			a.markSeen(now, EvidenceAnswer)
 			a.phase, a.startedAt, w.fullFor = phaseStarted, now, 0
+			e.endWait(now, w, a)
 			// Whichever process answered, its clock shows the lease that it granted.
 			w.extendUnprovenLease(now, min(r.Order.Deadline-r.Clock, e.Bounds.MaxLease))
 		}
@@ -219,6 +224,7 @@
 	}
 	if a.phase == phaseOrdered || a.phase == phaseStopping && a.inDoubt && !a.stopAcked {
 		a.phase, a.inDoubt = phaseStarted, false
+		e.endWait(now, w, a)
 		if a.startedAt.IsZero() {
 			a.startedAt = now
 		}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -21,6 +21,7 @@
 			e.forget(now, w)
 		}
 	}
+	e.observeWaits(now)
 }
 
 // Expired returns the ended jobs whose state need not be kept any longer, at most maxExpiredJobs. Their
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -60,6 +60,8 @@
 	// listedClock is the endpoint's clock in the latest list with the run.
 	listedClock time.Duration
 	startedAt   time.Time
+	// plannedAt is when this holder assigned the run; zero for an inherited one.
+	plannedAt time.Time
 	// progressedAt is when the reported progress last rose.
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
