--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -125,7 +125,10 @@
 }
 
 func waitFields(w shard.LastingWait) []zap.Field {
-	fields := append(runFields(w.Task, w.Run, w.Process), zap.String("reason", string(w.Reason)), zap.Duration("waited", w.Waited))
+	fields := append(runFields(w.Task, w.Run, w.Process), zap.Duration("waited", w.Waited))
+	if w.Reason != "" {
+		fields = append(fields, zap.String("reason", string(w.Reason)))
+	}
 	if w.Inherited {
 		fields = append(fields, zap.Bool("from-predecessor", true))
 	}
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -39,7 +39,8 @@
 	Run  fleet.RunNumber
 	// Process is that of the latest run; empty when none may execute.
 	Process fleet.EndpointProcess
-	Reason  WaitReason
+	// Reason is empty for a wait that ended before it was looked at.
+	Reason WaitReason
 	// Waited is the time since the run was last known to execute, as far as this holder knows it.
 	Waited time.Duration
 	// Left is the time until the leases at the endpoint have expired; 0 for a wait that no lease bounds.
