--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -46,6 +46,16 @@
 	ClockStepped(s ClockStep)
 	// Reconnected is called when an endpoint answers a renewal again after it had missed one.
 	Reconnected(at fleet.EndpointID)
+	// RenewalMissed is called for each renewal that was not answered.
+	RenewalMissed()
+	// StartAnswered is called for each start order whose result is known.
+	StartAnswered(s StartTimes)
+	// LastingWaits is called when a lasting task that has run before does not run, and when the reason changes.
+	LastingWaits(w LastingWait)
+	// LastingWaited is called for each reason for which lasting tasks have waited during a time.
+	LastingWaited(reason WaitReason, tasks int, during time.Duration)
+	// LastingResumed is called when an endpoint has confirmed the next run of a lasting task that waited.
+	LastingResumed(w LastingWait)
 }
 
 // Engine schedules the jobs of one service. It is not safe for concurrent use.
@@ -88,6 +98,10 @@
 	avoid map[fleet.TaskID]fleet.EndpointID
 	// unavailableSince is when a task of a lasting step became unavailable.
 	unavailableSince map[fleet.TaskID]time.Time
+	// waits holds the lasting tasks that do not run although they have run before, waitsAt is when they were last
+	// observed.
+	waits   map[fleet.TaskID]*lastingWait
+	waitsAt time.Time
 
 	// rackWaits is since when steps have waited for room on one rack.
 	rackWaits map[StepID]time.Time
@@ -114,8 +128,9 @@
 	fenced bool
 	// loaded is set once the engine has the jobs and their progress.
 	loaded bool
-	// inherited is what is known of the leases that earlier holders granted.
-	inherited Inheritance
+	// inherited is what is known of the leases that earlier holders granted, inheritedBounds its bounds by endpoint.
+	inherited       Inheritance
+	inheritedBounds map[fleet.EndpointID]LeaseBound
 	// validUntil is until when the holder may grant leases.
 	validUntil time.Time
 	// withheld holds the endpoints that are granted nothing, because a list that is stored or being stored says so.
@@ -131,7 +146,7 @@
 func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, inherited Inheritance, validUntil time.Time) *Engine {
 	e := &Engine{
 		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, inherited: inherited, validUntil: validUntil,
-		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{},
+		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{}, inheritedBounds: map[fleet.EndpointID]LeaseBound{},
 		policies:         map[fleet.QueueID]job.Policy{},
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
@@ -142,6 +157,7 @@
 		failedOn:         map[fleet.JobID]map[fleet.EndpointID]bool{},
 		avoid:            map[fleet.TaskID]fleet.EndpointID{},
 		unavailableSince: map[fleet.TaskID]time.Time{},
+		waits:            map[fleet.TaskID]*lastingWait{},
 		rackWaits:        map[StepID]time.Time{},
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
@@ -150,7 +166,7 @@
 		orphans:          map[job.Key]bool{},
 	}
 	for _, b := range inherited.Bounds {
-		e.pendingBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b.Silent
+		e.pendingBounds[b.Endpoint], e.inheritedBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b, b.Silent
 	}
 	return e
 }
@@ -170,9 +186,12 @@
 		for t := range o.Tasks[s] {
 			task := &o.Tasks[s][t]
 			entry.started = entry.started || task.LastEnded > 0
+			if o.Job.Steps[s].Lasting && task.LastEnded > 0 && !task.Running() {
+				e.beginWait(now, o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), task.Run, true)
+			}
 			if task.Running() {
 				w := e.workerOf(now, task.Process)
-				w.leaseEnd = later(w.leaseEnd, e.inherited.bound(w.Endpoint))
+				w.leaseEnd = later(w.leaseEnd, e.inheritedEnd(w.Endpoint))
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
 			}
@@ -188,7 +207,7 @@
 	w := e.workers[p.Endpoint]
 	if w == nil {
 		w = e.newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
-		w.leaseEnd = e.inherited.bound(p.Endpoint)
+		w.leaseEnd = e.inheritedEnd(p.Endpoint)
 		e.setWorker(w)
 	}
 	return w
