holder, shard: wait once for the longest lease of a process

What callers would see: LOST where an endpoint restarted long ago, a holder is stopped, and the endpoint goes soon after the takeover.

That an endpoint has had another process is stored for good, and each new holder took its first answer as the moment from which the longest lease (10 s) may last.

Change: the holder stores that it has outwaited the longest lease of a process; the next one counts the usual lease for it.

Before: TestLastingTaskRunsSoonWhereEndpointHasRestarted LOST at 78.050 s: its last run ended at 69.000 s. After: passes, go test ./internal/holder too.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -58,6 +58,9 @@
 	fleet.EndpointProcess
 	// Restarted is set when an earlier process was known under the endpoint's id.
 	Restarted bool
+	// Settled is set when a holder has outwaited the longest lease that the process may have been granted on the earlier
+	// one's clock.
+	Settled bool
 }
 
 // EndpointList is what changed in the registry of endpoints.
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -214,6 +214,7 @@
 	for _, endpoint := range s.endpoints {
 		if endpoint.Service == h.service {
 			endpoint.Restarted = h.processes.observe(endpoint) || endpoint.Restarted
+			endpoint.Settled = h.processes.settled(endpoint.Endpoint)
 			list = append(list, endpoint)
 		}
 	}
--- a/internal/holder/processes.go
+++ b/internal/holder/processes.go
@@ -64,12 +64,26 @@
 	p.init()
 	old, known := p.known[e.Endpoint]
 	next := KnownProcess{EndpointProcess: e.Process(), Restarted: e.Restarted || known && (old.Restarted || old.StartMillis != e.StartMillis)}
+	next.Settled = known && old.Settled && old.StartMillis == e.StartMillis && e.StartMillis != 0
 	if !known || old != next {
 		p.known[e.Endpoint], p.changed = next, true
 	}
 	return next.Restarted
 }
 
+// settled reports whether a holder has outwaited the longest lease of the known process of an endpoint.
+func (p *processes) settled(id fleet.EndpointID) bool { return p.known[id].Settled }
+
+// settle records the processes that hold no long lease according to the engine.
+func (p *processes) settle(now time.Time, e *shard.Engine) {
+	for id, k := range p.known {
+		if k.Restarted && !k.Settled && k.StartMillis != 0 && e.HasSettled(now, k.EndpointProcess) {
+			k.Settled, p.changed = true, true
+			p.known[id] = k
+		}
+	}
+}
+
 // keep forgets endpoints that have been missing from the registry for processRetention.
 func (p *processes) keep(now time.Time, listed map[fleet.EndpointID]shard.EndpointInfo) {
 	for id := range p.known {
@@ -101,7 +115,7 @@
 		count := min(len(list), processesPerRow)
 		m := &jobv1.Endpoints{}
 		for _, k := range list[:count] {
-			m.Processes = append(m.Processes, &jobv1.EndpointProcess{Endpoint: string(k.Endpoint), Born: k.StartMillis, Restarted: k.Restarted})
+			m.Processes = append(m.Processes, &jobv1.EndpointProcess{Endpoint: string(k.Endpoint), Born: k.StartMillis, Restarted: k.Restarted, Settled: k.Settled})
 		}
 		list = list[count:]
 		rows = append(rows, mustRow(tableProgress, dutyPart(d), rowstore.Key(keyProcess+strconv.Itoa(n)), m))
@@ -123,7 +137,7 @@
 	var list []KnownProcess
 	for _, k := range m.GetProcesses() {
 		list = append(list, KnownProcess{
-			EndpointProcess: fleet.EndpointProcess{Endpoint: fleet.EndpointID(k.GetEndpoint()), StartMillis: k.GetBorn()}, Restarted: k.GetRestarted(),
+			EndpointProcess: fleet.EndpointProcess{Endpoint: fleet.EndpointID(k.GetEndpoint()), StartMillis: k.GetBorn()}, Restarted: k.GetRestarted(), Settled: k.GetSettled(),
 		})
 	}
 	return list, true
--- a/internal/holder/processes_test.go
+++ b/internal/holder/processes_test.go
@@ -52,3 +52,25 @@
 	next.keep(now.Add(processRetention), listed)
 	is.True(!seen(next, "i-ad", 10))
 }
+
+// Guards against a holder that outwaits the longest lease of a process anew, and against one that takes the next
+// process for settled.
+func TestSettledProcessIsPassedOn(t *testing.T) {
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	is := is.New(t)
+	earlier := &processes{}
+	for _, started := range []int64{1, 2} {
+		is.Equal(earlier.observe(shard.EndpointInfo{Endpoint: "i-a", StartMillis: started}), started == 2)
+	}
+	k := earlier.known["i-a"]
+	k.Settled = true
+	earlier.known["i-a"] = k
+	next := &processes{}
+	known, ok := decodeProcesses(earlier.rows(now, "jobs-s")[0])
+	is.True(ok)
+	next.inherit(known)
+	is.True(next.observe(shard.EndpointInfo{Endpoint: "i-a", StartMillis: 2}))
+	is.True(next.settled("i-a"))
+	next.observe(shard.EndpointInfo{Endpoint: "i-a", StartMillis: 3})
+	is.True(!next.settled("i-a"))
+}
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -87,6 +87,9 @@
 	if due {
 		h.renewedAt, h.boundsDue = now, false
 		w.Bounds = storedBounds(now, h.engine.LeaseBounds(now))
+		if h.loaded {
+			h.processes.settle(now, h.engine)
+		}
 		if h.loaded && h.processes.due(now) {
 			w.Puts = append(w.Puts, h.processes.rows(now, h.chain.Duty)...)
 		}
--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -116,7 +116,7 @@
 func (e *Engine) leaseBound(now time.Time, w *worker) (LeaseBound, bool) {
 	end := later(w.leaseEnd, w.unprovenLeaseEnd)
 	silent := !w.reachable(now)
-	if len(w.runs) == 0 || !end.After(now) || !silent && !end.After(leaseEnd(now, e.leaseLength())) {
+	if len(w.runs) == 0 || !end.After(now) || !silent && !w.mayHoldLongLease(now, e.leaseLength()) {
 		return LeaseBound{}, false
 	}
 	return LeaseBound{Endpoint: w.Endpoint, End: end, Silent: silent}, true
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -20,7 +20,7 @@
 			e.setWorker(w)
 		}
 		if e.loading && endpoint.Restarted {
-			e.noteRestart(now, w)
+			e.noteRestart(now, w, endpoint.Settled)
 		}
 		w.setRow(now, endpoint)
 		w.listed = true
--- a/internal/shard/loading.go
+++ b/internal/shard/loading.go
@@ -31,14 +31,16 @@
 
 // noteRestart records that an endpoint whose process has answered already had another one before. Deadlines that were
 // set on the clock of that one may have granted the longest lease.
-func (e *Engine) noteRestart(now time.Time, w *worker) {
+func (e *Engine) noteRestart(now time.Time, w *worker, settled bool) {
 	if w.hasRestarted {
 		return
 	}
 	w.hasRestarted = true
-	if w.contacted {
+	switch {
+	case settled:
+	case w.contacted:
 		w.extendLease(now, e.Bounds.MaxLease)
-	} else {
+	default:
 		w.mayHoldLongestLease = true
 	}
 }
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -14,16 +14,29 @@
 // higher than those of all processes that the holder no longer reckons with: once the process has answered an order
 // with its token, it rejects the orders that were meant for an earlier one and arrive late.
 func (e *Engine) newWorker(now time.Time, info EndpointInfo) *worker {
-	hasRestarted := info.Restarted || !e.forgottenAt[info.Endpoint].IsZero()
+	forgotten := !e.forgottenAt[info.Endpoint].IsZero()
+	hasRestarted := info.Restarted || forgotten
 	return &worker{
 		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{},
-		hasRestarted: hasRestarted, mayHoldLongestLease: hasRestarted,
+		hasRestarted: hasRestarted, mayHoldLongestLease: forgotten || info.Restarted && !info.Settled,
 	}
 }
 
 // discard counts a worker that was forgotten or that another process has replaced.
 func (e *Engine) discard() { e.discarded = min(e.discarded+1, EpochStep-1) }
 
+// HasSettled reports whether the process of an endpoint has answered this holder and holds no lease that is longer than
+// the usual one.
+func (e *Engine) HasSettled(now time.Time, p fleet.EndpointProcess) bool {
+	w := e.workers[p.Endpoint]
+	return w != nil && w.Process() == p && w.contacted && !w.mayHoldLongestLease && !w.mayHoldLongLease(now, e.leaseLength())
+}
+
+// mayHoldLongLease reports whether a lease may last for longer than one that is granted now.
+func (w *worker) mayHoldLongLease(now time.Time, length time.Duration) bool {
+	return later(w.leaseEnd, w.unprovenLeaseEnd).After(leaseEnd(now, length))
+}
+
 // forget removes a worker that is not listed and has no runs.
 func (e *Engine) forget(now time.Time, w *worker) {
 	e.discard()
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -19,6 +19,9 @@
 	StartMillis int64
 	// Restarted is set when the registry has shown another process under the endpoint's id before.
 	Restarted bool
+	// Settled is set when a holder has outwaited the longest lease that this process may have been granted by deadlines
+	// on an earlier process's clock.
+	Settled bool
 }
 
 // Process returns the process that the registry lists.
