shard: place lasting tasks where no long lease may last

Equal endpoints are taken in the order of their ids, so nothing kept lasting tasks away.

Change: such an endpoint is the last choice for lasting tasks.

Before: TestLastingTaskAvoidsLongLease fails (placed on the restarted endpoint). After: passes. Where no other endpoint has room the wait remains.

--- a/internal/shard/bounds_test.go
+++ b/internal/shard/bounds_test.go
@@ -106,3 +106,14 @@
 	sim.run(2 * time.Second)
 	is.True(!sim.engine.Vacate(sim.now, "endpoint-00", false))
 }
+
+// Guards against a lasting task on an endpoint that has just restarted: if that goes, its longest lease is waited for.
+func TestLastingTaskAvoidsLongLease(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 3, worker64)
+	sim.run(time.Second)
+	restarted := sim.endpoints["endpoint-00"] // the first of equal ones is chosen
+	sim.restartWith(restarted, lowClock, 100*time.Millisecond)
+	sim.run(2 * time.Second)
+	is.True(runsOn(is, sim) != restarted)
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -228,7 +228,7 @@
 				continue
 			}
 		}
-		if score := e.score(w, id, step); best == nil || score > bestScore {
+		if score := e.score(now, w, id, step); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -261,11 +261,12 @@
 	avoidWeight        = 6
 	interferenceWeight = 2
 	probationWeight    = 3
+	longLeaseWeight    = 4
 )
 
 // score rates a worker for a task; higher is better. Workers are filled up one by one, so that others stay
 // empty for large tasks and for pools that need them more.
-func (e *Engine) score(w *worker, id fleet.TaskID, step fleet.Step) float64 {
+func (e *Engine) score(now time.Time, w *worker, id fleet.TaskID, step fleet.Step) float64 {
 	score := 0.0
 	if w.Capacity.Millicores > 0 {
 		score = float64(w.used.Millicores) / float64(w.Capacity.Millicores)
@@ -279,6 +280,9 @@
 	if w.onProbation() || w.failures > 0 {
 		score -= probationWeight
 	}
+	if step.Lasting && w.mayHoldLongLease(now, e.leaseLength()) {
+		score -= longLeaseWeight
+	}
 	if step.Fill || step.TailTarget > 0 {
 		score -= float64(interferenceWeight * w.interfering(step))
 	}
