--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -17,6 +17,7 @@
 	Endpoints *EndpointList
 	Config    *Config
 	Result    *shard.Result
+	Relay     *RelayEvent
 	Written   *Written
 	Taken     *Taken
 	Query     *Query
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -50,7 +50,7 @@
 	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
 	confirmedAt time.Time
 	releasing   bool
-	links       *links
+	links       *routes
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -44,13 +44,18 @@
 	maxSenders = 4
 )
 
-// links sends the orders of one service. Each endpoint has a sender for renewals, which the endpoint keeps
-// open, and one for all other orders, so that neither waits for the other. More senders are added when an
-// order stays without an answer. They may reorder a start and its stop, which is safe: an endpoint rejects
+// links sends orders to endpoints, at the holder of a service or at a relay. Each endpoint has a sender for renewals,
+// which the endpoint keeps open, and one for all other orders, so that neither waits for the other. More senders are
+// added when an order stays without an answer. They may reorder a start and its stop, which is safe: an endpoint rejects
 // the start of a run for which it has received a stop, and the next process of an endpoint that of an earlier token.
 type links struct {
-	scheduler  *Scheduler
-	held       *heldDuty
+	// ctx ends all senders.
+	ctx       context.Context
+	clock     clock.Clock
+	duties    Starter
+	newCaller func() EndpointCaller
+	// done receives the result of each order, also from the senders.
+	done       func(*queuedOrder, shard.Result)
 	byEndpoint map[fleet.EndpointID]*link
 }
 
@@ -65,6 +70,8 @@
 	// added.
 	senders, outstanding int
 	progressedAt         time.Time
+	// usedAt is when an order was last queued.
+	usedAt time.Time
 }
 
 // queuedOrder is an order and the time when it was queued. Rings hold pointers to it: a holder has a ring for each
@@ -72,20 +79,24 @@
 type queuedOrder struct {
 	order shard.Order
 	at    time.Time
+	// number is the number of an order on the connection between a holder and a relay; 0 for an order that the holder
+	// sends itself.
+	number uint64
 }
 
 // send queues an order for its endpoint.
-func (l *links) send(o shard.Order) {
-	k := l.byEndpoint[o.Process.Endpoint]
-	if k == nil || k.address != o.Address {
+func (l *links) send(q *queuedOrder) {
+	k := l.byEndpoint[q.order.Process.Endpoint]
+	if k == nil || k.address != q.order.Address {
 		if k != nil {
 			l.abandon(k)
 		}
-		k = l.open(o)
+		k = l.open(q.order)
 	}
-	now := l.scheduler.Clock.Now()
+	now := l.clock.Now()
+	k.usedAt = now
 	target := k.orders
-	if o.Kind == shard.OrderHold {
+	if q.order.Kind == shard.OrderHold {
 		target = k.holds
 	} else {
 		if k.outstanding == 0 {
@@ -93,25 +104,25 @@
 		}
 		k.outstanding++
 	}
-	if err := target.Push(&queuedOrder{o, now}); err != nil {
-		l.reportUnsent(now, o)
+	if err := target.Push(q); err != nil {
+		l.reportUnsent(now, q)
 	}
 }
 
 // abandon ends the senders of a link and reports the orders that wait there.
 func (l *links) abandon(k *link) {
 	k.cancel()
-	now := l.scheduler.Clock.Now()
+	now := l.clock.Now()
 	for _, inbox := range []*ring.Ring[*queuedOrder]{k.holds, k.orders} {
 		for queued, ok := inbox.TryPop(); ok; queued, ok = inbox.TryPop() {
-			l.reportUnsent(now, queued.order)
+			l.reportUnsent(now, queued)
 		}
 	}
 }
 
 // reportUnsent reports an order that was not sent, so certainly not executed.
-func (l *links) reportUnsent(now time.Time, o shard.Order) {
-	l.scheduler.push(Event{Result: &shard.Result{Order: o, Answer: shard.AnswerUnsent, SentAt: now}})
+func (l *links) reportUnsent(now time.Time, q *queuedOrder) {
+	l.done(q, shard.Result{Order: q.order, Answer: shard.AnswerUnsent, SentAt: now})
 }
 
 // answered records that an order has ended.
@@ -142,32 +153,39 @@
 	}
 }
 
+// idleLinkTime is the time without an order after which the senders of an endpoint are ended. It exceeds the time between
+// two renewals and the longest call, so the endpoint is called from elsewhere.
+const idleLinkTime = 10 * time.Second
+
+// closeIdle ends the senders of endpoints that get no orders any more.
+func (l *links) closeIdle(now time.Time) {
+	for id, k := range l.byEndpoint {
+		if now.Sub(k.usedAt) >= idleLinkTime {
+			l.abandon(k)
+			delete(l.byEndpoint, id)
+		}
+	}
+}
+
 // startSender adds a sender for the orders of an endpoint.
 func (l *links) startSender(k *link, id fleet.EndpointID) {
 	k.senders++
 	name := fleet.DutyName("orders-" + strconv.Itoa(k.senders) + "-")
-	l.scheduler.Duties.Start(k.ctx, l.newSender(name, id, k.orders))
+	l.duties.Start(k.ctx, l.newSender(name, id, k.orders))
 }
 
 func (l *links) newSender(name fleet.DutyName, id fleet.EndpointID, inbox *ring.Ring[*queuedOrder]) *sender {
-	return &sender{
-		name: name, endpoint: id, inbox: inbox, caller: l.scheduler.NewCaller(), clock: l.scheduler.Clock,
-		done: func(r shard.Result) {
-			if l.held.ctx.Err() == nil { // Otherwise the service has been given up.
-				l.scheduler.push(Event{Result: &r})
-			}
-		},
-	}
+	return &sender{name: name, endpoint: id, inbox: inbox, caller: l.newCaller(), clock: l.clock, done: l.done}
 }
 
 func (l *links) open(o shard.Order) *link {
-	ctx, cancel := context.WithCancel(l.held.ctx)
+	ctx, cancel := context.WithCancel(l.ctx)
 	k := &link{
 		address: o.Address, ctx: ctx, cancel: cancel,
 		holds: ring.New[*queuedOrder]("holds", 2), orders: ring.New[*queuedOrder]("orders", maxQueuedOrders),
 	}
 	l.byEndpoint[o.Process.Endpoint] = k
-	l.scheduler.Duties.Start(ctx, l.newSender("hold-", o.Process.Endpoint, k.holds))
+	l.duties.Start(ctx, l.newSender("hold-", o.Process.Endpoint, k.holds))
 	l.startSender(k, o.Process.Endpoint)
 	return k
 }
@@ -179,7 +197,9 @@
 	inbox    *ring.Ring[*queuedOrder]
 	caller   EndpointCaller
 	clock    clock.Clock
-	done     func(shard.Result)
+	done     func(*queuedOrder, shard.Result)
+	// listedAt is when the endpoint last sent its lists to this sender.
+	listedAt time.Time
 }
 
 // Name implements duty.Duty.
@@ -196,11 +216,28 @@
 		result := shard.Result{Order: queued.order, Answer: shard.AnswerUnsent, SentAt: s.clock.Now()}
 		result.Stale = queued.order.Kind == shard.OrderStart && result.SentAt.Sub(queued.at) > maxStartAge
 		if !result.Stale {
-			result = s.caller.Execute(ctx, queued.order)
+			result = s.caller.Execute(ctx, s.withoutLateAck(queued))
+			result.Order = queued.order
 		}
-		s.done(result)
+		if queued.order.Kind == shard.OrderHold && result.Answer == shard.AnswerDone {
+			s.listedAt = s.clock.Now()
+		}
+		s.done(queued, result)
 		if ctx.Err() != nil {
 			return trace.Wrap(ctx.Err())
 		}
 	}
 }
+
+// maxAckGap is the longest time since a list after which a relay passes an acknowledgement of ends on: a process that has
+// started since would forget its own ends by those numbers. The engine allows 300 ms at the holder.
+const maxAckGap = 400 * time.Millisecond
+
+// withoutLateAck returns the order to send. A relayed renewal that was held up acknowledges nothing.
+func (s *sender) withoutLateAck(q *queuedOrder) shard.Order {
+	o := q.order
+	if q.number > 0 && o.Acknowledged > 0 && s.clock.Now().Sub(s.listedAt) > maxAckGap {
+		o.Acknowledged, o.Wait = 0, 0
+	}
+	return o
+}
--- a/internal/holder/links_test.go
+++ b/internal/holder/links_test.go
@@ -32,7 +32,13 @@
 // Close implements EndpointCaller.
 func (*unresponsiveEndpoint) Close() {}
 
-func newLinks(t *testing.T, unanswered ...fleet.RunNumber) (*links, *clockwork.FakeClock) {
+// testLinks are links whose results wait in a ring.
+type testLinks struct {
+	*links
+	results *ring.Ring[shard.Result]
+}
+
+func newLinks(t *testing.T, unanswered ...fleet.RunNumber) (*testLinks, *clockwork.FakeClock) {
 	t.Helper()
 	c := clockwork.NewFakeClock()
 	m := &unresponsiveEndpoint{clock: c, unanswered: map[fleet.RunNumber]bool{}}
@@ -41,23 +47,26 @@
 	}
 	group, ctx := duty.NewGroup(context.Background())
 	t.Cleanup(func() { group.Stop(); _ = group.Wait() })
-	s := &Scheduler{Inbox: ring.NewWithReserve[Event]("events", 16, 16), Clock: c, Duties: group, NewCaller: func() EndpointCaller { return m }}
-	return &links{scheduler: s, held: &heldDuty{ctx: ctx}, byEndpoint: map[fleet.EndpointID]*link{}}, c
+	results := ring.New[shard.Result]("results", 32)
+	return &testLinks{&links{
+		ctx: ctx, clock: c, duties: group, newCaller: func() EndpointCaller { return m }, byEndpoint: map[fleet.EndpointID]*link{},
+		done: func(_ *queuedOrder, r shard.Result) { _ = results.Push(r) },
+	}, results}, c
 }
 
-func (l *links) order(kind shard.OrderKind, run fleet.RunNumber) { l.orderAt("a", kind, run) }
+func (l *testLinks) order(kind shard.OrderKind, run fleet.RunNumber) { l.orderAt("a", kind, run) }
 
-func (l *links) orderAt(address fleet.Address, kind shard.OrderKind, run fleet.RunNumber) {
-	l.send(shard.Order{Kind: kind, Process: fleet.EndpointProcess{Endpoint: "e"}, Address: address, Run: run})
+func (l *testLinks) orderAt(address fleet.Address, kind shard.OrderKind, run fleet.RunNumber) {
+	l.send(&queuedOrder{order: shard.Order{Kind: kind, Process: fleet.EndpointProcess{Endpoint: "e"}, Address: address, Run: run}, at: l.clock.Now()})
 }
 
 // result returns the next result.
-func (l *links) result(t *testing.T) shard.Result {
+func (l *testLinks) result(t *testing.T) shard.Result {
 	t.Helper()
-	event, err := l.scheduler.Inbox.Pop(t.Context())
+	result, err := l.results.Pop(t.Context())
 	is.New(t).NoErr(err)
-	l.answered(l.scheduler.Clock.Now(), event.Result.Order)
-	return *event.Result
+	l.answered(l.clock.Now(), result.Order)
+	return result
 }
 
 // Guards against orders that wait behind one that an endpoint does not answer (head-of-line blocking).
@@ -135,3 +144,18 @@
 	}
 	is.Equal(r.Order.Run, fleet.RunNumber(3)) // it is opened again when the endpoint is back
 }
+
+// Guards against connections to endpoints that are called from elsewhere.
+func TestIdleLinksAreClosed(t *testing.T) {
+	is := is.New(t)
+	l, c := newLinks(t)
+	l.order(shard.OrderStop, 1)
+	is.Equal(l.result(t).Answer, shard.AnswerDone)
+	l.closeIdle(c.Now())
+	is.Equal(len(l.byEndpoint), 1)
+	c.Advance(idleLinkTime)
+	l.closeIdle(c.Now())
+	is.Equal(len(l.byEndpoint), 0)
+	l.order(shard.OrderStop, 2)
+	is.Equal(l.result(t).Answer, shard.AnswerDone)
+}
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
@@ -72,6 +73,10 @@
 	Duties Starter
 	// NewCaller returns a caller for one duty.
 	NewCaller func() EndpointCaller
+	// Relays opens connections to other entries that pass orders on; nil where the holder calls all endpoints.
+	Relays RelayDialer
+	// Scope counts relayed orders; it may be nil.
+	Scope tally.Scope
 	// NewRegistry returns a duty that sends the endpoints, all of them first, until its context ends.
 	NewRegistry func() duty.Duty
 	// Intakes receive the removals of old jobs.
@@ -168,12 +173,11 @@
 		s.applyConfig(e.Config)
 	case e.Result != nil:
 		if h := s.held[ServiceDuty(e.Result.Order.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Result.Order.Epoch {
-			h.links.answered(now, e.Result.Order)
-			h.engine.Apply(now, *e.Result)
-			if h.engine.Fenced() {
-				s.drop(h, "an endpoint has seen a newer holder")
-			}
+			h.links.direct.answered(now, e.Result.Order)
+			s.applyResult(now, *e.Result)
 		}
+	case e.Relay != nil:
+		e.Relay.routes.apply(now, e.Relay)
 	case e.Advice != nil:
 		if h := s.held[ServiceDuty(e.Advice.Request.Service)]; h != nil && h.engine != nil && h.chain.Epoch == e.Advice.Request.Token {
 			h.engine.ApplyAdvice(now, *e.Advice)
@@ -248,10 +252,10 @@
 		case h.engine == nil:
 		case h.loaded:
 			h.engine.Tick(now)
-			h.links.addSenders(now)
-			h.links.closeForgotten(h.engine.Knows)
+			h.links.tick(now, h.engine.Knows)
 		case s.endpoints != nil:
 			h.engine.Renew(now)
+			h.links.tick(now, h.engine.Knows)
 		}
 		if s.stopping {
 			s.release(h)
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -200,7 +200,7 @@
 	}
 	h.previousEnd = end
 	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), end)
-	h.links = &links{scheduler: s, held: h, byEndpoint: map[fleet.EndpointID]*link{}}
+	h.links = s.newRoutes(h)
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
 	s.read(h)
 	if s.endpoints != nil {
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -95,6 +95,8 @@
 	// announcements receives what intakes have stored.
 	announcements *ring.Ring[holder.Announcement]
 	advice        *ring.Ring[shard.AdviceRequest]
+	// relaySessions receives the connections of holders that this entry relays for.
+	relaySessions *ring.Ring[holder.RelayRequest]
 	config        ring.Latest[*holder.Config]
 	waves         ring.Latest[[]holder.WaveOrder]
 	status        ring.Latest[holder.Status]
@@ -184,6 +186,7 @@
 	}
 	e.announcements = ring.New[holder.Announcement]("announces", ringCapacity)
 	e.advice = ring.New[shard.AdviceRequest]("advice", ringCapacity)
+	e.relaySessions = ring.New[holder.RelayRequest]("relay-sessions", holder.RelayRequests)
 	e.drainCtx, e.startDrain = context.WithCancel(running)
 }
 
@@ -200,6 +203,9 @@
 			Sink: &holder.MembersSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
 		},
 		e.Platform.Operator(e.feeds),
+		&holder.RelayHost{
+			Inbox: e.relaySessions, NewCaller: e.Platform.NewCaller, Duties: e.group, Clock: e.Clock, Log: e.Log, Stopping: e.drainCtx,
+		},
 	}
 	if service := e.Platform.Advice(); service != nil {
 		list = append(list, &holder.Adviser{Service: service, Inbox: e.advice, Scheduler: e.feeds.Scheduler, Log: e.Log})
@@ -227,6 +233,7 @@
 	s := &holder.Scheduler{
 		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
 		Duties: e.group, NewRegistry: func() duty.Duty { return e.Platform.Registry(e.feeds) }, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, Latency: &e.storeLatency, NewCaller: e.Platform.NewCaller,
+		Relays: &jobpeer.RelayDialer{Clock: e.Clock}, Scope: e.registry.Scope,
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(e.Log, e.registry.Scope, service, epoch)
 		},
@@ -269,6 +276,9 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle((&jobpeer.PeerHandler{Scheduler: e.feeds.Scheduler}).Path())
 	peerMux.Handle((&jobpeer.Jobs{Feeds: jobpeer.JobFeeds{Config: e.feeds.Config, Intakes: e.feeds.Intakes, JobRequests: e.feeds.JobRequests}, Clock: e.Clock}).Path())
+	peerMux.Handle((&jobpeer.RelayHandler{
+		Sessions: e.relaySessions, Clock: e.Clock, Ready: func() bool { return e.drainCtx.Err() == nil },
+	}).Path())
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", e.registry.Page)
 	all := append(e.Platform.Servers(e.feeds), Server{Duty: "http-peer", Address: e.self.Address, Handler: peerMux})
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,119 @@
+// Package relay decides which entries pass the orders of a service on to its endpoints. It does no I/O.
+package relay
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+const (
+	// MinEndpoints is the number of endpoints from which on a service has relays. Calls to fewer take little of a
+	// holder's processor time, and a relay costs a hop.
+	MinEndpoints = 100
+	// endpointsPerRelay bounds the endpoints of one relay.
+	endpointsPerRelay = 48
+)
+
+// Entry is an entry that may be a relay.
+type Entry struct {
+	ID         fleet.EntryID
+	Zone       fleet.ZoneID
+	Millicores fleet.Millicores
+	// HoldsLease is set for an entry whose processor time is needed for a duty.
+	HoldsLease bool
+}
+
+// Choose returns the relay of each endpoint of a service, or nil when the service needs none. An endpoint without a
+// relay is called by the holder. services are all services with a holder: all holders choose by the same rule and so
+// spread the relays of their services without a message.
+func Choose(service fleet.ServiceID, services []fleet.ServiceID, endpoints map[fleet.EndpointID]fleet.ZoneID, entries []Entry) map[fleet.EndpointID]fleet.EntryID {
+	if len(endpoints) < MinEndpoints {
+		return nil
+	}
+	byZone := map[fleet.ZoneID][]fleet.EndpointID{}
+	for id, zone := range endpoints {
+		byZone[zone] = append(byZone[zone], id)
+	}
+	chosen := make(map[fleet.EndpointID]fleet.EntryID, len(endpoints))
+	for zone, ids := range byZone {
+		count := (len(ids) + endpointsPerRelay - 1) / endpointsPerRelay
+		relays := assign(service, services, count, suitable(zone, entries))
+		for _, id := range ids {
+			if relay, ok := highest(string(id), relays); ok {
+				chosen[id] = relay.ID
+			}
+		}
+	}
+	return chosen
+}
+
+// suitable returns the entries that may relay to a zone: those of the zone, or all others when it has none; of these the
+// ones without a lease, if any, and of these the ones with at least half of the largest processor capacity.
+func suitable(zone fleet.ZoneID, entries []Entry) []Entry {
+	list := prefer(entries, func(e Entry) bool { return e.Zone == zone })
+	list = prefer(list, func(e Entry) bool { return !e.HoldsLease })
+	var most fleet.Millicores
+	for _, e := range list {
+		most = max(most, e.Millicores)
+	}
+	return prefer(list, func(e Entry) bool { return 2*e.Millicores >= most })
+}
+
+// prefer returns the entries that fulfil a condition, or all when none does.
+func prefer(entries []Entry, fulfils func(Entry) bool) []Entry {
+	var list []Entry
+	for _, e := range entries {
+		if fulfils(e) {
+			list = append(list, e)
+		}
+	}
+	if len(list) == 0 {
+		return entries
+	}
+	return list
+}
+
+// assign returns the relays of one service. The services choose in the order of their names, each the entries that the
+// ones before use least; equal ones are ranked by hash.
+func assign(service fleet.ServiceID, services []fleet.ServiceID, count int, entries []Entry) []Entry {
+	ordered := slices.Sorted(slices.Values(services))
+	if !slices.Contains(ordered, service) {
+		ordered = append(ordered, service)
+	}
+	used := map[fleet.EntryID]int{}
+	for _, s := range ordered {
+		// How many relays the other services need is not known: one in each zone, at most sites.
+		n := 1
+		if s == service {
+			n = count
+		}
+		ranked := slices.SortedFunc(slices.Values(entries), func(a, b Entry) int {
+			return cmp.Or(cmp.Compare(used[a.ID], used[b.ID]), cmp.Compare(score(string(s), b.ID), score(string(s), a.ID)), cmp.Compare(a.ID, b.ID))
+		})
+		ranked = ranked[:min(n, len(ranked))]
+		if s == service {
+			return ranked
+		}
+		for _, e := range ranked {
+			used[e.ID]++
+		}
+	}
+	return nil
+}
+
+// highest returns the entry with the highest score for a key, and false when there is none.
+func highest(key string, entries []Entry) (Entry, bool) {
+	if len(entries) == 0 {
+		return Entry{}, false
+	}
+	return slices.MaxFunc(entries, func(a, b Entry) int {
+		return cmp.Or(cmp.Compare(score(key, a.ID), score(key, b.ID)), cmp.Compare(a.ID, b.ID))
+	}), true
+}
+
+// score is the weight of an entry for a key (rendezvous hashing).
+func score(key string, e fleet.EntryID) uint64 { return xxhash.Sum64String(key + "/" + string(e)) }
--- a/pkg/api/mimosawharf/job/v1/job_check_gen.go
+++ b/pkg/api/mimosawharf/job/v1/job_check_gen.go
@@ -98,3 +98,19 @@
 	}
 	return nil
 }
+
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *RelayBatch) Check() error {
+	if err := check.Items("orders", len(x.GetOrders()), 4096); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *RelayReport) Check() error {
+	if err := check.Items("results", len(x.GetResults()), 4096); err != nil {
+		return err
+	}
+	return nil
+}
