holder, jobpeer: test relays under failure; do not compress short answers

Scratch profile: compression took a tenth of the processor time of an announcement, which has an empty answer.

--- a/internal/holder/relaylink.go
+++ b/internal/holder/relaylink.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -95,7 +97,14 @@
 	defer conn.Close()
 	stop := context.AfterFunc(ctx, conn.Close)
 	defer stop()
-	s.report(RelayEvent{Connected: true})
+	// The first report shows that the relay has begun the session; before, no order is handed over.
+	interrupt := context.AfterFunc(dialContext, conn.Close)
+	first, err := conn.Receive()
+	interrupt()
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	s.report(RelayEvent{Connected: true, Report: first})
 	s.duties.Start(ctx, &relayReceiver{sender: s, conn: conn})
 	openedAt := s.clock.Now()
 	for {
@@ -168,14 +177,12 @@
 	}
 }
 
-// heldServices returns the services that some entry holds.
-func (s *Scheduler) heldServices(now time.Time) []fleet.ServiceID {
-	var list []fleet.ServiceID
+// services returns the services that may have a holder.
+func (s *Scheduler) services() []fleet.ServiceID {
+	list := slices.Collect(maps.Keys(s.queued))
 	for _, d := range s.election.Duties() {
-		if service, ok := serviceOf(d); ok {
-			if _, ok := s.election.Holder(now, d); ok {
-				list = append(list, service)
-			}
+		if service, ok := serviceOf(d); ok && !s.queued[service] {
+			list = append(list, service)
 		}
 	}
 	return list
--- a/internal/holder/relaysession.go
+++ b/internal/holder/relaysession.go
@@ -182,6 +182,10 @@
 // Run implements duty.Duty.
 func (w *relayWriter) Run(ctx context.Context) error {
 	s := w.session
+	if err := s.conn.Send(RelayReport{}); err != nil { // The holder waits for it.
+		s.cancel()
+		return trace.Wrap(ctx.Err())
+	}
 	for {
 		timer := s.clock.NewTimer(relayBeat)
 		next, ok, err := s.outbox.PopUntil(ctx, timer.Chan())
--- a/internal/holder/routes.go
+++ b/internal/holder/routes.go
@@ -18,6 +18,8 @@
 	scheduler *Scheduler
 	held      *heldDuty
 	direct    *links
+	// done receives the results of relayed orders.
+	done func(time.Time, shard.Result)
 	// relays are the open connections to relays, chosen the relay of each endpoint that has one.
 	relays map[fleet.EntryID]*relayLink
 	chosen map[fleet.EndpointID]fleet.EntryID
@@ -48,7 +50,7 @@
 )
 
 func (s *Scheduler) newRoutes(h *heldDuty) *routes {
-	r := &routes{scheduler: s, held: h, relays: map[fleet.EntryID]*relayLink{}, avoided: map[fleet.EntryID]avoidance{}}
+	r := &routes{scheduler: s, held: h, done: s.applyResult, relays: map[fleet.EntryID]*relayLink{}, avoided: map[fleet.EntryID]avoidance{}}
 	r.direct = &links{
 		ctx: h.ctx, clock: s.Clock, duties: s.Duties, newCaller: s.NewCaller, byEndpoint: map[fleet.EndpointID]*link{},
 		done: func(_ *queuedOrder, result shard.Result) {
@@ -102,7 +104,7 @@
 		}
 	}
 	if len(endpoints) >= relay.MinEndpoints {
-		r.chosen = relay.Choose(r.held.service, s.heldServices(now), endpoints, r.entries(now))
+		r.chosen = relay.Choose(r.held.service, s.services(), endpoints, r.entries(now))
 	} else {
 		r.chosen = nil
 	}
@@ -128,11 +130,14 @@
 	holders := s.election.Holders(now)
 	var list []relay.Entry
 	for id, n := range s.election.Nodes {
-		k := r.relays[id]
-		if id == s.Self.Entry || n.Stopping || n.Address == "" || now.Before(r.avoided[id].until) || k != nil && (k.leaving || k.address != n.Address) {
+		if id == s.Self.Entry || n.Address == "" {
 			continue
 		}
-		list = append(list, relay.Entry{ID: id, Zone: n.Zone, Millicores: n.Millicores, HoldsLease: holders[id] > 0})
+		k := r.relays[id]
+		list = append(list, relay.Entry{
+			ID: id, Zone: n.Zone, Millicores: n.Millicores, HoldsLease: holders[id] > 0,
+			Avoided: n.Stopping || now.Before(r.avoided[id].until) || k != nil && (k.leaving || k.address != n.Address),
+		})
 	}
 	return list
 }
@@ -198,7 +203,7 @@
 func (r *routes) unknown(now time.Time, k *relayLink, q *queuedOrder) {
 	k.unknown++
 	r.scheduler.counter("relay_unknown").Inc(1)
-	r.scheduler.applyResult(now, shard.Result{Order: q.order, Answer: shard.AnswerUnknown, SentAt: q.at})
+	r.done(now, shard.Result{Order: q.order, Answer: shard.AnswerUnknown, SentAt: q.at})
 }
 
 // apply handles what the duties of a relay's connection report.
@@ -238,7 +243,7 @@
 	done := result.Result
 	// What the answer says about the endpoint holds from the time at which the holder queued the order.
 	done.Order, done.SentAt = q.order, q.at
-	r.scheduler.applyResult(now, done)
+	r.done(now, done)
 }
 
 // refused sends an order that a relay did not take another way.
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -104,9 +104,13 @@
 
 // Path returns the path and the HTTP handler of the service.
 func (h *PeerHandler) Path() (string, http.Handler) {
-	return jobv1connect.NewJobPeerServiceHandler(h)
+	return jobv1connect.NewJobPeerServiceHandler(h, connect.WithCompressMinBytes(minCompressed))
 }
 
+// minCompressed is the size from which on answers are compressed. Most are a few bytes, and to set up the compression
+// takes a tenth of the processor time of an announcement.
+const minCompressed = 4 << 10
+
 // NoAnswerError reports that the scheduler did not answer within answerTimeout.
 type NoAnswerError struct{}
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -25,10 +25,12 @@
 	Millicores fleet.Millicores
 	// HoldsLease is set for an entry whose processor time is needed for a duty.
 	HoldsLease bool
+	// Avoided is set for an entry that stops or was lost as a relay a moment ago.
+	Avoided bool
 }
 
 // Choose returns the relay of each endpoint of a service, or nil when the service needs none. An endpoint without a
-// relay is called by the holder. services are all services with a holder: all holders choose by the same rule and so
+// relay is called by the holder. services are all services that may have a holder: all holders choose by the same rule and so
 // spread the relays of their services without a message.
 func Choose(service fleet.ServiceID, services []fleet.ServiceID, endpoints map[fleet.EndpointID]fleet.ZoneID, entries []Entry) map[fleet.EndpointID]fleet.EntryID {
 	if len(endpoints) < MinEndpoints {
@@ -52,7 +54,8 @@
 }
 
 // suitable returns the entries that may relay to a zone: those of the zone, or all others when it has none; of these the
-// ones without a lease, if any, and of these the ones with at least half of the largest processor capacity.
+// ones without a lease, if any, and of these the ones with at least half of the largest processor capacity. While all of
+// them are avoided there is none: a smaller entry would be overloaded, and another zone reaches the endpoints no better.
 func suitable(zone fleet.ZoneID, entries []Entry) []Entry {
 	list := prefer(entries, func(e Entry) bool { return e.Zone == zone })
 	list = prefer(list, func(e Entry) bool { return !e.HoldsLease })
@@ -60,20 +63,24 @@
 	for _, e := range list {
 		most = max(most, e.Millicores)
 	}
-	return prefer(list, func(e Entry) bool { return 2*e.Millicores >= most })
+	return filter(list, func(e Entry) bool { return 2*e.Millicores >= most && !e.Avoided })
 }
 
 // prefer returns the entries that fulfil a condition, or all when none does.
 func prefer(entries []Entry, fulfils func(Entry) bool) []Entry {
+	if list := filter(entries, fulfils); len(list) > 0 {
+		return list
+	}
+	return entries
+}
+
+func filter(entries []Entry, fulfils func(Entry) bool) []Entry {
 	var list []Entry
 	for _, e := range entries {
 		if fulfils(e) {
 			list = append(list, e)
 		}
 	}
-	if len(list) == 0 {
-		return entries
-	}
 	return list
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -116,3 +116,20 @@
 	is.Equal(len(relay.Choose("a", services, endpoints, rest)), len(endpoints))
 	is.Equal(len(relay.Choose("a", services, endpoints, nil)), 0)
 }
+
+// Guards against a relay that is chosen again at once after it was lost, and against small entries in its place.
+func TestAvoidedEntryIsReplacedByLargeOne(t *testing.T) {
+	is := is.New(t)
+	endpoints, entries := site(250)
+	byID := map[fleet.EntryID]relay.Entry{}
+	for n := range entries {
+		entries[n].Avoided = n < 2*zones || entries[n].Zone == "z0" && entries[n].Millicores > 192
+		byID[entries[n].ID] = entries[n]
+	}
+	chosen := relay.Choose("a", services, endpoints, entries)
+	for id, zone := range endpoints {
+		entry, ok := chosen[id]
+		is.Equal(ok, zone != "z0") // the holder calls them while all large entries of the zone are avoided
+		is.True(!ok || byID[entry].Zone == zone && byID[entry].Millicores == 800 && !byID[entry].Avoided)
+	}
+}
