shard: leave no placement due while a large commit is under way

Cause: Plan returned early with more than 80 changed rows behind a commit and left its due time in the past, so the scheduler went round without waiting until the commit was done, at the cost of the writer and of all callers. Test: TestPlacementIsNeverDueInThePast fails before (due 1 s in the past).

--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -29,6 +29,7 @@
 
 // Plan assigns waiting tasks to endpoints. It is called after each batch of events.
 func (e *Engine) Plan(now time.Time) {
+	e.planDue = time.Time{}
 	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > maxBatchRows {
 		return
 	}
@@ -40,7 +41,6 @@
 		e.planDue = due
 		return
 	}
-	e.planDue = time.Time{}
 	e.requestAdvice(now)
 	e.countStarts(now)
 	e.open = e.openWorkers(now)
