--- a/internal/jobpeer/relaywire.go
+++ b/internal/jobpeer/relaywire.go
@@ -29,7 +29,7 @@
 		e := &jobv1.RelayOrder{
 			Number: r.Number, AgeUs: r.Age.Microseconds(), Kind: string(o.Kind), Endpoint: string(o.Process.Endpoint), StartedMs: o.Process.StartMillis,
 			Address: string(o.Address), Token: uint64(o.Token), Payload: o.Payload, Checkpoint: string(o.Checkpoint), Ticket: string(o.Ticket),
-			Percent: uint32(o.Percent), DeadlineMs: o.Deadline.Milliseconds(), Acknowledged: uint64(o.Acknowledged), WaitMs: o.Wait.Milliseconds(),
+			Percent: uint32(o.Percent), LeaseEndMs: o.Deadline.Milliseconds(), Acknowledged: uint64(o.Acknowledged), WaitMs: o.Wait.Milliseconds(),
 		}
 		if o.Kind != shard.OrderHold {
 			e.Task = encodeRun(o.Task, o.Run)
@@ -80,7 +80,7 @@
 	o := shard.Order{
 		Kind: shard.OrderKind(e.GetKind()), Process: fleet.EndpointProcess{Endpoint: fleet.EndpointID(e.GetEndpoint()), StartMillis: e.GetStartedMs()},
 		Address: fleet.Address(e.GetAddress()), Token: fleet.FencingToken(e.GetToken()), Payload: e.GetPayload(), Checkpoint: fleet.Checkpoint(e.GetCheckpoint()),
-		Ticket: shard.Ticket(e.GetTicket()), Percent: int(e.GetPercent()), Deadline: time.Duration(e.GetDeadlineMs()) * time.Millisecond,
+		Ticket: shard.Ticket(e.GetTicket()), Percent: int(e.GetPercent()), Deadline: time.Duration(e.GetLeaseEndMs()) * time.Millisecond,
 		Acknowledged: fleet.EndCursor(e.GetAcknowledged()), Wait: time.Duration(e.GetWaitMs()) * time.Millisecond,
 	}
 	age := time.Duration(e.GetAgeUs()) * time.Microsecond
