--- a/internal/shard/wait_test.go
+++ b/internal/shard/wait_test.go
@@ -28,7 +28,7 @@
 	sim.submit(lastingJob("lasting", 5, 1, 1))
 	sim.run(3 * time.Second)
 	killed := killWorking(sim)
-	sim.takeOver(sim.now.Add(10 * time.Second))
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(10 * time.Second)})
 	sim.run(12 * time.Second)
 	is.Equal(len(sim.observer.waits), 2) // until the lease has expired, and until the start is confirmed
 	first := sim.observer.waits[0]
