--- a/internal/holder/fake_entry_test.go
+++ b/internal/holder/fake_entry_test.go
@@ -77,7 +77,7 @@
 		Self: self, Inbox: l.inbox, Store: store, Clock: gated, Log: log, Duties: l.group,
 		Bounds:    shard.Bounds{MaxLease: fakeLease, StopTime: fakeStop, StatusRetention: time.Hour},
 		NewCaller: func() holder.EndpointCaller { return &fakeCaller{life: l} }, NewRegistry: func() duty.Duty { return &fakeRegistry{l} },
-		Advice: ring.New[shard.AdviceRequest]("advice", 1), Status: &l.status, Latency: &l.latency,
+		Advice: ring.New[shard.AdviceRequest]("advice", 1), Status: &l.status, Latency: &l.latency, Rounds: holder.NewRounds(tally.NoopScope),
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
 			return holder.NewObserver(log, tally.NoopScope, service, epoch)
 		},
--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -23,16 +22,16 @@
 	Bounds []LeaseBound
 }
 
-// bound returns when the leases that earlier holders granted to an endpoint have expired.
-func (i Inheritance) bound(id fleet.EndpointID) time.Time {
-	n := slices.IndexFunc(i.Bounds, func(b LeaseBound) bool { return b.Endpoint == id })
+// inheritedEnd returns when the leases that earlier holders granted to an endpoint have expired.
+func (e *Engine) inheritedEnd(id fleet.EndpointID) time.Time {
+	b, listed := e.inheritedBounds[id]
 	switch {
-	case n < 0:
-		return i.End
-	case i.Bounds[n].Silent:
-		return i.Bounds[n].End
+	case !listed:
+		return e.inherited.End
+	case b.Silent:
+		return b.End
 	}
-	return later(i.End, i.Bounds[n].End)
+	return later(e.inherited.End, b.End)
 }
 
 // maxLeaseBounds bounds the list of bounds, which is stored in one row.
@@ -81,7 +80,7 @@
 
 func (e *Engine) leaseBounds(now time.Time) Inheritance {
 	if !e.loaded {
-		return e.inheritedBounds(now)
+		return e.unloadedBounds(now)
 	}
 	var i Inheritance
 	for _, w := range e.sorted() {
@@ -97,9 +96,9 @@
 	return i
 }
 
-// inheritedBounds returns the bounds that earlier holders stored, until the engine knows where runs are. An endpoint
+// unloadedBounds returns the bounds that earlier holders stored, until the engine knows where runs are. An endpoint
 // that has answered this holder may be granted leases.
-func (e *Engine) inheritedBounds(now time.Time) Inheritance {
+func (e *Engine) unloadedBounds(now time.Time) Inheritance {
 	i := Inheritance{End: e.inherited.End}
 	for _, b := range e.inherited.Bounds {
 		if w := e.workers[b.Endpoint]; w != nil && w.contacted {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -128,8 +128,9 @@
 	fenced bool
 	// loaded is set once the engine has the jobs and their progress.
 	loaded bool
-	// inherited is what is known of the leases that earlier holders granted.
-	inherited Inheritance
+	// inherited is what is known of the leases that earlier holders granted, inheritedBounds its bounds by endpoint.
+	inherited       Inheritance
+	inheritedBounds map[fleet.EndpointID]LeaseBound
 	// validUntil is until when the holder may grant leases.
 	validUntil time.Time
 	// withheld holds the endpoints that are granted nothing, because a list that is stored or being stored says so.
@@ -145,7 +146,7 @@
 func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, inherited Inheritance, validUntil time.Time) *Engine {
 	e := &Engine{
 		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, inherited: inherited, validUntil: validUntil,
-		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{},
+		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{}, inheritedBounds: map[fleet.EndpointID]LeaseBound{},
 		policies:         map[fleet.QueueID]job.Policy{},
 		jobs:             map[fleet.JobID]*jobEntry{},
 		active:           map[job.Key]*job.Occurrence{},
@@ -165,7 +166,7 @@
 		orphans:          map[job.Key]bool{},
 	}
 	for _, b := range inherited.Bounds {
-		e.pendingBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b.Silent
+		e.pendingBounds[b.Endpoint], e.inheritedBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b, b.Silent
 	}
 	return e
 }
@@ -190,7 +191,7 @@
 			}
 			if task.Running() {
 				w := e.workerOf(now, task.Process)
-				w.leaseEnd = later(w.leaseEnd, e.inherited.bound(w.Endpoint))
+				w.leaseEnd = later(w.leaseEnd, e.inheritedEnd(w.Endpoint))
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
 				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
 			}
@@ -206,7 +207,7 @@
 	w := e.workers[p.Endpoint]
 	if w == nil {
 		w = e.newWorker(now, EndpointInfo{Endpoint: p.Endpoint, StartMillis: p.StartMillis})
-		w.leaseEnd = e.inherited.bound(p.Endpoint)
+		w.leaseEnd = e.inheritedEnd(p.Endpoint)
 		e.setWorker(w)
 	}
 	return w
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -155,7 +155,7 @@
 		return WaitAnswer, 0
 	case w.reachable(now) && a.phase == phaseStopping:
 		return WaitStop, 0
-	case !w.contacted || !w.leaseEnd.After(e.inherited.bound(w.Endpoint)):
+	case !w.contacted || !w.leaseEnd.After(e.inheritedEnd(w.Endpoint)):
 		return WaitInheritedLease, w.runLeaseEnd(a).Sub(now)
 	case w.runLeaseEnd(a).After(w.leaseEnd):
 		return WaitUnprovenLease, w.runLeaseEnd(a).Sub(now)
