shard: look for planned runs only among those that were assigned

Cause: each batch went through all runs of all endpoints for those that wait for their commit, and recorded the list position of every endpoint, also of those where nothing had ended.

Change: the engine keeps the runs that it has assigned; positions are recorded where ends are unacknowledged.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -142,22 +142,35 @@
 	for _, r := range b.Rows {
 		included[r.Key] = true
 	}
-	for _, w := range e.sorted() {
-		if len(e.dirty) == 0 {
-			b.acks[w.Process()] = w.cursor
-		}
-		for id, a := range w.runs {
-			if a.phase == phasePlanned && included[job.Key{Job: id.Job, Occurrence: id.Occurrence}] {
-				b.planned = append(b.planned, plannedRun{w.Process(), id, a.run})
+	if len(e.dirty) == 0 {
+		for _, w := range e.workers {
+			if w.cursor > w.acked {
+				b.acks[w.Process()] = w.cursor
 			}
 		}
 	}
+	e.planned = slices.DeleteFunc(e.planned, func(p plannedRun) bool { return !e.isPlanned(p) })
+	for _, p := range e.planned {
+		if included[job.Key{Job: p.id.Job, Occurrence: p.id.Occurrence}] {
+			b.planned = append(b.planned, plannedRun{e.workers[p.process.Endpoint].Process(), p.id, p.run})
+		}
+	}
 	slices.SortFunc(b.planned, func(x, y plannedRun) int {
 		return cmp.Or(cmp.Compare(x.id.Job, y.id.Job), cmp.Compare(x.id.Occurrence, y.id.Occurrence),
 			cmp.Compare(x.id.Step, y.id.Step), cmp.Compare(x.id.Task, y.id.Task))
 	})
 }
 
+// isPlanned reports whether a run that was assigned still waits for its commit.
+func (e *Engine) isPlanned(p plannedRun) bool {
+	w := e.workers[p.process.Endpoint]
+	if w == nil {
+		return false
+	}
+	a := w.runs[p.id]
+	return a != nil && a.run == p.run && a.phase == phasePlanned
+}
+
 // inFlight reports whether the assignment of a task is part of the batch that is being committed.
 func (e *Engine) inFlight(id fleet.TaskID) bool {
 	if e.batch == nil {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -105,6 +105,8 @@
 	// drop holds forgotten jobs whose rows are to be deleted, orphans rows without a job.
 	drop    map[fleet.JobID]bool
 	orphans map[job.Key]bool
+	// planned holds the runs that were assigned, and possibly some that no longer wait for their commit.
+	planned []plannedRun
 	// batch is the batch that is being committed, or nil.
 	batch *Batch
 	out   []Order
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -130,6 +130,7 @@
 		e.open[w.openIndex].free = w.free()
 	}
 	e.starts.outstanding++
+	e.planned = append(e.planned, plannedRun{w.Process(), id, run})
 	e.dirty[o.Key()] = true
 	e.Observer.Assigned(id, run, w.Process(), now.Sub(o.Job.Due(o.Number)))
 }
