shard: look up expected run times of runs that may have stalled only

Cause: each tick looked up the job and the expected run time of every run, also of those that have run for less than the shortest time that counts as a stall.

Evidence: BenchmarkPeak: half of the tick was stopStalled.

Change: the shortest time is compared first. The decision is the same.

--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -133,12 +133,12 @@
 		if a.phase != phaseStarted || a.step.Lasting || a.startedAt.IsZero() {
 			continue
 		}
-		o := e.occurrence(id)
-		if o == nil {
+		still := now.Sub(later(a.startedAt, a.progressedAt))
+		if still < minStallTime {
 			continue
 		}
-		limit := max(minStallTime, stallFactor*e.expected(o.Job.Queue, &a.step))
-		if now.Sub(later(a.startedAt, a.progressedAt)) < limit {
+		o := e.occurrence(id)
+		if o == nil || still < stallFactor*e.expected(o.Job.Queue, &a.step) {
 			continue
 		}
 		e.avoid[id] = w.Endpoint
