--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -89,13 +89,16 @@
 	if !o.EndedAt.IsZero() {
 		m.EndedAt = timestamppb.New(o.EndedAt)
 	}
+	// A holder encodes a row for each task at a peak, so the messages of a step are allocated together.
+	m.Steps = make([]*jobv1.StepProgress, 0, len(o.Tasks))
 	for _, tasks := range o.Tasks {
-		s := &jobv1.StepProgress{}
-		for _, t := range tasks {
-			s.Tasks = append(s.Tasks, &jobv1.TaskProgress{
-				Done: t.Done, Failures: uint32(t.Failures), Run: uint32(t.Run), Noted: uint32(t.LastEnded),
-				Endpoint: string(t.Process.Endpoint), EndpointBorn: t.Process.StartMillis, Checkpoint: string(t.Checkpoint),
-			})
+		s := &jobv1.StepProgress{Tasks: make([]*jobv1.TaskProgress, len(tasks))}
+		messages := make([]jobv1.TaskProgress, len(tasks))
+		for i := range tasks {
+			t, to := &tasks[i], &messages[i]
+			to.Done, to.Failures, to.Run, to.Noted = t.Done, uint32(t.Failures), uint32(t.Run), uint32(t.LastEnded)
+			to.Endpoint, to.EndpointBorn, to.Checkpoint = string(t.Process.Endpoint), t.Process.StartMillis, string(t.Checkpoint)
+			s.Tasks[i] = to
 		}
 		m.Steps = append(m.Steps, s)
 	}
