--- a/internal/shard/review_test.go
+++ b/internal/shard/review_test.go
@@ -109,3 +109,31 @@
 	t.Logf("the task runs again after %v", sim.startedAt[task].Sub(gone))
 	is.True(sim.startedAt[task].Sub(gone) < 9*time.Second)
 }
+
+// Guards against a lasting task that waits for the longest lease because its start had no answer from an endpoint that had
+// restarted long before, and whose present process the holder has known ever since.
+func TestLastingTaskRunsSoonAfterUnansweredStartWhereEndpointHasRestarted(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 3, worker64)
+	sim.run(time.Second)
+	for _, e := range sim.sorted() {
+		sim.restartWith(e, lowClock, 0)
+	}
+	sim.list()
+	sim.run(20 * time.Second) // no long lease is left
+	var at fleet.EndpointID
+	sim.intercept = func(o shard.Order) bool {
+		if o.Kind == shard.OrderStart && at == "" {
+			at = o.Process.Endpoint
+			sim.endpoints[at].unreachable = true
+		}
+		return false
+	}
+	sim.submit(lastingJob("lasting", 1, 1, 1))
+	began, task := sim.now, fleet.TaskID{Job: "lasting"}
+	sim.run(20 * time.Second)
+	is.True(at != "")
+	is.Equal(sim.available("lasting"), 1)
+	t.Logf("the task runs after %v", sim.startedAt[task].Sub(began))
+	is.True(sim.startedAt[task].Sub(began) < 9*time.Second)
+}
