--- a/internal/shard/review_test.go
+++ b/internal/shard/review_test.go
@@ -137,3 +137,57 @@
 	t.Logf("the task runs after %v", sim.startedAt[task].Sub(began))
 	is.True(sim.startedAt[task].Sub(began) < 9*time.Second)
 }
+
+// Guards against a task that is placed on an endpoint which the holder before has reported as vacated: the order that ends
+// everything there may be on its way for 1.4 s.
+func TestNewHolderKeepsVacatedEndpointFree(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 3, worker64)
+	sim.run(time.Second)
+	is.True(sim.engine.Vacate(sim.now, "endpoint-00", false))
+	sim.takeOver(sim.release())
+	sim.submit(lastingJob("lasting", 1, 1, 1))
+	sim.run(1400 * time.Millisecond)
+	is.Equal(sim.available("lasting"), 1)
+	is.Equal(len(sim.endpoints["endpoint-00"].running), 0)
+}
+
+// Guards against a holder without permission that asks each endpoint more often than one with permission does.
+func TestHolderWithoutRenewalAsksNoMoreOften(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 3, worker64)
+	sim.run(5 * time.Second)
+	holds := 0
+	sim.intercept = func(o shard.Order) bool {
+		if o.Kind == shard.OrderHold {
+			holds++
+		}
+		return false
+	}
+	sim.run(4 * time.Second)
+	valid := holds
+	sim.storeDown = true
+	sim.run(fakeValidity)
+	holds = 0
+	sim.run(4 * time.Second)
+	t.Logf("%d renewals in 4 s with permission, %d without", valid, holds)
+	is.True(holds <= valid+3)
+}
+
+// Guards against renewals every 0.2 s while more endpoints are silent than the row with the bounds holds.
+func TestFullListOfBoundsIsNotDueAgain(t *testing.T) {
+	is := is.New(t)
+	const endpoints = 1010
+	sim := newSimulation(1, endpoints, worker64)
+	sim.run(time.Second)
+	sim.submit(lastingJob("lasting", endpoints, 1, 1))
+	sim.run(3 * time.Second)
+	for _, e := range sim.endpoints {
+		e.unreachable = true
+	}
+	sim.run(1900 * time.Millisecond)
+	b := sim.engine.LeaseBounds(sim.now)
+	t.Logf("%d bounds, others end in %v", len(b.Bounds), b.End.Sub(sim.now))
+	is.Equal(len(b.Bounds), 1000)
+	is.True(!sim.engine.BoundsDue(sim.now))
+}
