--- a/internal/holder/review_test.go
+++ b/internal/holder/review_test.go
@@ -69,3 +69,20 @@
 	}
 	t.Logf("longest wait after the last loss: %v", longest)
 }
+
+// Guards against a log line that denies a release: who reads it counts with the wait for a lost holder.
+func TestTakeoverAfterReleaseIsLoggedAsSuch(t *testing.T) {
+	inCluster(t, func(c *fakeCluster) {
+		c.mu.Lock()
+		seen := len(c.trace)
+		c.mu.Unlock()
+		takeOver(c)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for _, line := range c.trace[seen:] {
+			if strings.Contains(line, "lease taken") && !strings.Contains(line, `"released": true`) {
+				t.Error(line)
+			}
+		}
+	})
+}
