shard: learn of restarts whenever the service is loaded

Cause, found in the review of the lasting waits: a restart that the earlier holders had stored was noted only while renewals had begun, which a tick does. A load between two ticks forgot it, so that the usual lease was counted where the longest may last (TWICE), and the process was stored as settled.

--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -19,7 +19,7 @@
 			w = e.newWorker(now, endpoint)
 			e.setWorker(w)
 		}
-		if e.loading && endpoint.Restarted {
+		if !e.loaded && endpoint.Restarted {
 			e.noteRestart(now, w, endpoint.Settled)
 		}
 		w.setRow(now, endpoint)
