shard: keep endpoints that answer though the registry lacks them

Cause, found in review: a holder without permission has no renewal open at most ticks, so idle endpoints whose entries had lapsed in an outage of the store were forgotten, and counted with the longest lease when they were back.

--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -20,7 +20,7 @@
 			e.evacuate(now, w)
 		}
 		e.hold(now, w)
-		if !w.listed && len(w.runs) == 0 && !w.holdInFlight {
+		if !w.listed && len(w.runs) == 0 && !w.holdInFlight && !w.reachable(now) {
 			e.forget(now, w)
 		}
 	}
