holder: grant leases for 2 s without a renewal

Cause, found in review: a lasting task has to run again within 7 s of the last disruption as well, and the loss of a second holder right after it took the lease left 7.1 to 7.3 s by the sum of its parts.

--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -42,10 +42,11 @@
 	// tickInterval is how often leases, stalls and claims are checked.
 	tickInterval = 100 * time.Millisecond
 	// holderValidity is how long a holder grants leases to endpoints after its last renewal of the service's lease
-	// that took effect. A new holder waits for it, and for the leases, at endpoints that it cannot reach: 6.8 s in all.
+	// that took effect. A new holder waits for it, and for the leases, at endpoints that it cannot reach: 6.3 s in all.
 	// A lasting task has to run again within 9 s, of which up to 2 s pass before a holder has noticed and stored that
-	// an endpoint is silent, and the next one has seen its last renewal.
-	holderValidity = 2400 * time.Millisecond
+	// an endpoint is silent, and within 7 s of the loss of the last holder, of which 0.4 s pass until the next one has
+	// seen its last renewal.
+	holderValidity = 2 * time.Second
 	// holderPatience is how long a holder that cannot renew keeps what it knows of the service. It grants nothing
 	// meanwhile and goes on when a renewal takes effect.
 	holderPatience = 7 * time.Second
--- a/internal/shard/renewal_test.go
+++ b/internal/shard/renewal_test.go
@@ -8,7 +8,7 @@
 
 const (
 	// fakeValidity is how long a holder grants leases after a renewal of the service's lease.
-	fakeValidity = 2400 * time.Millisecond
+	fakeValidity = 2 * time.Second
 	fakeRenewal  = 600 * time.Millisecond
 	// fakeBounds is the shortest time between renewals.
 	fakeBounds = 200 * time.Millisecond
