holder: wait for the leases of a holder whose lease row is missing

Cause, found in review: without a readable lease row there was no wait, although the chain row shows that a holder has written.

--- a/internal/holder/bounds.go
+++ b/internal/holder/bounds.go
@@ -58,13 +58,20 @@
 }
 
 // inheritance returns what is known of the leases that earlier holders granted. seen is the lease as this entry last saw
-// it, current as it is now, stored what the previous holder wrote with it.
-func inheritance(now time.Time, seen, current election.Lease, stored *jobv1.LeaseBounds) shard.Inheritance {
-	if current.Epoch == 0 {
+// it, current as it is now, stored what the previous holder wrote with it, chainEpoch the epoch of the last holder that
+// wrote, whether or not its lease can be read.
+func inheritance(now time.Time, seen, current election.Lease, chainEpoch fleet.FencingToken, stored *jobv1.LeaseBounds) shard.Inheritance {
+	if current.Epoch == 0 && chainEpoch == 0 {
 		return shard.Inheritance{} // There was no holder.
 	}
 	writtenBy := now
 	if seen.Epoch == current.Epoch && seen.Renewals == current.Renewals && seen.Released == current.Released {
+	unknown := func(writtenBy time.Time) shard.Inheritance {
+		return shard.Inheritance{End: shard.LeaseEnd(writtenBy.Add(withDrift(holderPatience)))}
+	}
+	if current.Epoch < chainEpoch {
+		return unknown(now)
+	}
 		writtenBy = seen.SeenAt
 	}
 	lastGrant := writtenBy
@@ -74,7 +81,7 @@
 	own := shard.LeaseEnd(lastGrant)
 	if stored == nil || fleet.FencingToken(stored.GetEpoch()) != current.Epoch || stored.GetRenewals() != current.Renewals {
 		// The earlier holders are unknown; they have ended before this one took the lease.
-		return shard.Inheritance{End: shard.LeaseEnd(writtenBy.Add(withDrift(holderPatience)))}
+		return unknown(writtenBy)
 	}
 	after := func(millis uint64) time.Time {
 		return writtenBy.Add(withDrift(time.Duration(min(millis, maxRemainingMillis)) * time.Millisecond))
--- a/internal/holder/bounds_test.go
+++ b/internal/holder/bounds_test.go
@@ -41,7 +41,7 @@
 		{"the bounds are missing", released, released, nil, shard.LeaseEnd(seenAt.Add(withDrift(holderPatience))), nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			got := inheritance(now, c.seen, c.current, c.stored)
+			got := inheritance(now, c.seen, c.current, c.current.Epoch, c.stored)
 			is.New(t).Equal(got.End, c.wantEnd)
 			is.New(t).Equal(got.Bounds, c.wantBounds)
 		})
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -248,7 +248,7 @@
 			return none, trace.Wrap(err)
 		}
 		now := c.Clock.Now()
-		inherited = inheritance(now, previous, current, bounds)
+		inherited = inheritance(now, previous, current, chainEpoch, bounds)
 		write.Bounds = storedBounds(now, inherited)
 	}
 	// Endpoints may have seen the epoch of a holder whose lease row is missing.
