shard: count the usual lease of unanswered starts at settled endpoints

Cause, found in review: a start without an answer at an endpoint that had ever restarted was waited for with the longest lease, for good.

Change: only until the longest lease of the present process has been outwaited.

Before: TestLastingTaskRunsSoonAfterUnansweredStartWhereEndpointHasRestarted 11.04 s. After: passes.

--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -124,7 +124,7 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		if w.hasRestarted {
+		if w.hasRestarted && w.mayHoldLongLease(now, e.leaseLength()) {
 			w.extendUnprovenLease(now, e.Bounds.MaxLease)
 		}
 		e.avoid[a.id] = w.Endpoint
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -119,7 +119,7 @@
 	// replaced holds the start times of the earlier processes of the endpoint that this holder has known.
 	replaced []int64
 	// hasRestarted is set when the endpoint is known to have had another process. A start without an answer may then
-	// have reached a next one.
+	// have reached a next one, until the longest lease of the present one has been outwaited.
 	hasRestarted bool
 	// mayHoldLongestLease is set until the first answer to a renewal where the endpoint may have had another process:
 	// deadlines that were set on the clock of that one may have granted the longest lease.
