shard: ask silent and suspended endpoints no more often than others

Cause, found in review: 30 calls against 12 in 4 s while the holder has no permission, and a list of bounds that is full was due again each 0.2 s.

Before: TestHolderWithoutRenewalAsksNoMoreOften and TestFullListOfBoundsIsNotDueAgain fail. After: both pass.

--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -38,7 +38,7 @@
 const maxLeaseBounds = 1000
 
 // withheldInterval is the time between requests for the lists of an endpoint that is granted nothing.
-const withheldInterval = 400 * time.Millisecond
+const withheldInterval = HoldWait
 
 // boundTolerance is by how much a stored bound may be exceeded until the next renewal.
 const boundTolerance = 100 * time.Millisecond
@@ -155,3 +155,6 @@
 		}
 	}
 }
+	if len(e.pendingBounds) >= maxLeaseBounds {
+		return false // What is not listed counts for all others.
+	}
