shard, holder: order no stops without permission, and log its loss

Cause, found in review: a holder whose last renewal was too long ago granted nothing, but still stopped runs: in doubt, foreign, of ended jobs. And no line of the log showed that it had no permission.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -47,6 +47,8 @@
 	// batchedAt is when the last batch was passed to the writer.
 	batchedAt time.Time
 	renewedAt time.Time
+	// suspended is set while the engine may order nothing.
+	suspended bool
 	// boundsDue is set while the stored bounds of leases are out of date.
 	boundsDue bool
 	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -267,6 +267,7 @@
 		}
 		if h.engine != nil {
 			h.boundsDue = h.engine.BoundsDue(now)
+			s.observePermission(now, h)
 		}
 		switch {
 		case h.engine == nil:
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -121,6 +121,15 @@
 	if h.batchWriting {
 		h.engine.Committed(now)
 	}
+// observePermission logs when a holder loses the permission to order anything, and when it has it again.
+func (s *Scheduler) observePermission(now time.Time, h *heldDuty) {
+	if suspended := !h.engine.Permitted(now); suspended != h.suspended {
+		h.suspended = suspended
+		s.Log.Info("scheduler: permission of the holder changed", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
+			zap.Bool("suspended", suspended), zap.Duration("since-confirmed-renewal", now.Sub(h.confirmedAt)))
+	}
+}
+
 }
 
 // drop ends the work of a duty in this process.
--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -45,22 +45,62 @@
 
 // Confirm extends the time during which the holder may grant leases.
 func (e *Engine) Confirm(now, until time.Time) {
-	resumed := !e.valid(now)
+	resumed := !e.Permitted(now)
 	e.validUntil = later(e.validUntil, until)
-	if resumed && e.valid(now) {
+	if resumed && e.Permitted(now) {
 		for _, w := range e.workers {
 			w.nextHoldAt = now
 		}
 	}
 }
 
-// valid reports whether the holder may grant leases.
-func (e *Engine) valid(now time.Time) bool { return now.Before(e.validUntil) }
+// Permitted reports whether the holder may grant leases and order starts and stops.
+func (e *Engine) Permitted(now time.Time) bool { return now.Before(e.validUntil) }
 
 // mayGrant reports whether the holder may grant a lease to an endpoint: the next holder may count on it that one which
 // is listed as silent gets none.
 func (e *Engine) mayGrant(now time.Time, w *worker) bool {
-	return e.valid(now) && !e.withheld[w.Endpoint]
+	return e.Permitted(now) && !e.withheld[w.Endpoint]
+}
+
+// mayStart reports whether a run may be started on an endpoint: as for mayGrant, and the next holder has to know of a
+// lease that lasts for longer than it would assume.
+func (e *Engine) mayStart(now time.Time, w *worker) bool {
+	if !e.mayGrant(now, w) || !w.mayHoldLongLease(now, e.leaseLength()) {
+		return e.mayGrant(now, w)
+	}
+	known := e.stored.End
+	if b := e.storedBounds[w.Endpoint]; !b.Silent {
+		known = later(known, b.End)
+	}
+	return later(w.leaseEnd, w.unprovenLeaseEnd).Sub(known) <= boundTolerance
+}
+
+// outwaitLongestLease records that the process of a worker which has just answered may have been granted the longest
+// lease before, unless an earlier holder had its answer already and has stored when that ends.
+func (e *Engine) outwaitLongestLease(now time.Time, w *worker) {
+	if b, ok := e.inheritedBounds[w.Endpoint]; ok && !b.Silent && b.StartMillis != 0 && b.StartMillis == w.StartMillis {
+		w.leaseEnd = later(w.leaseEnd, b.End)
+		return
+	}
+	w.extendLease(now, e.Bounds.MaxLease)
+}
+
+// ReleaseBounds returns the same as LeaseBounds and the endpoints that are cordoned, to be stored with a release: the next
+// holder may take the service over before the order for a vacated VM arrives.
+func (e *Engine) ReleaseBounds(now time.Time) Inheritance {
+	i := e.LeaseBounds(now)
+	for _, w := range e.sorted() {
+		if !now.Before(w.cordonedUntil) {
+			continue
+		}
+		n := slices.IndexFunc(i.Bounds, func(b LeaseBound) bool { return b.Endpoint == w.Endpoint })
+		if n < 0 {
+			n, i.Bounds = len(i.Bounds), append(i.Bounds, LeaseBound{EndpointProcess: w.Process()})
+		}
+		i.Bounds[n].CordonedUntil = w.cordonedUntil
+	}
+	return i
 }
 
 // LeaseBounds returns the bounds that the next holder has to know, to be stored with a renewal of the service's lease.
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -252,6 +252,9 @@
 	}
 	a.phase = phaseStopping
 	a.nextStopAt = now.Add(stopRetryInterval)
+	if !e.Permitted(now) {
+		return // Sent with the repeated stops, if the holder may order anything again.
+	}
 	e.out = append(e.out, e.order(w, OrderStop, a))
 }
 
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -33,7 +33,7 @@
 		e.planDue = due
 		return
 	}
-	if !e.valid(now) {
+	if !e.Permitted(now) {
 		return
 	}
 	e.requestAdvice(now)
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -263,7 +263,7 @@
 			e.dirty[o.Key()] = true
 		}
 	}
-	if now.Before(w.nextForeignStopAt) {
+	if !e.Permitted(now) || now.Before(w.nextForeignStopAt) {
 		return
 	}
 	w.nextForeignStopAt = now.Add(stopRetryInterval / 5)
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -13,7 +13,7 @@
 func (e *Engine) Tick(now time.Time) {
 	for _, w := range e.sorted() {
 		e.expire(now, w)
-		if e.valid(now) {
+		if e.Permitted(now) {
 			e.retryStops(now, w)
 			e.stopStalled(now, w)
 			e.protectServing(now, w)
@@ -212,7 +212,7 @@
 // no run is left that it could interrupt, and no end is left to be listed. A holder that may not grant leases does not
 // know what runs there.
 func (e *Engine) Vacate(now time.Time, id fleet.EndpointID, patient bool) bool {
-	if !e.valid(now) {
+	if !e.Permitted(now) {
 		return false
 	}
 	w := e.workers[id]
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -165,7 +165,7 @@
 
 // placementReason returns why a lasting task that no endpoint executes has no next run.
 func (e *Engine) placementReason(now time.Time, id fleet.TaskID, step fleet.Step) WaitReason {
-	if !e.valid(now) {
+	if !e.Permitted(now) {
 		return WaitHolder
 	}
 	if e.choose(now, id, step, nil) != nil {
