logging, holder: spend nothing on lines beyond the limit

Cause: at a peak a holder passes the limit of 800 lines a second, and collected the fields of each further line before the logger left it out; and it looked up the counters of ends by their tags for each end.

Change: the limit is applied in Check, before the fields; the observer checks its two frequent lines first and keeps its counters.

--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -17,60 +17,84 @@
 	scope tally.Scope
 
 	wait, run, latency tally.Histogram
+	// counters caches the counters that are told apart by a tag: to look one up takes as long as to log a line.
+	counters map[taggedCounter]tally.Counter
 }
 
+// taggedCounter identifies a counter.
+type taggedCounter struct{ name, tag, value string }
+
 // LatencyBuckets are the buckets of the latency histograms.
 var LatencyBuckets = tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 14)
 
-// NewObserver returns an observer of the holder of a service.
+// NewObserver returns an observer of the holder of a service. It is not safe for concurrent use.
 func NewObserver(log *zap.Logger, scope tally.Scope, service fleet.ServiceID, epoch fleet.FencingToken) *Observer {
 	scope = scope.Tagged(map[string]string{"service": string(service)})
 	return &Observer{
-		log:     log.With(zap.String("service", string(service)), zap.Uint64("epoch", uint64(epoch))),
-		scope:   scope,
-		wait:    scope.Histogram("job_task_wait", LatencyBuckets),
-		run:     scope.Histogram("job_task_run", LatencyBuckets),
-		latency: scope.Histogram("job_latency", LatencyBuckets),
+		log:      log.With(zap.String("service", string(service)), zap.Uint64("epoch", uint64(epoch))),
+		scope:    scope,
+		counters: map[taggedCounter]tally.Counter{},
+		wait:     scope.Histogram("job_task_wait", LatencyBuckets),
+		run:      scope.Histogram("job_task_run", LatencyBuckets),
+		latency:  scope.Histogram("job_latency", LatencyBuckets),
 	}
 }
 
 // Assigned implements shard.Observer.
 func (o *Observer) Assigned(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, waited time.Duration) {
 	o.wait.RecordDuration(waited)
-	o.log.Info("shard: task assigned", append(runFields(id, run, at), zap.Duration("since-due", waited))...)
+	if line := o.log.Check(zap.InfoLevel, "shard: task assigned"); line != nil {
+		line.Write(runFields(id, run, at, zap.Duration("since-due", waited))...)
+	}
 }
 
 // RunEnded implements shard.Observer.
 func (o *Observer) RunEnded(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, how fleet.RunEnd, ran time.Duration) {
 	o.run.RecordDuration(ran)
 	o.countEnd(how)
-	o.log.Info("shard: run ended", append(runFields(id, run, at), zap.String("how", string(how)), zap.Duration("ran", ran))...)
+	if line := o.log.Check(zap.InfoLevel, "shard: run ended"); line != nil {
+		line.Write(runFields(id, run, at, zap.String("how", string(how)), zap.Duration("ran", ran))...)
+	}
 }
 
 // LateEnd implements shard.Observer.
 func (o *Observer) LateEnd(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, how fleet.RunEnd) {
 	o.countEnd(how)
-	o.log.Info("lease: run ended after it was given up", append(runFields(id, run, at), zap.String("how", string(how)))...)
+	o.log.Info("lease: run ended after it was given up", runFields(id, run, at, zap.String("how", string(how)))...)
 }
 
 func (o *Observer) countEnd(how fleet.RunEnd) {
-	o.scope.Tagged(map[string]string{"how": string(how)}).Counter("job_runs_ended").Inc(1)
+	o.count("job_runs_ended", "how", string(how))
+}
+
+// count counts an event of the kind that the tag tells.
+func (o *Observer) count(name, tag, value string) {
+	key := taggedCounter{name, tag, value}
+	counter := o.counters[key]
+	if counter == nil {
+		counter = o.scope.Tagged(map[string]string{tag: value}).Counter(name)
+		o.counters[key] = counter
+	}
+	counter.Inc(1)
 }
 
-// runFields returns the fields that identify a run and the process that executes it.
-func runFields(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess) []zap.Field {
-	return append(processFields(at), zap.String("job", string(id.Job)), zap.Stringer("task", id), zap.Uint32("run", uint32(run)))
+// runFields returns the fields that identify a run and the process that executes it, and more.
+func runFields(id fleet.TaskID, run fleet.RunNumber, at fleet.EndpointProcess, more ...zap.Field) []zap.Field {
+	fields := append(processFields(at), zap.String("job", string(id.Job)), zap.Stringer("task", id), zap.Uint32("run", uint32(run)))
+	return append(fields, more...)
 }
 
 // processFields returns the fields that identify a process.
 func processFields(at fleet.EndpointProcess) []zap.Field {
-	return []zap.Field{zap.String("endpoint", string(at.Endpoint)), zap.Int64("started-ms", at.StartMillis)}
+	const usualFields = 8
+	fields := make([]zap.Field, 0, usualFields)
+	return append(fields, zap.String("endpoint", string(at.Endpoint)), zap.Int64("started-ms", at.StartMillis))
 }
 
 // JobEnded implements shard.Observer.
 func (o *Observer) JobEnded(id fleet.JobID, state fleet.JobState, after time.Duration) {
 	o.latency.RecordDuration(after)
-	o.scope.Tagged(map[string]string{"state": string(state)}).Counter("jobs_ended").Inc(1)
+	o.count("jobs_ended", "state", string(state))
 	o.log.Info("shard: job ended", zap.String("job", string(id)), zap.String("state", string(state)), zap.Duration("since-due", after))
 }
 
@@ -102,7 +126,7 @@
 
 // RunLost implements shard.Observer.
 func (o *Observer) RunLost(l shard.Loss) {
-	o.scope.Tagged(map[string]string{"reason": string(l.Reason)}).Counter("job_runs_given_up").Inc(1)
+	o.count("job_runs_given_up", "reason", string(l.Reason))
 	if l.Reason == shard.LossRejected {
 		return // Rejected logs the order of the run.
 	}
--- a/internal/logging/stdout.go
+++ b/internal/logging/stdout.go
@@ -113,16 +113,12 @@
 	return &limitedCore{Core: c.Core.With(fields), writer: c.writer, counts: c.counts}
 }
 
-// Check implements zapcore.Core.
+// Check implements zapcore.Core. A line beyond the limit ends here, so that a caller that checks before it collects the
+// fields of a frequent line spends nothing on it.
 func (c *limitedCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
 	if !c.Enabled(entry.Level) {
 		return checked
 	}
-	return checked.AddCore(entry, c)
-}
-
-// Write implements zapcore.Core.
-func (c *limitedCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
 	part, _, ok := strings.Cut(entry.Message, ":")
 	if !ok {
 		part = partOther
@@ -130,14 +126,13 @@
 	admitted, dropped := c.counts.admit(entry.Time, part)
 	if dropped > 0 {
 		notice := zapcore.Entry{Level: zapcore.WarnLevel, Time: entry.Time, Message: "logging: lines left out"}
-		if err := c.Core.Write(notice, []zapcore.Field{zap.String("part", part), zap.Uint64("lines", dropped), zap.Uint64("without-room", c.writer.Dropped())}); err != nil {
-			return trace.Wrap(err)
-		}
+		// The writer reports no error: it counts the lines for which it has no room.
+		_ = c.Core.Write(notice, []zapcore.Field{zap.String("part", part), zap.Uint64("lines", dropped), zap.Uint64("without-room", c.writer.Dropped())})
 	}
 	if !admitted {
-		return nil
+		return checked
 	}
-	return trace.Wrap(c.Core.Write(entry, fields))
+	return checked.AddCore(entry, c)
 }
 
 // partCounts counts the lines of each part in the current second.
