shard: place less often the more steps wait

Cause: with a backlog each 20 ms all waiting steps are ranked, so that a queue of thousands of jobs takes the processor from the work that ends it: the queue grows faster the longer it is.

Change: the interval is 50 us for each waiting step, from 20 ms (up to 400 steps, as before) to 100 ms.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -75,9 +75,9 @@
 	starts startWindow
 	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
 	mean *fleet.Capacity
-	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
-	plannedAt  time.Time
-	backlogged bool
+	// plannedAt is when placement last ran, backlog the number of steps that were waiting then.
+	plannedAt time.Time
+	backlog   int
 	// planDue is when a call of Plan that came too soon may be repeated.
 	planDue time.Time
 	// runTimes holds observed run times.
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -14,6 +14,10 @@
 	// backlogInterval is the shortest time between placements with a backlog. Work in a long queue loses nothing
 	// by it, and a small VM has little processor time.
 	backlogInterval = 20 * time.Millisecond
+	// pausePerStep and maxBacklogInterval lengthen the interval with the waiting steps, each of which takes about a
+	// microsecond of every placement: otherwise a long queue takes the processor from the work that ends it.
+	pausePerStep       = 50 * time.Microsecond
+	maxBacklogInterval = 100 * time.Millisecond
 	// planInterval is the shortest time between placements without one. Each goes through all active jobs, and at a
 	// peak thousands of answers arrive in a second.
 	planInterval = 10 * time.Millisecond
@@ -25,8 +29,8 @@
 		return
 	}
 	interval := planInterval
-	if e.backlogged {
-		interval = backlogInterval
+	if e.backlog > backlogSteps {
+		interval = min(max(backlogInterval, time.Duration(e.backlog)*pausePerStep), maxBacklogInterval)
 	}
 	if due := e.plannedAt.Add(interval); now.Before(due) {
 		e.planDue = due
@@ -43,7 +47,7 @@
 	}
 	skip := unplaceable{}
 	queue := e.candidates(now)
-	e.backlogged = len(queue) > backlogSteps
+	e.backlog = len(queue)
 	for heap.Init(&queue); len(queue) > 0 && !e.starts.isFull(); {
 		c := queue.next()
 		step := c.occurrence.Job.Steps[c.step]
