shard: rank each job once for the load of a service

Cause: Load ranked all jobs to tell which runs are late, and all waiting ones again.

Change: the jobs of runs are ranked when they are asked for.

--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -46,10 +46,7 @@
 func (e *Engine) Load(now time.Time) Load {
 	l := Load{Arrived: e.arrived}
 	mean := e.meanCapacity()
-	late := map[job.Key]bool{}
-	for key, o := range e.active {
-		late[key] = e.rank(now, o).Late
-	}
+	late := e.lateJobs(now)
 	l.PerEndpoint = mean.Millicores
 	for _, w := range e.sorted() {
 		load := EndpointLoad{Endpoint: w.Endpoint, Capacity: w.Capacity.Millicores, Runs: len(w.runs)}
@@ -60,7 +57,7 @@
 			case a.step.Lasting:
 				load.Lasting = true
 				l.Lasting += demand
-			case late[job.Key{Job: id.Job, Occurrence: id.Occurrence}]:
+			case late(job.Key{Job: id.Job, Occurrence: id.Occurrence}):
 				l.UsedLate += demand
 			}
 		}
@@ -74,7 +71,7 @@
 		}
 	}
 	for _, c := range e.candidates(now) {
-		step := c.occurrence.Job.Steps[c.step]
+		step := &c.occurrence.Job.Steps[c.step]
 		demand, count := dominantDemand(step.CountedDemand(), mean), 0
 		for t := range c.occurrence.Tasks[c.step] {
 			if task := &c.occurrence.Tasks[c.step][t]; !task.Done && !task.Running() {
@@ -85,20 +82,35 @@
 		case c.lasting:
 			// Lasting tasks are never late: they have to run as soon as they can.
 			l.Waiting += max(demand, minWaitingDemand) * fleet.Millicores(count)
-			if e.choose(now, c.occurrence.ID(c.step, 0), step, nil) == nil {
-				l.Stranded += (count + tasksPerEndpoint(step, mean) - 1) / tasksPerEndpoint(step, mean)
+			if e.choose(now, c.occurrence.ID(c.step, 0), *step, nil) == nil {
+				l.Stranded += (count + tasksPerEndpoint(*step, mean) - 1) / tasksPerEndpoint(*step, mean)
 			}
 		case c.rank.Late:
 			l.Late += demand * fleet.Millicores(count)
 		default:
 			waiting := max(demand, minWaitingDemand) * fleet.Millicores(count)
 			l.Waiting += waiting
-			l.Backlog += fleet.Work(min(float64(waiting)*e.expected(c.occurrence.Job.Queue, &step).Seconds(), maxWork))
+			l.Backlog += fleet.Work(min(float64(waiting)*e.expected(c.occurrence.Job.Queue, step).Seconds(), maxWork))
 		}
 	}
 	return l
 }
 
+// lateJobs returns a function that reports whether an active job can no longer meet its objective. It ranks each job
+// once and only those that are asked for: there may be thousands without a run.
+func (e *Engine) lateJobs(now time.Time) func(job.Key) bool {
+	known := map[job.Key]bool{}
+	return func(key job.Key) bool {
+		late, ok := known[key]
+		if !ok {
+			o := e.active[key]
+			late = o != nil && e.rank(now, o).Late
+			known[key] = late
+		}
+		return late
+	}
+}
+
 // meanCapacity returns the average capacity of the endpoints that have answered, or of all before any has: an entry of
 // the registry may name an endpoint that doesn't exist.
 func (e *Engine) meanCapacity() fleet.Capacity {
--- a/internal/shard/peak_bench_test.go
+++ b/internal/shard/peak_bench_test.go
@@ -26,7 +26,7 @@
 func BenchmarkPeak(b *testing.B) {
 	const slots = 1000
 	for _, c := range []struct{ endpoints, queue, ended int }{
-		{250, 500, 0}, {500, 500, 0}, {250, 5000, 0}, {250, 500, 5000}, {500, 5000, 5000},
+		{250, 500, 0}, {500, 500, 0}, {250, 5000, 0}, {250, 500, 5000}, {500, 5000, 5000}, {250, 50000, 0},
 	} {
 		b.Run(fmt.Sprintf("endpoints=%d/queue=%d/ended=%d", c.endpoints, c.queue, c.ended), func(b *testing.B) {
 			runtime.LockOSThread()
