relay, holder: give new endpoints their relay at once and keep it

Change: the relay of an endpoint is picked with its first order among those of its zone, and kept while it may be one; relays stay down to 50 endpoints.

--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -32,7 +32,7 @@
 			a.State = cancelledState(a.State)
 		}
 	case QueryWaiting:
-		a.Count = h.engine.Waiting()[q.Queue]
+		a.Count = h.waiting(now)[q.Queue]
 	case QueryJobs:
 		a.Jobs = h.engine.Jobs(q.Queue)
 	case QueryLoad:
@@ -76,3 +76,15 @@
 	_, leased := s.election.Leases[ServiceDuty(service)]
 	return s.config != nil && !s.membersReadAt.IsZero() && !s.queued[service] && !leased
 }
+
+// waitingAge is how old the numbers of waiting jobs may be. Callers ask for them a hundred times a second at a peak, and
+// each count goes through all jobs.
+const waitingAge = 200 * time.Millisecond
+
+// waiting returns the number of waiting jobs of each queue.
+func (h *heldDuty) waiting(now time.Time) map[fleet.QueueID]int {
+	if h.waitingJobs == nil || now.Sub(h.waitingAt) >= waitingAge {
+		h.waitingJobs, h.waitingAt = h.engine.Waiting(), now
+	}
+	return h.waitingJobs
+}
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -51,6 +51,9 @@
 	confirmedAt time.Time
 	releasing   bool
 	links       *routes
+	// waitingJobs is the number of waiting jobs of each queue as counted at waitingAt.
+	waitingJobs map[fleet.QueueID]int
+	waitingAt   time.Time
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
--- a/internal/holder/relay_fake_test.go
+++ b/internal/holder/relay_fake_test.go
@@ -141,6 +141,7 @@
 	h.ctx, h.cancel = context.WithCancel(ctx)
 	site.scheduler, site.routes = s, s.newRoutes(h)
 	site.routes.done = func(_ time.Time, r shard.Result) { site.record(r) }
+	site.routes.dialTimeout = time.Minute // so that a busy machine changes nothing
 	h.links = site.routes
 	return site
 }
--- a/internal/holder/relaylink.go
+++ b/internal/holder/relaylink.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -17,12 +15,11 @@
 
 // relayLink is a holder's connection to a relay. The scheduler owns it; its duties share the inbox only.
 type relayLink struct {
-	entry     fleet.EntryID
-	address   fleet.Address
-	endpoints int
-	openedAt  time.Time
-	ctx       context.Context
-	cancel    context.CancelFunc
+	entry    fleet.EntryID
+	address  fleet.Address
+	openedAt time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
 	// inbox holds the orders that were not handed over yet.
 	inbox *ring.Ring[*queuedOrder]
 	// outstanding are the orders without a result by their number.
@@ -68,8 +65,10 @@
 	link    *relayLink
 	session RelaySession
 	dialer  RelayDialer
-	duties  Starter
-	clock   clock.Clock
+	// dialTimeout bounds the opening of the connection.
+	dialTimeout time.Duration
+	duties      Starter
+	clock       clock.Clock
 	// orders and batches count what was sent.
 	orders, batches tally.Counter
 	report          func(RelayEvent)
@@ -88,7 +87,7 @@
 }
 
 func (s *relaySender) send(ctx context.Context) error {
-	dialContext, cancel := context.WithTimeout(ctx, RelayDialTimeout)
+	dialContext, cancel := context.WithTimeout(ctx, s.dialTimeout)
 	defer cancel()
 	conn, err := s.dialer.Dial(dialContext, s.link.address, s.session)
 	if err != nil {
@@ -176,14 +175,3 @@
 		s.drop(h, "an endpoint has seen a newer holder")
 	}
 }
-
-// services returns the services that may have a holder.
-func (s *Scheduler) services() []fleet.ServiceID {
-	list := slices.Collect(maps.Keys(s.queued))
-	for _, d := range s.election.Duties() {
-		if service, ok := serviceOf(d); ok && !s.queued[service] {
-			list = append(list, service)
-		}
-	}
-	return list
-}
--- a/internal/holder/routes.go
+++ b/internal/holder/routes.go
@@ -20,8 +20,10 @@
 	direct    *links
 	// done receives the results of relayed orders.
 	done func(time.Time, shard.Result)
-	// relays are the open connections to relays, chosen the relay of each endpoint that has one.
+	// relays are the open connections to relays, byZone the relays for new endpoints of each zone, chosen the relay of
+	// each endpoint that has one.
 	relays map[fleet.EntryID]*relayLink
+	byZone map[fleet.ZoneID][]fleet.EntryID
 	chosen map[fleet.EndpointID]fleet.EntryID
 	// avoided holds the relays that were lost, and until when they are not chosen again.
 	avoided map[fleet.EntryID]avoidance
@@ -29,6 +31,8 @@
 	chosenAt time.Time
 	// lostAt is when a relay was last lost.
 	lostAt time.Time
+	// dialTimeout bounds the opening of a connection to a relay.
+	dialTimeout time.Duration
 }
 
 // avoidance is the pause after the loss of a relay, which doubles with each loss.
@@ -50,7 +54,7 @@
 )
 
 func (s *Scheduler) newRoutes(h *heldDuty) *routes {
-	r := &routes{scheduler: s, held: h, done: s.applyResult, relays: map[fleet.EntryID]*relayLink{}, avoided: map[fleet.EntryID]avoidance{}}
+	r := &routes{scheduler: s, held: h, done: s.applyResult, dialTimeout: RelayDialTimeout, relays: map[fleet.EntryID]*relayLink{}, chosen: map[fleet.EndpointID]fleet.EntryID{}, avoided: map[fleet.EntryID]avoidance{}}
 	r.direct = &links{
 		ctx: h.ctx, clock: s.Clock, duties: s.Duties, newCaller: s.NewCaller, byEndpoint: map[fleet.EndpointID]*link{},
 		done: func(_ *queuedOrder, result shard.Result) {
@@ -66,12 +70,29 @@
 func (r *routes) send(o shard.Order) { r.forward(&queuedOrder{order: o, at: r.scheduler.Clock.Now()}) }
 
 func (r *routes) forward(q *queuedOrder) {
-	if k := r.relays[r.chosen[q.order.Process.Endpoint]]; k != nil && k.takesOrders() && k.push(q) {
+	if k := r.relayOf(q.order.Process.Endpoint); k != nil && k.takesOrders() && k.push(q) {
 		return
 	}
 	r.direct.send(q)
 }
 
+// relayOf returns the relay of an endpoint, or nil. An endpoint keeps its relay as long as that may be one, because each
+// change opens connections, which are charged.
+func (r *routes) relayOf(id fleet.EndpointID) *relayLink {
+	if len(r.byZone) == 0 {
+		return nil
+	}
+	entry, ok := r.chosen[id]
+	if !ok {
+		info, known := r.scheduler.endpoints[id]
+		if entry, ok = relay.Pick(id, r.byZone[info.Zone]); !known || !ok {
+			return nil
+		}
+		r.chosen[id] = entry
+	}
+	return r.relays[entry]
+}
+
 // tick chooses relays and ends orders that have no result for too long.
 func (r *routes) tick(now time.Time, known func(fleet.EndpointID) bool) {
 	r.direct.addSenders(now)
@@ -85,67 +106,20 @@
 			}
 		}
 	}
-	if now.Sub(r.chosenAt) >= chooseInterval {
-		r.choose(now)
-	}
-}
-
-// choose chooses the relays of the service's endpoints, and opens and closes connections.
-func (r *routes) choose(now time.Time) {
-	r.chosenAt = now
-	s := r.scheduler
-	if s.Relays == nil || r.held.releasing {
-		return
-	}
-	endpoints := map[fleet.EndpointID]fleet.ZoneID{}
-	for id, info := range s.endpoints {
-		if info.Service == r.held.service {
-			endpoints[id] = info.Zone
+	for id := range r.chosen {
+		if !known(id) {
+			delete(r.chosen, id)
 		}
 	}
-	if len(endpoints) >= relay.MinEndpoints {
-		r.chosen = relay.Choose(r.held.service, s.services(), endpoints, r.entries(now))
-	} else {
-		r.chosen = nil
-	}
-	used := map[fleet.EntryID]int{}
-	for _, entry := range r.chosen {
-		used[entry]++
-	}
-	for entry, count := range used {
-		if r.relays[entry] == nil {
-			r.open(now, entry, count)
-		}
-	}
-	for entry, k := range r.relays {
-		if used[entry] == 0 && len(k.outstanding) == 0 {
-			r.close(k, "not needed")
-		}
-	}
-}
-
-// entries returns the entries that may be relays.
-func (r *routes) entries(now time.Time) []relay.Entry {
-	s := r.scheduler
-	holders := s.election.Holders(now)
-	var list []relay.Entry
-	for id, n := range s.election.Nodes {
-		if id == s.Self.Entry || n.Address == "" {
-			continue
-		}
-		k := r.relays[id]
-		list = append(list, relay.Entry{
-			ID: id, Zone: n.Zone, Millicores: n.Millicores, HoldsLease: holders[id] > 0,
-			Avoided: n.Stopping || now.Before(r.avoided[id].until) || k != nil && (k.leaving || k.address != n.Address),
-		})
+	if now.Sub(r.chosenAt) >= chooseInterval {
+		r.choose(now)
 	}
-	return list
 }
 
-func (r *routes) open(now time.Time, entry fleet.EntryID, endpoints int) {
+func (r *routes) open(now time.Time, entry fleet.EntryID) {
 	s := r.scheduler
 	k := &relayLink{
-		entry: entry, address: s.election.Nodes[entry].Address, endpoints: endpoints, openedAt: now,
+		entry: entry, address: s.election.Nodes[entry].Address, openedAt: now,
 		inbox: ring.New[*queuedOrder]("relay-orders", relayBacklog), outstanding: map[uint64]*queuedOrder{},
 		// Orders wait for the first connection. Later ones are opened in the background.
 		queues: r.lostAt.IsZero() || now.Sub(r.lostAt) > minAvoidance,
@@ -153,7 +127,7 @@
 	k.ctx, k.cancel = context.WithCancel(r.held.ctx)
 	r.relays[entry] = k
 	s.Duties.Start(k.ctx, &relaySender{
-		link: k, session: RelaySession{Service: r.held.service, Epoch: r.held.chain.Epoch, Holder: s.Self.Entry}, dialer: s.Relays, duties: s.Duties,
+		link: k, session: RelaySession{Service: r.held.service, Epoch: r.held.chain.Epoch, Holder: s.Self.Entry}, dialer: s.Relays, dialTimeout: r.dialTimeout, duties: s.Duties,
 		clock: s.Clock, orders: s.counter("relay_orders"), batches: s.counter("relay_batches"),
 		report: func(e RelayEvent) {
 			e.routes, e.link = r, k
@@ -214,7 +188,7 @@
 	}
 	if e.Connected {
 		k.connected = true
-		r.log("relay: link opened", k, zap.Int("endpoints", k.endpoints), zap.Duration("after", now.Sub(k.openedAt)))
+		r.log("relay: link opened", k, zap.Duration("after", now.Sub(k.openedAt)))
 	}
 	if e.Report.Stopping && !k.leaving {
 		k.leaving = true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -11,13 +11,18 @@
 )
 
 const (
-	// MinEndpoints is the number of endpoints from which on a service has relays. Calls to fewer take little of a
-	// holder's processor time, and a relay costs a hop.
-	MinEndpoints = 100
+	// minEndpoints is the number of endpoints from which on a service has relays. Calls to fewer take little of a
+	// holder's processor time, and a relay costs a hop. A service that has relays keeps them down to half of it.
+	minEndpoints = 100
 	// endpointsPerRelay bounds the endpoints of one relay.
 	endpointsPerRelay = 48
 )
 
+// Needed reports whether a service with a number of endpoints has relays.
+func Needed(endpoints int, hasRelays bool) bool {
+	return endpoints >= minEndpoints || hasRelays && 2*endpoints >= minEndpoints
+}
+
 // Entry is an entry that may be a relay.
 type Entry struct {
 	ID         fleet.EntryID
@@ -29,30 +34,30 @@
 	Avoided bool
 }
 
-// Choose returns the relay of each endpoint of a service, or nil when the service needs none. An endpoint without a
-// relay is called by the holder. services are all services that may have a holder: all holders choose by the same rule and so
-// spread the relays of their services without a message.
-func Choose(service fleet.ServiceID, services []fleet.ServiceID, endpoints map[fleet.EndpointID]fleet.ZoneID, entries []Entry) map[fleet.EndpointID]fleet.EntryID {
-	if len(endpoints) < MinEndpoints {
-		return nil
-	}
-	byZone := map[fleet.ZoneID][]fleet.EndpointID{}
-	for id, zone := range endpoints {
-		byZone[zone] = append(byZone[zone], id)
-	}
-	chosen := make(map[fleet.EndpointID]fleet.EntryID, len(endpoints))
-	for zone, ids := range byZone {
-		count := (len(ids) + endpointsPerRelay - 1) / endpointsPerRelay
-		relays := assign(service, services, count, suitable(zone, entries))
-		for _, id := range ids {
-			if relay, ok := highest(string(id), relays); ok {
-				chosen[id] = relay.ID
-			}
+// Choose returns the relays of a service by the zone of its endpoints, of which there are as many as counts says. An
+// endpoint in a zone without a relay is called by the holder. services are all services that may have a holder: all
+// holders choose by the same rule and so spread the relays of their services without a message.
+func Choose(service fleet.ServiceID, services []fleet.ServiceID, counts map[fleet.ZoneID]int, entries []Entry) map[fleet.ZoneID][]fleet.EntryID {
+	chosen := map[fleet.ZoneID][]fleet.EntryID{}
+	for zone, endpoints := range counts {
+		n := (endpoints + endpointsPerRelay - 1) / endpointsPerRelay
+		for _, e := range assign(service, services, n, suitable(zone, entries)) {
+			chosen[zone] = append(chosen[zone], e.ID)
 		}
 	}
 	return chosen
 }
 
+// Pick returns the relay of an endpoint among those of its zone, and false when there is none.
+func Pick(endpoint fleet.EndpointID, relays []fleet.EntryID) (fleet.EntryID, bool) {
+	if len(relays) == 0 {
+		return "", false
+	}
+	return slices.MaxFunc(relays, func(a, b fleet.EntryID) int {
+		return cmp.Or(cmp.Compare(score(string(endpoint), a), score(string(endpoint), b)), cmp.Compare(a, b))
+	}), true
+}
+
 // suitable returns the entries that may relay to a zone: those of the zone, or all others when it has none; of these the
 // ones without a lease, if any, and of these the ones with at least half of the largest processor capacity. While all of
 // them are avoided there is none: a smaller entry would be overloaded, and another zone reaches the endpoints no better.
@@ -112,15 +117,5 @@
 	return nil
 }
 
-// highest returns the entry with the highest score for a key, and false when there is none.
-func highest(key string, entries []Entry) (Entry, bool) {
-	if len(entries) == 0 {
-		return Entry{}, false
-	}
-	return slices.MaxFunc(entries, func(a, b Entry) int {
-		return cmp.Or(cmp.Compare(score(key, a.ID), score(key, b.ID)), cmp.Compare(a.ID, b.ID))
-	}), true
-}
-
 // score is the weight of an entry for a key (rendezvous hashing).
 func score(key string, e fleet.EntryID) uint64 { return xxhash.Sum64String(key + "/" + string(e)) }
