--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -59,6 +59,9 @@
 	fleet.EndpointProcess
 	// Restarted is set when an earlier process was known under the endpoint's id.
 	Restarted bool
+	// Settled is set when a holder has outwaited the longest lease that the process may have been granted on the earlier
+	// one's clock.
+	Settled bool
 }
 
 // EndpointList is what changed in the registry of endpoints.
@@ -102,9 +105,13 @@
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
 	Previous time.Time
-	// Released is set when the previous holder released the lease and no orders of earlier holders were
-	// outstanding.
+	// PreviousEntry is the previous holder; empty when there was none.
+	PreviousEntry fleet.EntryID
+	// Released is set when the previous holder of the maintenance duty released the lease and no orders of earlier
+	// holders were outstanding.
 	Released bool
+	// Inherited is what earlier holders of a service stored of the leases that they granted.
+	Inherited shard.Inheritance
 	// Wave is the progress of waves that earlier holders of the maintenance duty committed.
 	Wave []WaveRow
 	Err  error
--- a/internal/holder/routes.go
+++ b/internal/holder/routes.go
@@ -50,7 +50,7 @@
 	maxAvoidance = time.Minute
 	// maxRelayAnswer is the time after which a relayed order without a result ends as unknown. It is shorter than the
 	// lease that a start may extend, which would expire unnoticed otherwise.
-	maxRelayAnswer = 3 * time.Second
+	maxRelayAnswer = 2500 * time.Millisecond
 )
 
 func (s *Scheduler) newRoutes(h *heldDuty) *routes {
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -31,14 +31,26 @@
 	Close()
 }
 
+// RoundObserver receives the time that a round of the scheduler took, without the wait for events, and how many events
+// were waiting at its end.
+type RoundObserver interface {
+	RoundEnded(took time.Duration, waiting int)
+}
+
 // Times of the scheduler.
 const (
 	// tickInterval is how often leases, stalls and claims are checked.
 	tickInterval = 100 * time.Millisecond
-	// holderValidity is how long a holder continues to renew the leases of its runs while the store does
-	// not answer. A new holder waits for it only at endpoints that it cannot reach itself. It covers the
-	// longest outage of the store that the platform specifies.
-	holderValidity = 7 * time.Second
+	// holderValidity is how long a holder grants leases to endpoints after its last renewal of the service's lease
+	// that took effect. A new holder waits for it, and for the leases, at endpoints that it cannot reach: 6.8 s in all.
+	// A lasting task has to run again within 9 s, of which up to 2 s pass before a holder has noticed and stored that
+	// an endpoint is silent, and the next one has seen its last renewal.
+	holderValidity = 2400 * time.Millisecond
+	// holderPatience is how long a holder that cannot renew keeps what it knows of the service. It grants nothing
+	// meanwhile and goes on when a renewal takes effect.
+	holderPatience = 7 * time.Second
+	// boundsInterval is the shortest time between renewals that are sent because the bounds of leases have changed.
+	boundsInterval = 200 * time.Millisecond
 	// claimDelay is how long an entry collects the rows of others after its start before it claims leases.
 	claimDelay = 800 * time.Millisecond
 	// eventsPerRound bounds the events that are handled before work is placed.
@@ -86,6 +98,8 @@
 	// Maintainer starts the duty that orders maintenance; nil where the platform has no VMs to maintain.
 	Maintainer func(c *Chain, taken *Taken, release *ring.Ring[struct{}]) duty.Duty
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
+	// Rounds observes the rounds of the scheduler.
+	Rounds RoundObserver
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
 	// Latency is how fast the store answers.
@@ -143,6 +157,7 @@
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		began := s.Clock.Now()
 		for n := 0; ok; n++ {
 			s.handle(ctx, event)
 			if n == eventsPerRound {
@@ -155,6 +170,7 @@
 			next = now.Add(tickInterval)
 		}
 		s.runDuties()
+		s.Rounds.RoundEnded(s.Clock.Now().Sub(began), s.Inbox.Depth())
 	}
 }
 
@@ -244,10 +260,13 @@
 // tick does the periodic work of all held duties.
 func (s *Scheduler) tick(ctx context.Context, now time.Time) {
 	for _, h := range s.sorted() {
-		if h.engine != nil && now.Sub(h.confirmedAt) > holderValidity {
+		if h.engine != nil && now.Sub(h.confirmedAt) > holderPatience {
 			s.drop(h, "no renewal took effect for too long")
 			continue
 		}
+		if h.engine != nil {
+			h.boundsDue = h.engine.BoundsDue(now)
+		}
 		switch {
 		case h.engine == nil:
 		case h.loaded:
--- a/internal/shard/loading.go
+++ b/internal/shard/loading.go
@@ -19,6 +19,7 @@
 // Loaded ends the time of Renew. It is called once the jobs were accepted, their progress restored and the endpoints
 // set again: an earlier holder may have known other processes of them.
 func (e *Engine) Loaded(now time.Time) {
+	e.loaded = true
 	if !e.loading {
 		return
 	}
@@ -30,14 +31,16 @@
 
 // noteRestart records that an endpoint whose process has answered already had another one before. Deadlines that were
 // set on the clock of that one may have granted the longest lease.
-func (e *Engine) noteRestart(now time.Time, w *worker) {
+func (e *Engine) noteRestart(now time.Time, w *worker, settled bool) {
 	if w.hasRestarted {
 		return
 	}
 	w.hasRestarted = true
-	if w.contacted {
+	switch {
+	case settled:
+	case w.contacted:
 		w.extendLease(now, e.Bounds.MaxLease)
-	} else {
+	default:
 		w.mayHoldLongestLease = true
 	}
 }
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -41,6 +41,9 @@
 		e.planDue = due
 		return
 	}
+	if !e.valid(now) {
+		return
+	}
 	e.requestAdvice(now)
 	e.countStarts(now)
 	e.open = e.openWorkers(now)
@@ -184,7 +187,7 @@
 // assign plans the next run of a task on a worker.
 func (e *Engine) assign(now time.Time, o *job.Occurrence, id fleet.TaskID, step fleet.Step, w *worker) {
 	run := o.Start(id, w.Process())
-	w.add(&assignment{id: id, run: run, process: w.Process(), step: step, phase: phasePlanned, pace: 100, evidence: EvidenceNone})
+	w.add(&assignment{id: id, run: run, process: w.Process(), step: step, phase: phasePlanned, plannedAt: now, pace: 100, evidence: EvidenceNone})
 	if e.open != nil {
 		e.open[w.openIndex].free = w.free()
 	}
@@ -225,7 +228,7 @@
 				continue
 			}
 		}
-		if score := e.score(w, id, step); best == nil || score > bestScore {
+		if score := e.score(now, w, id, step); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
 	}
@@ -243,7 +246,7 @@
 func (e *Engine) openWorkers(now time.Time) []openWorker {
 	e.openBuffer = e.openBuffer[:0]
 	for _, w := range e.sorted() {
-		if w.usable(now) {
+		if w.usable(now) && !e.withheld[w.Endpoint] {
 			w.openIndex = len(e.openBuffer)
 			e.openBuffer = append(e.openBuffer, openWorker{w, w.free()})
 		}
@@ -258,11 +261,12 @@
 	avoidWeight        = 6
 	interferenceWeight = 2
 	probationWeight    = 3
+	longLeaseWeight    = 4
 )
 
 // score rates a worker for a task; higher is better. Workers are filled up one by one, so that others stay
 // empty for large tasks and for pools that need them more.
-func (e *Engine) score(w *worker, id fleet.TaskID, step fleet.Step) float64 {
+func (e *Engine) score(now time.Time, w *worker, id fleet.TaskID, step fleet.Step) float64 {
 	score := 0.0
 	if w.Capacity.Millicores > 0 {
 		score = float64(w.used.Millicores) / float64(w.Capacity.Millicores)
@@ -276,6 +280,9 @@
 	if w.onProbation() || w.failures > 0 {
 		score -= probationWeight
 	}
+	if step.Lasting && w.mayHoldLongLease(now, e.leaseLength()) {
+		score -= longLeaseWeight
+	}
 	if step.Fill || step.TailTarget > 0 {
 		score -= float64(interferenceWeight * w.interfering(step))
 	}
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -19,6 +19,9 @@
 	StartMillis int64
 	// Restarted is set when the registry has shown another process under the endpoint's id before.
 	Restarted bool
+	// Settled is set when a holder has outwaited the longest lease that this process may have been granted by deadlines
+	// on an earlier process's clock.
+	Settled bool
 }
 
 // Process returns the process that the registry lists.
@@ -60,6 +63,8 @@
 	// listedClock is the endpoint's clock in the latest list with the run.
 	listedClock time.Duration
 	startedAt   time.Time
+	// plannedAt is when this holder assigned the run; zero for an inherited one.
+	plannedAt time.Time
 	// progressedAt is when the reported progress last rose.
 	progressedAt time.Time
 	// inherited is set for an assignment that the previous holder made.
@@ -214,6 +219,9 @@
 	return now.Add(length + length*clockDriftPercent/100 + leaseMargin)
 }
 
+// LeaseEnd returns when the leases have expired on any endpoint's clock that a holder grants until the given time.
+func LeaseEnd(lastGrant time.Time) time.Time { return leaseEnd(lastGrant, LeaseLength) }
+
 // runLeaseEnd returns when the lease of a run has expired.
 func (w *worker) runLeaseEnd(a *assignment) time.Time {
 	if a.evidence == EvidenceList {
