--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -79,6 +79,8 @@
 	byID []*worker
 	// open holds the workers that may get work while Plan runs; openBuffer is its memory.
 	open, openBuffer []openWorker
+	// candidateBuffer is the memory of the steps that Plan and Load go through.
+	candidateBuffer []candidate
 	// starts bounds the starts that are on their way.
 	starts startWindow
 	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
@@ -117,6 +119,8 @@
 	// drop holds forgotten jobs whose rows are to be deleted, orphans rows without a job.
 	drop    map[fleet.JobID]bool
 	orphans map[job.Key]bool
+	// planned holds the runs that were assigned, and possibly some that no longer wait for their commit.
+	planned []plannedRun
 	// batch is the batch that is being committed, or nil.
 	batch *Batch
 	out   []Order
--- a/internal/shard/wait.go
+++ b/internal/shard/wait.go
@@ -22,9 +22,11 @@
 	WaitStop WaitReason = "stop"
 	// WaitNoRoom means that no endpoint that gets work has room.
 	WaitNoRoom WaitReason = "no-room"
-	// WaitSetAside means that endpoints with room are set aside, on probation, paused after a rejected start or
-	// cordoned.
+	// WaitSetAside means that endpoints with room are set aside, on probation, paused after a rejected start, cordoned
+	// or granted nothing until it is stored that they answer again.
 	WaitSetAside WaitReason = "set-aside"
+	// WaitHolder means that this holder may not grant leases, because its own renewals are not confirmed.
+	WaitHolder WaitReason = "holder-lease"
 	// WaitPlacement means that an endpoint has room and the task has not been planned.
 	WaitPlacement WaitReason = "placement"
 	// WaitCommit means that the next run is planned and its start has not been passed on.
@@ -163,6 +165,9 @@
 
 // placementReason returns why a lasting task that no endpoint executes has no next run.
 func (e *Engine) placementReason(now time.Time, id fleet.TaskID, step fleet.Step) WaitReason {
+	if !e.valid(now) {
+		return WaitHolder
+	}
 	if e.choose(now, id, step, nil) != nil {
 		return WaitPlacement
 	}
