--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -209,28 +209,6 @@
 	}
 }
 
-func (s *Scheduler) applyMembers(now time.Time, c *MembersChange) {
-	if !s.membersReadAt.IsZero() && now.Sub(s.membersReadAt) >= s.readGap() {
-		// While the table could not be read, missing renewals say nothing about other entries.
-		s.election.ExcludeOutage(now.Sub(s.membersReadAt))
-	}
-	s.membersReadAt = now
-	for _, l := range c.Leases {
-		s.election.SetLease(now, l)
-	}
-	for _, n := range c.Nodes {
-		s.election.SetNode(now, n)
-	}
-	for _, id := range c.RemovedNodes {
-		delete(s.election.Nodes, id)
-	}
-}
-
-// readGap is the time between two reads of leases and entries from which on the store counts as unreadable.
-func (s *Scheduler) readGap() time.Duration {
-	return MembersInterval(s.Status.Get()) + maxReadDelay
-}
-
 func (s *Scheduler) applyConfig(c *Config) {
 	if s.config != nil && c.Version <= s.config.Version {
 		return
