holder, jobpeer: prefer relays of the endpoints' own zone; bound messages by what an outage lists

Found by reading: entries are not all known at a start, and endpoints kept a relay of another zone for good (TestRelayOfOwnZoneReplacesOther fails before); a long message on a slow link had to arrive within one silence; an entry that was lost before kept orders waiting for its dial.

--- a/internal/holder/relay_test.go
+++ b/internal/holder/relay_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// Guards against endpoints that keep a relay of another zone, from a time when the entries of their own were not known.
+func TestRelayOfOwnZoneReplacesOther(t *testing.T) {
+	is := is.New(t)
+	s := newRelaySite(t, clock.Real())
+	for id, info := range s.scheduler.endpoints {
+		info.Zone = "other"
+		s.scheduler.endpoints[id] = info
+	}
+	s.routes.choose(s.scheduler.Clock.Now())
+	s.send(shard.OrderStart, 1)
+	s.run(func() bool { return s.answered() == relayedEndpoints })
+	node := s.scheduler.election.Nodes["relay-0"]
+	node.Zone = "other"
+	s.scheduler.election.SetNode(s.scheduler.Clock.Now(), node)
+	s.routes.choose(s.scheduler.Clock.Now())
+	s.send(shard.OrderStart, 1001)
+	s.run(func() bool { return s.answered() == 2*relayedEndpoints })
+	is.Equal(s.count(shard.AnswerDone), 2*relayedEndpoints)
+	for _, entry := range s.routes.chosen {
+		is.Equal(entry, fleet.EntryID("relay-0"))
+	}
+}
+
 // Guards against an order that a relay never answers: the renewals of its endpoint would end.
 func TestRelayedOrderWithoutResultEnds(t *testing.T) {
 	is := is.New(t)
--- a/internal/holder/relaychoice.go
+++ b/internal/holder/relaychoice.go
@@ -45,14 +45,20 @@
 	}
 }
 
-// forget forgets the choice of endpoints whose relay may be none any more, and marks the other relays as used.
+// forget forgets the choice of endpoints whose relay may be none any more or is in another zone than a chosen one, and
+// marks the other relays as used.
 func (r *routes) forget(entries []relay.Entry, used map[fleet.EntryID]bool) {
-	mayRelay := map[fleet.EntryID]bool{}
+	mayRelay := map[fleet.EntryID]fleet.ZoneID{}
 	for _, e := range entries {
-		mayRelay[e.ID] = len(r.byZone) > 0 && r.relays[e.ID] != nil && !e.HoldsLease && !e.Avoided
+		if len(r.byZone) > 0 && r.relays[e.ID] != nil && !e.HoldsLease && !e.Avoided {
+			mayRelay[e.ID] = e.Zone
+		}
 	}
 	for id, entry := range r.chosen {
-		if !used[entry] && !mayRelay[entry] {
+		// The zone of an endpoint that the registry lists no more is not known; it has no other relay.
+		info, listed := r.scheduler.endpoints[id]
+		zone, ok := mayRelay[entry]
+		if !slices.Contains(r.byZone[info.Zone], entry) && (!ok || listed && zone != info.Zone) {
 			delete(r.chosen, id)
 		}
 	}
--- a/internal/holder/routes.go
+++ b/internal/holder/routes.go
@@ -121,8 +121,9 @@
 	k := &relayLink{
 		entry: entry, address: s.election.Nodes[entry].Address, openedAt: now,
 		inbox: ring.New[*queuedOrder]("relay-orders", relayBacklog), outstanding: map[uint64]*queuedOrder{},
-		// Orders wait for the first connection. Later ones are opened in the background.
-		queues: r.lostAt.IsZero() || now.Sub(r.lostAt) > minAvoidance,
+		// Orders wait for the first connection. One to an entry that was lost before, or in place of one that was lost a
+		// moment ago, is opened in the background.
+		queues: r.avoided[entry].pause == 0 && (r.lostAt.IsZero() || now.Sub(r.lostAt) > minAvoidance),
 	}
 	k.ctx, k.cancel = context.WithCancel(r.held.ctx)
 	r.relays[entry] = k
--- a/internal/jobpeer/relay.go
+++ b/internal/jobpeer/relay.go
@@ -35,8 +35,8 @@
 const (
 	// lengthBytes is the size of the length in front of each message.
 	lengthBytes = 4
-	// maxRelayMessage bounds a message. A batch of the longest payloads takes a quarter of it.
-	maxRelayMessage = 4 << 20
+	// maxRelayMessage bounds a message. After an outage each of some hundred lists may name 500 ends, of 40 bytes each.
+	maxRelayMessage = 16 << 20
 	// relayBuffer fits most messages.
 	relayBuffer = 32 << 10
 	// lateReadTime is how long a read goes on after its time-out. A process that was held up itself finds what has
@@ -81,6 +81,7 @@
 	}
 	_, _ = c.reader.Discard(lengthBytes) // They are buffered.
 	raw := make([]byte, length)
+	_ = c.conn.SetReadDeadline(c.clock.Now().Add(holder.RelaySilence)) // A long message takes its time on a slow link.
 	if _, err := io.ReadFull(c.reader, raw); err != nil {
 		return nil, trace.Wrap(err)
 	}
