--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -8,11 +9,13 @@
 
 // LeaseBound is when the leases at one endpoint end, where the next holder would assume another time.
 type LeaseBound struct {
-	Endpoint fleet.EndpointID
-	End      time.Time
+	fleet.EndpointProcess
+	End time.Time
 	// Silent is set while the holder grants the endpoint nothing, so that the end holds for the next holder as well.
 	// Otherwise the leases that the holder itself grants may end later.
 	Silent bool
+	// CordonedUntil is until when the endpoint gets no work: an order for its VM may be on its way.
+	CordonedUntil time.Time
 }
 
 // Inheritance is what a holder knows of the leases that earlier holders granted.
@@ -38,29 +41,69 @@
 const maxLeaseBounds = 1000
 
 // withheldInterval is the time between requests for the lists of an endpoint that is granted nothing.
-const withheldInterval = 400 * time.Millisecond
+const withheldInterval = HoldWait
 
 // boundTolerance is by how much a stored bound may be exceeded until the next renewal.
 const boundTolerance = 100 * time.Millisecond
 
 // Confirm extends the time during which the holder may grant leases.
 func (e *Engine) Confirm(now, until time.Time) {
-	resumed := !e.valid(now)
+	resumed := !e.Permitted(now)
 	e.validUntil = later(e.validUntil, until)
-	if resumed && e.valid(now) {
+	if resumed && e.Permitted(now) {
 		for _, w := range e.workers {
 			w.nextHoldAt = now
 		}
 	}
 }
 
-// valid reports whether the holder may grant leases.
-func (e *Engine) valid(now time.Time) bool { return now.Before(e.validUntil) }
+// Permitted reports whether the holder may grant leases and order starts and stops.
+func (e *Engine) Permitted(now time.Time) bool { return now.Before(e.validUntil) }
 
 // mayGrant reports whether the holder may grant a lease to an endpoint: the next holder may count on it that one which
 // is listed as silent gets none.
 func (e *Engine) mayGrant(now time.Time, w *worker) bool {
-	return e.valid(now) && !e.withheld[w.Endpoint]
+	return e.Permitted(now) && !e.withheld[w.Endpoint]
+}
+
+// mayStart reports whether a run may be started on an endpoint: as for mayGrant, and the next holder has to know of a
+// lease that lasts for longer than it would assume.
+func (e *Engine) mayStart(now time.Time, w *worker) bool {
+	if !e.mayGrant(now, w) || !w.mayHoldLongLease(now, e.leaseLength()) {
+		return e.mayGrant(now, w)
+	}
+	known := e.stored.End
+	if b := e.storedBounds[w.Endpoint]; !b.Silent {
+		known = later(known, b.End)
+	}
+	return later(w.leaseEnd, w.unprovenLeaseEnd).Sub(known) <= boundTolerance
+}
+
+// outwaitLongestLease records that the process of a worker which has just answered may have been granted the longest
+// lease before, unless an earlier holder had its answer already and has stored when that ends.
+func (e *Engine) outwaitLongestLease(now time.Time, w *worker) {
+	if b, ok := e.inheritedBounds[w.Endpoint]; ok && !b.Silent && b.StartMillis != 0 && b.StartMillis == w.StartMillis {
+		w.leaseEnd = later(w.leaseEnd, b.End)
+		return
+	}
+	w.extendLease(now, e.Bounds.MaxLease)
+}
+
+// ReleaseBounds returns the same as LeaseBounds and the endpoints that are cordoned, to be stored with a release: the next
+// holder may take the service over before the order for a vacated VM arrives.
+func (e *Engine) ReleaseBounds(now time.Time) Inheritance {
+	i := e.LeaseBounds(now)
+	for _, w := range e.sorted() {
+		if !now.Before(w.cordonedUntil) {
+			continue
+		}
+		n := slices.IndexFunc(i.Bounds, func(b LeaseBound) bool { return b.Endpoint == w.Endpoint })
+		if n < 0 {
+			n, i.Bounds = len(i.Bounds), append(i.Bounds, LeaseBound{EndpointProcess: w.Process()})
+		}
+		i.Bounds[n].CordonedUntil = w.cordonedUntil
+	}
+	return i
 }
 
 // LeaseBounds returns the bounds that the next holder has to know, to be stored with a renewal of the service's lease.
@@ -68,7 +111,7 @@
 // without them.
 func (e *Engine) LeaseBounds(now time.Time) Inheritance {
 	i := e.leaseBounds(now)
-	e.pendingBounds = map[fleet.EndpointID]LeaseBound{}
+	e.pending, e.pendingBounds = i, map[fleet.EndpointID]LeaseBound{}
 	for _, b := range i.Bounds {
 		e.pendingBounds[b.Endpoint] = b
 		if b.Silent {
@@ -116,10 +159,10 @@
 func (e *Engine) leaseBound(now time.Time, w *worker) (LeaseBound, bool) {
 	end := later(w.leaseEnd, w.unprovenLeaseEnd)
 	silent := !w.reachable(now)
-	if len(w.runs) == 0 || !end.After(now) || !silent && !w.mayHoldLongLease(now, e.leaseLength()) {
+	if !end.After(now) || silent && len(w.runs) == 0 || !silent && !w.mayHoldLongLease(now, e.leaseLength()) {
 		return LeaseBound{}, false
 	}
-	return LeaseBound{Endpoint: w.Endpoint, End: end, Silent: silent}, true
+	return LeaseBound{EndpointProcess: w.Process(), End: end, Silent: silent}, true
 }
 
 // BoundsDue reports whether the stored bounds are out of date: an endpoint has fallen silent, or answers again, or may
@@ -133,6 +176,9 @@
 		}
 		return false
 	}
+	if len(e.pendingBounds) >= maxLeaseBounds {
+		return false // What is not listed counts for all others.
+	}
 	for _, w := range e.workers {
 		stored := e.pendingBounds[w.Endpoint]
 		b, ok := e.leaseBound(now, w)
@@ -145,6 +191,7 @@
 
 // BoundsStored is called when the latest list that LeaseBounds returned is stored.
 func (e *Engine) BoundsStored(now time.Time) {
+	e.stored, e.storedBounds = e.pending, e.pendingBounds
 	for id := range e.withheld {
 		if e.pendingBounds[id].Silent {
 			continue
