--- a/internal/holder/fake_calls_test.go
+++ b/internal/holder/fake_calls_test.go
@@ -5,12 +5,14 @@
 	"time"
 
 	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
 	"github.com/mimosawharf/mimosawharf/internal/standin/runner"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -70,24 +72,31 @@
 	}
 	if err := s.reach(ctx, "transact"); err != nil {
 		if s.mode() == storeSilent && s.life.ctx.Err() == nil && c.duration(0, 4) == 0 {
-			_, _ = c.store.Transact(ctx, t) // The process isn't told.
+			_, _ = s.apply(t) // The process isn't told.
 		}
 		return 0, err
 	}
-	version, err := c.store.Transact(ctx, t)
-	for _, row := range t.Puts {
-		if err == nil && row.Table == holder.MembersTable && row.Part != holder.NodesPart {
-			s.life.mu.Lock()
-			s.life.renewedAt = time.Now()
-			s.life.mu.Unlock()
-		}
-	}
+	version, err := s.apply(t)
 	if wait := s.life.wait(ctx, c.duration(time.Millisecond, 5*time.Millisecond)); lost || wait != nil {
 		return 0, trace.Wrap(&rowstore.UnknownError{Call: "transact", Cause: &rows.LostError{}})
 	}
 	return version, err
 }
 
+// apply carries out a transaction and notes the renewals and the release of the service's lease that take effect.
+func (s *fakeStore) apply(t rowstore.Transaction) (rowstore.Version, error) {
+	s.life.mu.Lock()
+	defer s.life.mu.Unlock()
+	version, err := s.life.cluster.store.Transact(context.Background(), t)
+	for _, row := range t.Puts {
+		m := &jobv1.Lease{}
+		if err == nil && row.Table == holder.MembersTable && row.Part != holder.NodesPart && proto.Unmarshal(row.Value, m) == nil {
+			s.life.renewedAt, s.life.hasReleased = time.Now(), m.GetReleased()
+		}
+	}
+	return version, trace.Wrap(err)
+}
+
 // Scan implements holder.Store.
 func (s *fakeStore) Scan(ctx context.Context, r rowstore.Range) (rowstore.Page, error) {
 	if err := s.reach(ctx, "scan"); err != nil {
@@ -168,21 +177,31 @@
 	return nil
 }
 
+// grantTime is how long the next holder assumes that a holder grants leases after its last renewal.
+const grantTime = 2400 * time.Millisecond
+
 // observeOrder verifies what a process may order.
 func (c *fakeCluster) observeOrder(l *fakeLife, p *runner.Endpoint, o shard.Order) {
 	l.mu.Lock()
-	age := time.Since(l.renewedAt)
+	renewed, hasReleased := l.renewedAt, l.hasReleased
 	l.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if o.Kind == shard.OrderStart {
-		c.note("%s orders the start of %s run %d on %s", l.name, o.Task, o.Run, p.Process.Endpoint)
+	lastGrant, age := renewed, time.Since(renewed)
+	if !hasReleased {
+		lastGrant = renewed.Add(grantTime)
+	}
+	if o.Kind != shard.OrderHold {
+		c.note("%s orders %s of %s run %d on %s", l.name, o.Kind, o.Task, o.Run, p.Process.Endpoint)
 	}
-	if o.Deadline > 0 && age > expiredAge {
-		c.violation("EXPIRED", o.Task, "%s sends %s to %s, its last renewal took effect %v ago", l.name, o.Kind, p.Process.Endpoint, age)
+	if o.Kind != shard.OrderHold && time.Now().After(lastGrant) {
+		c.violation("EXPIRED", o.Task, "%s orders %s on %s %v after its last renewal, released %v", l.name, o.Kind, p.Process.Endpoint, age, hasReleased)
+	}
+	if o.Deadline == 0 || o.Process != p.Process {
+		return // A deadline on the clock of an earlier process may grant the longest lease, which holders count.
+	}
+	granted := p.Started.Add((o.Deadline - p.ClockStart) * 100 / time.Duration(100-p.Slow))
+	if granted.After(shard.LeaseEnd(lastGrant)) {
+		c.violation("EXTENDED", o.Task, "%s extends the lease of %s until %v after its last renewal, released %v", l.name, p.Process.Endpoint, granted.Sub(renewed), hasReleased)
 	}
 }
-
-// expiredAge is the time after its last renewal from which on a holder must not extend leases: the next holder waits
-// for 7 s, and a tenth of a lease covers the rest.
-const expiredAge = 7*time.Second + shard.LeaseLength/10
--- a/internal/holder/fake_cluster_test.go
+++ b/internal/holder/fake_cluster_test.go
@@ -45,6 +45,8 @@
 	began   time.Time
 	entries []*fakeEntry
 	jobs    []*fleet.Job
+	// pending holds what run is to do, in no order.
+	pending []pendingEvent
 
 	mu        sync.Mutex
 	rand      *rand.Rand
@@ -58,6 +60,12 @@
 	reported   map[string]bool
 }
 
+// pendingEvent is what happens at a time.
+type pendingEvent struct {
+	at time.Time
+	do func()
+}
+
 // fakeRun is the execution of one run at an endpoint.
 type fakeRun struct {
 	process      fleet.EndpointProcess
@@ -182,6 +190,27 @@
 	}
 }
 
+// restart starts the next process of an endpoint that has ended.
+func (c *fakeCluster) restart(e *fakeEndpoint) {
+	if e.process == nil {
+		c.disrupt("%s restarts", e.id)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.boot(e)
+	}
+}
+
+// join ends the cuts of an endpoint.
+func (c *fakeCluster) join(e *fakeEndpoint) {
+	if e.isCut || len(e.cutFrom) > 0 {
+		c.disrupt("%s is reached again", e.id)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		e.isCut = false
+		clear(e.cutFrom)
+	}
+}
+
 // endpointOf returns the endpoint that executes a lasting task.
 func (c *fakeCluster) endpointOf(id fleet.TaskID) *fakeEndpoint {
 	c.mu.Lock()
@@ -217,10 +246,24 @@
 func (c *fakeCluster) run(d time.Duration) {
 	for end := time.Now().Add(d); time.Now().Before(end); {
 		time.Sleep(min(50*time.Millisecond, time.Until(end)))
+		pending := c.pending
+		c.pending = nil
+		for _, p := range pending {
+			if time.Now().Before(p.at) {
+				c.pending = append(c.pending, p)
+			} else {
+				p.do()
+			}
+		}
 		c.check()
 	}
 }
 
+// after has run do something after a while.
+func (c *fakeCluster) after(d time.Duration, do func()) {
+	c.pending = append(c.pending, pendingEvent{time.Now().Add(d), do})
+}
+
 // duration returns a random duration between two bounds.
 func (c *fakeCluster) duration(from, to time.Duration) time.Duration {
 	c.mu.Lock()
--- a/internal/holder/fake_entry_test.go
+++ b/internal/holder/fake_entry_test.go
@@ -43,8 +43,9 @@
 
 	mu          sync.Mutex
 	pausedUntil time.Time
-	// renewedAt is when the last renewal of the service's lease took effect.
-	renewedAt time.Time
+	// renewedAt is when the last renewal of the service's lease took effect. hasReleased is set if it was the release.
+	renewedAt   time.Time
+	hasReleased bool
 }
 
 // addEntries adds and starts entries.
@@ -139,6 +140,7 @@
 // pause suspends the process for a while: it neither sends nor receives, and its timers fire when it wakes.
 func (l *fakeLife) pause(d time.Duration) {
 	l.cluster.disrupt("%s pauses for %v", l.name, d)
+	l.cluster.after(d, func() { l.cluster.disrupt("%s wakes, paused for %v more", l.name, max(0, l.left())) })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.pausedUntil = time.Now().Add(d)
--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -94,6 +94,36 @@
 	}
 }
 
+// Guards against a lasting task that waits for a holder whose VM has restarted, as all entries have, while the store did
+// not answer: none of them has seen when the lease was renewed.
+func TestLastingTaskRunsSoonAfterOutageWithRestarts(t *testing.T) {
+	inCluster(t, func(c *fakeCluster) {
+		c.storeMode = storeRefuses
+		c.end(c.endpointOf(lastingTask), false)
+		for _, e := range c.entries {
+			c.kill(e)
+			c.after(2*time.Second, func() { c.start(e) })
+		}
+		c.run(5 * time.Second)
+		c.mu.Lock()
+		c.storeMode = storeAnswers
+		c.mu.Unlock()
+		c.disrupt("store answers")
+	})
+}
+
+// Guards against a lasting task that waits for the longest lease because its endpoint restarted long before a takeover.
+func TestLastingTaskRunsSoonAfterTakeoverOfRestartedEndpoint(t *testing.T) {
+	inCluster(t, func(c *fakeCluster) {
+		for _, e := range c.endpoints {
+			c.end(e, true)
+		}
+		c.run(20 * time.Second)
+		takeOver(c)
+		c.end(c.endpointOf(lastingTask), false)
+	})
+}
+
 // Guards against a holder that wakes from a pause and extends leases although the next holder waits no longer for it.
 func TestPausedHolderExtendsNoLease(t *testing.T) {
 	inCluster(t, func(c *fakeCluster) {
@@ -106,3 +136,13 @@
 		first.life.pause(14 * time.Second)
 	})
 }
+
+// Guards against a holder that wakes from a pause and stops runs that it has given up, which the next holder continues.
+func TestPausedHolderStopsNothing(t *testing.T) {
+	inCluster(t, func(c *fakeCluster) {
+		for range 6 {
+			c.holder().life.pause(6 * time.Second)
+			c.run(10 * time.Second)
+		}
+	})
+}
