shard: list more ends at once while the holder cannot keep up

Cause: each task takes two calls of its holder, a start and nearly one renewal (0.94): renewals follow a list after 62 ms at 250 endpoints, in which few further runs end. A holder whose processor is busy pays for it with starts, and ends no more tasks than its calls allow.

Change: for two seconds after a start has waited for too long to be sent the pause before a renewal is 180 ms. With the time to the next tick it stays below maxRenewalGap, so that the renewal acknowledges ends, and with HoldWait below the silence after which an endpoint gets no work. The pause moves to a file of its own.

--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -200,7 +200,7 @@
 	for process, cursor := range b.acks {
 		if w := e.workers[process.Endpoint]; w != nil && w.Process() == process && cursor > w.acked {
 			w.acked = cursor
-			w.nextHoldAt = later(now, w.lastAnswerAt.Add(e.holdPause()))
+			w.nextHoldAt = later(now, w.lastAnswerAt.Add(e.holdPause(now)))
 		}
 	}
 	for _, p := range b.planned {
--- a/internal/shard/window.go
+++ b/internal/shard/window.go
@@ -21,6 +21,8 @@
 	startIncrease = 16
 	// cutInterval is the time between two reductions: the effect of the first one has to show.
 	cutInterval = 400 * time.Millisecond
+	// overloadTime is how long after a reduction the holder counts as overloaded.
+	overloadTime = 2 * time.Second
 	// countInterval is the time between counts of the outstanding starts while the window is full.
 	countInterval = 50 * time.Millisecond
 )
@@ -36,6 +38,11 @@
 	}
 }
 
+// isOverloaded reports whether the holder does not keep up: a start has waited for too long a short time ago.
+func (s *startWindow) isOverloaded(now time.Time) bool {
+	return !s.cutAt.IsZero() && now.Sub(s.cutAt) < overloadTime
+}
+
 // isFull reports whether no further start is to be planned.
 func (s *startWindow) isFull() bool {
 	return float64(s.outstanding) >= s.size
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -162,11 +162,6 @@
 	LeaseLength = 4 * time.Second
 	// HoldWait is how long an endpoint may keep a renewal open while no run ends. Each renewal is charged.
 	HoldWait = time.Second
-	// pausePerEndpoint and maxHoldPause determine the time from a list with ends to the next renewal, so that it lists
-	// several ends. Each call takes processor time, of which a holder of hundreds of endpoints has little to spare
-	// at a peak; a holder of few notices ends sooner.
-	pausePerEndpoint = 250 * time.Microsecond
-	maxHoldPause     = 100 * time.Millisecond
 	// silenceTimeout is the time without an answer, beyond HoldWait, after which an endpoint gets no new tasks.
 	silenceTimeout = 600 * time.Millisecond
 	// clockDriftPercent is the stated drift of an endpoint's monotonic clock, plus one percent for this entry's
@@ -188,11 +183,6 @@
 	stopRetryInterval = 500 * time.Millisecond
 )
 
-// holdPause returns the time from a list with ends to the next renewal.
-func (e *Engine) holdPause() time.Duration {
-	return min(maxHoldPause, time.Duration(len(e.workers))*pausePerEndpoint)
-}
-
 // deadline returns the end of a lease of the given length on the endpoint's clock, which may be slow.
 func (w *worker) deadline(now time.Time, length time.Duration) time.Duration {
 	elapsed := now.Sub(w.clockAt)
