shard: keep the order of a long queue between placements

Cause: each placement ranks all waiting steps, so that a queue of thousands of jobs takes the processor from the work that ends it. Longer intervals between placements save that, but leave endpoints and sent starts without work in between.

Change: placement runs each 20 ms with a backlog, as before, and takes up the order of the last ranking; steps are ranked anew after 100 us for each of them, at most 400 ms, and four times as often when all were tried. Lasting steps and those that start at once stay in the order until they are placed, or others would take what becomes free for them.

--- a/internal/shard/candidate.go
+++ b/internal/shard/candidate.go
@@ -70,9 +70,9 @@
 	heap.Init(q)
 }
 
-// candidates returns the steps with waiting tasks, in no order. The list is valid until the next call.
-func (e *Engine) candidates(now time.Time) candidateQueue {
-	list := e.candidateBuffer[:0]
+// candidates returns the steps with waiting tasks, in no order, in the memory of a list that is not needed any more.
+func (e *Engine) candidates(now time.Time, list candidateQueue) candidateQueue {
+	list = list[:0]
 	for _, o := range e.active {
 		if now.Before(o.Job.Due(o.Number)) {
 			continue
@@ -89,7 +89,6 @@
 			list = append(list, candidate{o, step, o.Job.Steps[s].Lasting, rank})
 		}
 	}
-	e.candidateBuffer = list
 	return list
 }
 
@@ -121,5 +120,5 @@
 // isCovered reports whether a step is known to fit on no endpoint in this round.
 func (e *Engine) isCovered(c candidate, skip *unplaceable) bool {
 	step := &c.occurrence.Job.Steps[c.step]
-	return !step.Gang && !step.SameRack && skip.covers(step.CountedDemand()) && e.isPlain(c)
+	return !c.lasting && !step.Gang && !step.SameRack && skip.covers(step.CountedDemand()) && e.isPlain(c)
 }
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -69,13 +69,18 @@
 	byID []*worker
 	// open holds the workers that may get work while Plan runs; openBuffer is its memory.
 	open, openBuffer []openWorker
-	// candidateBuffer is the memory of the steps that Plan and Load go through.
-	candidateBuffer []candidate
+	// ranked holds the waiting steps that were ranked at rankedAt and not placed since.
+	ranked   candidateQueue
+	rankedAt time.Time
+	// triedAll is set when the last placement has tried all of them.
+	triedAll bool
+	// loadBuffer is the memory of the steps that Load goes through.
+	loadBuffer candidateQueue
 	// starts bounds the starts that are on their way.
 	starts startWindow
 	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
 	mean *fleet.Capacity
-	// plannedAt is when placement last ran, backlog the number of steps that were waiting then.
+	// plannedAt is when placement last ran, backlog the number of steps that were waiting at the last ranking.
 	plannedAt time.Time
 	backlog   int
 	// planDue is when a call of Plan that came too soon may be repeated.
--- /dev/null
+++ b/internal/shard/export_test.go
@@ -0,0 +1,6 @@
+package shard
+
+import "time"
+
+// RankedAt returns when the waiting steps were last ranked.
+func (e *Engine) RankedAt() time.Time { return e.rankedAt }
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -70,7 +70,8 @@
 			l.Endpoints = append(l.Endpoints, load)
 		}
 	}
-	for _, c := range e.candidates(now) {
+	e.loadBuffer = e.candidates(now, e.loadBuffer)
+	for _, c := range e.loadBuffer {
 		step := &c.occurrence.Job.Steps[c.step]
 		demand, count := dominantDemand(step.CountedDemand(), mean), 0
 		for t := range c.occurrence.Tasks[c.step] {
--- a/internal/shard/peak_endpoint_test.go
+++ b/internal/shard/peak_endpoint_test.go
@@ -69,6 +69,12 @@
 	}
 	e.running[o.Task], e.highest[o.Task] = o.Run, o.Run
 	p.started++
+	if o.Task.Job == peakLasting {
+		if _, known := p.lastingAt[o.Task]; !known {
+			p.lastingAt[o.Task] = p.now
+		}
+		return shard.AnswerDone
+	}
 	run := o.Run
 	p.after(p.runTime(), func() {
 		p.lapse(e)
@@ -105,7 +111,11 @@
 	e.held = nil
 	r := shard.Result{Order: o, Answer: shard.AnswerDone, Clock: e.clock(p.now), StartMillis: e.info.StartMillis}
 	for id, run := range e.running {
-		r.Running = append(r.Running, shard.ListedRun{Task: id, Run: run, Progress: 50, Load: 8000})
+		progress := 50
+		if id.Job == peakLasting {
+			progress = 100
+		}
+		r.Running = append(r.Running, shard.ListedRun{Task: id, Run: run, Progress: progress, Load: 8000})
 	}
 	r.Ends = append(r.Ends, e.ends...)
 	p.reply(e, r)
--- a/internal/shard/peak_sender_test.go
+++ b/internal/shard/peak_sender_test.go
@@ -31,10 +31,7 @@
 	assigned, ended, jobs, stale int
 	// inTime counts the jobs that ended within their objective.
 	inTime, rows int
-	// sent counts the starts that were sent, startWait sums how long they waited.
-	sent      int
-	startWait time.Duration
-	lost      map[shard.LossReason]int
+	lost         map[shard.LossReason]int
 }
 
 func (c *peakCounts) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {
@@ -93,10 +90,6 @@
 			p.callNext(e, s)
 			return
 		}
-		if next.order.Kind == shard.OrderStart {
-			p.counts.sent++
-			p.counts.startWait += p.now.Sub(next.at)
-		}
 		p.take(costSend)
 		p.after(peakTransit, func() { p.receive(e, next.order) })
 	})
--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -71,6 +71,9 @@
 	// spend lets the time pass that a sender takes; nil takes none.
 	spend func(time.Duration)
 
+	// lastingAt is when each task of the lasting job first started.
+	lastingAt map[fleet.TaskID]time.Time
+
 	started, accepted           int
 	writing                     bool
 	tickAt, loadAt, registryAt  time.Time
@@ -86,7 +89,7 @@
 }
 
 func newPeak(seed uint64, endpoints int, capacity fleet.Capacity) *peak {
-	p := &peak{now: fakeEpoch, random: rand.New(rand.NewPCG(seed, 1)), byID: map[fleet.EndpointID]*peakEndpoint{}}
+	p := &peak{now: fakeEpoch, random: rand.New(rand.NewPCG(seed, 1)), byID: map[fleet.EndpointID]*peakEndpoint{}, lastingAt: map[fleet.TaskID]time.Time{}}
 	p.work = func(_ peakStep, do func()) { do() }
 	for i := range endpoints {
 		id := fleet.EndpointID(fmt.Sprintf("edge-becancour-est-1-endpoint-%03d", i))
@@ -131,7 +134,15 @@
 // submit has the announcement of a new job arrive.
 func (p *peak) submit() { p.inbox = append(p.inbox, peakMessage{job: p.newJob()}) }
 
-// retain adds jobs that have ended and are kept for status, and returns when they are stored.
+// peakLasting is a job of lasting tasks.
+const peakLasting fleet.JobID = "lasting"
+
+func (p *peak) submitLasting(tasks int) {
+	j := &fleet.Job{ID: peakLasting, Queue: "queue", Service: "service", AcceptedAt: p.now, Steps: []fleet.Step{{Tasks: tasks, Demand: peakDemand, Lasting: true, Image: "lasting"}}}
+	p.inbox = append(p.inbox, peakMessage{job: j})
+}
+
+// retain adds jobs that have ended and are kept for status.
 func (p *peak) retain(jobs int) {
 	for range jobs {
 		o := job.New(p.newJob(), 0)
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -14,10 +14,10 @@
 	// backlogInterval is the shortest time between placements with a backlog. Work in a long queue loses nothing
 	// by it, and a small VM has little processor time.
 	backlogInterval = 20 * time.Millisecond
-	// pausePerStep and maxBacklogInterval lengthen the interval with the waiting steps, each of which takes about a
-	// microsecond of every placement: otherwise a long queue takes the processor from the work that ends it.
-	pausePerStep       = 50 * time.Microsecond
-	maxBacklogInterval = 100 * time.Millisecond
+	// pausePerStep and maxRankInterval determine the time between two rankings of the waiting steps, each of which takes
+	// about a microsecond: otherwise a long queue takes the processor from the work that ends it.
+	pausePerStep    = 100 * time.Microsecond
+	maxRankInterval = 400 * time.Millisecond
 	// planInterval is the shortest time between placements without one. Each goes through all active jobs, and at a
 	// peak thousands of answers arrive in a second.
 	planInterval = 10 * time.Millisecond
@@ -30,7 +30,7 @@
 	}
 	interval := planInterval
 	if e.backlog > backlogSteps {
-		interval = min(max(backlogInterval, time.Duration(e.backlog)*pausePerStep), maxBacklogInterval)
+		interval = backlogInterval
 	}
 	if due := e.plannedAt.Add(interval); now.Before(due) {
 		e.planDue = due
@@ -45,21 +45,50 @@
 	if e.starts.isFull() {
 		return
 	}
-	skip := unplaceable{}
-	queue := e.candidates(now)
-	e.backlog = len(queue)
-	for heap.Init(&queue); len(queue) > 0 && !e.starts.isFull(); {
-		c := queue.next()
+	if now.Sub(e.rankedAt) >= e.rankInterval() {
+		e.ranked = e.candidates(now, e.ranked)
+		e.rankedAt, e.backlog = now, len(e.ranked)
+		heap.Init(&e.ranked)
+	}
+	e.placeRanked(now)
+}
+
+// rankInterval returns the time between two rankings of the waiting steps. It is shorter once all of them were tried, so
+// that what becomes free is used.
+func (e *Engine) rankInterval() time.Duration {
+	interval := min(time.Duration(e.backlog)*pausePerStep, maxRankInterval)
+	if e.triedAll {
+		interval /= 4
+	}
+	return interval
+}
+
+// placeRanked places the waiting steps in their order. Those that the window leaves no room for stay for the next
+// placement, and so do lasting ones and those that start at once, or others would take what becomes free for them.
+func (e *Engine) placeRanked(now time.Time) {
+	skip, again := unplaceable{}, []candidate{}
+	for len(e.ranked) > 0 && !e.starts.isFull() {
+		c := e.ranked.next()
+		if !c.occurrence.Ready(c.step) {
+			continue // It has ended since it was ranked.
+		}
 		step := c.occurrence.Job.Steps[c.step]
-		if step.Gang || step.SameRack {
+		together, known := step.Gang || step.SameRack, len(skip.demands)
+		if together {
 			e.placeTogether(now, c, step)
-			continue
+		} else {
+			e.placeEach(now, c, step, &skip)
 		}
-		known := len(skip.demands)
-		e.placeEach(now, c, step, &skip)
 		if len(skip.demands) > known {
-			queue.remove(func(c candidate) bool { return e.isCovered(c, &skip) })
+			e.ranked.remove(func(c candidate) bool { return e.isCovered(c, &skip) })
 		}
+		if (c.lasting || together || e.starts.isFull()) && waiting(c.occurrence.Tasks[c.step]) {
+			again = append(again, c)
+		}
+	}
+	e.triedAll = len(e.ranked) == 0
+	for _, c := range again {
+		heap.Push(&e.ranked, c)
 	}
 }
 
