shard: let no placement be due that a batch holds back

Cause: Plan returns at once while a batch with new runs is committed and more than 80 rows have changed, but left the time at which an earlier call was to be repeated. That time passes, and the scheduler runs again and again without a pause until the store has answered, which at a peak on a slow store is most of the time: it takes the whole processor from the calls to endpoints.

Change: nothing is due until the batch is committed.

--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -26,6 +26,7 @@
 // Plan assigns waiting tasks to endpoints. It is called after each batch of events.
 func (e *Engine) Plan(now time.Time) {
 	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > maxBatchRows {
+		e.planDue = time.Time{} // The commit is what is waited for.
 		return
 	}
 	interval := planInterval
