--- a/internal/shard/peak_sender_test.go
+++ b/internal/shard/peak_sender_test.go
@@ -29,7 +29,7 @@
 type peakCounts struct {
 	fakeObserver
 	assigned, ended, jobs, stale int
-	// inTime counts the jobs that ended within their objective.
+	// inTime counts the jobs that ended within three seconds.
 	inTime, rows int
 	lost         map[shard.LossReason]int
 }
