holder: end relayed orders as unknown about as soon as direct ones

The engine takes it that a start is answered or has timed out a second after it was created; a relayed one may now take 1.5 s instead of 2.5 s.

--- a/internal/holder/routes.go
+++ b/internal/holder/routes.go
@@ -48,9 +48,10 @@
 	// connections, which are charged.
 	minAvoidance = 5 * time.Second
 	maxAvoidance = time.Minute
-	// maxRelayAnswer is the time after which a relayed order without a result ends as unknown. It is shorter than the
-	// lease that a start may extend, which would expire unnoticed otherwise.
-	maxRelayAnswer = 2500 * time.Millisecond
+	// maxRelayAnswer is the time, beyond that for which an endpoint may wait, after which a relayed order without a result
+	// ends as unknown. An order that the holder sends itself is answered or times out within 1 s, and the engine counts
+	// on that for the leases that it does not know of.
+	maxRelayAnswer = 1500 * time.Millisecond
 )
 
 func (s *Scheduler) newRoutes(h *heldDuty) *routes {
@@ -100,7 +101,7 @@
 	r.direct.closeIdle(now)
 	for _, k := range r.relays {
 		for number, q := range k.outstanding {
-			if now.Sub(q.at) >= maxRelayAnswer {
+			if now.Sub(q.at) >= maxRelayAnswer+q.order.Wait {
 				delete(k.outstanding, number)
 				r.unknown(now, k, q)
 			}
