--- a/internal/holder/fake_calls_test.go
+++ b/internal/holder/fake_calls_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -26,6 +27,7 @@
 	storeSilent storeMode = "silent"
 	// storeLossy loses half of the calls of transactions, or their answers.
 	storeLossy storeMode = "lossy"
+	storeSlow  storeMode = "slow"
 )
 
 // silenceLimit is when a call without an answer fails.
@@ -51,6 +53,10 @@
 		return trace.Wrap(&rowstore.UnknownError{Call: name, Cause: err})
 	}
 	switch s.mode() {
+	case storeSlow:
+		if err := s.life.wait(ctx, s.life.cluster.duration(50*time.Millisecond, 900*time.Millisecond)); err != nil {
+			return trace.Wrap(&rowstore.UnknownError{Call: name, Cause: err})
+		}
 	case storeRefuses:
 		return trace.Wrap(&rowstore.RefusedError{Call: name, Status: 503, Cause: &rows.LostError{}})
 	case storeSilent:
@@ -71,13 +77,17 @@
 		return 0, trace.Wrap(&rowstore.UnknownError{Call: "transact", Cause: &rows.LostError{}})
 	}
 	if err := s.reach(ctx, "transact"); err != nil {
-		if s.mode() == storeSilent && s.life.ctx.Err() == nil && c.duration(0, 4) == 0 {
+		if m := s.mode(); (m == storeSilent && c.duration(0, 4) == 0 || m == storeSlow) && s.life.ctx.Err() == nil {
 			_, _ = s.apply(t) // The process isn't told.
 		}
 		return 0, err
 	}
 	version, err := s.apply(t)
-	if wait := s.life.wait(ctx, c.duration(time.Millisecond, 5*time.Millisecond)); lost || wait != nil {
+	back := c.duration(time.Millisecond, 5*time.Millisecond)
+	if s.mode() == storeSlow {
+		back *= 100
+	}
+	if wait := s.life.wait(ctx, back); lost || wait != nil {
 		return 0, trace.Wrap(&rowstore.UnknownError{Call: "transact", Cause: &rows.LostError{}})
 	}
 	return version, err
@@ -153,7 +163,7 @@
 		c.observeOrder(f.life, p, o)
 		executed := p.Execute(ctx, o)
 		timeout -= min(timeout, time.Since(result.SentAt))
-		if c.reach(f.life.entry.id, o) == p && f.life.wait(ctx, c.duration(200*time.Microsecond, 2*time.Millisecond)) == nil {
+		if c.reach(f.life.entry.id, o) == p && !c.isMute(o) && f.life.wait(ctx, c.duration(200*time.Microsecond, 2*time.Millisecond)) == nil {
 			executed.SentAt = result.SentAt
 			return executed
 		}
@@ -177,6 +187,13 @@
 	return nil
 }
 
+// isMute reports whether the answer to an order is lost.
+func (c *fakeCluster) isMute(o shard.Order) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.ContainsFunc(c.endpoints, func(e *fakeEndpoint) bool { return e.isMute && fleet.Address(e.id) == o.Address })
+}
+
 // grantTime is how long the next holder assumes that a holder grants leases after its last renewal.
 const grantTime = 2400 * time.Millisecond
 
--- a/internal/holder/fake_cluster_test.go
+++ b/internal/holder/fake_cluster_test.go
@@ -83,8 +83,10 @@
 	// isCut is set while no entry and no store is reached, cutFrom while single entries are not.
 	isCut   bool
 	cutFrom map[fleet.EntryID]bool
-	silent  time.Time
-	epoch   fleet.FencingToken
+	// isMute is set while its answers are lost.
+	isMute bool
+	silent time.Time
+	epoch  fleet.FencingToken
 }
 
 func newFakeCluster(t *testing.T, seed uint64, endpoints int) *fakeCluster {
@@ -202,11 +204,11 @@
 
 // join ends the cuts of an endpoint.
 func (c *fakeCluster) join(e *fakeEndpoint) {
-	if e.isCut || len(e.cutFrom) > 0 {
+	if e.isCut || e.isMute || len(e.cutFrom) > 0 {
 		c.disrupt("%s is reached again", e.id)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		e.isCut = false
+		e.isCut, e.isMute = false, false
 		clear(e.cutFrom)
 	}
 }
--- a/internal/holder/takeover_property_test.go
+++ b/internal/holder/takeover_property_test.go
@@ -80,7 +80,7 @@
 func (s *takeoverSchedule) endpoint() *fakeEndpoint {
 	sound := 0
 	for _, e := range s.endpoints {
-		if e.process != nil && !e.isCut && len(e.cutFrom) == 0 {
+		if e.process != nil && !e.isCut && !e.isMute && len(e.cutFrom) == 0 {
 			sound++
 		}
 	}
@@ -96,7 +96,7 @@
 // event applies one random event.
 func (s *takeoverSchedule) event() {
 	e, endpoint := s.entry(), s.endpoint()
-	kind := s.random.IntN(14)
+	kind := s.random.IntN(15)
 	switch {
 	case kind < 4:
 		s.replace(e, kind)
@@ -113,9 +113,11 @@
 			s.after(s.between(0, 3*time.Second), func() { s.restart(endpoint) })
 		}
 	case kind < 12:
-		s.cut(endpoint, nil)
+		s.cut(endpoint, nil, false)
+	case kind < 14:
+		s.cut(endpoint, e, false)
 	default:
-		s.cut(endpoint, e)
+		s.cut(endpoint, nil, true)
 	}
 }
 
@@ -142,7 +144,7 @@
 
 // setStore has the store fail for all or for one entry for a while.
 func (s *takeoverSchedule) setStore(e *fakeEntry, all bool) {
-	mode := []storeMode{storeRefuses, storeSilent, storeLossy}[s.random.IntN(3)]
+	mode := []storeMode{storeRefuses, storeSilent, storeLossy, storeSlow}[s.random.IntN(4)]
 	d := s.between(200*time.Millisecond, 8*time.Second)
 	set := func(mode storeMode) {
 		s.mu.Lock()
@@ -158,20 +160,19 @@
 	s.after(d, func() { set(storeAnswers); s.disrupt("store answers, all %v, else %s", all, e.id) })
 }
 
-// cut cuts an endpoint from all, or from a single entry.
-func (s *takeoverSchedule) cut(endpoint *fakeEndpoint, from *fakeEntry) {
+// cut cuts an endpoint from all, or from a single entry, or loses its answers.
+func (s *takeoverSchedule) cut(endpoint *fakeEndpoint, from *fakeEntry, mute bool) {
 	s.mu.Lock()
-	if from == nil {
+	switch {
+	case mute:
+		endpoint.isMute = true
+	case from == nil:
 		endpoint.isCut, endpoint.silent = true, time.Now()
-	} else {
+	default:
 		endpoint.cutFrom[from.id] = true
 	}
 	s.mu.Unlock()
-	if from == nil {
-		s.disrupt("%s is cut from all", endpoint.id)
-	} else {
-		s.disrupt("%s is cut from %s", endpoint.id, from.id)
-	}
+	s.disrupt("%s is cut from all %v, mute %v, else from %v", endpoint.id, endpoint.isCut, endpoint.isMute, endpoint.cutFrom)
 	if s.random.IntN(2) == 0 {
 		s.after(s.between(100*time.Millisecond, 6*time.Second), func() { s.join(endpoint) })
 	}
