--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -47,12 +47,17 @@
 	// batchedAt is when the last batch was passed to the writer.
 	batchedAt time.Time
 	renewedAt time.Time
+	// suspended is set while the engine may order nothing.
+	suspended bool
 	// boundsDue is set while the stored bounds of leases are out of date.
 	boundsDue bool
 	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
 	confirmedAt time.Time
 	releasing   bool
 	links       *routes
+	// waitingJobs is the number of waiting jobs of each queue as counted at waitingAt.
+	waitingJobs map[fleet.QueueID]int
+	waitingAt   time.Time
 	ctx         context.Context
 	cancel      context.CancelFunc
 }
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -85,9 +85,9 @@
 	starts startWindow
 	// mean caches the mean capacity of the endpoints; it is nil after one of them has changed.
 	mean *fleet.Capacity
-	// plannedAt is when placement last ran, backlogged whether many steps were waiting then.
-	plannedAt  time.Time
-	backlogged bool
+	// plannedAt is when placement last ran, backlog the number of steps that were waiting then.
+	plannedAt time.Time
+	backlog   int
 	// planDue is when a call of Plan that came too soon may be repeated.
 	planDue time.Time
 	// runTimes holds observed run times.
@@ -139,8 +139,9 @@
 	validUntil time.Time
 	// withheld holds the endpoints that are granted nothing, because a list that is stored or being stored says so.
 	withheld map[fleet.EndpointID]bool
-	// pendingBounds is the latest list of bounds.
-	pendingBounds map[fleet.EndpointID]LeaseBound
+	// pending is the latest list of bounds, stored the latest one that is stored, with the bounds by endpoint.
+	pending, stored             Inheritance
+	pendingBounds, storedBounds map[fleet.EndpointID]LeaseBound
 	// evacuateFrom is when stops that the previous holder ordered have taken effect. Until then a task that
 	// is being stopped may still be listed as running.
 	evacuateFrom time.Time
@@ -251,6 +252,9 @@
 		return
 	}
 	a.phase = phaseStopping
+	if !e.Permitted(now) {
+		return // Sent with the repeated stops, if the holder may order anything again.
+	}
 	a.nextStopAt = now.Add(stopRetryInterval)
 	e.out = append(e.out, e.order(w, OrderStop, a))
 }
--- a/internal/shard/results.go
+++ b/internal/shard/results.go
@@ -124,7 +124,7 @@
 			return // Only the answer was lost.
 		}
 		// The start may still be executed later. A stop that is answered rules that out.
-		if w.hasRestarted {
+		if w.hasRestarted && w.mayHoldLongLease(now, e.leaseLength()) {
 			w.extendUnprovenLease(now, e.Bounds.MaxLease)
 		}
 		e.avoid[a.id] = w.Endpoint
@@ -161,7 +161,7 @@
 	if w.mayHoldLongestLease {
 		// From now on the process rejects orders that were meant for an earlier one.
 		w.mayHoldLongestLease = false
-		w.extendLease(now, e.Bounds.MaxLease)
+		e.outwaitLongestLease(now, w)
 	}
 	if !e.mayGrant(now, w) {
 		w.nextHoldAt = now.Add(withheldInterval)
@@ -263,7 +263,7 @@
 			e.dirty[o.Key()] = true
 		}
 	}
-	if now.Before(w.nextForeignStopAt) {
+	if !e.Permitted(now) || now.Before(w.nextForeignStopAt) {
 		return
 	}
 	w.nextForeignStopAt = now.Add(stopRetryInterval / 5)
