holder: test of lasting tasks after a silent store and restarts of entries

The taker reads the lease first up to 1.8 s after the outage and counts 2.06 s and a lease from then. An earlier process of its own VM, or of one whose row of members shows another incarnation, has ended by the time of that start or row.

--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -97,19 +97,30 @@
 // Guards against a lasting task that waits for a holder whose VM has restarted, as all entries have, while the store did
 // not answer: none of them has seen when the lease was renewed.
 func TestLastingTaskRunsSoonAfterOutageWithRestarts(t *testing.T) {
-	inCluster(t, func(c *fakeCluster) {
-		c.storeMode = storeRefuses
-		c.end(c.endpointOf(lastingTask), false)
-		for _, e := range c.entries {
-			c.kill(e)
-			c.after(2*time.Second, func() { c.start(e) })
-		}
-		c.run(5 * time.Second)
+	inCluster(t, func(c *fakeCluster) { restartInOutage(c, storeRefuses) })
+}
+
+// Guards against the same where reads that began in the outage stay without an answer.
+func TestLastingTaskRunsSoonAfterSilentStoreWithRestarts(t *testing.T) {
+	inCluster(t, func(c *fakeCluster) { restartInOutage(c, storeSilent) })
+}
+
+// restartInOutage ends the lasting task's endpoint and restarts all entries during an outage of the store.
+func restartInOutage(c *fakeCluster, mode storeMode) {
+	set := func(mode storeMode) {
 		c.mu.Lock()
-		c.storeMode = storeAnswers
+		c.storeMode = mode
 		c.mu.Unlock()
-		c.disrupt("store answers")
-	})
+		c.disrupt("store %s", mode)
+	}
+	set(mode)
+	c.end(c.endpointOf(lastingTask), false)
+	for _, e := range c.entries {
+		c.kill(e)
+		c.after(2*time.Second, func() { c.start(e) })
+	}
+	c.run(5 * time.Second)
+	set(storeAnswers)
 }
 
 // Guards against a lasting task that waits for the longest lease because its endpoint restarted long before a takeover.
