--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -27,8 +27,7 @@
 func (e *Engine) Plan(now time.Time) {
 	e.planDue = time.Time{}
 	if e.batch != nil && len(e.batch.planned) > 0 && len(e.dirty) > maxBatchRows {
-		e.planDue = time.Time{} // The commit is what is waited for.
-		return
+		return // The commit is what is waited for.
 	}
 	interval := planInterval
 	if e.backlog > backlogSteps {
