--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -48,7 +48,7 @@
 	if e.starts.isFull() {
 		return
 	}
-	if now.Sub(e.rankedAt) >= e.rankInterval() {
+	if now.Sub(e.rankedAt) >= e.rankInterval(now) {
 		e.ranked = e.candidates(now, e.ranked)
 		e.rankedAt, e.backlog = now, len(e.ranked)
 		heap.Init(&e.ranked)
@@ -56,9 +56,13 @@
 	e.placeRanked(now)
 }
 
-// rankInterval returns the time between two rankings of the waiting steps. It is shorter once all of them were tried, so
-// that what becomes free is used.
-func (e *Engine) rankInterval() time.Duration {
+// rankInterval returns the time between two rankings of the waiting steps. Each placement ranks them while the holder keeps
+// up, since jobs that arrive in between would wait. Otherwise it is shorter once all of them were tried, so that what
+// becomes free is used.
+func (e *Engine) rankInterval(now time.Time) time.Duration {
+	if !e.starts.isOverloaded(now) {
+		return 0
+	}
 	interval := min(time.Duration(e.backlog)*pausePerStep, maxRankInterval)
 	if e.triedAll {
 		interval /= 4
