--- /dev/null
+++ b/internal/jobentry/server.go
@@ -0,0 +1,81 @@
+package jobentry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+
+	"github.com/gravitational/trace"
+	"go.uber.org/zap"
+
+	"github.com/mimosawharf/mimosawharf/internal/jobpeer"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// httpServer is a duty that serves HTTP on one listener.
+type httpServer struct {
+	name     fleet.DutyName
+	listener net.Listener
+	server   *http.Server
+}
+
+// Name implements duty.Duty.
+func (s *httpServer) Name() fleet.DutyName { return s.name }
+
+// Run implements duty.Duty.
+func (s *httpServer) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = s.server.Close() }) // The process ends.
+	defer stop()
+	err := s.server.Serve(s.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return trace.Wrap(ctx.Err())
+	}
+	return trace.Wrap(err)
+}
+
+// servers opens all listeners. It returns *ListenError.
+func (e *Entry) servers() ([]*httpServer, error) {
+	peerMux := http.NewServeMux()
+	peerMux.Handle((&jobpeer.PeerHandler{Scheduler: e.feeds.Scheduler}).Path())
+	peerMux.Handle((&jobpeer.Jobs{Feeds: jobpeer.JobFeeds{Config: e.feeds.Config, Intakes: e.feeds.Intakes, JobRequests: e.feeds.JobRequests}, Clock: e.Clock}).Path())
+	peerMux.Handle((&jobpeer.RelayHandler{
+		Sessions: e.relaySessions, Clock: e.Clock, Ready: func() bool { return e.drainCtx.Err() == nil },
+	}).Path())
+	metricsMux := http.NewServeMux()
+	metricsMux.Handle("GET /metrics", e.registry.Page)
+	all := append(e.Platform.Servers(e.feeds), Server{Duty: "http-peer", Address: e.self.Address, Handler: peerMux})
+	if e.MetricsAddress != "" {
+		all = append(all, Server{Duty: "http-metrics", Address: e.MetricsAddress, Handler: metricsMux})
+	}
+	var list []*httpServer
+	for _, s := range all {
+		l, err := net.Listen("tcp4", string(s.Address))
+		if err != nil {
+			return nil, trace.Wrap(&ListenError{Address: s.Address, Cause: err})
+		}
+		maxHeader := s.MaxHeaderBytes
+		if maxHeader == 0 {
+			maxHeader = defaultHeaderBytes
+		}
+		list = append(list, &httpServer{name: s.Duty, listener: l, server: &http.Server{
+			Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(e.Log),
+		}})
+	}
+	return list, nil
+}
+
+// ListenError reports an address that cannot be listened on.
+type ListenError struct {
+	Address fleet.Address
+	Cause   error
+}
+
+// Error implements error.
+func (e *ListenError) Error() string {
+	return "listen on " + string(e.Address) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
