--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -86,7 +86,7 @@
 	}
 	if due {
 		h.renewedAt, h.boundsDue = now, false
-		w.Bounds = storedBounds(now, h.engine.LeaseBounds(now))
+		w.Bounds = storedBounds(now, h.engine.PrepareBounds(now))
 		// A bound that is dropped and the process that has settled with it are stored together.
 		if h.loaded && (h.processes.settle(now, h.engine) || h.processes.due(now)) {
 			w.Puts = append(w.Puts, h.processes.rows(now, h.chain.Duty)...)
@@ -149,7 +149,7 @@
 		return
 	}
 	now := s.Clock.Now()
-	_ = h.writes.Push(Write{Release: true, Bounds: storedBounds(now, h.engine.ReleaseBounds(now))})
+	_ = h.writes.Push(Write{Release: true, Bounds: storedBounds(now, h.engine.PrepareRelease(now))})
 }
 
 // expiryInterval is the time between checks for jobs that need not be kept.
--- a/internal/shard/bounds.go
+++ b/internal/shard/bounds.go
@@ -89,10 +89,10 @@
 	w.extendLease(now, e.Bounds.MaxLease)
 }
 
-// ReleaseBounds returns the same as LeaseBounds and the endpoints that are cordoned, to be stored with a release: the next
+// PrepareRelease returns the same as PrepareBounds and the endpoints that are cordoned, to be stored with a release: the next
 // holder may take the service over before the order for a vacated VM arrives.
-func (e *Engine) ReleaseBounds(now time.Time) Inheritance {
-	i := e.LeaseBounds(now)
+func (e *Engine) PrepareRelease(now time.Time) Inheritance {
+	i := e.PrepareBounds(now)
 	for _, w := range e.sorted() {
 		if !now.Before(w.cordonedUntil) {
 			continue
@@ -106,10 +106,10 @@
 	return i
 }
 
-// LeaseBounds returns the bounds that the next holder has to know, to be stored with a renewal of the service's lease.
+// PrepareBounds returns the bounds that the next holder has to know, to be stored with a renewal of the service's lease.
 // From then on the endpoints that it lists as silent are granted nothing, until BoundsStored is called for a list
 // without them.
-func (e *Engine) LeaseBounds(now time.Time) Inheritance {
+func (e *Engine) PrepareBounds(now time.Time) Inheritance {
 	i := e.leaseBounds(now)
 	e.pending, e.pendingBounds = i, map[fleet.EndpointID]LeaseBound{}
 	for _, b := range i.Bounds {
@@ -189,7 +189,7 @@
 	return false
 }
 
-// BoundsStored is called when the latest list that LeaseBounds returned is stored.
+// BoundsStored is called when the latest list that PrepareBounds returned is stored.
 func (e *Engine) BoundsStored(now time.Time) {
 	e.stored, e.storedBounds = e.pending, e.pendingBounds
 	for id := range e.withheld {
--- a/internal/shard/inheritance_test.go
+++ b/internal/shard/inheritance_test.go
@@ -186,7 +186,7 @@
 		e.unreachable = true
 	}
 	sim.run(1900 * time.Millisecond)
-	b := sim.engine.LeaseBounds(sim.now)
+	b := sim.engine.PrepareBounds(sim.now)
 	t.Logf("%d bounds, others end in %v", len(b.Bounds), b.End.Sub(sim.now))
 	is.Equal(len(b.Bounds), 1000)
 	is.True(!sim.engine.BoundsDue(sim.now))
--- a/internal/shard/loading_test.go
+++ b/internal/shard/loading_test.go
@@ -80,8 +80,8 @@
 	sim.frozen = true // the earlier holder does not learn of the restart
 	sim.restartWith(sim.endpoints["endpoint-00"], lowClock, 100*time.Millisecond)
 	sim.takeOverAndLoad(2500*time.Millisecond, 12*time.Second) // until the leases of the earlier holder have ended
-	bounds := sim.engine.LeaseBounds(sim.now).Bounds
+	bounds := sim.engine.PrepareBounds(sim.now).Bounds
 	is.True(len(bounds) == 1 && bounds[0].End.After(shard.LeaseEnd(sim.now)))
 	sim.run(fakeMaxLease + time.Second)
-	is.Equal(sim.engine.LeaseBounds(sim.now), shard.Inheritance{})
+	is.Equal(sim.engine.PrepareBounds(sim.now), shard.Inheritance{})
 }
--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -239,7 +239,7 @@
 		return
 	}
 	if p.now.Sub(p.renewedAt) >= peakRenewal {
-		p.work(stepBounds, func() { p.engine.LeaseBounds(p.now) })
+		p.work(stepBounds, func() { p.engine.PrepareBounds(p.now) })
 		p.renewedAt = p.now
 	}
 	p.writing, p.batchedAt = true, p.now
--- a/internal/shard/renewal_test.go
+++ b/internal/shard/renewal_test.go
@@ -24,7 +24,7 @@
 	since := sim.now.Sub(sim.renewedAt)
 	if sim.renewalAt.IsZero() && (since >= fakeRenewal || since >= fakeBounds && sim.engine.BoundsDue(sim.now)) {
 		sim.renewedAt, sim.renewalAt = sim.now, sim.now.Add(fakeCommit)
-		sim.renewing = sim.engine.LeaseBounds(sim.now)
+		sim.renewing = sim.engine.PrepareBounds(sim.now)
 	}
 }
 
@@ -39,7 +39,7 @@
 
 // release returns the same for a holder that releases the lease.
 func (sim *simulation) release() shard.Inheritance {
-	inherited := sim.engine.ReleaseBounds(sim.now)
+	inherited := sim.engine.PrepareRelease(sim.now)
 	if end := shard.LeaseEnd(sim.now); end.After(inherited.End) {
 		inherited.End = end
 	}
