shard: let no row without a start time describe a next process

What callers could see: a task that needs a label starts on the next process of an endpoint, which has another one (ROUTE).

Cause: a registry row without a start time counted as that of any process. Read before a restart, it gave the next process, which its first list names, the labels and the capacity of the earlier one. Read after, it replaced what a process is by its own row. A list without a start time counted as that of the process that the holder knew.

Ruled out by the same test: rows that come before, between or after list, renewal, decision, commit, start and answer, rows of the process before, start times that fall, new holders with an old row. With rows that name their process no order of the events misplaces a start, before and after this change.

Change: once an endpoint has restarted, only a row that names the process describes it. An endpoint gets work only while its latest list names its process.

--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -1,7 +1,6 @@
 package shard
 
 import (
-	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
@@ -35,25 +34,6 @@
 	e.mean = nil
 }
 
-// setRow records the registry's row of an endpoint. A row with another start time may be old, of the next process,
-// or left by another writer: only a list shows which process there is, so the row says no more than where to ask when
-// the known address does not answer.
-func (w *worker) setRow(now time.Time, row EndpointInfo) {
-	w.row = row
-	address := w.Address
-	switch {
-	case row.describes(w.StartMillis):
-		startMillis := max(row.StartMillis, w.StartMillis) // One of them may be missing.
-		w.EndpointInfo = row
-		w.StartMillis = startMillis
-	case !w.reachable(now) && !slices.Contains(w.replaced, row.StartMillis):
-		w.Address = row.Address
-	}
-	if w.Address != address {
-		w.holdInFlight = false
-	}
-}
-
 // markLost ends a run whose end was not reported.
 func (e *Engine) markLost(now time.Time, w *worker, a *assignment, loss Loss) {
 	w.remove(a.id)
--- a/internal/shard/lists.go
+++ b/internal/shard/lists.go
@@ -18,7 +18,7 @@
 	if w.missed {
 		e.Observer.Reconnected(w.Endpoint)
 	}
-	w.missed, w.holdBackoff, w.heldAt = false, 0, r.Order.Address
+	w.missed, w.holdBackoff, w.heldAt, w.isNamed = false, 0, r.Order.Address, r.StartMillis == w.StartMillis
 	if !w.contacted {
 		w.contacted = true
 		w.nextHoldAt = now
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -66,7 +66,8 @@
 // kept until it answers a renewal with its own token, when its list shows which of them it executes.
 func (e *Engine) handleRestart(now time.Time, w *worker, startMillis int64) *worker {
 	next := EndpointInfo{Endpoint: w.Endpoint, Service: w.Service, Address: w.Address}
-	if w.row.describes(startMillis) {
+	hasOwnRow := w.row.StartMillis == startMillis
+	if hasOwnRow {
 		next = w.row
 	}
 	next.StartMillis = startMillis
@@ -85,7 +86,8 @@
 		successor.add(a)
 	}
 	successor.replaced = append(w.replaced, w.StartMillis)
-	successor.hasRestarted, successor.mayHoldLongestLease = true, true
+	successor.hasRestarted, successor.mayHoldLongestLease, successor.hasOwnRow = true, true, hasOwnRow
+	successor.describe()
 	successor.extendLease(now, e.Bounds.MaxLease)
 	e.observeRestart(now, w, successor, lost)
 	return successor
@@ -101,6 +103,7 @@
 	if !w.contacted {
 		successor.firstSeen = w.firstSeen
 	}
+	successor.hasOwnRow = w.hasOwnRow
 	successor.describe()
 	e.setWorker(successor)
 	return successor
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -29,12 +29,6 @@
 	return fleet.EndpointProcess{Endpoint: i.Endpoint, StartMillis: i.StartMillis}
 }
 
-// describes reports whether the row is that of a process. A row or a process without a start time cannot be told from
-// others.
-func (i EndpointInfo) describes(startMillis int64) bool {
-	return i.StartMillis == startMillis || i.StartMillis == 0 || startMillis == 0
-}
-
 // phase is the stage that a run has reached.
 type phase string
 
@@ -100,6 +94,9 @@
 	// while the registry lists the process itself: the next process of an endpoint may have other labels and another
 	// capacity, and its lists do not name them.
 	listed, described bool
+	// hasOwnRow is set once a row that names the process has described it. isNamed is set while the latest list names
+	// the process: a list without a start time may be that of the next one.
+	hasOwnRow, isNamed bool
 	// contacted is set once the process has answered a renewal of this holder.
 	contacted bool
 	// heldAt is the address at which the process last answered a renewal. Another process at a different address
@@ -232,12 +229,9 @@
 
 // inService reports whether the worker may get new work once it has room.
 func (w *worker) inService(now time.Time) bool {
-	return w.described && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
+	return w.described && w.isNamed && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
 }
 
-// describe updates whether the registry lists the worker's process. It is called after each change of either.
-func (w *worker) describe() { w.described = w.listed && w.row.describes(w.StartMillis) }
-
 func (w *worker) free() fleet.Capacity { return w.Capacity.Minus(w.used) }
 
 func (w *worker) add(a *assignment) {
