account, platform: tell callers by the keys of client accounts

Cause: the path of jobs decoded no client accounts, so that a call with any key, or none, was run. The stored job names its account. Nothing changes where a configuration has no accounts.

--- /dev/null
+++ b/internal/account/directory.go
@@ -0,0 +1,41 @@
+// Package account decides which client account a request comes from.
+package account
+
+import "github.com/mimosawharf/mimosawharf/pkg/fleet"
+
+// Directory finds client accounts by their keys. It is never modified.
+type Directory struct {
+	accounts map[fleet.ClientAccountID]fleet.ClientAccount
+	byKey    map[fleet.KeyDigest]fleet.ClientAccountID
+}
+
+// NewDirectory returns the directory of the accounts of one configuration. A key of two accounts authorizes neither.
+func NewDirectory(accounts []fleet.ClientAccount) *Directory {
+	d := &Directory{accounts: map[fleet.ClientAccountID]fleet.ClientAccount{}, byKey: map[fleet.KeyDigest]fleet.ClientAccountID{}}
+	shared := map[fleet.KeyDigest]bool{}
+	for _, a := range accounts {
+		d.accounts[a.ID] = a
+		for _, k := range a.Keys {
+			if owner, ok := d.byKey[k]; ok && owner != a.ID {
+				shared[k] = true
+			}
+			d.byKey[k] = a.ID
+		}
+	}
+	for k := range shared {
+		delete(d.byKey, k)
+	}
+	return d
+}
+
+// Owner returns the account that a key belongs to. It may be called from several goroutines.
+func (d *Directory) Owner(k fleet.KeyDigest) (fleet.ClientAccountID, bool) {
+	id, ok := d.byKey[k]
+	return id, ok
+}
+
+// Account returns an account by its id.
+func (d *Directory) Account(id fleet.ClientAccountID) (fleet.ClientAccount, bool) {
+	a, ok := d.accounts[id]
+	return a, ok
+}
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
@@ -77,6 +78,8 @@
 	job.Policy
 	// Host and Prefix are what the requests for the queue have in common.
 	Host, Prefix string
+	// Public is set for a queue that needs no key.
+	Public bool
 }
 
 // Config is the configuration of queues and services.
@@ -85,6 +88,8 @@
 	Queues  []Queue
 	// Services lists all services, those without queues included.
 	Services []Service
+	// Accounts holds the client accounts; nil where the configuration knows none, so that no request needs a key.
+	Accounts *account.Directory
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -17,7 +17,7 @@
 func Job(j *fleet.Job) *jobv1.Job {
 	m := &jobv1.Job{
 		Id: string(j.ID), Queue: string(j.Queue), Service: string(j.Service), Payload: j.Payload,
-		AcceptedAt: timestamppb.New(j.AcceptedAt), Occurrences: uint32(j.Occurrences), MaxAttempts: uint32(j.MaxAttempts), NeedsTickets: j.NeedsTickets,
+		AcceptedAt: timestamppb.New(j.AcceptedAt), Occurrences: uint32(j.Occurrences), MaxAttempts: uint32(j.MaxAttempts), NeedsTickets: j.NeedsTickets, Account: string(j.Account),
 	}
 	if j.Occurrences > 0 {
 		m.FirstDue, m.Interval = timestamppb.New(j.FirstDue), durationpb.New(j.Interval)
@@ -54,7 +54,7 @@
 func FromJob(m *jobv1.Job) *fleet.Job {
 	j := &fleet.Job{
 		ID: fleet.JobID(m.GetId()), Queue: fleet.QueueID(m.GetQueue()), Service: fleet.ServiceID(m.GetService()), Payload: m.GetPayload(),
-		AcceptedAt: m.GetAcceptedAt().AsTime(), Occurrences: int(m.GetOccurrences()), MaxAttempts: int(m.GetMaxAttempts()), NeedsTickets: m.GetNeedsTickets(),
+		AcceptedAt: m.GetAcceptedAt().AsTime(), Occurrences: int(m.GetOccurrences()), MaxAttempts: int(m.GetMaxAttempts()), NeedsTickets: m.GetNeedsTickets(), Account: fleet.ClientAccountID(m.GetAccount()),
 	}
 	if j.Occurrences > 0 {
 		j.FirstDue, j.Interval = m.GetFirstDue().AsTime(), m.GetInterval().AsDuration()
--- a/pkg/api/mimosawharf/job/v1/job_check_gen.go
+++ b/pkg/api/mimosawharf/job/v1/job_check_gen.go
@@ -30,6 +30,9 @@
 	if err := check.AtMost("occurrences", int64(x.GetOccurrences()), 10000); err != nil {
 		return err
 	}
+	if err := check.Length("account", len(x.GetAccount()), 0, 200); err != nil {
+		return err
+	}
 	return nil
 }
 
--- a/pkg/fleet/configuration.go
+++ b/pkg/fleet/configuration.go
@@ -78,7 +78,14 @@
 	Weight         Weight
 	Quota          Quota
 	PriorityGrants []PriorityGrant
-	Revision       ConfigRevision
+	// Keys are the keys that authorize submissions and requests of jobs.
+	Keys []KeyDigest
+	// Priority orders the account's jobs among those of a queue; 0 is served first.
+	Priority int
+	// MaxRunning bounds what the tasks of the account's jobs use at the same time, over all services. A resource of 0
+	// has no bound.
+	MaxRunning Capacity
+	Revision   ConfigRevision
 }
 
 // Quota bounds an account over all entries. A limit of 0 means no bound.
--- a/pkg/fleet/job.go
+++ b/pkg/fleet/job.go
@@ -166,9 +166,11 @@
 
 // Job is an accepted job. It is never modified.
 type Job struct {
-	ID         JobID
-	Queue      QueueID
-	Service    ServiceID
+	ID      JobID
+	Queue   QueueID
+	Service ServiceID
+	// Account is the client account that submitted the job; empty for a queue that is open to all.
+	Account    ClientAccountID
 	Payload    string
 	Steps      []Step
 	AcceptedAt time.Time
