holder: divide accepted jobs into 32 parts instead of four

Its parts apply transactions one after another, at most eight a second each, and 43 entries write their own submissions to four parts: 1,342 transactions were answered 429, each with 1 to 8 submissions, and 680 callers got 503, 622 got 504. Excluded: the size of batches (at most 8 of 32) and timeouts (215 transactions without an answer, of which most follow from the waits).

Accepted jobs are divided into 32 parts. A new holder reads eight parts at a time, so a takeover takes as many rounds of reads as before. The rings of an intake are an eighth as long, so that their memory stays.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -22,11 +22,14 @@
 	// Parts are read first, in this order. Changes are followed from the version of the first page.
 	Parts []rowstore.Part
 	// All reads the other parts of the table too.
-	All   bool
-	Store Store
-	Sink  Sink
-	Clock clock.Clock
-	Log   *zap.Logger
+	All bool
+	// Readers is the number of parts that are read at a time while the table is read in full, at least 1. Latency
+	// requires 1.
+	Readers int
+	Store   Store
+	Sink    Sink
+	Clock   clock.Clock
+	Log     *zap.Logger
 	// Interval returns the time between reads. With Wait, the store holds each read until something changes. MaxWait
 	// bounds it: a read that the store has swallowed is noticed only after the wait. After a failure a read does not
 	// wait, so that it shows at once whether the store answers.
--- a/internal/follow/load.go
+++ b/internal/follow/load.go
@@ -14,7 +14,7 @@
 
 // load is a read of the whole table in progress.
 type load struct {
-	scan  *Scan
+	scan  *parallelScan
 	since time.Time
 	// listed is set once all parts are known.
 	listed bool
@@ -39,16 +39,18 @@
 func (f *Follower) readTable(ctx context.Context) error {
 	now := f.Clock.Now()
 	if f.load == nil {
-		f.load = &load{since: now, followedAt: now, reportedAt: now, listed: !f.All, scan: &Scan{
-			Store: timedStore{f.Store, f}, Table: f.Table, Parts: slices.Clone(f.Parts), Clock: f.Clock, Log: f.Log,
-		}}
+		f.load = &load{since: now, followedAt: now, reportedAt: now, listed: !f.All, scan: &parallelScan{}}
+		for range max(1, f.Readers) {
+			f.load.scan.scans = append(f.load.scan.scans, &Scan{Store: timedStore{f.Store, f}, Table: f.Table, Clock: f.Clock, Log: f.Log})
+		}
+		f.load.scan.add(f.Parts)
 	}
 	l := f.load
-	for !l.listed || len(l.scan.Parts) > 0 {
+	for !l.listed || l.scan.left() > 0 {
 		if err := f.followDuringLoad(ctx); err != nil {
 			return trace.Wrap(err)
 		}
-		if len(l.scan.Parts) == 0 {
+		if l.scan.left() == 0 {
 			if err := f.listParts(ctx); err != nil {
 				return trace.Wrap(err)
 			}
@@ -60,10 +62,10 @@
 	}
 	took := f.Clock.Now().Sub(l.since)
 	if took >= loadReportInterval {
-		f.Log.Info("follower: table read in full", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows)), zap.Duration("took", took))
+		f.Log.Info("follower: table read in full", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows())), zap.Duration("took", took))
 	}
-	f.after, f.loaded, f.load = max(l.version, l.scan.version), true, nil
-	f.Sink.Replace(l.scan.rows)
+	f.after, f.loaded, f.load = max(l.version, l.scan.version()), true, nil
+	f.Sink.Replace(l.scan.rows())
 	if len(l.changes) > 0 {
 		f.Sink.Change(latestRows(l.changes))
 	}
@@ -79,7 +81,7 @@
 	}
 	for _, part := range parts {
 		if !slices.Contains(f.Parts, part) {
-			f.load.scan.Parts = append(f.load.scan.Parts, part)
+			f.load.scan.add([]rowstore.Part{part})
 		}
 	}
 	f.load.listed = true
@@ -91,14 +93,14 @@
 	l, now := f.load, f.Clock.Now()
 	if now.Sub(l.reportedAt) >= loadReportInterval {
 		l.reportedAt = now
-		f.Log.Info("follower: table is being read", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows)),
-			zap.Int("parts-left", len(l.scan.Parts)), zap.Duration("for", now.Sub(l.since)))
+		f.Log.Info("follower: table is being read", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows())),
+			zap.Int("parts-left", l.scan.left()), zap.Duration("for", now.Sub(l.since)))
 	}
-	if l.scan.version == 0 || now.Sub(l.followedAt) < followDuringLoad {
+	if l.scan.version() == 0 || now.Sub(l.followedAt) < followDuringLoad {
 		return nil
 	}
 	for {
-		after := max(l.version, l.scan.version)
+		after := max(l.version, l.scan.version())
 		page, err := f.changes(ctx, after, 0)
 		var historyErr *rowstore.HistoryError
 		if errors.As(err, &historyErr) {
--- a/internal/holder/store.go
+++ b/internal/holder/store.go
@@ -51,9 +51,13 @@
 	keyChain   = rowstore.Key("chain")
 )
 
-// intakeParts is the number of parts that accepted jobs are divided into. A part applies 250 transactions a
-// second, one after another, and each carries all submissions that wait.
-const intakeParts = 4
+// intakeParts is the number of parts that accepted jobs are divided into. A part applies its transactions one after
+// another, and those of different entries cannot be joined, so a store that is slow by a factor of 60 leaves about
+// four submissions a second and part.
+const intakeParts = 32
+
+// jobReaders is the number of parts that a new holder reads at a time.
+const jobReaders = 8
 
 // jobTables is the number of tables that the services' jobs are divided into. The store keeps at most 100 tables.
 const jobTables = 64
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -113,6 +113,9 @@
 	ringCapacity = 2048
 	// eventReserve is reserved for events of the entry's own duties, which must not be lost.
 	eventReserve = 16384
+	// intakeCapacity and intakeCalls bound what waits for one intake and for its writer.
+	intakeCapacity = ringCapacity / 8
+	intakeCalls    = 64
 	// intakeReserve is reserved for the result of the one attempt that an intake has in flight.
 	intakeReserve = 1
 	// resolvers and announcers are how many duties answer requests and announce submissions in parallel.
@@ -181,7 +184,7 @@
 		JobRequests: ring.New[*holder.JobRequest]("asks", ringCapacity), Ready: e.ready, Scope: e.registry.Scope,
 	}
 	for i := range e.feeds.Intakes {
-		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", ringCapacity, intakeReserve)
+		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", intakeCapacity, intakeReserve)
 	}
 	e.announcements = ring.New[holder.Announcement]("announces", ringCapacity)
 	e.advice = ring.New[shard.AdviceRequest]("advice", ringCapacity)
@@ -210,7 +213,7 @@
 		list = append(list, &holder.Adviser{Service: service, Inbox: e.advice, Scheduler: e.feeds.Scheduler, Log: e.Log})
 	}
 	for i := range e.feeds.Intakes {
-		calls := ring.New[holder.StoreCall]("intake-writer", ringCapacity)
+		calls := ring.New[holder.StoreCall]("intake-writer", intakeCalls)
 		list = append(list, &holder.Intake{
 			Number: i, Inbox: e.feeds.Intakes[i], Writer: calls, Latency: &e.storeLatency, Clock: e.Clock, Log: e.Log,
 			// The holder of a submission that is not announced learns of it at its next read of the jobs.
