election, holder: let ranks count from the end of an outage

The ranks of the entries have passed by then, and a refused claim is repeated after 2 s, so whichever entry asks first after the outage takes the lease.

An entry that waits for its rank probes the rows of the lease. A probe that is not answered, or refused, is repeated every 500 ms; the first one that is answered starts the ranks anew, after 250 ms for the last holder.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -74,13 +74,15 @@
 	freeSince map[fleet.DutyName]time.Time
 	// retryAt is when a lease may be claimed again after a failed claim.
 	retryAt map[fleet.DutyName]time.Time
+	// outages holds what this entry knows of the store's rows of each duty without a holder.
+	outages map[fleet.DutyName]outage
 }
 
 // NewState returns a state without leases.
 func NewState(self fleet.EntryID, incarnation fleet.Incarnation) *State {
 	return &State{
 		Self: self, Incarnation: incarnation, Leases: map[fleet.DutyName]Lease{}, Nodes: map[fleet.EntryID]Node{},
-		freeSince: map[fleet.DutyName]time.Time{}, retryAt: map[fleet.DutyName]time.Time{},
+		freeSince: map[fleet.DutyName]time.Time{}, retryAt: map[fleet.DutyName]time.Time{}, outages: map[fleet.DutyName]outage{},
 	}
 }
 
@@ -136,9 +138,8 @@
 	}
 }
 
-// BackOff backs off from a lease that this entry failed to take: either another entry has just taken it, or the
-// store refuses the duty's rows, so that the holder cannot renew either. The holder gets LeaseTimeout to renew
-// before this entry claims the lease again.
+// BackOff backs off from a lease that another entry has just taken. It gets LeaseTimeout to renew before this entry
+// claims the lease again.
 func (s *State) BackOff(now time.Time, d fleet.DutyName) { s.retryAt[d] = now.Add(LeaseTimeout) }
 
 // Candidate reports whether this entry is one of the live entries with the most processor capacity, or the one that a
@@ -171,6 +172,7 @@
 	for _, d := range duties {
 		if l, ok := s.Holder(now, d); ok && (l.Entry != s.Self || l.Incarnation != s.Incarnation) {
 			delete(s.freeSince, d)
+			delete(s.outages, d)
 			continue
 		} else if ok {
 			continue
@@ -182,7 +184,10 @@
 		if !candidate {
 			rank = s.live(now) + 1 + int(weight(s.Self, d)%otherRanks)
 		}
-		if !now.Before(s.retryAt[d]) && now.Sub(s.freeSince[d]) >= time.Duration(rank)*rankDelay {
+		if s.outages[d] == outageOver && rank > 0 {
+			rank++ // The first entry may have learned of the end up to a probe later.
+		}
+		if s.outages[d] != outageLasts && !now.Before(s.retryAt[d]) && now.Sub(s.freeSince[d]) >= time.Duration(rank)*rankDelay {
 			claims = append(claims, d)
 		}
 	}
--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -119,3 +119,31 @@
 	is.Equal(len(s.Claims(free.Add(time.Millisecond), []fleet.DutyName{"duty"})), 0)
 	is.Equal(len(s.Claims(free.Add(election.LeaseTimeout), []fleet.DutyName{"duty"})), 1)
 }
+
+// Guards against the smallest VM taking the lease after an outage of the store because it asked first.
+func TestRanksCountFromTheEndOfAnOutage(t *testing.T) {
+	is := is.New(t)
+	list, duties := states(192, 800, 192), []fleet.DutyName{"duty"}
+	for _, s := range list {
+		s.SetLease(start, lease("duty", "gone"))
+		s.Claims(start.Add(election.LeaseTimeout), duties)
+		s.SetUnavailable(start.Add(2*election.LeaseTimeout), "duty")
+	}
+	// The small VMs probe the store first once it answers.
+	probedAt := start.Add(3 * election.LeaseTimeout)
+	for n, after := range []time.Duration{0, 400 * time.Millisecond, 100 * time.Millisecond} {
+		is.Equal(list[n].Probes(probedAt, duties), duties)
+		list[n].SetNode(probedAt, election.Node{Entry: "entry-1", Incarnation: "life", Millicores: 800, Heartbeats: 2})
+		list[n].SetAvailable(probedAt.Add(after), "duty")
+	}
+	var first fleet.EntryID
+	for after := time.Duration(0); first == ""; after += 100 * time.Millisecond {
+		for _, s := range list {
+			if first == "" && len(s.Claims(probedAt.Add(after), duties)) > 0 {
+				first = s.Self
+			}
+		}
+		is.True(after >= 200*time.Millisecond || first == "") // the last holder may renew first
+	}
+	is.Equal(first, fleet.EntryID("entry-1"))
+}
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -101,6 +101,8 @@
 	Duty fleet.DutyName
 	// Chain is nil when the lease was not taken.
 	Chain *Chain
+	// Probe is set for a probe of the store, which takes no lease.
+	Probe bool
 	// SentAt is when the winning transaction was sent.
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -22,9 +23,11 @@
 type taker struct {
 	chain    *Chain
 	previous election.Lease
-	clock    clock.Clock
-	log      *zap.Logger
-	done     func(Taken)
+	// probe only asks whether the store gives out the duty's rows.
+	probe bool
+	clock clock.Clock
+	log   *zap.Logger
+	done  func(Taken)
 }
 
 // Name implements duty.Duty.
@@ -52,6 +55,10 @@
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
 	result := Taken{Duty: t.chain.Duty, SentAt: t.clock.Now(), PreviousEntry: t.previous.Entry}
+	if t.probe {
+		result.Probe, result.Err = true, t.chain.Probe(ctx)
+		return result
+	}
 	if !t.previous.ChangedAt.IsZero() {
 		result.Previous = t.previous.ChangedAt
 		// A holder that released the lease soon after it took it may leave orders of its predecessors
@@ -149,19 +156,27 @@
 		duties = append(duties, DutyMaintenance)
 	}
 	for _, d := range s.election.Claims(now, duties) {
-		if s.held[d] != nil || s.taking[d] || len(s.taking) > 0 {
-			continue
-		}
-		s.taking[d] = true
-		chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Latency: s.Latency}
-		takeCtx, cancel := context.WithCancel(ctx)
-		s.Duties.Start(takeCtx, &taker{
-			chain: chain, previous: s.election.Leases[d], clock: s.Clock, log: s.Log,
-			done: func(t Taken) { s.push(Event{Taken: &t}); cancel() },
-		})
+		s.startTaker(ctx, d, false)
+	}
+	for _, d := range s.election.Probes(now, duties) {
+		s.startTaker(ctx, d, true)
 	}
 }
 
+// startTaker starts to take a lease, or to probe for it, unless this entry is taking another one.
+func (s *Scheduler) startTaker(ctx context.Context, d fleet.DutyName, probe bool) {
+	if s.held[d] != nil || s.taking[d] || len(s.taking) > 0 {
+		return
+	}
+	s.taking[d] = true
+	chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Latency: s.Latency}
+	takeCtx, cancel := context.WithCancel(ctx)
+	s.Duties.Start(takeCtx, &taker{
+		chain: chain, previous: s.election.Leases[d], probe: probe, clock: s.Clock, log: s.Log,
+		done: func(t Taken) { s.push(Event{Taken: &t}); cancel() },
+	})
+}
+
 // push delivers an event of one of the scheduler's own duties. The ring keeps a reserve for them.
 func (s *Scheduler) push(e Event) {
 	if err := s.Inbox.PushReserved(e); err != nil {
@@ -171,8 +186,20 @@
 
 func (s *Scheduler) applyTaken(ctx context.Context, now time.Time, t *Taken) {
 	delete(s.taking, t.Duty)
-	if t.Chain == nil {
+	var lost *LostLeaseError
+	switch {
+	case t.Chain != nil:
+	case t.Probe && t.Err == nil:
+		s.election.SetAvailable(now, t.Duty)
+	case errors.As(t.Err, &lost):
 		s.election.BackOff(now, t.Duty)
+	default:
+		s.election.SetUnavailable(now, t.Duty)
+	}
+	if t.Probe {
+		return
+	}
+	if t.Chain == nil {
 		s.Log.Info("scheduler: lease not taken", zap.String("duty", string(t.Duty)), zap.Error(trace.Unwrap(t.Err)))
 		return
 	}
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -205,6 +205,12 @@
 	return rowstore.Row{Table: table, Part: part, Key: key, Value: value}
 }
 
+// Probe asks the store for the chain row of the duty. It returns *rowstore.RefusedError or *rowstore.UnknownError.
+func (c *Chain) Probe(ctx context.Context) error {
+	_, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
+	return trace.Wrap(err)
+}
+
 // Take takes the lease, and returns what is known of the leases that earlier holders granted. It returns
 // *LostLeaseError when another entry was faster or still holds it, *rowstore.RefusedError or *rowstore.UnknownError when
 // the store did not answer in time. previous is the lease as last read, or the zero value for a duty that never had a
