--- a/internal/account/directory.go
+++ b/internal/account/directory.go
@@ -1,33 +1,49 @@
 // Package account decides which client account a request comes from.
 package account
 
-import "github.com/mimosawharf/mimosawharf/pkg/fleet"
+import (
+	"slices"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
 
 // Directory finds client accounts by their keys. It is never modified.
 type Directory struct {
 	accounts map[fleet.ClientAccountID]fleet.ClientAccount
 	byKey    map[fleet.KeyDigest]fleet.ClientAccountID
+	// shared holds, in order, the accounts of each key that has several.
+	shared [][]fleet.ClientAccountID
 }
 
 // NewDirectory returns the directory of the accounts of one configuration. A key of two accounts authorizes neither.
 func NewDirectory(accounts []fleet.ClientAccount) *Directory {
 	d := &Directory{accounts: map[fleet.ClientAccountID]fleet.ClientAccount{}, byKey: map[fleet.KeyDigest]fleet.ClientAccountID{}}
-	shared := map[fleet.KeyDigest]bool{}
+	owners := map[fleet.KeyDigest][]fleet.ClientAccountID{}
 	for _, a := range accounts {
 		d.accounts[a.ID] = a
 		for _, k := range a.Keys {
-			if owner, ok := d.byKey[k]; ok && owner != a.ID {
-				shared[k] = true
+			if !slices.Contains(owners[k], a.ID) {
+				owners[k] = append(owners[k], a.ID)
 			}
-			d.byKey[k] = a.ID
 		}
 	}
-	for k := range shared {
-		delete(d.byKey, k)
+	for k, ids := range owners {
+		if len(ids) == 1 {
+			d.byKey[k] = ids[0]
+			continue
+		}
+		d.shared = append(d.shared, ids)
 	}
+	slices.SortFunc(d.shared, slices.Compare)
 	return d
 }
 
+// SharedKeys returns the accounts of each key that several have. Such a key authorizes none of them.
+func (d *Directory) SharedKeys() [][]fleet.ClientAccountID { return d.shared }
+
+// Size returns how many accounts there are, and how many keys that authorize one.
+func (d *Directory) Size() (accounts, keys int) { return len(d.accounts), len(d.byKey) }
+
 // Owner returns the account that a key belongs to. It may be called from several goroutines.
 func (d *Directory) Owner(k fleet.KeyDigest) (fleet.ClientAccountID, bool) {
 	id, ok := d.byKey[k]
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -28,8 +28,9 @@
 	Replace(rows []rowstore.Row)
 	// Change receives rows that changed since.
 	Change(rows []rowstore.Row)
-	// Synced is called after each successful read, also when nothing changed.
-	Synced()
+	// Synced is called after each successful read, also when nothing changed. What was committed before a time of
+	// Follower.Clock and can be read has reached the sink; the time is zero until the table was read in full.
+	Synced(upTo time.Time)
 }
 
 // RefreshRequest requests a read before the next one is due.
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -40,6 +40,8 @@
 	after  rowstore.Version
 	loaded bool
 	failed bool
+	// syncedTo is when the last read was sent that left no changes to read.
+	syncedTo time.Time
 	// unreadable counts the reads of the current changes that returned unreadable rows.
 	unreadable int
 	load       *load
@@ -134,6 +136,7 @@
 	if f.failed {
 		wait = 0
 	}
+	sentAt := f.Clock.Now()
 	page, err := f.changes(ctx, f.after, wait)
 	var historyErr *rowstore.HistoryError
 	if errors.As(err, &historyErr) {
@@ -148,7 +151,10 @@
 	if len(page.Rows) > 0 {
 		f.Sink.Change(latestRows(page.Rows))
 	}
-	f.Sink.Synced()
+	if !page.More {
+		f.syncedTo = sentAt
+	}
+	f.Sink.Synced(f.syncedTo)
 	// An empty page that announces more is read again after the interval.
 	return page.More && len(page.Rows) > 0, nil
 }
--- a/internal/follow/follower_test.go
+++ b/internal/follow/follower_test.go
@@ -42,7 +42,7 @@
 func (s changeSink) Change(rows []rowstore.Row) { _ = s.pages.Push(rows) }
 
 // Synced implements follow.Sink.
-func (changeSink) Synced() {}
+func (changeSink) Synced(time.Time) {}
 
 // Guards against an endpoint that stays missing: its row in the registry expired and was written again
 // within one page of changes, and the removal was applied last.
--- a/internal/follow/load.go
+++ b/internal/follow/load.go
@@ -62,12 +62,12 @@
 	if took >= loadReportInterval {
 		f.Log.Info("follower: table read in full", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows)), zap.Duration("took", took))
 	}
-	f.after, f.loaded, f.load = max(l.version, l.scan.version), true, nil
+	f.after, f.loaded, f.load, f.syncedTo = max(l.version, l.scan.version), true, nil, l.since
 	f.Sink.Replace(l.scan.rows)
 	if len(l.changes) > 0 {
 		f.Sink.Change(latestRows(l.changes))
 	}
-	f.Sink.Synced()
+	f.Sink.Synced(f.syncedTo)
 	return nil
 }
 
--- a/internal/follow/scan_test.go
+++ b/internal/follow/scan_test.go
@@ -245,7 +245,7 @@
 }
 
 // Synced implements follow.Sink.
-func (s *tableSink) Synced() { s.synced() }
+func (s *tableSink) Synced(time.Time) { s.synced() }
 
 // Guards against a table that takes longer to read than the store keeps its changes: the follower would have to
 // read it again, for ever. What changes while it is read must not be missed.
--- a/internal/follow/silence_test.go
+++ b/internal/follow/silence_test.go
@@ -80,7 +80,7 @@
 }
 
 // Synced implements follow.Sink.
-func (*seenSink) Synced() {}
+func (*seenSink) Synced(time.Time) {}
 
 // Guards against a configuration that comes into force many seconds late: the read that waits for changes was
 // swallowed by a store that was silent, and given up only after the whole wait.
--- a/internal/holder/jobrows.go
+++ b/internal/holder/jobrows.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -30,7 +31,7 @@
 func (s *jobSink) Change(rows []rowstore.Row) { s.send(rows, false) }
 
 // Synced implements follow.Sink.
-func (*jobSink) Synced() {}
+func (*jobSink) Synced(time.Time) {}
 
 func (s *jobSink) send(rows []rowstore.Row, all bool) {
 	c := &JobsChange{Duty: s.duty, Epoch: s.epoch, All: all}
--- a/internal/holder/members.go
+++ b/internal/holder/members.go
@@ -39,7 +39,7 @@
 }
 
 // Synced implements follow.Sink.
-func (s *MembersSink) Synced() {
+func (s *MembersSink) Synced(time.Time) {
 	if !s.notified {
 		s.push(&MembersChange{})
 	}
