holder: show and cancel jobs only for the account that submitted them

Cause: any valid key read and cancelled the job of any account. Change: the stored acceptance and the answer of a holder name the account; the resolver compares it with that of the caller where the job is known (own state, holder, store) and replies 410 as for a job that does not exist. Jobs of queues that are open to all stay open. The product's own job interface, which only the operator's tools reach, sees all jobs; it takes a job for a queue that needs keys only with the name of a known account.

--- a/internal/account/verifier_test.go
+++ b/internal/account/verifier_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -172,3 +173,15 @@
 		})
 	}
 }
+
+// Guards against a job that another account can read or cancel.
+func TestCallerAccess(t *testing.T) {
+	is := is.New(t)
+	owners := []fleet.ClientAccountID{"", "a", "b"}
+	visible := func(c account.Caller) []fleet.ClientAccountID {
+		return slices.DeleteFunc(slices.Clone(owners), func(id fleet.ClientAccountID) bool { return !c.MayAccess(id) })
+	}
+	is.Equal(visible(account.Caller{}), []fleet.ClientAccountID{""})
+	is.Equal(visible(account.Caller{Account: "a"}), []fleet.ClientAccountID{"", "a"})
+	is.Equal(visible(account.Caller{Operator: true}), owners)
+}
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -28,6 +28,9 @@
 		a.Known = h.jobs[q.Job] != nil
 	case QueryState:
 		a.State, a.Known = h.engine.State(q.Job)
+		if j := h.jobs[q.Job]; j != nil {
+			a.Account = j.Account
+		}
 		if h.cancelled[q.Job] {
 			a.State = cancelledState(a.State)
 		}
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -177,8 +177,9 @@
 	// Held is set when this entry holds the service and the rest of the answer is authoritative.
 	Held  bool
 	State fleet.JobState
-	// Service is the service of a known job.
+	// Service is the service of a known job, Account the client account that submitted it.
 	Service fleet.ServiceID
+	Account fleet.ClientAccountID
 	Count   int
 	// Vacated are the endpoints that run nothing and get no work for a while.
 	Vacated []fleet.EndpointID
--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -154,12 +154,12 @@
 		if row.Deleted || row.Version == 0 || row.Table != AcceptedTable {
 			continue
 		}
-		service, err := decodeAccepted(row)
+		accepted, err := decodeAccepted(row)
 		if err != nil {
 			i.Log.Error("intake: stored row cannot be decoded", zap.String("key", string(row.Key)), zap.Error(trace.Unwrap(err)))
 			continue
 		}
-		services[row.Key] = service
+		services[row.Key] = accepted.Service
 	}
 	for _, s := range submissions {
 		a := Announcement{ID: s.id(), Service: s.Service, Cancelled: s.Job == nil}
--- a/internal/holder/jobrows.go
+++ b/internal/holder/jobrows.go
@@ -80,11 +80,18 @@
 	return wire.FromJob(m), nil
 }
 
-// decodeAccepted returns the service of an accepted job.
-func decodeAccepted(row rowstore.Row) (fleet.ServiceID, error) {
+// acceptance is what the row that decides about the id of an accepted job says of it.
+type acceptance struct {
+	Service fleet.ServiceID
+	// Account is the client account that submitted the job; empty for a queue that is open to all.
+	Account fleet.ClientAccountID
+}
+
+// decodeAccepted decodes the row that decides about the id of an accepted job.
+func decodeAccepted(row rowstore.Row) (acceptance, error) {
 	m := &jobv1.Accepted{}
 	if err := proto.Unmarshal(row.Value, m); err != nil {
-		return "", trace.Wrap(err)
+		return acceptance{}, trace.Wrap(err)
 	}
-	return fleet.ServiceID(m.GetService()), nil
+	return acceptance{Service: fleet.ServiceID(m.GetService()), Account: fleet.ClientAccountID(m.GetAccount())}, nil
 }
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -8,6 +8,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
@@ -35,7 +36,9 @@
 
 // JobRequest is a caller's request about a job or a queue.
 type JobRequest struct {
-	Kind     JobRequestKind
+	Kind JobRequestKind
+	// Caller decides which jobs the request may be about: those of another account do not exist for it.
+	Caller   account.Caller
 	Job      fleet.JobID
 	Service  fleet.ServiceID
 	Queue    fleet.QueueID
@@ -62,8 +65,10 @@
 type Reply struct {
 	Kind  ReplyKind
 	State fleet.JobState
-	Count int
-	Jobs  []shard.JobStatus
+	// Account is the client account of the job.
+	Account fleet.ClientAccountID
+	Count   int
+	Jobs    []shard.JobStatus
 	// Source is where the answer came from, or what was unavailable, for logs and errors.
 	Source string
 }
@@ -108,10 +113,18 @@
 			r.cancel(ctx, request)
 			continue
 		}
-		request.Reply(r.resolve(ctx, request))
+		reply := r.resolve(ctx, request)
+		if reply.Kind == ReplyFound && !request.Caller.MayAccess(reply.Account) {
+			reply = otherAccount
+		}
+		request.Reply(reply)
 	}
 }
 
+// otherAccount replies to a request about a job of another account. For the caller it is the reply about a job that
+// does not exist.
+var otherAccount = Reply{Kind: ReplyNotFound, Source: "job of another account"}
+
 // resolve answers a request that changes nothing.
 func (r *Resolver) resolve(ctx context.Context, request *JobRequest) Reply {
 	q := Query{Kind: QueryState, Service: request.Service, Job: request.Job, Queue: request.Queue}
@@ -130,7 +143,8 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	service, found, err := r.serviceOf(ctx, request.Job)
+	accepted, found, err := r.acceptance(ctx, request.Job)
+	service := accepted.Service
 	switch {
 	case err != nil:
 		return r.unavailable(request, err)
@@ -172,7 +186,7 @@
 	if !a.Held || q.Kind == QueryState && !a.Known {
 		return Reply{}, false
 	}
-	return Reply{Kind: ReplyFound, State: a.State, Count: a.Count, Jobs: a.Jobs, Source: source}, true
+	return Reply{Kind: ReplyFound, State: a.State, Account: a.Account, Count: a.Count, Jobs: a.Jobs, Source: source}, true
 }
 
 func (r *Resolver) askScheduler(ctx context.Context, q Query) (Answer, bool) {
@@ -187,14 +201,14 @@
 	return a, ok && err == nil
 }
 
-// serviceOf returns the service of an accepted job.
-func (r *Resolver) serviceOf(ctx context.Context, id fleet.JobID) (fleet.ServiceID, bool, error) {
+// acceptance reads the row of an accepted job. It returns false when there is none.
+func (r *Resolver) acceptance(ctx context.Context, id fleet.JobID) (acceptance, bool, error) {
 	page, err := r.Store.Scan(ctx, rowstore.Only(AcceptedTable, IntakePart(id), jobKey(id)))
 	if err != nil || len(page.Rows) == 0 {
-		return "", false, trace.Wrap(err)
+		return acceptance{}, false, trace.Wrap(err)
 	}
-	service, err := decodeAccepted(page.Rows[0])
-	return service, true, trace.Wrap(err)
+	accepted, err := decodeAccepted(page.Rows[0])
+	return accepted, true, trace.Wrap(err)
 }
 
 // readState derives the state of an accepted job from the committed rows.
@@ -229,7 +243,7 @@
 	if len(cancelled.Rows) > 0 {
 		state = cancelledState(state)
 	}
-	return Reply{Kind: ReplyFound, State: state, Source: "store"}
+	return Reply{Kind: ReplyFound, State: state, Account: j.Account, Source: "store"}
 }
 
 func (r *Resolver) unavailable(request *JobRequest, err error) Reply {
@@ -269,10 +283,10 @@
 		request.Reply(Reply{Kind: ReplyUnavailable, Source: "scheduler busy"})
 		return
 	}
-	service := request.Service
+	accepted := acceptance{Service: request.Service, Account: local.Account}
 	if !local.Known {
 		readCtx, cancel := context.WithTimeout(ctx, storeTimeout)
-		accepted, found, err := r.serviceOf(readCtx, request.Job)
+		stored, found, err := r.acceptance(readCtx, request.Job)
 		cancel()
 		if err != nil {
 			request.Reply(r.unavailable(request, err))
@@ -282,10 +296,14 @@
 			request.Reply(Reply{Kind: ReplyNotFound, Source: "store"})
 			return
 		}
-		service = accepted
+		accepted = stored
+	}
+	if !request.Caller.MayAccess(accepted.Account) {
+		request.Reply(otherAccount)
+		return
 	}
 	reply := request.Reply
-	s := &Submission{Cancel: request.Job, Service: service, Deadline: request.Deadline, Reply: func(o IntakeOutcome) {
+	s := &Submission{Cancel: request.Job, Service: accepted.Service, Deadline: request.Deadline, Reply: func(o IntakeOutcome) {
 		switch o {
 		case IntakeStored:
 			reply(Reply{Kind: ReplyFound, State: fleet.JobStateCancelled, Source: "store"})
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -65,7 +65,7 @@
 		return []rowstore.Row{{Table: JobTable(s.Service), Part: part, Key: cancelKey(id), Value: []byte{}}}
 	}
 	return []rowstore.Row{
-		mustRow(AcceptedTable, part, jobKey(id), &jobv1.Accepted{Service: string(s.Job.Service)}),
+		mustRow(AcceptedTable, part, jobKey(id), &jobv1.Accepted{Service: string(s.Job.Service), Account: string(s.Job.Account)}),
 		mustRow(JobTable(s.Job.Service), part, jobKey(id), wire.Job(s.Job)),
 	}
 }
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -90,7 +90,7 @@
 	if err != nil {
 		return holder.Answer{}, trace.Wrap(err)
 	}
-	return holder.Answer{Held: r.Msg.GetHeld(), Known: r.Msg.GetKnown(), State: fleet.JobState(r.Msg.GetState())}, nil
+	return holder.Answer{Held: r.Msg.GetHeld(), Known: r.Msg.GetKnown(), State: fleet.JobState(r.Msg.GetState()), Account: fleet.ClientAccountID(r.Msg.GetAccount())}, nil
 }
 
 // PeerHandler answers the queries of other entries from the scheduler's state.
@@ -152,7 +152,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return connect.NewResponse(&jobv1.StateResponse{Held: a.Held, Known: a.Known, State: string(a.State)}), nil
+	return connect.NewResponse(&jobv1.StateResponse{Held: a.Held, Known: a.Known, State: string(a.State), Account: string(a.Account)}), nil
 }
 
 // Waiting implements jobv1connect.JobPeerServiceHandler.
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -7,6 +7,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -63,6 +64,9 @@
 	if !ok {
 		return nil, requestError(connect.CodeNotFound, "no such queue")
 	}
+	if !j.knowsAccount(queue, job.Account) {
+		return nil, requestError(connect.CodeInvalidArgument, "the queue needs a job of a known account, and a queue that is open to all one without")
+	}
 	for i, s := range job.Steps {
 		for _, before := range s.After {
 			if int(before) >= i {
@@ -91,6 +95,16 @@
 	return connect.NewResponse(&jobv1.SubmitResponse{}), nil
 }
 
+// knowsAccount reports whether jobs of an account may be submitted to a queue.
+func (j *Jobs) knowsAccount(q holder.Queue, id fleet.ClientAccountID) bool {
+	accounts := j.Feeds.Config.Get().Accounts
+	if q.Public || accounts == nil {
+		return id == ""
+	}
+	_, ok := accounts.Account(id)
+	return ok
+}
+
 func (j *Jobs) queue(id fleet.QueueID) (holder.Queue, bool) {
 	if c := j.Feeds.Config.Get(); c != nil {
 		for _, q := range c.Queues {
@@ -105,6 +119,7 @@
 // ask sends a request to the resolvers and converts replies without an answer to errors.
 func (j *Jobs) ask(ctx context.Context, request holder.JobRequest) (holder.Reply, error) {
 	reply := ring.New[holder.Reply]("reply", 1)
+	request.Caller = account.Caller{Operator: true}
 	request.Deadline = j.deadline(ctx)
 	request.Reply = func(r holder.Reply) { _ = reply.Push(r) } // The ring has room for the single reply.
 	if err := j.Feeds.JobRequests.Push(&request); err != nil {
