holder, shard: start tasks within their account's limit

The engine counts every run that may execute for its account, and asks before each start; the scheduler divides the limits with the ledger in the store each 150 ms, each 50 ms while tasks wait. Without limits no duty exists and nothing is read.

--- a/internal/account/directory.go
+++ b/internal/account/directory.go
@@ -34,6 +34,20 @@
 	return id, ok
 }
 
+// Limits returns what accounts may have running at the same time; accounts without a limit are left out.
+func (d *Directory) Limits() map[fleet.ClientAccountID]fleet.Capacity {
+	limits := map[fleet.ClientAccountID]fleet.Capacity{}
+	if d == nil {
+		return limits
+	}
+	for id, a := range d.accounts {
+		if a.MaxRunning != (fleet.Capacity{}) {
+			limits[id] = a.MaxRunning
+		}
+	}
+	return limits
+}
+
 // Account returns an account by its id.
 func (d *Directory) Account(id fleet.ClientAccountID) (fleet.ClientAccount, bool) {
 	a, ok := d.accounts[id]
--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -21,7 +21,7 @@
 type Book struct {
 	limits Limits
 	held   map[fleet.ServiceID]*holding
-	// known is the highest version of the ledger that was read.
+	// known is the least version that the ledger may have.
 	known Version
 	// planned is the ledger of a planned write whose outcome is not known, based the version that it replaces.
 	planned Ledger
@@ -173,13 +173,13 @@
 }
 
 // Written is called when the ledger of the last Plan has been written.
-func (b *Book) Written(version Version) {
+func (b *Book) Written() {
 	for s, claim := range b.planned {
 		if h := b.held[s]; h != nil && h.epoch == claim.Epoch {
 			h.adopt(claim)
 		}
 	}
-	b.known, b.planned = max(b.known, version), nil
+	b.known, b.planned = max(b.known, b.based+1), nil
 }
 
 // adopt takes over what the ledger says, when no earlier write can change it any more.
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -102,7 +102,7 @@
 		m.apply(w)
 	default:
 		if m.apply(w) {
-			e.book.Written(m.version)
+			e.book.Written()
 		}
 	}
 }
@@ -239,7 +239,7 @@
 	next, due := e.Plan(allowance.Ledger{}, 0, reports())
 	is.True(due)
 	is.True(!e.Allows("A", 1, account, cores(9))) // Not yet written.
-	e.Written(1)
+	e.Written()
 	is.True(e.Allows("A", 1, account, cores(9)))
 	demand.Used = cores(9)
 	e.Plan(next, 1, reports())
@@ -266,7 +266,7 @@
 	_, due = b.Plan(ledger, 1, report(1, 5, 35))
 	is.True(due)
 	is.True(!b.Allows("A", 1, account, cores(6)))
-	b.Written(2)
+	b.Written()
 	is.True(b.Allows("A", 1, account, cores(20)))
 }
 
@@ -277,6 +277,6 @@
 	_, due := b.Plan(allowance.Ledger{"A": {Epoch: 1, Accounts: position(40, 40)}}, 1, report(2, 10, 30))
 	is.True(due)
 	is.True(!b.Allows("A", 2, account, cores(11)))
-	b.Written(2)
+	b.Written()
 	is.True(b.Allows("A", 2, account, cores(40)))
 }
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -9,6 +9,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/allowance"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/election"
@@ -121,6 +122,7 @@
 	membersReadAt   time.Time
 	// wakeAt is when a placement or a batch that was held back is due; zero when none was.
 	wakeAt   time.Time
+	limits   limits
 	stopping bool
 	ctx      context.Context
 }
@@ -145,6 +147,7 @@
 	s.election.Millicores = s.Self.Millicores
 	s.queued = map[fleet.ServiceID]bool{}
 	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
+	s.limits.book = allowance.NewBook()
 	s.ctx, s.startedAt = ctx, s.Clock.Now()
 	next := s.startedAt
 	for {
@@ -201,6 +204,8 @@
 		}
 	case e.Written != nil:
 		s.applyWritten(now, e.Written)
+	case e.Ledger != nil:
+		s.applyLedger(now, e.Ledger)
 	case e.Taken != nil:
 		s.applyTaken(ctx, now, e.Taken)
 	case e.Query != nil:
@@ -215,6 +220,7 @@
 		return
 	}
 	s.config = c
+	s.setLimits(c)
 	for _, q := range c.Queues {
 		s.queued[q.Service] = true
 	}
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -196,6 +196,7 @@
 	h.service, _ = serviceOf(t.Duty)
 	h.inherited = t.Inherited
 	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), t.Inherited, t.SentAt.Add(holderValidity))
+	h.engine.SetAllowance(&serviceAllowance{s.limits.book, h.service, t.Chain.Epoch})
 	h.links = s.newRoutes(h)
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
 	s.read(h)
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -18,6 +18,7 @@
 func (s *Scheduler) runDuties() {
 	now := s.Clock.Now()
 	s.wakeAt = time.Time{}
+	s.divideLimits(now)
 	for _, h := range s.sorted() {
 		if h.engine == nil || !h.loaded {
 			s.write(now, h, nil)
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -120,7 +120,8 @@
 	advicePending  int
 	adviceRequests []AdviceRequest
 
-	dirty map[job.Key]bool
+	accounts accounts
+	dirty    map[job.Key]bool
 	// drop holds forgotten jobs whose rows are to be deleted, orphans rows without a job.
 	drop    map[fleet.JobID]bool
 	orphans map[job.Key]bool
@@ -171,6 +172,7 @@
 		rackWaits:        map[StepID]time.Time{},
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
+		accounts:         accounts{usage: accountUsage{}},
 		dirty:            map[job.Key]bool{},
 		drop:             map[fleet.JobID]bool{},
 		orphans:          map[job.Key]bool{},
@@ -203,7 +205,7 @@
 				w := e.workerOf(now, task.Process)
 				w.leaseEnd = later(w.leaseEnd, e.inheritedEnd(w.Endpoint))
 				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
-				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
+				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, account: o.Job.Account, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
 			}
 		}
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -126,7 +126,7 @@
 		if task.Done || task.Running() {
 			continue
 		}
-		if e.starts.isFull() {
+		if e.starts.isFull() || !e.allows(c.occurrence.Job, step, 1) {
 			return
 		}
 		id := c.occurrence.ID(c.step, fleet.TaskIndex(t))
@@ -165,7 +165,7 @@
 // assign plans the next run of a task on a worker.
 func (e *Engine) assign(now time.Time, o *job.Occurrence, id fleet.TaskID, step fleet.Step, w *worker) {
 	run := o.Start(id, w.Process())
-	w.add(&assignment{id: id, run: run, process: w.Process(), step: step, phase: phasePlanned, plannedAt: now, pace: 100, evidence: EvidenceNone})
+	w.add(&assignment{id: id, run: run, account: o.Job.Account, process: w.Process(), step: step, phase: phasePlanned, plannedAt: now, pace: 100, evidence: EvidenceNone})
 	if e.open != nil {
 		e.open[w.openIndex].free = w.free()
 	}
--- a/internal/shard/process.go
+++ b/internal/shard/process.go
@@ -17,7 +17,7 @@
 	forgotten := !e.forgottenAt[info.Endpoint].IsZero()
 	hasRestarted := info.Restarted || forgotten
 	return &worker{
-		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, runs: map[fleet.TaskID]*assignment{},
+		EndpointInfo: info, firstSeen: now, token: e.Epoch + e.discarded, usage: e.accounts.usage, runs: map[fleet.TaskID]*assignment{},
 		hasRestarted: hasRestarted, mayHoldLongestLease: forgotten || info.Restarted && !info.Settled,
 		cordonedUntil: e.inheritedBounds[info.Endpoint].CordonedUntil,
 	}
--- a/internal/shard/together.go
+++ b/internal/shard/together.go
@@ -23,6 +23,9 @@
 			ids = append(ids, o.ID(c.step, fleet.TaskIndex(t)))
 		}
 	}
+	if !e.allows(o.Job, step, len(ids)) {
+		return
+	}
 	chosen := e.chooseTogether(now, ids, step)
 	if chosen == nil {
 		return
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -53,6 +53,8 @@
 type assignment struct {
 	id  fleet.TaskID
 	run fleet.RunNumber
+	// account is the client account of the job.
+	account fleet.ClientAccountID
 	// process is the process to which the run was assigned.
 	process fleet.EndpointProcess
 	step    fleet.Step
@@ -138,6 +140,8 @@
 	openIndex int
 	runs      map[fleet.TaskID]*assignment
 	used      fleet.Capacity
+	// usage is what the runs of accounts use on all workers.
+	usage accountUsage
 	// failures counts the jobs that failed on the worker since its last success.
 	failures int
 	// ejectedUntil is when the last ejection ends, ejectedFor its duration.
@@ -244,6 +248,7 @@
 	a.trial = w.onProbation()
 	w.runs[a.id] = a
 	w.used = w.used.Plus(a.step.CountedDemand())
+	w.usage.add(a)
 }
 
 func (w *worker) remove(id fleet.TaskID) {
@@ -253,6 +258,7 @@
 	}
 	delete(w.runs, id)
 	w.used = w.used.Minus(a.step.CountedDemand())
+	w.usage.remove(a)
 	w.fullUntil = time.Time{}
 }
 
