holder: follow the ledger of limits instead of reading it in rounds

A service that lacks a part of a limit waited for a round of the other holder, and for its own read before its write. Holders now follow the ledger, and write at once on what they know; a conflict shows the row.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -21,7 +21,7 @@
 	Relay     *RelayEvent
 	Written   *Written
 	Taken     *Taken
-	Ledger    *LedgerAnswer
+	Ledger    *LedgerEvent
 	Query     *Query
 	Advice    *shard.Advice
 	// Stop makes the scheduler release all leases.
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -183,7 +183,7 @@
 		h.engine.Cancel(now, id)
 	}
 	h.engine.Loaded(now)
-	h.progress, h.loaded = nil, true
+	h.progress, h.loaded, s.limits.due = nil, true, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
 		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
--- a/internal/holder/ledger.go
+++ b/internal/holder/ledger.go
@@ -24,92 +24,106 @@
 	keyLedger   rowstore.Key   = "ledger"
 )
 
-// ledgerCall reads the ledger or, if next is set, replaces it on condition that it still has a version.
-type ledgerCall struct {
+// ledgerWrite replaces the ledger on condition that it still has a version.
+type ledgerWrite struct {
 	next    allowance.Ledger
 	version allowance.Version
 }
 
-// LedgerAnswer is the answer to a call of the ledger.
-type LedgerAnswer struct {
-	// Written is set when the ledger was replaced. Otherwise Ledger and Version are what it holds, unless Err is set.
+// LedgerEvent is what a read of the ledger or an attempt to write it has shown.
+type LedgerEvent struct {
+	// IsAnswer is set for the answer to a write.
+	IsAnswer bool
+	// Written is set when the write took effect.
 	Written bool
+	// Ledger is nil when it is not known.
 	Ledger  allowance.Ledger
 	Version allowance.Version
 	Err     error
 }
 
-// ledgerStore is the duty that reads and writes the ledger, one call at a time.
-type ledgerStore struct {
+// ledgerWriter is the duty that writes the ledger, one attempt at a time.
+type ledgerWriter struct {
 	store   Store
-	inbox   *ring.Ring[ledgerCall]
+	inbox   *ring.Ring[ledgerWrite]
 	clock   clock.Clock
 	latency *ring.Latest[follow.Latency]
 	log     *zap.Logger
-	done    func(LedgerAnswer)
+	done    func(LedgerEvent)
 }
 
 // Name implements duty.Duty.
-func (*ledgerStore) Name() fleet.DutyName { return "limits" }
+func (*ledgerWriter) Name() fleet.DutyName { return "limits-writer" }
 
 // Run implements duty.Duty.
-func (l *ledgerStore) Run(ctx context.Context) error {
+func (l *ledgerWriter) Run(ctx context.Context) error {
 	for {
-		call, err := l.inbox.Pop(ctx)
+		w, err := l.inbox.Pop(ctx)
 		if err != nil {
 			return trace.Wrap(err)
 		}
-		answer := l.execute(ctx, call)
+		e := l.write(ctx, w)
 		if ctx.Err() != nil {
 			return trace.Wrap(ctx.Err())
 		}
-		l.done(answer)
+		e.IsAnswer = true
+		l.done(e)
 	}
 }
 
-func (l *ledgerStore) execute(ctx context.Context, call ledgerCall) LedgerAnswer {
+func (l *ledgerWriter) write(ctx context.Context, w ledgerWrite) LedgerEvent {
+	row := mustRow(tableLimits, partLimits, keyLedger, encodeLedger(w.next))
 	timeout := transactTimeout
 	if l.latency != nil {
 		timeout = l.latency.Get().Timeout(l.clock.Now(), 0)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout+follow.TransferTime(len(row.Value)))
 	defer cancel()
-	if call.next == nil {
-		page, err := l.store.Scan(ctx, rowstore.Only(tableLimits, partLimits, keyLedger))
-		return l.answer(page.Rows, err)
-	}
-	_, err := l.store.Transact(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Table: tableLimits, Part: partLimits, Key: keyLedger, Version: rowstore.Version(call.version)}},
-		Puts:       []rowstore.Row{mustRow(tableLimits, partLimits, keyLedger, encodeLedger(call.next))},
+	version, err := l.store.Transact(ctx, rowstore.Transaction{
+		Conditions: []rowstore.Condition{{Table: tableLimits, Part: partLimits, Key: keyLedger, Version: rowstore.Version(w.version)}},
+		Puts:       []rowstore.Row{row},
 	})
 	var conflict *rowstore.ConflictError
 	switch {
 	case err == nil:
-		return LedgerAnswer{Written: true}
+		return LedgerEvent{Written: true, Ledger: w.next, Version: allowance.Version(version)}
 	case errors.As(err, &conflict):
-		return l.answer(conflict.Rows, nil)
+		return ledgerEvent(conflict.Rows, l.log)
 	}
-	return LedgerAnswer{Err: err}
+	return LedgerEvent{Err: err}
 }
 
-// answer decodes the row. A ledger that cannot be decoded allows nothing, because what it says is not known.
-func (l *ledgerStore) answer(rows []rowstore.Row, err error) LedgerAnswer {
-	if err != nil {
-		return LedgerAnswer{Err: err}
-	}
-	a := LedgerAnswer{Ledger: allowance.Ledger{}}
+// ledgerSink passes the ledger on to the scheduler.
+type ledgerSink struct {
+	log  *zap.Logger
+	done func(LedgerEvent)
+}
+
+// Replace implements follow.Sink.
+func (s *ledgerSink) Replace(rows []rowstore.Row) { s.done(ledgerEvent(rows, s.log)) }
+
+// Change implements follow.Sink.
+func (s *ledgerSink) Change(rows []rowstore.Row) { s.done(ledgerEvent(rows, s.log)) }
+
+// Synced implements follow.Sink.
+func (*ledgerSink) Synced() {}
+
+// ledgerEvent decodes the row of the ledger, which is empty before it is first written. A ledger that cannot be decoded is
+// not known, so that no service takes more of a limit.
+func ledgerEvent(rows []rowstore.Row, log *zap.Logger) LedgerEvent {
+	e := LedgerEvent{Ledger: allowance.Ledger{}}
 	for _, row := range rows {
 		if row.Key != keyLedger || row.Deleted {
 			continue
 		}
 		m := &jobv1.LimitLedger{}
 		if err := proto.Unmarshal(row.Value, m); err != nil {
-			l.log.Error("limits: ledger cannot be decoded", zap.Error(err))
-			return LedgerAnswer{Err: err}
+			log.Error("limits: ledger cannot be decoded", zap.Error(err))
+			return LedgerEvent{Err: err}
 		}
-		a.Ledger, a.Version = decodeLedger(m), allowance.Version(row.Version)
+		e.Ledger, e.Version = decodeLedger(m), allowance.Version(row.Version)
 	}
-	return a
+	return e
 }
 
 func encodeLedger(l allowance.Ledger) *jobv1.LimitLedger {
--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -1,37 +1,44 @@
 package holder
 
 import (
+	"context"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/allowance"
+	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
 // Times between two divisions of the accounts' limits.
 const (
-	// divideInterval is the usual time: so long a service waits at most for what another one does not need.
+	// divideInterval is the longest time while this entry holds a service: what a service wants changes all the time.
 	divideInterval = 150 * time.Millisecond
-	// deniedInterval is the time while tasks of this entry's services wait for an allowance.
-	deniedInterval = 50 * time.Millisecond
+	// minDivideInterval is the shortest time, when the ledger has changed or tasks wait for an allowance.
+	minDivideInterval = 25 * time.Millisecond
+	// ledgerWait is how long the store holds a read of the ledger that shows no change. Each read is charged.
+	ledgerWait = 500 * time.Millisecond
 )
 
 // limits divides the limits of client accounts among the services that this entry holds and those of others. It is
-// part of the scheduler. The duty that reads and writes the ledger exists only while there is a limit.
+// part of the scheduler. The duties that read and write the ledger exist only while there is a limit and a service is held.
 type limits struct {
 	book       *allowance.Book
 	configured allowance.Limits
-	// calls is nil until there is a limit.
-	calls *ring.Ring[ledgerCall]
-	// calling is set while a call is in flight. dividedAt is when the last division ended.
-	calling   bool
-	dividedAt time.Time
-	// denied is set when a task has waited for an allowance since.
-	denied bool
-	failed bool
+	// writes is nil, and stop too, while the entry holds no service or there is no limit.
+	writes *ring.Ring[ledgerWrite]
+	stop   context.CancelFunc
+	// ledger is what is known of the ledger; nil before it was read.
+	ledger  allowance.Ledger
+	version allowance.Version
+	// writing is set while a write is in flight, due while a division should not wait for divideInterval.
+	writing, due bool
+	dividedAt    time.Time
+	failed       bool
 }
 
 // serviceAllowance implements shard.Allowance.
@@ -48,66 +55,86 @@
 
 // setLimits sets the limits of a configuration.
 func (s *Scheduler) setLimits(c *Config) {
-	s.limits.configured = c.Accounts.Limits()
+	s.limits.configured, s.limits.due = c.Accounts.Limits(), true
 	s.limits.book.SetLimits(s.limits.configured)
-	s.limits.denied = true
 }
 
-// divideLimits starts a division of the limits when one is due.
+// divideLimits divides the limits when that is due.
 func (s *Scheduler) divideLimits(now time.Time) {
 	l := &s.limits
-	if len(l.configured) == 0 {
-		return
-	}
 	holds := false
 	for _, h := range s.held {
-		if h.engine != nil && h.loaded {
+		if len(l.configured) > 0 && h.engine != nil && h.loaded {
 			holds = true
-			l.denied = h.engine.Denied() || l.denied
+			l.due = h.engine.Denied() || l.due
 		}
 	}
-	if !holds || l.calling {
+	switch {
+	case holds && l.stop == nil:
+		s.startLimits()
+	case !holds && l.stop != nil:
+		l.stop()
+		l.stop, l.ledger, l.writing = nil, nil, false
+	}
+	if !holds || l.ledger == nil || l.writing {
 		return
 	}
-	due := l.dividedAt.Add(divideInterval)
-	if l.denied {
-		due = l.dividedAt.Add(deniedInterval)
+	interval := divideInterval
+	if l.due {
+		interval = minDivideInterval
 	}
-	if now.Before(due) {
-		s.wakeBy(due)
+	if next := l.dividedAt.Add(interval); now.Before(next) {
+		s.wakeBy(next)
 		return
 	}
-	if l.calls == nil {
-		l.calls = ring.New[ledgerCall]("limits", 1)
-		s.Duties.Start(s.ctx, &ledgerStore{
-			store: s.Store, inbox: l.calls, clock: s.Clock, latency: s.Latency, log: s.Log, done: func(a LedgerAnswer) { s.push(Event{Ledger: &a}) },
-		})
+	l.dividedAt, l.due = now, false
+	if next, due := l.book.Plan(l.ledger, l.version, s.limitReports(now)); due {
+		l.writing = true
+		_ = l.writes.Push(ledgerWrite{next, l.version}) // The ring has room: one write at a time is in flight.
 	}
-	l.denied = false
-	s.callLedger(ledgerCall{})
 }
 
-func (s *Scheduler) callLedger(c ledgerCall) {
-	s.limits.calling = true
-	_ = s.limits.calls.Push(c) // The ring has room: one call at a time is in flight.
+// startLimits starts the duties that read and write the ledger.
+func (s *Scheduler) startLimits() {
+	l := &s.limits
+	var ctx context.Context
+	ctx, l.stop = context.WithCancel(s.ctx)
+	l.writes = ring.New[ledgerWrite]("limits", 1)
+	done := func(e LedgerEvent) {
+		if ctx.Err() == nil {
+			s.push(Event{Ledger: &e})
+		}
+	}
+	s.Duties.Start(ctx, &ledgerWriter{store: s.Store, inbox: l.writes, clock: s.Clock, latency: s.Latency, log: s.Log, done: done})
+	s.Duties.Start(ctx, &follow.Follower{
+		Duty: "follow-limits", Table: tableLimits, Parts: []rowstore.Part{partLimits}, Store: s.Store, Clock: s.Clock, Log: s.Log,
+		Interval: follow.Every(minDivideInterval), Wait: ledgerWait, Sink: &ledgerSink{log: s.Log, done: done},
+	})
 }
 
-// applyLedger continues a division with the answer to a call.
-func (s *Scheduler) applyLedger(now time.Time, a *LedgerAnswer) {
+// applyLedger applies what a read or a write of the ledger has shown.
+func (s *Scheduler) applyLedger(e *LedgerEvent) {
 	l := &s.limits
-	l.calling, l.dividedAt = false, now
-	if failed := a.Err != nil; failed != l.failed {
-		l.failed = failed
-		s.Log.Info("limits: access to the ledger changed", zap.Bool("failed", failed), zap.Error(trace.Unwrap(a.Err)))
+	if l.stop == nil {
+		return
+	}
+	if e.IsAnswer {
+		l.writing = false
+		if failed := e.Err != nil; failed != l.failed {
+			l.failed = failed
+			s.Log.Info("limits: writes of the ledger changed", zap.Bool("failing", failed), zap.Error(trace.Unwrap(e.Err)))
+		}
 	}
 	switch {
-	case a.Err != nil:
-	case a.Written:
+	case e.Written:
 		l.book.Written()
-	default:
-		if next, due := l.book.Plan(a.Ledger, a.Version, s.limitReports(now)); due {
-			s.callLedger(ledgerCall{next: next, version: a.Version})
-		}
+	case e.IsAnswer && e.Ledger != nil:
+		l.dividedAt = time.Time{} // Another entry was faster.
+	}
+	// An answer is newer than what was read before. The version that a transaction reports may not be that of the row.
+	if e.Ledger != nil && (e.IsAnswer || l.ledger == nil || e.Version > l.version) {
+		l.due = l.due || !e.IsAnswer
+		l.ledger, l.version = e.Ledger, e.Version
 	}
 }
 
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -205,7 +205,7 @@
 	case e.Written != nil:
 		s.applyWritten(now, e.Written)
 	case e.Ledger != nil:
-		s.applyLedger(now, e.Ledger)
+		s.applyLedger(e.Ledger)
 	case e.Taken != nil:
 		s.applyTaken(ctx, now, e.Taken)
 	case e.Query != nil:
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -1,9 +1,11 @@
 package shard
 
 import (
+	"maps"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/allowance"
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -61,6 +63,30 @@
 	return false
 }
 
+// allowed is what accounts may still start.
+type allowed struct {
+	allowance Allowance
+	used      accountUsage
+}
+
+// allowed returns what accounts may start in addition to what runs.
+func (e *Engine) allowed() allowed {
+	return allowed{e.accounts.allowance, maps.Clone(e.accounts.usage)}
+}
+
+// take reports whether one more task of an account may start, and counts it if so.
+func (a allowed) take(account fleet.ClientAccountID, demand fleet.Capacity) bool {
+	if account == "" || a.allowance == nil {
+		return true
+	}
+	used := a.used[account].Plus(demand)
+	if !a.allowance.Allows(account, used) {
+		return false
+	}
+	a.used[account] = used
+	return true
+}
+
 // Denied reports whether a task has waited for the allowance of its account since the last call.
 func (e *Engine) Denied() bool {
 	denied := e.accounts.denied
@@ -76,31 +102,39 @@
 	for account, used := range e.accounts.usage {
 		demands[account] = allowance.Demand{Used: used}
 	}
-	e.loadBuffer = e.candidates(now, e.loadBuffer)
-	for _, c := range e.loadBuffer {
-		j := c.occurrence.Job
-		step := &j.Steps[c.step]
-		if j.Account == "" {
+	for _, o := range e.active {
+		if o.Job.Account == "" || now.Before(o.Job.Due(o.Number)) {
 			continue
 		}
-		d := demands[j.Account]
-		for t := range c.occurrence.Tasks[c.step] {
-			if task := &c.occurrence.Tasks[c.step][t]; !task.Done && !task.Running() {
-				d.Waiting = d.Waiting.Plus(step.Demand)
+		d := demands[o.Job.Account]
+		for s := range o.Tasks {
+			if o.Ready(fleet.StepIndex(s)) {
+				d = addWaiting(d, o.Tasks[s], o.Job.Steps[s].Demand)
 			}
 		}
-		if d.Least == (fleet.Capacity{}) || step.Demand.Fits(d.Least) {
-			d.Least = step.Demand
-		}
 		d.Waiting = fleet.Capacity{
 			Millicores: min(d.Waiting.Millicores, room.Millicores), Memory: min(d.Waiting.Memory, room.Memory),
 			Accelerators: min(d.Waiting.Accelerators, room.Accelerators),
 		}
-		demands[j.Account] = d
+		demands[o.Job.Account] = d
 	}
 	return demands
 }
 
+// addWaiting adds the tasks of a step that wait to the demand of their account.
+func addWaiting(d allowance.Demand, tasks []job.Task, demand fleet.Capacity) allowance.Demand {
+	for i := range tasks {
+		if tasks[i].Done || tasks[i].Running() {
+			continue
+		}
+		d.Waiting = d.Waiting.Plus(demand)
+		if d.Least == (fleet.Capacity{}) || demand.Fits(d.Least) {
+			d.Least = demand
+		}
+	}
+	return d
+}
+
 // soonFree returns the room of the endpoints, with half of what runs: as much ends within a few divisions.
 func (e *Engine) soonFree() fleet.Capacity {
 	var room fleet.Capacity
