share, shard: serve accounts by their weight when room is short

Jobs beyond an account's weight in jobs a second come behind owed work, and ask for VMs only like late work. While there isn't room for all, what lies above an account's max-min share by weight comes behind what lies below. Nothing is marked while there is room, and deployments without accounts keep their order.

TestHotAccountsDoNotDelaySteadyOnes failed without the weights: 'not true: list[11] <= objective' for 1 and 3 hot accounts of 20. TestAccountsAtTheirLimitsShareAlike failed without the check of the allowance: '8 != 6'.

--- a/internal/account/directory.go
+++ b/internal/account/directory.go
@@ -48,6 +48,18 @@
 	return limits
 }
 
+// Weights returns the weights of all accounts.
+func (d *Directory) Weights() map[fleet.ClientAccountID]fleet.Weight {
+	weights := map[fleet.ClientAccountID]fleet.Weight{}
+	if d == nil {
+		return weights
+	}
+	for id, a := range d.accounts {
+		weights[id] = a.Weight
+	}
+	return weights
+}
+
 // Account returns an account by its id.
 func (d *Directory) Account(id fleet.ClientAccountID) (fleet.ClientAccount, bool) {
 	a, ok := d.accounts[id]
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -240,6 +240,7 @@
 		policies = append(policies, q.Policy)
 	}
 	h.engine.SetPolicies(policies)
+	h.engine.SetWeights(s.config.Accounts.Weights())
 }
 
 // tick does the periodic work of all held duties.
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -29,22 +29,32 @@
 
 // Rank is the scheduling order of waiting work.
 type Rank struct {
+	// Excess is set for work that its account has submitted beyond its weight. It is served when room is left.
+	Excess   bool
 	Priority int
 	// Late is set for work that can no longer meet its objective. It is worth a fraction of on-time work,
 	// so it is served afterwards.
 	Late bool
+	// BeyondShare is set for work that exceeds its account's share while there is not room for all.
+	BeyondShare bool
 	// Due is the deadline that follows from the objective.
 	Due time.Time
 }
 
 // Before reports whether r is served before o.
 func (r Rank) Before(o Rank) bool {
+	if r.Excess != o.Excess {
+		return o.Excess
+	}
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
 	if r.Late != o.Late {
 		return o.Late
 	}
+	if r.BeyondShare != o.BeyondShare {
+		return o.BeyondShare
+	}
 	return r.Due.Before(o.Due)
 }
 
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -6,6 +6,7 @@
 
 	"github.com/mimosawharf/mimosawharf/internal/allowance"
 	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/share"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -42,6 +43,10 @@
 	usage     accountUsage
 	// denied is set when a task has waited for the allowance of its account.
 	denied bool
+	// weights is empty where no account has one.
+	weights share.Weights
+	meter   share.Meter
+	claims  []share.Claim
 }
 
 // SetAllowance sets what bounds the runs of client accounts; nil means that nothing does. It is asked before each start.
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -18,6 +18,8 @@
 	// started is set once an endpoint has reported a run of the job. A start order alone does not count: it may
 	// be lost or executed seconds later.
 	started bool
+	// excess is set for a job beyond its account's weight.
+	excess bool
 }
 
 func (e *Engine) entry(j *fleet.Job) *jobEntry {
@@ -26,7 +28,7 @@
 		return entry
 	}
 	e.ticketed = e.ticketed || j.NeedsTickets
-	entry = &jobEntry{job: j, committed: fleet.JobStatePending}
+	entry = &jobEntry{job: j, committed: fleet.JobStatePending, excess: e.accounts.meter.Submit(j.Account, j.AcceptedAt)}
 	for k := range j.OccurrenceCount() {
 		o := job.New(j, fleet.Occurrence(k))
 		entry.occurrences = append(entry.occurrences, o)
@@ -38,10 +40,10 @@
 
 // Accept adds a stored job. A job that is already known stays as it is.
 func (e *Engine) Accept(j *fleet.Job) {
-	if e.jobs[j.ID] == nil && j.OccurrenceCount() == 1 {
+	known := e.jobs[j.ID] != nil
+	if entry := e.entry(j); !known && !entry.excess && j.OccurrenceCount() == 1 {
 		e.arrived += e.workOf(j)
 	}
-	e.entry(j)
 }
 
 // Cancel ends a job and stops its tasks. It returns false when the job is not known.
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -15,7 +15,8 @@
 	Used, Waiting fleet.Millicores
 	// Backlog is the work of the tasks that Waiting counts, apart from lasting ones.
 	Backlog fleet.Work
-	// Late is the demand of tasks which could start at once but can no longer meet their objective.
+	// Late is the demand of tasks which could start at once but can no longer meet their objective, or whose account has
+	// submitted more than its weight.
 	Late fleet.Millicores
 	// Lasting is the part of Used that lasting tasks account for, UsedLate that of jobs that can no longer meet their
 	// objective.
@@ -87,7 +88,7 @@
 			if e.choose(now, c.occurrence.ID(c.step, 0), *step, nil) == nil {
 				l.Stranded += (count + tasksPerEndpoint(*step, mean) - 1) / tasksPerEndpoint(*step, mean)
 			}
-		case c.rank.Late:
+		case c.rank.Late, c.rank.Excess:
 			l.Late += demand * fleet.Millicores(count)
 		default:
 			waiting := max(demand, minWaitingDemand) * fleet.Millicores(count)
@@ -106,7 +107,10 @@
 		late, ok := known[key]
 		if !ok {
 			o := e.active[key]
-			late = o != nil && e.rank(now, o).Late
+			if o != nil {
+				r := e.rank(now, o)
+				late = r.Late || r.Excess
+			}
 			known[key] = late
 		}
 		return late
