--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
@@ -20,6 +21,7 @@
 	Relay     *RelayEvent
 	Written   *Written
 	Taken     *Taken
+	Ledger    *LedgerEvent
 	Query     *Query
 	Advice    *shard.Advice
 	// Stop makes the scheduler release all leases.
@@ -77,6 +79,8 @@
 	job.Policy
 	// Host and Prefix are what the requests for the queue have in common.
 	Host, Prefix string
+	// Public is set for a queue that needs no key.
+	Public bool
 }
 
 // Config is the configuration of queues and services.
@@ -85,6 +89,8 @@
 	Queues  []Queue
 	// Services lists all services, those without queues included.
 	Services []Service
+	// Accounts holds the client accounts; nil where the configuration knows none, so that no request needs a key.
+	Accounts *account.Directory
 	// MaxBody is the largest request body in bytes.
 	MaxBody int64
 }
@@ -101,6 +107,8 @@
 	Duty fleet.DutyName
 	// Chain is nil when the lease was not taken.
 	Chain *Chain
+	// Probe is set for a probe of the store, which takes no lease.
+	Probe bool
 	// SentAt is when the winning transaction was sent.
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
@@ -172,8 +180,9 @@
 	// Held is set when this entry holds the service and the rest of the answer is authoritative.
 	Held  bool
 	State fleet.JobState
-	// Service is the service of a known job.
+	// Service is the service of a known job, Account the client account that submitted it.
 	Service fleet.ServiceID
+	Account fleet.ClientAccountID
 	Count   int
 	// Vacated are the endpoints that run nothing and get no work for a while.
 	Vacated []fleet.EndpointID
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -104,7 +104,7 @@
 		parts = append(parts, intakePart(n))
 	}
 	s.Duties.Start(h.ctx, &follow.Follower{
-		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Store: s.Store, Clock: s.Clock, Log: s.Log,
+		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Readers: jobReaders, Store: s.Store, Clock: s.Clock, Log: s.Log,
 		Interval: follow.Every(jobsInterval), Inbox: h.refresh,
 		Sink: &jobSink{scheduler: s.Inbox, log: s.Log, duty: h.chain.Duty, epoch: h.chain.Epoch, service: h.service},
 	})
@@ -183,7 +183,7 @@
 		h.engine.Cancel(now, id)
 	}
 	h.engine.Loaded(now)
-	h.progress, h.loaded = nil, true
+	h.progress, h.loaded, s.limits.due = nil, true, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
 		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
