door: decide what callers may make a process hold

Budget, Places and the scanners of bodies decide without a network; httpdoor applies them to HTTP servers. A share is taken before a body is read, grows by the cost of decoding before it is decoded, and stalled bodies and idle or stalled connections make way when there is no room.

go test ./internal/door passes. Each mechanism taken out by hand: - no shedding: TestBudgetHoldsWhateverCallersSend, "budget-short: 1048576 bytes, limit 1048576" - no limit, and shedding of complete requests: the same test - no reserve for small shares: TestSmallRequestIsTakenBesideLargeBodies - shedding of connections that serve: TestPlacesHoldWhateverConnectionsDo Not noticed by a test: a share that is shed while it grows; it returns its bytes when it ends anyway.

--- /dev/null
+++ b/internal/door/httpdoor/connection.go
@@ -0,0 +1,96 @@
+package httpdoor
+
+import (
+	"context"
+	"net"
+	"net/http"
+
+	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
+)
+
+// listener accepts connections that have a place.
+type listener struct {
+	net.Listener
+	door *Door
+}
+
+// Accept implements net.Listener. It closes connections that find no place, before anything is read from them.
+func (l listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		placed := &connection{Conn: c, clock: l.door.Clock}
+		place, shed, err := l.door.Places.Take(l.door.Clock.Now(), func() { _ = c.Close() })
+		if shed {
+			l.door.count(door.ReasonPlaceShed)
+		}
+		if err != nil {
+			l.door.count(door.ReasonNoPlace)
+			_ = c.Close() // Nothing was read from it.
+			continue
+		}
+		placed.place = place
+		return placed, nil
+	}
+}
+
+// connection is a connection with a place.
+type connection struct {
+	net.Conn
+	place *door.Place
+	clock clock.Clock
+}
+
+// Read implements net.Conn.
+func (c *connection) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.place.Moved(c.clock.Now())
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *connection) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if n > 0 {
+		c.place.Moved(c.clock.Now())
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *connection) Close() error {
+	c.place.Leave()
+	return c.Conn.Close()
+}
+
+// enter records what a connection is doing.
+func (c *connection) enter(s door.Stage) { c.place.Enter(c.clock.Now(), s) }
+
+type connectionKey struct{}
+
+// withConnection makes a connection available in the context of its requests.
+func withConnection(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, c)
+}
+
+// recordState records when a connection becomes idle and when a request begins. A connection that the handler has
+// taken over keeps its place until it is closed.
+func recordState(c net.Conn, s http.ConnState) {
+	placed, ok := c.(*connection)
+	if !ok {
+		return
+	}
+	switch s {
+	case http.StateActive:
+		placed.enter(door.StageReceiving)
+	case http.StateIdle:
+		placed.enter(door.StageIdle)
+	case http.StateHijacked:
+		placed.enter(door.StageServing)
+	}
+}
