caller: read messages through the guard of the door

The guard of the daemon's callers and the door of jobs are to share one decision. Its reading is now httpdoor.Reader: the share of a message is taken by its declared length before it is read, in place of a step of 64 KB at a time, and a stalled message makes way for others. Bounds, time-outs and answers are as before; its tests pass unchanged.

--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -1,12 +1,9 @@
 package caller
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +11,8 @@
 	"github.com/gravitational/trace"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
+	"github.com/mimosawharf/mimosawharf/internal/door/httpdoor"
 	"github.com/mimosawharf/mimosawharf/internal/request"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -36,12 +35,15 @@
 	// MaxMessage bounds one message, MaxReading the total of all messages being read.
 	MaxMessage, MaxReading fleet.Bytes
 
-	readingBytes atomic.Int64
+	reading door.Budget
+	reader  *httpdoor.Reader
 }
 
 // Middleware wraps the handler of a service. Interceptor must be among the options of that handler.
 func (g *Guard) Middleware(next http.Handler) http.Handler {
 	writer := connect.NewErrorWriter()
+	g.reading.Limit = g.MaxReading
+	g.reader = &httpdoor.Reader{Clock: g.Clock, Budget: &g.reading, Patience: g.ReadTimeout}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		guarded := &guardedWriter{ResponseWriter: w, deadline: g.writeDeadline(w)}
 		if err := g.prepare(w, r); err != nil {
@@ -94,51 +96,29 @@
 			return err
 		}
 	}
-	if fleet.Bytes(r.ContentLength) > g.MaxMessage {
-		return g.tooLarge(fleet.Bytes(r.ContentLength))
-	}
-	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(g.Clock.Now().Add(g.ReadTimeout))
-	data, err := g.read(r.Body)
+	message, err := g.reader.Read(w, r, g.MaxMessage, nil)
 	if err != nil {
-		return err
+		return g.refusal(err)
+	}
+	if message != nil {
+		message.Release() // Queues count the message from here on.
 	}
-	// The server keeps reading to detect that the client disconnects, which must not time out.
-	_ = controller.SetReadDeadline(time.Time{})
-	r.Body = io.NopCloser(bytes.NewReader(data))
 	return nil
 }
 
-// readChunk is the granularity, in bytes, at which messages being read count towards MaxReading.
-const readChunk = 64 << 10
-
-// read reads a message. It counts towards MaxReading while it is being read, which bounds the memory that
-// many slow senders hold together.
-func (g *Guard) read(body io.Reader) ([]byte, error) {
-	var data bytes.Buffer
-	counted := int64(0)
-	defer func() { g.readingBytes.Add(-counted) }()
-	for {
-		counted += readChunk
-		if g.readingBytes.Add(readChunk) > int64(g.MaxReading) {
-			return nil, refusal(connect.CodeResourceExhausted, request.ReasonOverloaded, &ReadingLimitError{Limit: g.MaxReading})
-		}
-		_, err := io.CopyN(&data, body, readChunk)
-		switch {
-		case fleet.Bytes(data.Len()) > g.MaxMessage:
-			return nil, g.tooLarge(fleet.Bytes(data.Len()))
-		case errors.Is(err, io.EOF):
-			return data.Bytes(), nil
-		case errors.Is(err, os.ErrDeadlineExceeded):
-			return nil, refusal(connect.CodeDeadlineExceeded, request.ReasonTimeout, &ReadTimeoutError{Timeout: g.ReadTimeout})
-		case err != nil:
-			return nil, refusal(connect.CodeInvalidArgument, request.ReasonMalformed, err)
-		}
+// refusal converts a refusal of the door.
+func (g *Guard) refusal(err error) error {
+	refused := &door.Refusal{}
+	_ = errors.As(err, &refused) // There is no other error.
+	switch refused.Reason {
+	case door.ReasonBodyTooLarge:
+		return refusal(connect.CodeResourceExhausted, request.ReasonBodyTooLarge, &BodySizeError{Size: refused.Size, Limit: g.MaxMessage})
+	case door.ReasonBudgetShort, door.ReasonBodyShed:
+		return refusal(connect.CodeResourceExhausted, request.ReasonOverloaded, &ReadingLimitError{Limit: g.MaxReading})
+	case door.ReasonBodyTooSlow:
+		return refusal(connect.CodeDeadlineExceeded, request.ReasonTimeout, &ReadTimeoutError{Timeout: g.ReadTimeout})
 	}
-}
-
-func (g *Guard) tooLarge(size fleet.Bytes) error {
-	return refusal(connect.CodeResourceExhausted, request.ReasonBodyTooLarge, &BodySizeError{Size: size, Limit: g.MaxMessage})
+	return refusal(connect.CodeInvalidArgument, request.ReasonMalformed, err)
 }
 
 // guardedWriter holds back the response to a request that did not reach the service.
--- a/internal/door/httpdoor/connection.go
+++ b/internal/door/httpdoor/connection.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 
-	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/door"
 )
 
@@ -22,7 +21,7 @@
 		if err != nil {
 			return nil, err
 		}
-		placed := &connection{Conn: c, clock: l.door.Clock}
+		placed := &connection{Conn: c, door: l.door}
 		place, shed, err := l.door.Places.Take(l.door.Clock.Now(), func() { _ = c.Close() })
 		if shed {
 			l.door.count(door.ReasonPlaceShed)
@@ -33,6 +32,7 @@
 			continue
 		}
 		placed.place = place
+		l.door.connections.Update(float64(l.door.Places.Taken()))
 		return placed, nil
 	}
 }
@@ -41,14 +41,14 @@
 type connection struct {
 	net.Conn
 	place *door.Place
-	clock clock.Clock
+	door  *Door
 }
 
 // Read implements net.Conn.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.place.Moved(c.clock.Now())
+		c.place.Moved(c.door.Clock.Now())
 	}
 	return n, err
 }
@@ -57,7 +57,7 @@
 func (c *connection) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if n > 0 {
-		c.place.Moved(c.clock.Now())
+		c.place.Moved(c.door.Clock.Now())
 	}
 	return n, err
 }
@@ -65,11 +65,12 @@
 // Close implements net.Conn.
 func (c *connection) Close() error {
 	c.place.Leave()
+	c.door.connections.Update(float64(c.door.Places.Taken()))
 	return c.Conn.Close()
 }
 
 // enter records what a connection is doing.
-func (c *connection) enter(s door.Stage) { c.place.Enter(c.clock.Now(), s) }
+func (c *connection) enter(s door.Stage) { c.place.Enter(c.door.Clock.Now(), s) }
 
 type connectionKey struct{}
 
--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -46,7 +46,8 @@
 	// NewScanner returns the scanner of a request's body, or *door.Refusal. It may be nil.
 	NewScanner func(*http.Request) (door.Scanner, error)
 
-	refusals map[door.Reason]*refusalLog
+	refusals          map[door.Reason]*refusalLog
+	connections, held tally.Gauge
 }
 
 // refusalLog counts the refusals of one reason.
@@ -58,9 +59,11 @@
 
 // Attach puts the door before a server and its listener.
 func (d *Door) Attach(s *http.Server, l net.Listener) net.Listener {
+	tagged := d.Scope.Tagged(map[string]string{"door": string(d.Name)})
+	d.connections, d.held = tagged.Gauge("door_connections"), tagged.Gauge("door_held_bytes")
 	d.refusals = map[door.Reason]*refusalLog{}
 	for _, reason := range door.Reasons() {
-		d.refusals[reason] = &refusalLog{counter: d.Scope.Tagged(map[string]string{"door": string(d.Name), "reason": string(reason)}).Counter("door_refusals")}
+		d.refusals[reason] = &refusalLog{counter: tagged.Tagged(map[string]string{"reason": string(reason)}).Counter("door_refusals")}
 	}
 	s.Handler = d.handler(s.Handler)
 	s.ConnContext, s.ConnState = withConnection, recordState
@@ -79,7 +82,10 @@
 			d.refuse(answer, err)
 			return
 		}
-		defer message.Release()
+		if message != nil {
+			d.held.Update(float64(d.Budget.Held()))
+			defer func() { message.Release(); d.held.Update(float64(d.Budget.Held())) }()
+		}
 		if conn != nil {
 			conn.enter(door.StageServing)
 		}
--- a/internal/door/httpdoor/reader.go
+++ b/internal/door/httpdoor/reader.go
@@ -42,14 +42,11 @@
 func (m *Message) Close() error { return nil }
 
 // Release returns what the request holds to the budget.
-func (m *Message) Release() {
-	if m != nil && m.share != nil {
-		m.share.Release()
-	}
-}
+func (m *Message) Release() { m.share.Release() }
 
 // Read reads the body of a request, of at most limit bytes, and replaces it. The scanner may be nil; what the body
-// takes once it is decoded is held with it. It returns *door.Refusal, after which the connection has to be closed.
+// takes once it is decoded is held with it. It returns nil for a request without a body, and *door.Refusal, after which
+// the connection has to be closed.
 func (r *Reader) Read(w http.ResponseWriter, q *http.Request, limit fleet.Bytes, scanner door.Scanner) (*Message, error) {
 	if q.ContentLength == 0 || q.Body == nil {
 		return nil, nil
