jobentry: put a door before each server of an entry

Nothing bounded what callers of an entry held: submit read whole bodies for as many callers as came, a body of many empty steps became sixty times its size before its tasks were counted, other entries and the job interface read messages of any size, and connections stayed open for ever. A cap on accepted connections alone was ruled out: a crowd that stays open would keep everyone else out.

Each server now has a door with bounds from limits.memory_mb and limits.max_fds. The largest request of the job service and of other entries is 4 MB, and compressed requests to them are refused, as their decoded size is not known before.

--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
@@ -67,8 +68,27 @@
 	Handler http.Handler
 	// MaxHeaderBytes bounds the headers of a request; 0 means defaultHeaderBytes.
 	MaxHeaderBytes int
+	// Audience says which part of the process's limits the server's callers may use.
+	Audience Audience
+	// MaxBody returns the longest body; nil means probeBytes. NewScanner returns what bounds the body's content, and
+	// may be nil.
+	MaxBody    func() fleet.Bytes
+	NewScanner func(*http.Request) (door.Scanner, error)
 }
 
+// Audience is a kind of callers of a server.
+type Audience string
+
+// Audiences of servers.
+const (
+	AudienceCallers Audience = "callers"
+	AudiencePeers   Audience = "peers"
+	AudienceProbes  Audience = "probes"
+)
+
+// probeBytes bounds the bodies of probes and scrapers, which have none.
+const probeBytes fleet.Bytes = 64 << 10
+
 // Entry is one entry process: its settings and its duties.
 type Entry struct {
 	// The fields are set before Run.
@@ -76,6 +96,9 @@
 	Zone fleet.ZoneID
 	// Millicores is the processor capacity of the VM; 0 when unknown.
 	Millicores fleet.Millicores
+	// Memory and Descriptors are what the process may use; 0 when unknown. What callers may hold follows from them.
+	Memory      fleet.Bytes
+	Descriptors int
 	// PeerAddress is where other entries, and the product's own tools, reach this one.
 	PeerAddress    fleet.Address
 	MetricsAddress fleet.Address
--- a/internal/jobentry/server.go
+++ b/internal/jobentry/server.go
@@ -9,6 +9,8 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/door"
+	"github.com/mimosawharf/mimosawharf/internal/door/httpdoor"
 	"github.com/mimosawharf/mimosawharf/internal/jobpeer"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -45,10 +47,14 @@
 	}).Path())
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", e.registry.Page)
-	all := append(e.Platform.Servers(e.feeds), Server{Duty: "http-peer", Address: e.self.Address, Handler: peerMux})
+	all := append(e.Platform.Servers(e.feeds), Server{
+		Duty: "http-peer", Address: e.self.Address, Handler: peerMux, Audience: AudiencePeers,
+		MaxBody: func() fleet.Bytes { return jobpeer.MaxMessage }, NewScanner: jobpeer.NewScanner,
+	})
 	if e.MetricsAddress != "" {
-		all = append(all, Server{Duty: "http-metrics", Address: e.MetricsAddress, Handler: metricsMux})
+		all = append(all, Server{Duty: "http-metrics", Address: e.MetricsAddress, Handler: metricsMux, Audience: AudienceProbes})
 	}
+	limits := door.LimitsOf(e.Memory, e.Descriptors)
 	var list []*httpServer
 	for _, s := range all {
 		l, err := net.Listen("tcp4", string(s.Address))
@@ -59,13 +65,31 @@
 		if maxHeader == 0 {
 			maxHeader = defaultHeaderBytes
 		}
-		list = append(list, &httpServer{name: s.Duty, listener: l, server: &http.Server{
+		server := &http.Server{
 			Handler: s.Handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader, ErrorLog: zap.NewStdLog(e.Log),
-		}})
+		}
+		list = append(list, &httpServer{name: s.Duty, server: server, listener: e.door(s, limits).Attach(server, l)})
 	}
 	return list, nil
 }
 
+// door returns the bounds of one server.
+func (e *Entry) door(s Server, limits door.Limits) *httpdoor.Door {
+	d := &httpdoor.Door{Name: s.Duty, Clock: e.Clock, Log: e.Log, Scope: e.registry.Scope, NewScanner: s.NewScanner, MaxBody: s.MaxBody}
+	switch s.Audience {
+	case AudiencePeers:
+		d.Places, d.Budget = &door.Places{Limit: limits.PeerPlaces}, &door.Budget{Limit: limits.PeerBytes}
+	case AudienceProbes:
+		d.Places, d.Budget = &door.Places{Limit: limits.ProbePlaces}, &door.Budget{Limit: probeBytes}
+	default:
+		d.Places, d.Budget = &door.Places{Limit: limits.CallerPlaces}, &door.Budget{Limit: limits.CallerBytes}
+	}
+	if d.MaxBody == nil {
+		d.MaxBody = func() fleet.Bytes { return probeBytes }
+	}
+	return d
+}
+
 // ListenError reports an address that cannot be listened on.
 type ListenError struct {
 	Address fleet.Address
--- /dev/null
+++ b/internal/jobpeer/bounds.go
@@ -0,0 +1,33 @@
+package jobpeer
+
+import (
+	"mime"
+	"net/http"
+
+	"github.com/mimosawharf/mimosawharf/internal/door"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+const (
+	// MaxMessage bounds a request to an entry. The largest passes on a job, whose steps take less than in the body that
+	// brought it.
+	MaxMessage fleet.Bytes = 4 << 20
+	// maxObjects and maxDepth bound a request in JSON. A job has 100 steps at most.
+	maxObjects = 4096
+	maxDepth   = 32
+)
+
+// NewScanner returns the scanner of a request's body. It refuses encodings that the entry's own clients do not use and
+// whose decoded size is not known before they are decoded.
+func NewScanner(r *http.Request) (door.Scanner, error) {
+	encoding := r.Header.Get("Content-Encoding")
+	kind, _, _ := mime.ParseMediaType(r.Header.Get("Content-Type")) // An error leaves the type empty.
+	switch {
+	case encoding != "" && encoding != "identity":
+	case kind == "application/json":
+		return &door.JSONScanner{MaxObjects: maxObjects, MaxDepth: maxDepth}, nil
+	case kind == "application/proto":
+		return door.ProtobufScanner{}, nil
+	}
+	return nil, &door.Refusal{Reason: door.ReasonEncoding}
+}
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -104,7 +104,7 @@
 
 // Path returns the path and the HTTP handler of the service.
 func (h *PeerHandler) Path() (string, http.Handler) {
-	return jobv1connect.NewJobPeerServiceHandler(h, connect.WithCompressMinBytes(minCompressed))
+	return jobv1connect.NewJobPeerServiceHandler(h, connect.WithCompressMinBytes(minCompressed), connect.WithReadMaxBytes(int(MaxMessage)))
 }
 
 // minCompressed is the size from which on answers are compressed. Most are a few bytes, and to set up the compression
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -34,7 +34,9 @@
 const defaultTimeout = 3 * time.Second
 
 // Path returns the path and the HTTP handler of the service.
-func (j *Jobs) Path() (string, http.Handler) { return jobv1connect.NewJobServiceHandler(j) }
+func (j *Jobs) Path() (string, http.Handler) {
+	return jobv1connect.NewJobServiceHandler(j, connect.WithReadMaxBytes(int(MaxMessage)))
+}
 
 // RequestError reports why a request was not executed, or that its outcome is not known.
 type RequestError struct{ Reason string }
