--- a/internal/holder/ledger.go
+++ b/internal/holder/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -106,7 +107,7 @@
 func (s *ledgerSink) Change(rows []rowstore.Row) { s.done(ledgerEvent(rows, s.log)) }
 
 // Synced implements follow.Sink.
-func (*ledgerSink) Synced() {}
+func (*ledgerSink) Synced(time.Time) {}
 
 // ledgerEvent decodes the row of the ledger, which is empty before it is first written. A ledger that cannot be decoded is
 // not known, so that no service takes more of a limit.
