shard: decide by its price how long a task waits for a near place

Placement took any endpoint with room, with a bonus for the rack of the data: a task ran away from its data however short the wait was, and a step for one rack waited for a fixed time at most.

Where the platform's settings state a factor by which far runs take longer, the engine now asks a policy (internal/nearness) when a task has room and none near its data, and when a step that wants one rack has room on several. It knows when runs on the rack are expected to end, who is ahead, the demand for the rack, the use of the room elsewhere and the time left to the objective. Endpoints that do not answer, are to leave or are cordoned give no place; a new one counts once it is expected to answer. Lasting tasks, tasks that have failed and steps without data are placed as before. Run times learned from far runs are reckoned as near ones. A far place is logged with its reason and counted.

go test ./internal/shard -run 'Data|LostRack|OneRack' passes; with the factor 0, which is the code before, TestTaskWaitsForItsDataWhenThatPays has the task run away from its data at once. TestStepIsSpreadWhenNoRackGetsRoom and TestStepWaitsForItsRack are unchanged and pass.

--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -18,7 +18,9 @@
 
 	wait, run, latency                    tally.Histogram
 	firstPlan, toSend, toAnswer, unserved tally.Histogram
-	sent, stale, missed                   tally.Counter
+	// nearWait is how long tasks waited for a place near their data.
+	nearWait            tally.Histogram
+	sent, stale, missed tally.Counter
 	// counters caches the counters that are told apart by a tag: to look one up takes as long as to log a line.
 	counters map[taggedCounter]tally.Counter
 }
@@ -43,6 +45,7 @@
 		toSend:    scope.Histogram("job_start_to_send", LatencyBuckets),
 		toAnswer:  scope.Histogram("job_start_to_answer", LatencyBuckets),
 		unserved:  scope.Histogram("job_lasting_wait", LatencyBuckets),
+		nearWait:  scope.Histogram("job_near_wait", LatencyBuckets),
 		sent:      scope.Counter("job_starts_sent"),
 		stale:     scope.Counter("job_starts_stale"),
 		missed:    scope.Counter("job_renewals_missed"),
@@ -103,6 +106,23 @@
 	}
 }
 
+// DataPlaced implements shard.Observer.
+func (o *Observer) DataPlaced(p shard.DataPlace) {
+	where := "near"
+	if p.Far {
+		where = "far"
+	}
+	o.count("job_data_places", "where", where, 1)
+	if p.Reason == "" {
+		return // No decision was needed.
+	}
+	o.count("job_near_waits", "reason", string(p.Reason), 1)
+	o.nearWait.RecordDuration(p.Waited)
+	if line := o.log.Check(zap.InfoLevel, "shard: task placed by its data"); line != nil {
+		line.Write(zap.String("queue", string(p.Queue)), zap.String("where", where), zap.String("reason", string(p.Reason)), zap.Duration("waited", p.Waited))
+	}
+}
+
 // LastingWaits implements shard.Observer.
 func (o *Observer) LastingWaits(w shard.LastingWait) {
 	o.log.Info("lasting: task waits", append(waitFields(w), zap.Duration("lease-left", w.Left))...)
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
@@ -63,3 +65,17 @@
 	}
 	return entry.occurrences[id.Occurrence]
 }
+
+// sorted returns the workers sorted by id, so that schedules are reproducible.
+func (e *Engine) sorted() []*worker {
+	if e.byID != nil {
+		return e.byID
+	}
+	list := make([]*worker, 0, len(e.workers))
+	for _, w := range e.workers {
+		list = append(list, w)
+	}
+	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
+	e.byID = list
+	return list
+}
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -5,11 +5,10 @@
 package shard
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
+	"github.com/mimosawharf/mimosawharf/internal/nearness"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -21,6 +20,9 @@
 	StopTime time.Duration
 	// StatusRetention is how long the state of an ended job has to be kept.
 	StatusRetention time.Duration
+	// FarFactor is how many times as long a task runs away from its data, or a step on several racks. No wait for a near
+	// place is decided on where it is 1 or less.
+	FarFactor float64
 }
 
 // Observer receives scheduling decisions and events, for logs and metrics.
@@ -50,6 +52,8 @@
 	RenewalMissed()
 	// StartAnswered is called for each start order whose result is known.
 	StartAnswered(s StartTimes)
+	// DataPlaced is called for each task that is assigned and has data on a rack.
+	DataPlaced(p DataPlace)
 	// LastingWaits is called when a lasting task that has run before does not run, and when the reason changes.
 	LastingWaits(w LastingWait)
 	// LastingWaited is called for each reason for which lasting tasks have waited during a time.
@@ -66,6 +70,8 @@
 	Bounds Bounds
 	// Observer must not be nil.
 	Observer Observer
+	// Near decides on waits for places near data; NewEngine sets nearness.Policy.
+	Near NearPolicy
 
 	policies map[fleet.QueueID]job.Policy
 	jobs     map[fleet.JobID]*jobEntry
@@ -112,6 +118,7 @@
 
 	// rackWaits is since when steps have waited for room on one rack.
 	rackWaits map[StepID]time.Time
+	near      nearWaits
 
 	// advice holds the tickets of steps; advicePending counts requests in flight.
 	advice map[StepID]*stepAdvice
@@ -156,7 +163,7 @@
 // NewEngine returns an engine without jobs, which may grant leases until validUntil.
 func NewEngine(service fleet.ServiceID, epoch fleet.FencingToken, bounds Bounds, observer Observer, inherited Inheritance, validUntil time.Time) *Engine {
 	e := &Engine{
-		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, inherited: inherited, validUntil: validUntil,
+		Service: service, Epoch: epoch, Bounds: bounds, Observer: observer, Near: nearness.Policy{}, inherited: inherited, validUntil: validUntil,
 		withheld: map[fleet.EndpointID]bool{}, pendingBounds: map[fleet.EndpointID]LeaseBound{}, inheritedBounds: map[fleet.EndpointID]LeaseBound{},
 		policies:         map[fleet.QueueID]job.Policy{},
 		jobs:             map[fleet.JobID]*jobEntry{},
@@ -170,6 +177,7 @@
 		unavailableSince: map[fleet.TaskID]time.Time{},
 		waits:            map[fleet.TaskID]*lastingWait{},
 		rackWaits:        map[StepID]time.Time{},
+		near:             newNearWaits(),
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
 		accounts:         accounts{usage: accountUsage{}},
@@ -283,17 +291,3 @@
 	e.out = nil
 	return out
 }
-
-// sorted returns the workers sorted by id, so that schedules are reproducible.
-func (e *Engine) sorted() []*worker {
-	if e.byID != nil {
-		return e.byID
-	}
-	list := make([]*worker, 0, len(e.workers))
-	for _, w := range e.workers {
-		list = append(list, w)
-	}
-	slices.SortFunc(list, func(a, b *worker) int { return cmp.Compare(a.Endpoint, b.Endpoint) })
-	e.byID = list
-	return list
-}
--- a/internal/shard/fake_endpoint_test.go
+++ b/internal/shard/fake_endpoint_test.go
@@ -199,6 +199,10 @@
 	}
 	sim.checkStart(e, o, step, isLate)
 	sim.startedAt[o.Task] = sim.now
-	e.running[o.Task] = &fakeRun{run: o.Run, began: sim.now, duration: sim.duration(o.Task), lasting: step.Lasting, demand: step.CountedDemand(), stalled: e.stall}
+	duration := sim.duration(o.Task)
+	if sim.farFactor > 1 && step.DataRack != "" && step.DataRack != e.Rack {
+		duration = time.Duration(float64(duration) * sim.farFactor)
+	}
+	e.running[o.Task] = &fakeRun{run: o.Run, began: sim.now, duration: duration, lasting: step.Lasting, demand: step.CountedDemand(), stalled: e.stall}
 	return shard.AnswerDone
 }
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -74,6 +74,8 @@
 	adviceCount   int
 
 	statusRetention time.Duration
+	// farFactor is how many times as long a task runs away from its data.
+	farFactor float64
 
 	// stored is what the next holder learns of leases, renewing what a renewal of the service's lease stores at renewalAt.
 	stored, renewing     shard.Inheritance
@@ -89,46 +91,6 @@
 	request shard.AdviceRequest
 }
 
-type fakeObserver struct {
-	ejections map[fleet.EndpointID]int
-	losses    []shard.Loss
-	restarts  []shard.Restart
-	foreign   []shard.ForeignRun
-	steps     []shard.ClockStep
-	rejected  []shard.Order
-	waits     []shard.LastingWait
-	resumed   []shard.LastingWait
-}
-
-func (*fakeObserver) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {}
-
-func (*fakeObserver) RunEnded(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, fleet.RunEnd, time.Duration) {
-}
-
-func (*fakeObserver) LateEnd(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, fleet.RunEnd) {}
-func (*fakeObserver) JobEnded(fleet.JobID, fleet.JobState, time.Duration)                        {}
-func (*fakeObserver) Cancelled(fleet.JobID)                                                      {}
-func (o *fakeObserver) Rejected(order shard.Order, _ shard.Answer, _ time.Duration) {
-	o.rejected = append(o.rejected, order)
-}
-
-func (o *fakeObserver) Ejected(at fleet.EndpointID, _ int, _ time.Duration) {
-	o.ejections[at]++
-}
-func (o *fakeObserver) LastingWaits(w shard.LastingWait)   { o.waits = append(o.waits, w) }
-func (o *fakeObserver) LastingResumed(w shard.LastingWait) { o.resumed = append(o.resumed, w) }
-func (*fakeObserver) LastingWaited(shard.WaitReason, int, time.Duration) {
-}
-func (*fakeObserver) RenewalMissed()                                   {}
-func (*fakeObserver) StartAnswered(shard.StartTimes)                   {}
-func (*fakeObserver) Reconnected(fleet.EndpointID)                     {}
-func (o *fakeObserver) RunLost(loss shard.Loss)                        { o.losses = append(o.losses, loss) }
-func (*fakeObserver) RunsLost(fleet.EndpointID, int, shard.LossReason) {}
-func (o *fakeObserver) Restarted(r shard.Restart)                      { o.restarts = append(o.restarts, r) }
-
-func (o *fakeObserver) ClockStepped(s shard.ClockStep)   { o.steps = append(o.steps, s) }
-func (o *fakeObserver) ForeignListed(f shard.ForeignRun) { o.foreign = append(o.foreign, f) }
-
 var fakeEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newSimulation(seed uint64, endpoints int, capacity fleet.Capacity) *simulation {
@@ -160,7 +122,7 @@
 func (sim *simulation) takeOver(inherited shard.Inheritance) {
 	sim.epoch += shard.EpochStep
 	sim.committing, sim.commitAt = map[job.Key]*job.Occurrence{}, time.Time{}
-	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: sim.statusRetention}
+	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: sim.statusRetention, FarFactor: sim.farFactor}
 	sim.engine = shard.NewEngine("service", sim.epoch, bounds, sim.observer, inherited, sim.now.Add(fakeValidity))
 	sim.stored, sim.renewedAt, sim.renewalAt = inherited, sim.now, time.Time{}
 	sim.engine.SetPolicies([]job.Policy{sim.policy})
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -79,6 +79,7 @@
 			task := &o.Tasks[s][t]
 			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
 			delete(e.avoid, id)
+			delete(e.near.waits, id)
 			delete(e.unavailableSince, id)
 			if !task.Running() {
 				continue
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -51,6 +51,7 @@
 	if now.Sub(e.rankedAt) >= e.rankInterval(now) {
 		e.ranked = e.candidates(now, e.ranked)
 		e.rankedAt, e.backlog = now, len(e.ranked)
+		clear(e.near.ahead)
 		e.markShares(now, e.ranked)
 		heap.Init(&e.ranked)
 	}
@@ -142,8 +143,15 @@
 			if step.Lasting {
 				e.preempt(now, id, step)
 			}
+			if step.DataRack != "" {
+				e.near.ahead[step.DataRack] += waitingTasks(c.occurrence.Tasks[c.step])
+			}
 			return
 		}
+		if e.waitsNear(now, c, id, &step, w) {
+			last = nil
+			continue
+		}
 		e.assign(now, c.occurrence, id, step, w)
 		last = nil
 		if e.avoid[id] == "" {
@@ -166,7 +174,12 @@
 // assign plans the next run of a task on a worker.
 func (e *Engine) assign(now time.Time, o *job.Occurrence, id fleet.TaskID, step fleet.Step, w *worker) {
 	run := o.Start(id, w.Process())
-	w.add(&assignment{id: id, run: run, account: o.Job.Account, process: w.Process(), step: step, phase: phasePlanned, plannedAt: now, pace: 100, evidence: EvidenceNone})
+	isFar := step.DataRack != "" && w.Rack != step.DataRack
+	w.add(&assignment{
+		id: id, run: run, account: o.Job.Account, process: w.Process(), step: step, phase: phasePlanned, plannedAt: now, pace: 100, evidence: EvidenceNone,
+		isFar: isFar,
+	})
+	e.placedByData(now, o.Job.Queue, id, &step, isFar)
 	if e.open != nil {
 		e.open[w.openIndex].free = w.free()
 	}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -25,6 +25,7 @@
 		}
 	}
 	e.observeWaits(now)
+	e.observeRacks(now)
 }
 
 // Expired returns the ended jobs whose state need not be kept any longer, at most maxExpiredJobs. Their
--- a/internal/shard/times.go
+++ b/internal/shard/times.go
@@ -110,6 +110,21 @@
 	return t.mean
 }
 
+// deviation returns the standard deviation of the logarithm of the run time of a task from the expected one.
+func (e *Engine) deviation(q fleet.QueueID, s *fleet.Step) float64 {
+	t := e.runTimes[runTimeKey{q, s.Image}]
+	switch {
+	case t == nil || t.actual.samples < minSamples:
+		return unknownDeviation
+	case s.Estimate > 0 && t.ratio.samples >= minSamples:
+		return math.Sqrt(min(t.ratio.variance, t.actual.variance))
+	}
+	return math.Sqrt(t.actual.variance)
+}
+
+// unknownDeviation is the deviation from declared estimates before any run was observed: a factor of two.
+const unknownDeviation = 0.7
+
 // expectedStep returns the expected time from the start of a step's tasks to the end of the last one.
 func (e *Engine) expectedStep(q fleet.QueueID, s *fleet.Step) time.Duration {
 	t := e.runTimes[runTimeKey{q, s.Image}]
--- a/internal/shard/together.go
+++ b/internal/shard/together.go
@@ -26,22 +26,25 @@
 	if !e.allows(o.Job, step, len(ids)) {
 		return
 	}
-	chosen := e.chooseTogether(now, ids, step)
+	chosen := e.chooseTogether(now, c, ids, step)
 	if chosen == nil {
 		return
 	}
 	delete(e.rackWaits, StepID{o.Job.ID, o.Number, c.step})
+	isSpread := step.SameRack && slices.ContainsFunc(chosen, func(w *worker) bool { return w.Rack != chosen[0].Rack })
 	for i, id := range ids {
 		if step.Gang {
 			o.Task(id).Run = highest
 		}
 		e.assign(now, o, id, step, chosen[i])
+		a := chosen[i].runs[id]
+		a.isFar = a.isFar || isSpread
 	}
 }
 
 // chooseTogether returns a worker for each task, or nil. When the step sets SameRack, the workers share a rack,
 // unless no rack could ever hold the step or the wait for one takes too long.
-func (e *Engine) chooseTogether(now time.Time, ids []fleet.TaskID, step fleet.Step) []*worker {
+func (e *Engine) chooseTogether(now time.Time, c candidate, ids []fleet.TaskID, step fleet.Step) []*worker {
 	if !step.SameRack {
 		return e.chooseAll(now, ids, step, nil)
 	}
@@ -56,10 +59,20 @@
 		}
 	}
 	// On several racks the tasks run slower, which is better than never.
-	if e.fitsOneRack(now, len(ids), step) && e.awaitsRack(now, ids[0], step) {
+	if !e.fitsOneRack(now, len(ids), step) {
+		return e.chooseAll(now, ids, step, nil)
+	}
+	if !e.decidesNear(&step) {
+		if e.awaitsRack(now, ids[0], step) {
+			return nil
+		}
+		return e.chooseAll(now, ids, step, nil)
+	}
+	spread := e.chooseAll(now, ids, step, nil)
+	if spread != nil && e.waitsForRack(now, c, ids, &step) {
 		return nil
 	}
-	return e.chooseAll(now, ids, step, nil)
+	return spread
 }
 
 // maxRackWait bounds the wait of a step for a rack, however long its tasks run.
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -80,6 +80,8 @@
 	pace int
 	// nextStopAt is when the next stop order may be sent.
 	nextStopAt time.Time
+	// isFar is set for a run away from its data, or of a step on several racks: it takes longer.
+	isFar bool
 	// trial is set for a run that was assigned while the worker was on probation.
 	trial bool
 }
