shard, holder, jobpeer, command: explain where a job would go

An operator could not ask why a job waits, or where one would go, without submitting it.

mimosawharf job place FILE asks the holder of the queue's service through any entry. Engine.Place decides with the functions that place tasks: choose's reasons to pass an endpoint over are now values (PassReason), and the questions on near places and the allowance of an account are built apart from what they record. It names the task, its rank, the account's use, each endpoint with the reason why it is passed over, the decision on a wait for a near place and its figures. Whether the entry's door would refuse the job is not part of it.

TestExplainedPlaceIsTakenAndChangesNothing plays the same 80 jobs with and without explanations: the starts are equal, and a job without others ahead starts where it was said to. TestPlacementNamesReasons, TestJobCommands and TestPlacementSurvivesEncoding pass.

--- a/internal/command/job.go
+++ b/internal/command/job.go
@@ -30,8 +30,8 @@
 }
 
 func (c *cli) jobCommands(parent *ff.FlagSet) *ff.Command {
-	return group(parent, "job", "submit, show, cancel, count and list jobs", "job submit job.json",
-		c.jobSubmit(parent), c.jobGet(parent), c.jobCancel(parent), c.jobCount(parent), c.jobList(parent))
+	return group(parent, "job", "submit, show, cancel, count, list and explain jobs", "job submit job.json",
+		c.jobSubmit(parent), c.jobGet(parent), c.jobCancel(parent), c.jobCount(parent), c.jobList(parent), c.jobPlace(parent))
 }
 
 func (c *cli) jobSubmit(parent *ff.FlagSet) leaf {
--- a/internal/command/job_test.go
+++ b/internal/command/job_test.go
@@ -73,15 +73,23 @@
 		}
 		t.Errorf("%v: want %q, got %q", arguments, want, text)
 	}
+	until("starts", "job", "place", file)
+	code, text := run("--output", "json", "job", "place", file)
+	is.Equal(code, command.ExitOK)
+	text = strings.ReplaceAll(text, " ", "")
+	is.True(strings.Contains(text, `"endpoint":"i-1"`) && strings.Contains(text, `"verdict":"starts"`))
+	_, text = run("job", "get", "0123456789abcdef")
+	is.True(strings.Contains(text, "no such job")) // it was not submitted
 	until("is stored", "job", "submit", file)
 	until("completed", "job", "get", "0123456789abcdef")
+	until("nothing-waits", "job", "place", file)
 	until("0 waiting", "job", "count", "plans")
 	until("0123456789abcdef  completed", "job", "list", "plans")
 	until("is cancelled", "job", "cancel", "0123456789abcdef") // a completed job stays completed
 	until("completed", "job", "get", "0123456789abcdef")
-	code, _ := run("job", "get", "ffffffffffffffff")
+	code, _ = run("job", "get", "ffffffffffffffff")
 	is.True(code != command.ExitOK)
-	code, text := run("job", "submit")
+	code, text = run("job", "submit")
 	is.Equal(code, command.ExitUsage)
 	is.True(strings.Contains(text, "job submit"))
 }
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -38,6 +38,8 @@
 		a.Count = h.waiting(now)[q.Queue]
 	case QueryJobs:
 		a.Jobs = h.engine.Jobs(q.Queue)
+	case QueryPlace:
+		a.Placement = h.engine.Place(now, q.Planned)
 	case QueryLoad:
 		a.Load = h.engine.Load(now)
 	case QueryVacate:
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -153,6 +153,8 @@
 	QueryAnnounce QueryKind = "announce"
 	QueryLoad     QueryKind = "load"
 	QueryJobs     QueryKind = "jobs"
+	// QueryPlace asks where the next task of a job would go.
+	QueryPlace QueryKind = "place"
 )
 
 // Query is a request that the scheduler answers.
@@ -169,6 +171,8 @@
 	// neither names a job that was stored earlier.
 	Accepted  *fleet.Job
 	Cancelled bool
+	// Planned is the job to place.
+	Planned *fleet.Job
 	// Reply receives the answer. It must not block.
 	Reply func(Answer)
 }
@@ -188,6 +192,8 @@
 	Vacated []fleet.EndpointID
 	Load    shard.Load
 	Jobs    []shard.JobStatus
+	// Placement answers QueryPlace.
+	Placement shard.Placement
 	// Idle is set for a service that has neither queues nor jobs, so that nobody holds it.
 	Idle bool
 	// Holder is the address of the entry that can answer; empty when nobody holds the service.
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -8,11 +8,9 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
-	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
-	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -23,56 +21,6 @@
 	Query(ctx context.Context, address fleet.Address, q Query) (Answer, error)
 }
 
-// JobRequestKind is the kind of a JobRequest.
-type JobRequestKind string
-
-// Kinds of requests.
-const (
-	JobRequestState   JobRequestKind = "state"
-	JobRequestCancel  JobRequestKind = "cancel"
-	JobRequestWaiting JobRequestKind = "waiting"
-	JobRequestJobs    JobRequestKind = "jobs"
-)
-
-// JobRequest is a caller's request about a job or a queue.
-type JobRequest struct {
-	Kind JobRequestKind
-	// Caller decides which jobs the request may be about: those of another account do not exist for it.
-	Caller   account.Caller
-	Job      fleet.JobID
-	Service  fleet.ServiceID
-	Queue    fleet.QueueID
-	Deadline time.Time
-	// Reply receives the outcome. It must not block.
-	Reply func(Reply)
-}
-
-// ReplyKind classifies a reply.
-type ReplyKind string
-
-// Kinds of replies.
-const (
-	ReplyFound ReplyKind = "found"
-	// ReplyNotFound means that no such job exists.
-	ReplyNotFound ReplyKind = "gone"
-	// ReplyUnavailable means that the answer cannot be known now. Nothing was changed.
-	ReplyUnavailable ReplyKind = "unavailable"
-	// ReplyUnknown means that a cancellation may or may not take effect.
-	ReplyUnknown ReplyKind = "unknown"
-)
-
-// Reply answers a JobRequest.
-type Reply struct {
-	Kind  ReplyKind
-	State fleet.JobState
-	// Account is the client account of the job.
-	Account fleet.ClientAccountID
-	Count   int
-	Jobs    []shard.JobStatus
-	// Source is where the answer came from, or what was unavailable, for logs and errors.
-	Source string
-}
-
 // Resolver is one of the duties that answer callers' requests: from this entry's own state, from the
 // holder of the service, or from the store when the holder cannot be reached.
 type Resolver struct {
@@ -127,12 +75,14 @@
 
 // resolve answers a request that changes nothing.
 func (r *Resolver) resolve(ctx context.Context, request *JobRequest) Reply {
-	q := Query{Kind: QueryState, Service: request.Service, Job: request.Job, Queue: request.Queue}
+	q := Query{Kind: QueryState, Service: request.Service, Job: request.Job, Queue: request.Queue, Planned: request.Planned}
 	switch request.Kind {
 	case JobRequestWaiting:
 		q.Kind = QueryWaiting
 	case JobRequestJobs:
 		q.Kind = QueryJobs
+	case JobRequestPlace:
+		q.Kind = QueryPlace
 	}
 	reply, ok := r.askHolder(ctx, q)
 	if ok || reply.Kind == ReplyUnavailable {
@@ -186,7 +136,7 @@
 	if !a.Held || q.Kind == QueryState && !a.Known {
 		return Reply{}, false
 	}
-	return Reply{Kind: ReplyFound, State: a.State, Account: a.Account, Count: a.Count, Jobs: a.Jobs, Source: source}, true
+	return Reply{Kind: ReplyFound, State: a.State, Account: a.Account, Count: a.Count, Jobs: a.Jobs, Placement: a.Placement, Source: source}, true
 }
 
 func (r *Resolver) askScheduler(ctx context.Context, q Query) (Answer, bool) {
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -79,6 +79,12 @@
 			a.Jobs = append(a.Jobs, shard.JobStatus{ID: fleet.JobID(j.GetJob()), State: fleet.JobState(j.GetState())})
 		}
 		return a, nil
+	case holder.QueryPlace:
+		r, err := peer.Place(ctx, connect.NewRequest(&jobv1.PlaceRequest{Service: string(q.Service), Job: wire.Job(q.Planned)}))
+		if err != nil {
+			return holder.Answer{}, trace.Wrap(err)
+		}
+		return holder.Answer{Held: r.Msg.GetHeld(), Placement: fromPlacement(r.Msg.GetPlacement())}, nil
 	case holder.QueryLoad:
 		r, err := peer.Load(ctx, connect.NewRequest(&jobv1.LoadRequest{Service: string(q.Service)}))
 		if err != nil {
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -69,12 +69,8 @@
 	if !j.knowsAccount(queue, job.Account) {
 		return nil, requestError(connect.CodeInvalidArgument, "the queue needs a job of a known account, and a queue that is open to all one without")
 	}
-	for i, s := range job.Steps {
-		for _, before := range s.After {
-			if int(before) >= i {
-				return nil, requestError(connect.CodeInvalidArgument, "a step follows a step that is not an earlier one")
-			}
-		}
+	if err := checkSteps(job); err != nil {
+		return nil, err
 	}
 	if len(job.Steps) == 0 {
 		return nil, requestError(connect.CodeInvalidArgument, "the job has no steps")
@@ -97,6 +93,18 @@
 	return connect.NewResponse(&jobv1.SubmitResponse{}), nil
 }
 
+// checkSteps returns an error where a step follows one that is not an earlier one.
+func checkSteps(job *fleet.Job) error {
+	for i, s := range job.Steps {
+		for _, before := range s.After {
+			if int(before) >= i {
+				return requestError(connect.CodeInvalidArgument, "a step follows a step that is not an earlier one")
+			}
+		}
+	}
+	return nil
+}
+
 // knowsAccount reports whether jobs of an account may be submitted to a queue.
 func (j *Jobs) knowsAccount(q holder.Queue, id fleet.ClientAccountID) bool {
 	accounts := j.Feeds.Config.Get().Accounts
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -54,6 +54,15 @@
 
 // allows reports whether an account may have so many more tasks of a step running, and notes when it may not.
 func (e *Engine) allows(j *fleet.Job, step fleet.Step, tasks int) bool {
+	if e.mayHave(j, step, tasks) {
+		return true
+	}
+	e.accounts.denied = true
+	return false
+}
+
+// mayHave reports whether an account may have so many more tasks of a step running.
+func (e *Engine) mayHave(j *fleet.Job, step fleet.Step, tasks int) bool {
 	if e.accounts.allowance == nil || j.Account == "" {
 		return true
 	}
@@ -61,11 +70,7 @@
 	for range tasks {
 		used = used.Plus(step.Demand)
 	}
-	if e.accounts.allowance.Allows(j.Account, used) {
-		return true
-	}
-	e.accounts.denied = true
-	return false
+	return e.accounts.allowance.Allows(j.Account, used)
 }
 
 // allowed is what accounts may still start.
--- a/internal/shard/candidate.go
+++ b/internal/shard/candidate.go
@@ -95,7 +95,9 @@
 // rank returns the scheduling order of an occurrence.
 func (e *Engine) rank(now time.Time, o *job.Occurrence) job.Rank {
 	r := o.RankOf(now, e.policy(o.Job), func(s *fleet.Step) time.Duration { return e.expectedStep(o.Job.Queue, s) })
-	r.Excess = e.jobs[o.Job.ID].excess
+	if entry := e.jobs[o.Job.ID]; entry != nil {
+		r.Excess = entry.excess
+	}
 	return r
 }
 
--- a/internal/shard/near.go
+++ b/internal/shard/near.go
@@ -50,23 +50,37 @@
 	return e.Bounds.FarFactor > 1 && !step.Lasting
 }
 
-// waitsNear reports whether a task waits for a place near its data rather than run on a worker. A task that has failed
-// is not held up further.
+// asksNear reports whether a task that would run on a worker may wait for a place near its data instead. A task that has
+// failed is not held up further.
+func (e *Engine) asksNear(id fleet.TaskID, step *fleet.Step, w *worker) bool {
+	return step.DataRack != "" && w.Rack != step.DataRack && e.decidesNear(step) && e.avoid[id] == ""
+}
+
+// nearQuestion returns what is known of a task that has room, though none near its data, and of the places there.
+func (e *Engine) nearQuestion(now time.Time, c candidate, id fleet.TaskID, step *fleet.Step, near []time.Duration, ahead int) nearness.Question {
+	queue, others := c.occurrence.Job.Queue, e.othersLoad(step.DataRack)
+	q := nearness.Question{
+		Run: e.expected(queue, step), Factor: e.Bounds.FarFactor, Error: e.deviation(queue, step), Spare: e.spare(now, c),
+		Near: near, Ahead: ahead, Home: e.rackLoad(step.DataRack).demand(now),
+		Away: others.share(), Places: others.places(dominantDemand(step.CountedDemand(), e.meanCapacity())),
+	}
+	if wait, ok := e.near.waits[id]; ok {
+		q.Waited = now.Sub(wait.since)
+	}
+	return q
+}
+
+// waitsNear reports whether a task waits for a place near its data rather than run on a worker.
 func (e *Engine) waitsNear(now time.Time, c candidate, id fleet.TaskID, step *fleet.Step, w *worker) bool {
-	if step.DataRack == "" || w.Rack == step.DataRack || !e.decidesNear(step) || e.avoid[id] != "" {
+	if !e.asksNear(id, step, w) {
 		return false
 	}
-	queue := c.occurrence.Job.Queue
-	wait, waits := e.near.waits[id]
-	if !waits {
+	e.rack(step.DataRack) // It is observed from now on.
+	a := e.Near.Decide(e.nearQuestion(now, c, id, step, e.placesNear(now, id, step), e.near.ahead[step.DataRack]))
+	wait, ok := e.near.waits[id]
+	if !ok {
 		wait.since = now
 	}
-	home, others := e.rack(step.DataRack), e.othersLoad(step.DataRack)
-	a := e.Near.Decide(nearness.Question{
-		Run: e.expected(queue, step), Factor: e.Bounds.FarFactor, Error: e.deviation(queue, step), Waited: now.Sub(wait.since), Spare: e.spare(now, c),
-		Near: e.placesNear(now, id, step), Ahead: e.near.ahead[step.DataRack],
-		Home: home.demand(now), Away: others.share(), Places: others.places(dominantDemand(step.CountedDemand(), e.meanCapacity())),
-	})
 	wait.reason = a.Reason
 	e.near.waits[id] = wait
 	if a.Wait {
@@ -75,20 +89,27 @@
 	return a.Wait
 }
 
+// rackQuestion is that of a step that has room on several racks and wants to run on one.
+func (e *Engine) rackQuestion(now time.Time, c candidate, ids []fleet.TaskID, step *fleet.Step, ahead int) nearness.Question {
+	queue, all := c.occurrence.Job.Queue, e.othersLoad(severalRacks)
+	q := nearness.Question{
+		Run: e.expectedStep(queue, step), Factor: e.Bounds.FarFactor, Error: e.deviation(queue, step), Spare: e.spare(now, c),
+		Near: e.racksFor(now, ids, step), Ahead: ahead,
+		Home: all.share(), Away: all.share(), Places: all.places(dominantDemand(step.CountedDemand(), e.meanCapacity()) * fleet.Millicores(len(ids))),
+	}
+	if since, ok := e.rackWaits[StepID{ids[0].Job, ids[0].Occurrence, ids[0].Step}]; ok {
+		q.Waited = now.Sub(since)
+	}
+	return q
+}
+
 // waitsForRack reports whether a step that has room waits until one rack can hold all its tasks.
 func (e *Engine) waitsForRack(now time.Time, c candidate, ids []fleet.TaskID, step *fleet.Step) bool {
-	queue, key := c.occurrence.Job.Queue, StepID{ids[0].Job, ids[0].Occurrence, ids[0].Step}
-	since, waiting := e.rackWaits[key]
-	if !waiting {
-		e.rackWaits[key], since = now, now
-	}
 	e.rack(severalRacks)
-	all := e.othersLoad(severalRacks)
-	a := e.Near.Decide(nearness.Question{
-		Run: e.expectedStep(queue, step), Factor: e.Bounds.FarFactor, Error: e.deviation(queue, step), Waited: now.Sub(since), Spare: e.spare(now, c),
-		Near: e.racksFor(now, ids, step), Ahead: e.near.ahead[severalRacks],
-		Home: all.share(), Away: all.share(), Places: all.places(dominantDemand(step.CountedDemand(), e.meanCapacity()) * fleet.Millicores(len(ids))),
-	})
+	a := e.Near.Decide(e.rackQuestion(now, c, ids, step, e.near.ahead[severalRacks]))
+	if key := (StepID{ids[0].Job, ids[0].Occurrence, ids[0].Step}); e.rackWaits[key].IsZero() {
+		e.rackWaits[key] = now
+	}
 	if a.Wait {
 		e.near.ahead[severalRacks]++
 	}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -204,23 +204,9 @@
 			continue
 		}
 		w := open[i].worker
-		if !need.Fits(w.free()) || !w.hasLabel(step.RequiredLabel) {
+		if allowed != nil && !allowed(w) || e.passesOver(now, w, id, &step, needsTicket) != "" {
 			continue
 		}
-		if allowed != nil && !allowed(w) {
-			continue
-		}
-		if step.MaxPerEndpoint > 0 && w.count(id) >= step.MaxPerEndpoint {
-			continue
-		}
-		if !w.acceptsTrial(now, id, step) {
-			continue
-		}
-		if needsTicket {
-			if _, ok := e.ticket(now, StepID{id.Job, id.Occurrence, id.Step}, w); !ok {
-				continue
-			}
-		}
 		if score := e.score(now, w, id, step); best == nil || score > bestScore {
 			best, bestScore = w, score
 		}
@@ -239,7 +225,7 @@
 func (e *Engine) openWorkers(now time.Time) []openWorker {
 	e.openBuffer = e.openBuffer[:0]
 	for _, w := range e.sorted() {
-		if w.usable(now) && e.mayStart(now, w) {
+		if e.unusable(now, w) == "" {
 			w.openIndex = len(e.openBuffer)
 			e.openBuffer = append(e.openBuffer, openWorker{w, w.free()})
 		}
--- a/internal/shard/racks.go
+++ b/internal/shard/racks.go
@@ -34,6 +34,14 @@
 	return l
 }
 
+// rackLoad returns what is known of the load of a rack.
+func (e *Engine) rackLoad(id fleet.RackID) *rackLoad {
+	if l := e.near.racks[id]; l != nil {
+		return l
+	}
+	return &rackLoad{}
+}
+
 // add counts a task with data on the rack.
 func (l *rackLoad) add(now time.Time, demand fleet.Millicores, takes time.Duration) {
 	l.work, l.workAt = l.work*decay(now.Sub(l.workAt))+float64(demand)*takes.Seconds(), now
--- a/internal/shard/together.go
+++ b/internal/shard/together.go
@@ -48,15 +48,8 @@
 	if !step.SameRack {
 		return e.chooseAll(now, ids, step, nil)
 	}
-	racks := map[fleet.RackID]bool{}
-	for _, w := range e.sorted() {
-		if racks[w.Rack] {
-			continue
-		}
-		racks[w.Rack] = true
-		if chosen := e.chooseAll(now, ids, step, func(o *worker) bool { return o.Rack == w.Rack }); chosen != nil {
-			return chosen
-		}
+	if chosen := e.chooseOneRack(now, ids, step); chosen != nil {
+		return chosen
 	}
 	// On several racks the tasks run slower, which is better than never.
 	if !e.fitsOneRack(now, len(ids), step) {
@@ -75,6 +68,21 @@
 	return spread
 }
 
+// chooseOneRack returns a worker for each task, all on one rack, or nil.
+func (e *Engine) chooseOneRack(now time.Time, ids []fleet.TaskID, step fleet.Step) []*worker {
+	racks := map[fleet.RackID]bool{}
+	for _, w := range e.sorted() {
+		if racks[w.Rack] {
+			continue
+		}
+		racks[w.Rack] = true
+		if chosen := e.chooseAll(now, ids, step, func(o *worker) bool { return o.Rack == w.Rack }); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
+}
+
 // maxRackWait bounds the wait of a step for a rack, however long its tasks run.
 const maxRackWait = 2 * time.Second
 
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -228,16 +228,6 @@
 	return w.contacted && now.Sub(w.lastAnswerAt) < HoldWait+silenceTimeout
 }
 
-// usable reports whether the worker may get new work.
-func (w *worker) usable(now time.Time) bool {
-	return w.inService(now) && !now.Before(w.fullUntil)
-}
-
-// inService reports whether the worker may get new work once it has room.
-func (w *worker) inService(now time.Time) bool {
-	return w.described && w.isNamed && !w.Draining && w.reachable(now) && !now.Before(w.ejectedUntil) && !now.Before(w.cordonedUntil)
-}
-
 func (w *worker) free() fleet.Capacity { return w.Capacity.Minus(w.used) }
 
 func (w *worker) add(a *assignment) {
--- a/pkg/api/mimosawharf/job/v1/job_check_gen.go
+++ b/pkg/api/mimosawharf/job/v1/job_check_gen.go
@@ -102,6 +102,29 @@
 	return nil
 }
 
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *ExplainRequest) Check() error {
+	if err := check.Required("job", x.GetJob() != nil); err != nil {
+		return err
+	}
+	if m := x.GetJob(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("job", err)
+		}
+	}
+	return nil
+}
+
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *PlaceRequest) Check() error {
+	if m := x.GetJob(); m != nil {
+		if err := m.Check(); err != nil {
+			return check.Within("job", err)
+		}
+	}
+	return nil
+}
+
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *RelayBatch) Check() error {
 	if err := check.Items("orders", len(x.GetOrders()), 4096); err != nil {
--- a/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
+++ b/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
@@ -48,6 +48,8 @@
 	JobPeerServiceLoadProcedure = "/mimosawharf.job.v1.JobPeerService/Load"
 	// JobPeerServiceJobsProcedure is the fully-qualified name of the JobPeerService's Jobs RPC.
 	JobPeerServiceJobsProcedure = "/mimosawharf.job.v1.JobPeerService/Jobs"
+	// JobPeerServicePlaceProcedure is the fully-qualified name of the JobPeerService's Place RPC.
+	JobPeerServicePlaceProcedure = "/mimosawharf.job.v1.JobPeerService/Place"
 	// JobServiceSubmitProcedure is the fully-qualified name of the JobService's Submit RPC.
 	JobServiceSubmitProcedure = "/mimosawharf.job.v1.JobService/Submit"
 	// JobServiceGetProcedure is the fully-qualified name of the JobService's Get RPC.
@@ -58,6 +60,8 @@
 	JobServiceCountProcedure = "/mimosawharf.job.v1.JobService/Count"
 	// JobServiceListProcedure is the fully-qualified name of the JobService's List RPC.
 	JobServiceListProcedure = "/mimosawharf.job.v1.JobService/List"
+	// JobServiceExplainProcedure is the fully-qualified name of the JobService's Explain RPC.
+	JobServiceExplainProcedure = "/mimosawharf.job.v1.JobService/Explain"
 )
 
 // JobPeerServiceClient is a client for the mimosawharf.job.v1.JobPeerService service.
@@ -74,6 +78,8 @@
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
 	// Jobs returns the jobs of a queue.
 	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
+	// Place explains where the next task of a job would go now. It changes nothing.
+	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the mimosawharf.job.v1.JobPeerService service. By
@@ -123,6 +129,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("Jobs")),
 			connect.WithClientOptions(opts...),
 		),
+		place: connect.NewClient[v1.PlaceRequest, v1.PlaceResponse](
+			httpClient,
+			baseURL+JobPeerServicePlaceProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("Place")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -134,6 +146,7 @@
 	vacate   *connect.Client[v1.VacateRequest, v1.VacateResponse]
 	load     *connect.Client[v1.LoadRequest, v1.LoadResponse]
 	jobs     *connect.Client[v1.JobsRequest, v1.JobsResponse]
+	place    *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
 }
 
 // Announce calls mimosawharf.job.v1.JobPeerService.Announce.
@@ -166,6 +179,11 @@
 	return c.jobs.CallUnary(ctx, req)
 }
 
+// Place calls mimosawharf.job.v1.JobPeerService.Place.
+func (c *jobPeerServiceClient) Place(ctx context.Context, req *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error) {
+	return c.place.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the mimosawharf.job.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// Announce hands an accepted or cancelled job to the holder ahead of its next read of the store.
@@ -180,6 +198,8 @@
 	Load(context.Context, *connect.Request[v1.LoadRequest]) (*connect.Response[v1.LoadResponse], error)
 	// Jobs returns the jobs of a queue.
 	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
+	// Place explains where the next task of a job would go now. It changes nothing.
+	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -225,6 +245,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("Jobs")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServicePlaceHandler := connect.NewUnaryHandler(
+		JobPeerServicePlaceProcedure,
+		svc.Place,
+		connect.WithSchema(jobPeerServiceMethods.ByName("Place")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceAnnounceProcedure:
@@ -239,6 +265,8 @@
 			jobPeerServiceLoadHandler.ServeHTTP(w, r)
 		case JobPeerServiceJobsProcedure:
 			jobPeerServiceJobsHandler.ServeHTTP(w, r)
+		case JobPeerServicePlaceProcedure:
+			jobPeerServicePlaceHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -272,6 +300,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Jobs is not implemented"))
 }
 
+func (UnimplementedJobPeerServiceHandler) Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Place is not implemented"))
+}
+
 // JobServiceClient is a client for the mimosawharf.job.v1.JobService service.
 type JobServiceClient interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -284,6 +316,8 @@
 	Count(context.Context, *connect.Request[v1.CountRequest]) (*connect.Response[v1.CountResponse], error)
 	// List returns the jobs of a queue that the holder of its service knows, by id, at most 500.
 	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
+	// Explain returns where the next task of a job would go now, and why, without submitting it.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewJobServiceClient constructs a client for the mimosawharf.job.v1.JobService service. By
@@ -327,16 +361,23 @@
 			connect.WithSchema(jobServiceMethods.ByName("List")),
 			connect.WithClientOptions(opts...),
 		),
+		explain: connect.NewClient[v1.ExplainRequest, v1.ExplainResponse](
+			httpClient,
+			baseURL+JobServiceExplainProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("Explain")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // jobServiceClient implements JobServiceClient.
 type jobServiceClient struct {
-	submit *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
-	get    *connect.Client[v1.GetRequest, v1.GetResponse]
-	cancel *connect.Client[v1.CancelRequest, v1.CancelResponse]
-	count  *connect.Client[v1.CountRequest, v1.CountResponse]
-	list   *connect.Client[v1.ListRequest, v1.ListResponse]
+	submit  *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
+	get     *connect.Client[v1.GetRequest, v1.GetResponse]
+	cancel  *connect.Client[v1.CancelRequest, v1.CancelResponse]
+	count   *connect.Client[v1.CountRequest, v1.CountResponse]
+	list    *connect.Client[v1.ListRequest, v1.ListResponse]
+	explain *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
 }
 
 // Submit calls mimosawharf.job.v1.JobService.Submit.
@@ -364,6 +405,11 @@
 	return c.list.CallUnary(ctx, req)
 }
 
+// Explain calls mimosawharf.job.v1.JobService.Explain.
+func (c *jobServiceClient) Explain(ctx context.Context, req *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return c.explain.CallUnary(ctx, req)
+}
+
 // JobServiceHandler is an implementation of the mimosawharf.job.v1.JobService service.
 type JobServiceHandler interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -376,6 +422,8 @@
 	Count(context.Context, *connect.Request[v1.CountRequest]) (*connect.Response[v1.CountResponse], error)
 	// List returns the jobs of a queue that the holder of its service knows, by id, at most 500.
 	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
+	// Explain returns where the next task of a job would go now, and why, without submitting it.
+	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -415,6 +463,12 @@
 		connect.WithSchema(jobServiceMethods.ByName("List")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceExplainHandler := connect.NewUnaryHandler(
+		JobServiceExplainProcedure,
+		svc.Explain,
+		connect.WithSchema(jobServiceMethods.ByName("Explain")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -427,6 +481,8 @@
 			jobServiceCountHandler.ServeHTTP(w, r)
 		case JobServiceListProcedure:
 			jobServiceListHandler.ServeHTTP(w, r)
+		case JobServiceExplainProcedure:
+			jobServiceExplainHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -455,3 +511,7 @@
 func (UnimplementedJobServiceHandler) List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.List is not implemented"))
 }
+
+func (UnimplementedJobServiceHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.Explain is not implemented"))
+}
--- a/pkg/fleet/job.go
+++ b/pkg/fleet/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -83,6 +84,21 @@
 	return string(t.Job) + "." + strconv.Itoa(int(t.Occurrence)) + "." + strconv.Itoa(int(t.Step)) + "." + strconv.Itoa(int(t.Task))
 }
 
+// ParseTaskID parses the name of a task: JOB.OCCURRENCE.STEP.INDEX.
+func ParseTaskID(name string) (TaskID, bool) {
+	parts := strings.Split(name, ".")
+	if len(parts) != 4 {
+		return TaskID{}, false
+	}
+	occurrence, err1 := strconv.ParseUint(parts[1], 10, 32)
+	step, err2 := strconv.Atoi(parts[2])
+	index, err3 := strconv.Atoi(parts[3])
+	if err1 != nil || err2 != nil || err3 != nil || step < 0 || index < 0 {
+		return TaskID{}, false
+	}
+	return TaskID{Job: JobID(parts[0]), Occurrence: Occurrence(occurrence), Step: StepIndex(step), Task: TaskIndex(index)}, true
+}
+
 // EndpointProcess is one process of an endpoint. After a restart the endpoint has the same id but is
 // another process, which has none of the earlier runs.
 type EndpointProcess struct {
