job: serve work at risk after work with time left, worthless work last

By due time alone a queue beyond its capacity begins all of its work at the last moment, and what takes longer than expected ends late: the more a turn offers, the fewer jobs are in time. After an outage the backlog keeps the queue in that state. Excluded: the holder's processor (the test has none), and placement (all endpoints are full).

Work that has not begun and has less than three tenths of its slack left now waits behind work with more, and late work that would end after three times its objective is served last.

--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -30,9 +30,15 @@
 // Rank is the scheduling order of waiting work.
 type Rank struct {
 	Priority int
+	// AtRisk is set for work that has not begun and has used up most of the time that its objective lets it wait. It is
+	// served after work that has more time left: by due time alone, all work of a queue beyond its capacity would begin
+	// at the last moment, and half of it would end late, as run times are not known in advance.
+	AtRisk bool
 	// Late is set for work that can no longer meet its objective. It is worth a fraction of on-time work,
 	// so it is served afterwards.
 	Late bool
+	// Expired is set for late work that is worth nothing any more.
+	Expired bool
 	// Due is the deadline that follows from the objective.
 	Due time.Time
 }
@@ -42,12 +48,33 @@
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
-	if r.Late != o.Late {
-		return o.Late
+	if a, b := r.standing(), o.standing(); a != b {
+		return a < b
 	}
 	return r.Due.Before(o.Due)
 }
 
+// standing returns the position of work among that of one priority: in time, at risk, late, expired.
+func (r Rank) standing() int {
+	switch {
+	case r.Expired:
+		return 3
+	case r.Late:
+		return 2
+	case r.AtRisk:
+		return 1
+	}
+	return 0
+}
+
+const (
+	// riskShare is the share of its slack that work has left when it is at risk. Its slack is what the objective leaves
+	// beyond the expected run time. A larger share makes work wait that could be in time.
+	riskShare = 0.3
+	// expiryFactor is how many times its objective work may take until it is worth nothing.
+	expiryFactor = 3
+)
+
 // CriticalPath returns the length of the critical path through all steps, and through those that are not done.
 // expected returns the run time of a step's tasks.
 func (o *Occurrence) CriticalPath(expected func(*fleet.Step) time.Duration) (all, left time.Duration) {
@@ -76,5 +103,11 @@
 	all, left := o.CriticalPath(expected)
 	objective := time.Duration(p.Stretch*float64(all)) + p.Target
 	due := o.Job.Due(o.Number).Add(objective)
-	return Rank{Priority: p.Priority, Late: now.Add(left).After(due), Due: due}
+	slack := due.Sub(now) - left
+	return Rank{
+		Priority: p.Priority, Due: due,
+		AtRisk:  o.State == fleet.JobStatePending && slack < time.Duration(riskShare*float64(objective-all)),
+		Late:    slack < 0,
+		Expired: slack < -(expiryFactor-1)*objective,
+	}
 }
--- a/internal/shard/peak_endpoint_test.go
+++ b/internal/shard/peak_endpoint_test.go
@@ -75,8 +75,11 @@
 		}
 		return shard.AnswerDone
 	}
-	run := o.Run
-	p.after(p.runTime(), func() {
+	run, took := o.Run, p.runTime()
+	if p.took != nil {
+		p.took(o.Task, took)
+	}
+	p.after(took, func() {
 		p.lapse(e)
 		p.endRun(e, o.Task, run, fleet.RunEndDone)
 	})
--- a/internal/shard/peak_sender_test.go
+++ b/internal/shard/peak_sender_test.go
@@ -32,6 +32,8 @@
 	// inTime counts the jobs that ended within three seconds.
 	inTime, rows int
 	lost         map[shard.LossReason]int
+	// jobEnded, if set, is called with each job that ended and the time since it was due.
+	jobEnded func(id fleet.JobID, after time.Duration)
 }
 
 func (c *peakCounts) Assigned(fleet.TaskID, fleet.RunNumber, fleet.EndpointProcess, time.Duration) {
@@ -44,8 +46,11 @@
 	}
 }
 
-func (c *peakCounts) JobEnded(_ fleet.JobID, _ fleet.JobState, after time.Duration) {
+func (c *peakCounts) JobEnded(id fleet.JobID, _ fleet.JobState, after time.Duration) {
 	c.jobs++
+	if c.jobEnded != nil {
+		c.jobEnded(id, after)
+	}
 	if after < 3*time.Second {
 		c.inTime++
 	}
--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -71,6 +71,9 @@
 	// spend lets the time pass that a sender takes; nil takes none.
 	spend func(time.Duration)
 
+	// took, if set, is called with the run time of each task that starts.
+	took func(id fleet.TaskID, d time.Duration)
+
 	// lastingAt is when each task of the lasting job first started.
 	lastingAt map[fleet.TaskID]time.Time
 
