--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -29,6 +29,8 @@
 
 // Rank is the scheduling order of waiting work.
 type Rank struct {
+	// Excess is set for work that its account has submitted beyond its weight. It is served when room is left.
+	Excess   bool
 	Priority int
 	// AtRisk is set for work that has not begun and has used up most of the time that its objective lets it wait. It is
 	// served after work that has more time left: by due time alone, all work of a queue beyond its capacity would begin
@@ -39,32 +41,33 @@
 	Late bool
 	// Expired is set for late work that is worth nothing any more.
 	Expired bool
+	// BeyondShare is set for work that exceeds its account's share while there is not room for all.
+	BeyondShare bool
 	// Due is the deadline that follows from the objective.
 	Due time.Time
 }
 
 // Before reports whether r is served before o.
 func (r Rank) Before(o Rank) bool {
+	if r.Excess != o.Excess {
+		return o.Excess
+	}
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
-	if a, b := r.standing(), o.standing(); a != b {
-		return a < b
+	if r.Expired != o.Expired {
+		return o.Expired
 	}
-	return r.Due.Before(o.Due)
-}
-
-// standing returns the position of work among that of one priority: in time, at risk, late, expired.
-func (r Rank) standing() int {
-	switch {
-	case r.Expired:
-		return 3
-	case r.Late:
-		return 2
-	case r.AtRisk:
-		return 1
+	if r.Late != o.Late {
+		return o.Late
 	}
-	return 0
+	if r.BeyondShare != o.BeyondShare {
+		return o.BeyondShare
+	}
+	if r.AtRisk != o.AtRisk {
+		return o.AtRisk
+	}
+	return r.Due.Before(o.Due)
 }
 
 const (
@@ -106,7 +109,7 @@
 	slack := due.Sub(now) - left
 	return Rank{
 		Priority: p.Priority, Due: due,
-		AtRisk:  o.State == fleet.JobStatePending && slack < time.Duration(riskShare*float64(objective-all)),
+		AtRisk:  o.State == fleet.JobStatePending && slack >= 0 && slack < time.Duration(riskShare*float64(objective-all)),
 		Late:    slack < 0,
 		Expired: slack < -(expiryFactor-1)*objective,
 	}
