--- a/internal/account/directory.go
+++ b/internal/account/directory.go
@@ -2,6 +2,7 @@
 package account
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -41,6 +42,11 @@
 // SharedKeys returns the accounts of each key that several have. Such a key authorizes none of them.
 func (d *Directory) SharedKeys() [][]fleet.ClientAccountID { return d.shared }
 
+// Accounts returns the ids of all accounts in order.
+func (d *Directory) Accounts() []fleet.ClientAccountID {
+	return slices.Sorted(maps.Keys(d.accounts))
+}
+
 // Size returns how many accounts there are, and how many keys that authorize one.
 func (d *Directory) Size() (accounts, keys int) { return len(d.accounts), len(d.byKey) }
 
--- /dev/null
+++ b/internal/holder/jobstate.go
@@ -0,0 +1,81 @@
+package holder
+
+import (
+	"context"
+
+	"github.com/gravitational/trace"
+
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// acceptance reads the row of an accepted job. It returns false when there is none.
+func (r *Resolver) acceptance(ctx context.Context, id fleet.JobID) (acceptance, bool, error) {
+	page, err := r.Store.Scan(ctx, rowstore.Only(AcceptedTable, IntakePart(id), jobKey(id)))
+	if err != nil || len(page.Rows) == 0 {
+		return acceptance{}, false, trace.Wrap(err)
+	}
+	accepted, err := decodeAccepted(page.Rows[0])
+	return accepted, true, trace.Wrap(err)
+}
+
+// readState derives the state of an accepted job from the committed rows.
+func (r *Resolver) readState(ctx context.Context, request *JobRequest, service fleet.ServiceID) Reply {
+	table, part := JobTable(service), IntakePart(request.Job)
+	stored, err := r.Store.Scan(ctx, rowstore.Only(table, part, jobKey(request.Job)))
+	if err != nil {
+		return r.unavailable(request, err)
+	}
+	if len(stored.Rows) == 0 {
+		return Reply{Kind: ReplyNotFound, Source: "store"} // It was removed a moment ago.
+	}
+	cancelled, err := r.Store.Scan(ctx, rowstore.Only(table, part, cancelKey(request.Job)))
+	if err != nil {
+		return r.unavailable(request, err)
+	}
+	j, err := decodeJob(stored.Rows[0])
+	if err != nil {
+		return r.unavailable(request, err)
+	}
+	prefix := string(request.Job) + "."
+	progress, err := r.Store.Scan(ctx, rowstore.Range{
+		Table: tableProgress, Part: dutyPart(ServiceDuty(service)), From: rowstore.Key(prefix), Until: rowstore.Key(prefix + ":"),
+	})
+	if err != nil {
+		return r.unavailable(request, err)
+	}
+	state, err := committedState(j, progress.Rows)
+	if err != nil {
+		return r.unavailable(request, err)
+	}
+	if len(cancelled.Rows) > 0 {
+		state = cancelledState(state)
+	}
+	return Reply{Kind: ReplyFound, State: state, Account: j.Account, Source: "store"}
+}
+
+// committedState derives the state of a job from the rows of its occurrences.
+func committedState(j *fleet.Job, rows []rowstore.Row) (fleet.JobState, error) {
+	done := 0
+	state := fleet.JobStatePending
+	for _, row := range rows {
+		s, err := wire.ProgressState(row.Value)
+		if err != nil {
+			return "", trace.Wrap(err)
+		}
+		switch s {
+		case fleet.JobStateFailed, fleet.JobStateCancelled:
+			return s, nil
+		case fleet.JobStateCompleted:
+			done++
+		}
+		if s != fleet.JobStatePending {
+			state = fleet.JobStateRunning
+		}
+	}
+	if done == j.OccurrenceCount() {
+		state = fleet.JobStateCompleted
+	}
+	return state, nil
+}
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -11,9 +11,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
-	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
-	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -201,81 +199,11 @@
 	return a, ok && err == nil
 }
 
-// acceptance reads the row of an accepted job. It returns false when there is none.
-func (r *Resolver) acceptance(ctx context.Context, id fleet.JobID) (acceptance, bool, error) {
-	page, err := r.Store.Scan(ctx, rowstore.Only(AcceptedTable, IntakePart(id), jobKey(id)))
-	if err != nil || len(page.Rows) == 0 {
-		return acceptance{}, false, trace.Wrap(err)
-	}
-	accepted, err := decodeAccepted(page.Rows[0])
-	return accepted, true, trace.Wrap(err)
-}
-
-// readState derives the state of an accepted job from the committed rows.
-func (r *Resolver) readState(ctx context.Context, request *JobRequest, service fleet.ServiceID) Reply {
-	table, part := JobTable(service), IntakePart(request.Job)
-	stored, err := r.Store.Scan(ctx, rowstore.Only(table, part, jobKey(request.Job)))
-	if err != nil {
-		return r.unavailable(request, err)
-	}
-	if len(stored.Rows) == 0 {
-		return Reply{Kind: ReplyNotFound, Source: "store"} // It was removed a moment ago.
-	}
-	cancelled, err := r.Store.Scan(ctx, rowstore.Only(table, part, cancelKey(request.Job)))
-	if err != nil {
-		return r.unavailable(request, err)
-	}
-	j, err := decodeJob(stored.Rows[0])
-	if err != nil {
-		return r.unavailable(request, err)
-	}
-	prefix := string(request.Job) + "."
-	progress, err := r.Store.Scan(ctx, rowstore.Range{
-		Table: tableProgress, Part: dutyPart(ServiceDuty(service)), From: rowstore.Key(prefix), Until: rowstore.Key(prefix + ":"),
-	})
-	if err != nil {
-		return r.unavailable(request, err)
-	}
-	state, err := committedState(j, progress.Rows)
-	if err != nil {
-		return r.unavailable(request, err)
-	}
-	if len(cancelled.Rows) > 0 {
-		state = cancelledState(state)
-	}
-	return Reply{Kind: ReplyFound, State: state, Account: j.Account, Source: "store"}
-}
-
 func (r *Resolver) unavailable(request *JobRequest, err error) Reply {
 	r.Log.Warn("resolver: state cannot be read", zap.String("job", string(request.Job)), zap.Error(trace.Unwrap(err)))
 	return Reply{Kind: ReplyUnavailable, Source: "store"}
 }
 
-// committedState derives the state of a job from the rows of its occurrences.
-func committedState(j *fleet.Job, rows []rowstore.Row) (fleet.JobState, error) {
-	done := 0
-	state := fleet.JobStatePending
-	for _, row := range rows {
-		s, err := wire.ProgressState(row.Value)
-		if err != nil {
-			return "", trace.Wrap(err)
-		}
-		switch s {
-		case fleet.JobStateFailed, fleet.JobStateCancelled:
-			return s, nil
-		case fleet.JobStateCompleted:
-			done++
-		}
-		if s != fleet.JobStatePending {
-			state = fleet.JobStateRunning
-		}
-	}
-	if done == j.OccurrenceCount() {
-		state = fleet.JobStateCompleted
-	}
-	return state, nil
-}
-
 // cancel stores the cancellation of a job that exists.
 func (r *Resolver) cancel(ctx context.Context, request *JobRequest) {
 	local, ok := r.askScheduler(ctx, Query{Kind: QueryState, Service: request.Service, Job: request.Job})
