--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -21,6 +21,7 @@
 	Relay     *RelayEvent
 	Written   *Written
 	Taken     *Taken
+	Ledger    *LedgerEvent
 	Query     *Query
 	Advice    *shard.Advice
 	// Stop makes the scheduler release all leases.
@@ -106,6 +107,8 @@
 	Duty fleet.DutyName
 	// Chain is nil when the lease was not taken.
 	Chain *Chain
+	// Probe is set for a probe of the store, which takes no lease.
+	Probe bool
 	// SentAt is when the winning transaction was sent.
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
@@ -67,8 +68,27 @@
 	Handler http.Handler
 	// MaxHeaderBytes bounds the headers of a request; 0 means defaultHeaderBytes.
 	MaxHeaderBytes int
+	// Audience says which part of the process's limits the server's callers may use.
+	Audience Audience
+	// MaxBody returns the longest body; nil means probeBytes. NewScanner returns what bounds the body's content, and
+	// may be nil.
+	MaxBody    func() fleet.Bytes
+	NewScanner func(*http.Request) (door.Scanner, error)
 }
 
+// Audience is a kind of callers of a server.
+type Audience string
+
+// Audiences of servers.
+const (
+	AudienceCallers Audience = "callers"
+	AudiencePeers   Audience = "peers"
+	AudienceProbes  Audience = "probes"
+)
+
+// probeBytes bounds the bodies of probes and scrapers, which have none.
+const probeBytes fleet.Bytes = 64 << 10
+
 // Entry is one entry process: its settings and its duties.
 type Entry struct {
 	// The fields are set before Run.
@@ -76,6 +96,9 @@
 	Zone fleet.ZoneID
 	// Millicores is the processor capacity of the VM; 0 when unknown.
 	Millicores fleet.Millicores
+	// Memory and Descriptors are what the process may use; 0 when unknown. What callers may hold follows from them.
+	Memory      fleet.Bytes
+	Descriptors int
 	// PeerAddress is where other entries, and the product's own tools, reach this one.
 	PeerAddress    fleet.Address
 	MetricsAddress fleet.Address
@@ -113,6 +136,9 @@
 	ringCapacity = 2048
 	// eventReserve is reserved for events of the entry's own duties, which must not be lost.
 	eventReserve = 16384
+	// intakeCapacity and intakeCalls bound what waits for one intake and for its writer.
+	intakeCapacity = ringCapacity / 8
+	intakeCalls    = 64
 	// intakeReserve is reserved for the result of the one attempt that an intake has in flight.
 	intakeReserve = 1
 	// resolvers and announcers are how many duties answer requests and announce submissions in parallel.
@@ -181,7 +207,7 @@
 		JobRequests: ring.New[*holder.JobRequest]("asks", ringCapacity), Ready: e.ready, Scope: e.registry.Scope,
 	}
 	for i := range e.feeds.Intakes {
-		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", ringCapacity, intakeReserve)
+		e.feeds.Intakes[i] = ring.NewWithReserve[holder.IntakeEvent]("intake", intakeCapacity, intakeReserve)
 	}
 	e.announcements = ring.New[holder.Announcement]("announces", ringCapacity)
 	e.advice = ring.New[shard.AdviceRequest]("advice", ringCapacity)
@@ -210,7 +236,7 @@
 		list = append(list, &holder.Adviser{Service: service, Inbox: e.advice, Scheduler: e.feeds.Scheduler, Log: e.Log})
 	}
 	for i := range e.feeds.Intakes {
-		calls := ring.New[holder.StoreCall]("intake-writer", ringCapacity)
+		calls := ring.New[holder.StoreCall]("intake-writer", intakeCalls)
 		list = append(list, &holder.Intake{
 			Number: i, Inbox: e.feeds.Intakes[i], Writer: calls, Latency: &e.storeLatency, Clock: e.Clock, Log: e.Log,
 			// The holder of a submission that is not announced learns of it at its next read of the jobs.
