--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/share"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -107,3 +108,24 @@
 	is.True(slices.Max(served)-slices.Min(served) <= 1)
 	is.True(slices.Min(served) >= 8)
 }
+
+func TestNextHolderCountsInheritedRunsOfAnAccount(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, worker64)
+	sim.duration = func(fleet.TaskID) time.Duration { return 3 * time.Second }
+	sim.run(time.Second)
+	first, second := batchJob("first", 6, 4000), batchJob("second", 6, 4000)
+	first.Account, second.Account = "a", "a"
+	sim.submit(first)
+	sim.run(200 * time.Millisecond)
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(5 * time.Second)})
+	sim.engine.SetWeights(share.Weights{"a": 1})
+	sim.engine.SetAllowance(accountLoad{limit: 8})
+	sim.submit(second)
+	sim.run(500 * time.Millisecond)
+	is.Equal(sim.started(), 8)
+	demand := sim.engine.AccountDemands(sim.now)["a"]
+	is.Equal([]fleet.Millicores{demand.Used.Millicores, demand.Waiting.Millicores, demand.Least.Millicores}, []fleet.Millicores{8 * 4000, 4 * 4000, 4000})
+	sim.run(7 * time.Second)
+	is.Equal(sim.state("second"), fleet.JobStateCompleted)
+}
