shard: ask for VMs up to the limit of an account, not to the part held

The part that a service holds of a limit follows its demand within some 25 ms to 150 ms; a pool that was asked for no more than the part grew later than its queue.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -52,6 +52,12 @@
 	return h != nil && h.epoch == epoch && !h.blocked[account] && bounded(used, limit).Fits(h.accounts[account])
 }
 
+// WithinLimit reports whether the limit of an account is at least so much.
+func (b *Book) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
+	limit, ok := b.limits[account]
+	return !ok || bounded(used, limit).Fits(limit)
+}
+
 // Plan returns the ledger to be written in place of the given one, and false when it need not change. The caller writes
 // it on condition that the given one still holds, and calls Written when the write has taken effect. Until then the
 // services use only what both ledgers allow.
--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -53,6 +53,11 @@
 	return a.book.Allows(a.service, a.epoch, account, used)
 }
 
+// WithinLimit implements shard.Allowance.
+func (a *serviceAllowance) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
+	return a.book.WithinLimit(account, used)
+}
+
 // setLimits sets the limits of a configuration.
 func (s *Scheduler) setLimits(c *Config) {
 	s.limits.configured, s.limits.due = c.Accounts.Limits(), true
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -14,6 +14,8 @@
 type Allowance interface {
 	// Allows reports whether the tasks of an account may use so much at the same time.
 	Allows(account fleet.ClientAccountID, used fleet.Capacity) bool
+	// WithinLimit reports whether they could if the service were the only one that runs tasks of the account.
+	WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool
 }
 
 // accountUsage is what the runs of client accounts use, as far as they may execute.
@@ -68,24 +70,24 @@
 	return false
 }
 
-// allowed is what accounts may still start.
-type allowed struct {
+// limited counts the waiting tasks that their accounts' limits leave room for, whatever part of the limits the service
+// holds at the moment: the parts follow what can be started.
+type limited struct {
 	allowance Allowance
 	used      accountUsage
 }
 
-// allowed returns what accounts may start in addition to what runs.
-func (e *Engine) allowed() allowed {
-	return allowed{e.accounts.allowance, maps.Clone(e.accounts.usage)}
+func (e *Engine) limited() limited {
+	return limited{e.accounts.allowance, maps.Clone(e.accounts.usage)}
 }
 
-// take reports whether one more task of an account may start, and counts it if so.
-func (a allowed) take(account fleet.ClientAccountID, demand fleet.Capacity) bool {
+// take reports whether the limit leaves room for one more task of an account, and counts it if so.
+func (a limited) take(account fleet.ClientAccountID, demand fleet.Capacity) bool {
 	if account == "" || a.allowance == nil {
 		return true
 	}
 	used := a.used[account].Plus(demand)
-	if !a.allowance.Allows(account, used) {
+	if used != demand && !a.allowance.WithinLimit(account, used) { // One task runs in any case.
 		return false
 	}
 	a.used[account] = used
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -25,6 +25,11 @@
 	return l.limit == 0 || used.Millicores <= fleet.Millicores(l.limit)*4000
 }
 
+// WithinLimit implements shard.Allowance.
+func (l accountLoad) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
+	return l.Allows(account, used)
+}
+
 // play returns the times that the jobs of each account took, in order, and the most tasks that one had running.
 func (l accountLoad) play(seconds int) (map[fleet.ClientAccountID][]time.Duration, int) {
 	sim := newSimulation(1, 10, worker64)
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -72,12 +72,12 @@
 		}
 	}
 	e.loadBuffer = e.candidates(now, e.loadBuffer)
-	allowed := e.allowed()
+	limited := e.limited()
 	for _, c := range e.loadBuffer {
 		step := &c.occurrence.Job.Steps[c.step]
 		demand, count := dominantDemand(step.CountedDemand(), mean), 0
 		for t := range c.occurrence.Tasks[c.step] {
-			if task := &c.occurrence.Tasks[c.step][t]; !task.Done && !task.Running() && allowed.take(c.occurrence.Job.Account, step.Demand) {
+			if task := &c.occurrence.Tasks[c.step][t]; !task.Done && !task.Running() && limited.take(c.occurrence.Job.Account, step.Demand) {
 				count++
 			}
 		}
