--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -19,7 +19,7 @@
 	// divideInterval is the longest time while this entry holds a service: what a service wants changes all the time.
 	divideInterval = 150 * time.Millisecond
 	// minDivideInterval is the shortest time, when the ledger has changed or tasks wait for an allowance.
-	minDivideInterval = 25 * time.Millisecond
+	minDivideInterval = 60 * time.Millisecond
 	// ledgerWait is how long the store holds a read of the ledger that shows no change. Each read is charged.
 	ledgerWait = 500 * time.Millisecond
 )
@@ -93,7 +93,7 @@
 		return
 	}
 	l.dividedAt, l.due = now, false
-	if next, due := l.book.Plan(l.ledger, l.version, s.limitReports(now)); due {
+	if next, due := l.book.Plan(l.ledger, l.version, s.limitReports()); due {
 		l.writing = true
 		_ = l.writes.Push(ledgerWrite{next, l.version}) // The ring has room: one write at a time is in flight.
 	}
@@ -143,11 +143,11 @@
 	}
 }
 
-func (s *Scheduler) limitReports(now time.Time) []allowance.Report {
+func (s *Scheduler) limitReports() []allowance.Report {
 	var reports []allowance.Report
 	for _, h := range s.sorted() {
 		if h.engine != nil && h.loaded && !h.releasing {
-			reports = append(reports, allowance.Report{Service: h.service, Epoch: h.chain.Epoch, Accounts: h.engine.AccountDemands(now)})
+			reports = append(reports, allowance.Report{Service: h.service, Epoch: h.chain.Epoch, Accounts: h.engine.AccountDemands()})
 		}
 	}
 	return reports
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -35,10 +35,11 @@
 	// Late is set for work that can no longer meet its objective. It is worth a fraction of on-time work,
 	// so it is served afterwards.
 	Late bool
-	// BeyondShare is set for work that exceeds its account's share while there is not room for all.
-	BeyondShare bool
-	// Due is the deadline that follows from the objective.
-	Due time.Time
+	// PutBack is set for work that gives way because there is not room for all in time.
+	PutBack bool
+	// Due is the deadline that follows from the objective. StartBy, which is no part of the order, is when the rest of the
+	// work has to start to meet it.
+	Due, StartBy time.Time
 }
 
 // Before reports whether r is served before o.
@@ -52,8 +53,8 @@
 	if r.Late != o.Late {
 		return o.Late
 	}
-	if r.BeyondShare != o.BeyondShare {
-		return o.BeyondShare
+	if r.PutBack != o.PutBack {
+		return o.PutBack
 	}
 	return r.Due.Before(o.Due)
 }
@@ -86,5 +87,5 @@
 	all, left := o.CriticalPath(expected)
 	objective := time.Duration(p.Stretch*float64(all)) + p.Target
 	due := o.Job.Due(o.Number).Add(objective)
-	return Rank{Priority: p.Priority, Late: now.Add(left).After(due), Due: due}
+	return Rank{Priority: p.Priority, Late: now.Add(left).After(due), Due: due, StartBy: due.Add(-left)}
 }
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/allowance"
-	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/share"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -48,7 +47,10 @@
 	// weights is empty where no account has one.
 	weights share.Weights
 	meter   share.Meter
-	claims  []share.Claim
+	// waiting is what the steps of the last ranking ask for.
+	waiting map[fleet.ClientAccountID]*allowance.Demand
+	// selectedAt is when it was last decided what is put back.
+	selectedAt time.Time
 }
 
 // SetAllowance sets what bounds the runs of client accounts; nil means that nothing does. It is asked before each start.
@@ -59,11 +61,7 @@
 	if e.accounts.allowance == nil || j.Account == "" {
 		return true
 	}
-	used := e.accounts.usage[j.Account]
-	for range tasks {
-		used = used.Plus(step.Demand)
-	}
-	if e.accounts.allowance.Allows(j.Account, used) {
+	if e.accounts.allowance.Allows(j.Account, e.accounts.usage[j.Account].Plus(times(step.Demand, tasks))) {
 		return true
 	}
 	e.accounts.denied = true
@@ -101,45 +99,52 @@
 	return denied
 }
 
-// AccountDemands returns what the tasks of client accounts use and ask for. What waits counts as far as the endpoints
-// can start it soon, so that a service without room does not keep an allowance from others.
-func (e *Engine) AccountDemands(now time.Time) map[fleet.ClientAccountID]allowance.Demand {
-	demands := map[fleet.ClientAccountID]allowance.Demand{}
+// AccountDemands returns what the tasks of client accounts use and, by the last ranking, ask for. What waits counts as far
+// as the endpoints can start it soon, so that a service without room does not keep an allowance from others.
+func (e *Engine) AccountDemands() map[fleet.ClientAccountID]allowance.Demand {
+	demands := make(map[fleet.ClientAccountID]allowance.Demand, len(e.accounts.usage)+len(e.accounts.waiting))
 	room := e.soonFree()
-	for account, used := range e.accounts.usage {
-		demands[account] = allowance.Demand{Used: used}
-	}
-	for _, o := range e.active {
-		if o.Job.Account == "" || now.Before(o.Job.Due(o.Number)) {
-			continue
-		}
-		d := demands[o.Job.Account]
-		for s := range o.Tasks {
-			if o.Ready(fleet.StepIndex(s)) {
-				d = addWaiting(d, o.Tasks[s], o.Job.Steps[s].Demand)
-			}
-		}
+	for account, d := range e.accounts.waiting {
 		d.Waiting = fleet.Capacity{
 			Millicores: min(d.Waiting.Millicores, room.Millicores), Memory: min(d.Waiting.Memory, room.Memory),
 			Accelerators: min(d.Waiting.Accelerators, room.Accelerators),
 		}
-		demands[o.Job.Account] = d
+		demands[account] = *d
+	}
+	for account, used := range e.accounts.usage {
+		d := demands[account]
+		d.Used = used
+		demands[account] = d
 	}
 	return demands
 }
 
-// addWaiting adds the tasks of a step that wait to the demand of their account.
-func addWaiting(d allowance.Demand, tasks []job.Task, demand fleet.Capacity) allowance.Demand {
-	for i := range tasks {
-		if tasks[i].Done || tasks[i].Running() {
+// countDemands notes what the ranked steps of accounts ask for.
+func (e *Engine) countDemands(list candidateQueue) {
+	if e.accounts.allowance == nil {
+		return
+	}
+	clear(e.accounts.waiting)
+	for i := range list {
+		j := list[i].occurrence.Job
+		if j.Account == "" {
 			continue
 		}
-		d.Waiting = d.Waiting.Plus(demand)
+		d := e.accounts.waiting[j.Account]
+		if d == nil {
+			d = &allowance.Demand{}
+			e.accounts.waiting[j.Account] = d
+		}
+		demand, count := j.Steps[list[i].step].Demand, countWaiting(list[i].occurrence.Tasks[list[i].step])
+		d.Waiting = d.Waiting.Plus(times(demand, count))
 		if d.Least == (fleet.Capacity{}) || demand.Fits(d.Least) {
 			d.Least = demand
 		}
 	}
-	return d
+}
+
+func times(c fleet.Capacity, n int) fleet.Capacity {
+	return fleet.Capacity{Millicores: c.Millicores * fleet.Millicores(n), Memory: c.Memory * fleet.Megabytes(n), Accelerators: c.Accelerators * fleet.Accelerators(n)}
 }
 
 // soonFree returns the room of the endpoints, with half of what runs: as much ends within a few divisions.
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/allowance"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -172,7 +173,7 @@
 		rackWaits:        map[StepID]time.Time{},
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
-		accounts:         accounts{usage: accountUsage{}},
+		accounts:         accounts{usage: accountUsage{}, waiting: map[fleet.ClientAccountID]*allowance.Demand{}},
 		dirty:            map[job.Key]bool{},
 		drop:             map[fleet.JobID]bool{},
 		orphans:          map[job.Key]bool{},
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -20,6 +20,8 @@
 	started bool
 	// excess is set for a job beyond its account's weight.
 	excess bool
+	// putBack is set while the job gives way because there is not room for all in time.
+	putBack bool
 }
 
 func (e *Engine) entry(j *fleet.Job) *jobEntry {
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -51,6 +51,7 @@
 	if now.Sub(e.rankedAt) >= e.rankInterval(now) {
 		e.ranked = e.candidates(now, e.ranked)
 		e.rankedAt, e.backlog = now, len(e.ranked)
+		e.countDemands(e.ranked)
 		e.markShares(now, e.ranked)
 		heap.Init(&e.ranked)
 	}
