--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -107,6 +107,8 @@
 	Duty fleet.DutyName
 	// Chain is nil when the lease was not taken.
 	Chain *Chain
+	// Probe is set for a probe of the store, which takes no lease.
+	Probe bool
 	// SentAt is when the winning transaction was sent.
 	SentAt time.Time
 	// Previous is when the previous holder was last seen to renew; zero when there was none.
@@ -178,8 +180,9 @@
 	// Held is set when this entry holds the service and the rest of the answer is authoritative.
 	Held  bool
 	State fleet.JobState
-	// Service is the service of a known job.
+	// Service is the service of a known job, Account the client account that submitted it.
 	Service fleet.ServiceID
+	Account fleet.ClientAccountID
 	Count   int
 	// Vacated are the endpoints that run nothing and get no work for a while.
 	Vacated []fleet.EndpointID
