--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -41,10 +41,11 @@
 	Late bool
 	// Expired is set for late work that is worth nothing any more.
 	Expired bool
-	// BeyondShare is set for work that exceeds its account's share while there is not room for all.
-	BeyondShare bool
-	// Due is the deadline that follows from the objective.
-	Due time.Time
+	// PutBack is set for work that gives way because there is not room for all in time.
+	PutBack bool
+	// Due is the deadline that follows from the objective. StartBy, which is no part of the order, is when the rest of the
+	// work has to start to meet it.
+	Due, StartBy time.Time
 }
 
 // Before reports whether r is served before o.
@@ -61,8 +62,8 @@
 	if r.Late != o.Late {
 		return o.Late
 	}
-	if r.BeyondShare != o.BeyondShare {
-		return o.BeyondShare
+	if r.PutBack != o.PutBack {
+		return o.PutBack
 	}
 	if r.AtRisk != o.AtRisk {
 		return o.AtRisk
@@ -108,7 +109,7 @@
 	due := o.Job.Due(o.Number).Add(objective)
 	slack := due.Sub(now) - left
 	return Rank{
-		Priority: p.Priority, Due: due,
+		Priority: p.Priority, Due: due, StartBy: due.Add(-left),
 		AtRisk:  o.State == fleet.JobStatePending && slack >= 0 && slack < time.Duration(riskShare*float64(objective-all)),
 		Late:    slack < 0,
 		Expired: slack < -(expiryFactor-1)*objective,
