--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -25,6 +25,8 @@
 	bodyRate fleet.BytesPerSecond = 64 << 10
 	// writeTimeout bounds the time to write an answer.
 	writeTimeout = 10 * time.Second
+	// deadlineInterval is how long a deadline stays before it is set anew, which costs as much as writing a few bytes.
+	deadlineInterval = time.Second
 	// logInterval is the least time between two log lines with the same reason.
 	logInterval = time.Second
 	// retryAfter is the delay in seconds after which a body that was refused may find room; stalled ones make way
@@ -75,8 +77,10 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connectionKey{}).(*connection)
 		answer := &answerWriter{ResponseWriter: w, controller: http.NewResponseController(w), clock: d.Clock, conn: conn}
-		// Clear the deadline of the previous answer on the connection.
-		_ = answer.controller.SetWriteDeadline(time.Time{})
+		if r.Header.Get("Expect") != "" {
+			// The server answers while it reads. Clear the deadline of the previous answer on the connection.
+			_ = answer.controller.SetWriteDeadline(time.Time{})
+		}
 		message, err := d.read(reader, answer, r)
 		if err != nil {
 			d.refuse(answer, err)
@@ -155,6 +159,8 @@
 	controller *http.ResponseController
 	clock      clock.Clock
 	conn       *connection
+	// begunAt is when the deadline was set.
+	begunAt    time.Time
 	isHijacked bool
 }
 
@@ -170,12 +176,14 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// begin sets the deadline anew for each part of an answer.
+// begin sets the deadline anew for the parts of an answer.
 func (w *answerWriter) begin() {
-	if w.isHijacked {
+	now := w.clock.Now()
+	if w.isHijacked || now.Sub(w.begunAt) < deadlineInterval {
 		return
 	}
-	_ = w.controller.SetWriteDeadline(w.clock.Now().Add(writeTimeout)) // Fails only on a closed connection, on which the write fails too.
+	w.begunAt = now
+	_ = w.controller.SetWriteDeadline(now.Add(writeTimeout)) // Fails only on a closed connection, on which the write fails too.
 	if w.conn != nil {
 		w.conn.enter(door.StageAnswering)
 	}
