--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -22,11 +22,14 @@
 	// Parts are read first, in this order. Changes are followed from the version of the first page.
 	Parts []rowstore.Part
 	// All reads the other parts of the table too.
-	All   bool
-	Store Store
-	Sink  Sink
-	Clock clock.Clock
-	Log   *zap.Logger
+	All bool
+	// Readers is the number of parts that are read at a time while the table is read in full, at least 1. Latency
+	// requires 1.
+	Readers int
+	Store   Store
+	Sink    Sink
+	Clock   clock.Clock
+	Log     *zap.Logger
 	// Interval returns the time between reads. With Wait, the store holds each read until something changes. MaxWait
 	// bounds it: a read that the store has swallowed is noticed only after the wait. After a failure a read does not
 	// wait, so that it shows at once whether the store answers.
@@ -40,6 +43,8 @@
 	after  rowstore.Version
 	loaded bool
 	failed bool
+	// syncedTo is when the last read was sent that left no changes to read.
+	syncedTo time.Time
 	// unreadable counts the reads of the current changes that returned unreadable rows.
 	unreadable int
 	load       *load
@@ -134,6 +139,7 @@
 	if f.failed {
 		wait = 0
 	}
+	sentAt := f.Clock.Now()
 	page, err := f.changes(ctx, f.after, wait)
 	var historyErr *rowstore.HistoryError
 	if errors.As(err, &historyErr) {
@@ -148,7 +154,10 @@
 	if len(page.Rows) > 0 {
 		f.Sink.Change(latestRows(page.Rows))
 	}
-	f.Sink.Synced()
+	if !page.More {
+		f.syncedTo = sentAt
+	}
+	f.Sink.Synced(f.syncedTo)
 	// An empty page that announces more is read again after the interval.
 	return page.More && len(page.Rows) > 0, nil
 }
