door: leave large bodies unread that the headers rule out

A caller without a queue or a valid key held a share of the budget while its body was read. The door asks the handler by the headers first; a body of more than 16 KB is then answered unread and its connection closed. Smaller ones are read, so that honest callers keep their connections.

--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -23,6 +23,8 @@
 	bodyPatience = 30 * time.Second
 	// bodyRate extends bodyPatience for large bodies: each 64 KB that has arrived gives a second more.
 	bodyRate fleet.BytesPerSecond = 64 << 10
+	// smallBody is the length in bytes up to which a body is read even if its headers show that it is of no use.
+	smallBody = 16 << 10
 	// writeTimeout bounds the time to write an answer.
 	writeTimeout = 10 * time.Second
 	// deadlineInterval is how long a deadline stays before it is set anew, which costs as much as writing a few bytes.
@@ -45,6 +47,9 @@
 	Budget *door.Budget
 	// MaxBody returns the longest body.
 	MaxBody func() fleet.Bytes
+	// Admits reports whether a request may be served, as far as its headers show. The handler answers another one
+	// without its body, which is not read if it is large. It may be nil.
+	Admits func(*http.Request) bool
 	// NewScanner returns the scanner of a request's body, or *door.Refusal. It may be nil.
 	NewScanner func(*http.Request) (door.Scanner, error)
 
@@ -81,6 +86,12 @@
 			// The server answers while it reads. Clear the deadline of the previous answer on the connection.
 			_ = answer.controller.SetWriteDeadline(time.Time{})
 		}
+		if d.Admits != nil && isLarge(r) && !d.Admits(r) {
+			answer.closeUnread()
+			r.Body = http.NoBody
+			next.ServeHTTP(answer, r)
+			return
+		}
 		message, err := d.read(reader, answer, r)
 		if err != nil {
 			d.refuse(answer, err)
@@ -98,6 +109,10 @@
 	})
 }
 
+// isLarge reports whether the body of a request is worth a new connection. The rest of a smaller one is read, so that
+// the connection can be used again.
+func isLarge(r *http.Request) bool { return r.ContentLength < 0 || r.ContentLength > smallBody }
+
 func (d *Door) read(reader *Reader, w http.ResponseWriter, r *http.Request) (*Message, error) {
 	var scanner door.Scanner
 	if d.NewScanner != nil && r.ContentLength != 0 {
@@ -176,6 +191,12 @@
 	return w.ResponseWriter.Write(p)
 }
 
+// closeUnread closes the connection after the answer. The server would read the rest of the body before.
+func (w *answerWriter) closeUnread() {
+	_ = w.controller.SetReadDeadline(w.clock.Now()) // Fails only on a closed connection.
+	w.Header().Set("Connection", "close")
+}
+
 // begin sets the deadline anew for the parts of an answer.
 func (w *answerWriter) begin() {
 	now := w.clock.Now()
--- a/internal/door/httpdoor/door_test.go
+++ b/internal/door/httpdoor/door_test.go
@@ -31,6 +31,7 @@
 	d := &httpdoor.Door{
 		Name: "test", Clock: c, Log: zap.NewNop(), Scope: tally.NoopScope, Places: &door.Places{Limit: 8}, Budget: &door.Budget{Limit: testBudget},
 		MaxBody:    func() fleet.Bytes { return testBody },
+		Admits:     func(r *http.Request) bool { return r.URL.Path == "/" },
 		NewScanner: func(*http.Request) (door.Scanner, error) { return &door.JSONScanner{MaxObjects: 10, MaxDepth: 10}, nil },
 	}
 	s := &http.Server{Handler: next}
@@ -76,11 +77,16 @@
 		{"chunks above the limit", 0, []string{chunked, chunk, chunk}, 413, "body-too-large"},
 		{"too many objects", 0, []string{post(testBody), strings.Repeat("{},", 11)}, 400, "too-many-fields; not run"},
 		{"broken framing", 0, []string{chunked, "zz\r\n"}, 400, "body-incomplete; not run"},
+		{"large body of a request that is not admitted", 2, []string{strings.Replace(post(testBody), "/", "/none", 1)}, 404, "no such path"},
 		{"no room beside stalled bodies", 2, []string{post(testBody)}, 503, "budget-short"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			address := serve(t, clock.Real(), func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/" {
+					http.Error(w, "no such path", http.StatusNotFound)
+					return
+				}
 				body, err := io.ReadAll(r.Body)
 				is.NoErr(err)
 				is.Equal(int64(len(body)), r.ContentLength)
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -70,9 +70,10 @@
 	MaxHeaderBytes int
 	// Audience says which part of the process's limits the server's callers may use.
 	Audience Audience
-	// MaxBody returns the longest body; nil means probeBytes. NewScanner returns what bounds the body's content, and
-	// may be nil.
+	// MaxBody returns the longest body; nil means probeBytes. Admits and NewScanner, which may be nil, are those of the
+	// server's httpdoor.Door.
 	MaxBody    func() fleet.Bytes
+	Admits     func(*http.Request) bool
 	NewScanner func(*http.Request) (door.Scanner, error)
 }
 
--- a/internal/jobentry/server.go
+++ b/internal/jobentry/server.go
@@ -75,7 +75,7 @@
 
 // door returns the bounds of one server.
 func (e *Entry) door(s Server, limits door.Limits) *httpdoor.Door {
-	d := &httpdoor.Door{Name: s.Duty, Clock: e.Clock, Log: e.Log, Scope: e.registry.Scope, NewScanner: s.NewScanner, MaxBody: s.MaxBody}
+	d := &httpdoor.Door{Name: s.Duty, Clock: e.Clock, Log: e.Log, Scope: e.registry.Scope, NewScanner: s.NewScanner, MaxBody: s.MaxBody, Admits: s.Admits}
 	switch s.Audience {
 	case AudiencePeers:
 		d.Places, d.Budget = &door.Places{Limit: limits.PeerPlaces}, &door.Budget{Limit: limits.PeerBytes}
