--- a/internal/door/limits.go
+++ b/internal/door/limits.go
@@ -27,7 +27,7 @@
 )
 
 // LimitsOf returns the bounds that follow from the memory and the descriptors that a process may use; 0 means that a
-// limit is not known. Callers hold three eighths of the memory, of which a third is for their connections.
+// limit is not known. Callers hold five sixteenths of the memory: an eighth with their connections, and the rest with what they send.
 func LimitsOf(memory fleet.Bytes, descriptors int) Limits {
 	if memory <= 0 {
 		memory = defaultMemory
@@ -37,7 +37,7 @@
 	}
 	sockets := max(0, descriptors-fileDescriptors)
 	return Limits{
-		CallerBytes: memory * 3 / 16, PeerBytes: memory / 16,
+		CallerBytes: memory / 8, PeerBytes: memory / 16,
 		CallerPlaces: max(minPlaces, min(sockets/2, int(memory/8/placeBytes), maxPlaces)),
 		PeerPlaces:   max(minPlaces, min(sockets/8, maxPlaces)),
 		ProbePlaces:  max(minPlaces, min(sockets/16, maxProbePlaces)),
