door: size the tables of a door by its limits

Each entry held 262 KB of tables for 4,096 connections and requests at each of four doors, whatever their bounds.

--- a/internal/caller/guard.go
+++ b/internal/caller/guard.go
@@ -35,15 +35,16 @@
 	// MaxMessage bounds one message, MaxReading the total of all messages being read.
 	MaxMessage, MaxReading fleet.Bytes
 
-	reading door.Budget
-	reader  *httpdoor.Reader
+	reader *httpdoor.Reader
 }
 
+// maxReaders bounds the messages that are read at the same time.
+const maxReaders = 4096
+
 // Middleware wraps the handler of a service. Interceptor must be among the options of that handler.
 func (g *Guard) Middleware(next http.Handler) http.Handler {
 	writer := connect.NewErrorWriter()
-	g.reading.Limit = g.MaxReading
-	g.reader = &httpdoor.Reader{Clock: g.Clock, Budget: &g.reading, Patience: g.ReadTimeout}
+	g.reader = &httpdoor.Reader{Clock: g.Clock, Budget: door.NewBudget(g.MaxReading, maxReaders), Patience: g.ReadTimeout}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		guarded := &guardedWriter{ResponseWriter: w, deadline: g.writeDeadline(w)}
 		if err := g.prepare(w, r); err != nil {
--- a/internal/door/budget.go
+++ b/internal/door/budget.go
@@ -15,20 +15,24 @@
 	smallShare fleet.Bytes = 16 << 10
 	// minShare is the least that a request holds.
 	minShare fleet.Bytes = 4 << 10
-	// maxShares bounds the requests that hold a share at the same time.
-	maxShares = 4096
 )
 
 // Budget bounds the bytes that requests make a process hold. It is safe for concurrent use.
 type Budget struct {
-	// Limit is set before the first use.
-	Limit fleet.Bytes
-
+	limit  fleet.Bytes
 	held   atomic.Int64
 	next   atomic.Uint32
-	shares [maxShares]atomic.Pointer[Share]
+	shares []atomic.Pointer[Share]
+}
+
+// NewBudget returns a budget of a number of bytes for a number of requests at the same time.
+func NewBudget(limit fleet.Bytes, requests int) *Budget {
+	return &Budget{limit: limit, shares: make([]atomic.Pointer[Share], requests)}
 }
 
+// Limit returns the bytes that all shares may hold.
+func (b *Budget) Limit() fleet.Bytes { return b.limit }
+
 // shareState says whether a share may be shed.
 type shareState string
 
@@ -63,7 +67,7 @@
 	s.state.Store(&reading)
 	if !b.reserve(now, s, size) || !b.enter(s) {
 		b.give(s)
-		return nil, &Refusal{Reason: ReasonBudgetShort, Size: size, Limit: b.Limit}
+		return nil, &Refusal{Reason: ReasonBudgetShort, Size: size, Limit: b.limit}
 	}
 	return s, nil
 }
@@ -71,8 +75,8 @@
 // enter puts a share into the table. It returns false if the table is full.
 func (b *Budget) enter(s *Share) bool {
 	start := int(b.next.Add(1))
-	for i := range maxShares {
-		s.index = (start + i) % maxShares
+	for i := range b.shares {
+		s.index = (start + i) % len(b.shares)
 		if b.shares[s.index].CompareAndSwap(nil, s) {
 			return true
 		}
@@ -100,13 +104,13 @@
 // add takes bytes for a share that holds total with them. A quarter of the budget is left for small shares, unless
 // nothing else is held.
 func (b *Budget) add(size, total fleet.Bytes) bool {
-	limit := int64(b.Limit)
+	limit := int64(b.limit)
 	if total > smallShare {
 		limit -= limit / 4
 	}
 	for {
 		held := b.held.Load()
-		if held+int64(size) > limit && (held+int64(size) != int64(total) || total > b.Limit) {
+		if held+int64(size) > limit && (held+int64(size) != int64(total) || total > b.limit) {
 			return false
 		}
 		if b.held.CompareAndSwap(held, held+int64(size)) {
@@ -161,7 +165,7 @@
 		return &Refusal{Reason: ReasonBodyShed}
 	}
 	if !s.budget.reserve(now, s, size) {
-		return &Refusal{Reason: ReasonBudgetShort, Size: fleet.Bytes(s.held.Load()) + size, Limit: s.budget.Limit}
+		return &Refusal{Reason: ReasonBudgetShort, Size: fleet.Bytes(s.held.Load()) + size, Limit: s.budget.limit}
 	}
 	return nil
 }
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -62,7 +62,7 @@
 	const seeds, steps, limit = 150, 300, 1 << 20
 	for seed := range uint64(seeds) {
 		is := is.New(t)
-		c := &budgetCrowd{random: rand.New(rand.NewPCG(seed, 1)), budget: &door.Budget{Limit: limit}, now: time.Unix(0, 0)}
+		c := &budgetCrowd{random: rand.New(rand.NewPCG(seed, 1)), budget: door.NewBudget(limit, 1024), now: time.Unix(0, 0)}
 		for range steps {
 			is.True(c.act())
 			is.True(c.budget.Held() >= 0 && c.budget.Held() <= limit)
@@ -94,7 +94,7 @@
 // Guards against bodies that fill the budget and keep out ordinary requests beside them.
 func TestSmallRequestIsTakenBesideLargeBodies(t *testing.T) {
 	is := is.New(t)
-	b, now := &door.Budget{Limit: 1 << 20}, time.Unix(0, 0)
+	b, now := door.NewBudget(1<<20, 1024), time.Unix(0, 0)
 	for {
 		if _, err := b.Take(now, 128<<10, func() {}); err != nil {
 			break
@@ -108,7 +108,7 @@
 func TestSharesOfParallelRequestsAreReturned(t *testing.T) {
 	is := is.New(t)
 	const workers, rounds, limit = 8, 2000, 64 << 10
-	b := &door.Budget{Limit: limit}
+	b := door.NewBudget(limit, 1024)
 	var group sync.WaitGroup
 	for w := range workers {
 		group.Add(1)
@@ -139,7 +139,7 @@
 	stages := []door.Stage{door.StageReceiving, door.StageServing, door.StageAnswering, door.StageIdle}
 	for seed := range uint64(seeds) {
 		is := is.New(t)
-		random, now, p := rand.New(rand.NewPCG(seed, 3)), time.Unix(0, 0), &door.Places{Limit: limit}
+		random, now, p := rand.New(rand.NewPCG(seed, 3)), time.Unix(0, 0), door.NewPlaces(limit)
 		open := map[int]*door.Place{}
 		stage := map[int]door.Stage{}
 		add := func(n int) error {
--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -163,8 +163,8 @@
 		return
 	}
 	d.Log.Info("door: refused", zap.String("door", string(d.Name)), zap.String("reason", string(reason)), zap.Int64("count", r.unlogged.Swap(0)),
-		zap.Int("connections", d.Places.Taken()), zap.Int("max-connections", d.Places.Limit),
-		zap.Int64("held-bytes", int64(d.Budget.Held())), zap.Int64("max-bytes", int64(d.Budget.Limit)))
+		zap.Int("connections", d.Places.Taken()), zap.Int("max-connections", d.Places.Limit()),
+		zap.Int64("held-bytes", int64(d.Budget.Held())), zap.Int64("max-bytes", int64(d.Budget.Limit())))
 }
 
 // answerWriter bounds the time to write each answer. Without a bound, a caller that reads nothing would hold its
--- a/internal/door/httpdoor/door_test.go
+++ b/internal/door/httpdoor/door_test.go
@@ -29,7 +29,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	d := &httpdoor.Door{
-		Name: "test", Clock: c, Log: zap.NewNop(), Scope: tally.NoopScope, Places: &door.Places{Limit: 8}, Budget: &door.Budget{Limit: testBudget},
+		Name: "test", Clock: c, Log: zap.NewNop(), Scope: tally.NoopScope, Places: door.NewPlaces(8), Budget: door.NewBudget(testBudget, 1024),
 		MaxBody:    func() fleet.Bytes { return testBody },
 		Admits:     func(r *http.Request) bool { return r.URL.Path == "/" },
 		NewScanner: func(*http.Request) (door.Scanner, error) { return &door.JSONScanner{MaxObjects: 10, MaxDepth: 10}, nil },
--- a/internal/door/httpdoor/reader.go
+++ b/internal/door/httpdoor/reader.go
@@ -51,7 +51,7 @@
 	if q.ContentLength == 0 || q.Body == nil {
 		return nil, nil
 	}
-	limit = min(limit, r.Budget.Limit)
+	limit = min(limit, r.Budget.Limit())
 	size := fleet.Bytes(q.ContentLength)
 	if size > limit {
 		return nil, &door.Refusal{Reason: door.ReasonBodyTooLarge, Size: size, Limit: limit}
--- a/internal/door/limits.go
+++ b/internal/door/limits.go
@@ -16,6 +16,8 @@
 	defaultMemory fleet.Bytes = 256 << 20
 	// defaultDescriptors is assumed where the number of descriptors is not known.
 	defaultDescriptors = 4096
+	// maxDescriptors bounds the tables of connections.
+	maxDescriptors = 1 << 16
 	// fileDescriptors are reserved for files.
 	fileDescriptors = 200
 	// placeBytes is the most that a connection holds without a body: its headers, two buffers and two stacks.
@@ -35,11 +37,11 @@
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	sockets := max(0, descriptors-fileDescriptors)
+	sockets := max(0, min(descriptors, maxDescriptors)-fileDescriptors)
 	return Limits{
 		CallerBytes: memory / 8, PeerBytes: memory / 16,
-		CallerPlaces: max(minPlaces, min(sockets/2, int(memory/8/placeBytes), maxPlaces)),
-		PeerPlaces:   max(minPlaces, min(sockets/8, maxPlaces)),
+		CallerPlaces: max(minPlaces, min(sockets/2, int(memory/8/placeBytes))),
+		PeerPlaces:   max(minPlaces, sockets/8),
 		ProbePlaces:  max(minPlaces, min(sockets/16, maxProbePlaces)),
 	}
 }
--- a/internal/door/places.go
+++ b/internal/door/places.go
@@ -6,8 +6,6 @@
 )
 
 const (
-	// maxPlaces bounds the connections of one door.
-	maxPlaces = 4096
 	// minIdle is how long a connection has been idle before it makes way. A caller that sends one request after the
 	// other is faster.
 	minIdle = time.Second
@@ -32,14 +30,17 @@
 
 // Places bounds the connections of one door. It is safe for concurrent use.
 type Places struct {
-	// Limit is set before the first use; it is at most 4,096.
-	Limit int
-
 	taken  atomic.Int64
 	next   atomic.Uint32
-	places [maxPlaces]atomic.Pointer[Place]
+	places []atomic.Pointer[Place]
 }
 
+// NewPlaces returns places for a number of connections.
+func NewPlaces(limit int) *Places { return &Places{places: make([]atomic.Pointer[Place], limit)} }
+
+// Limit returns the number of places.
+func (p *Places) Limit() int { return len(p.places) }
+
 // stageSince is a stage and the time from the opening of the connection to its begin.
 type stageSince struct {
 	stage Stage
@@ -67,7 +68,7 @@
 func (p *Places) Take(now time.Time, end func()) (place *Place, shed bool, err error) {
 	place = &Place{places: p, opened: now, end: end}
 	place.Enter(now, StageReceiving)
-	for p.taken.Add(1) > int64(min(p.Limit, maxPlaces)) {
+	for p.taken.Add(1) > int64(len(p.places)) {
 		p.taken.Add(-1)
 		victim := p.victim(now)
 		if victim == nil {
@@ -77,9 +78,9 @@
 		victim.Leave()
 		victim.end()
 	}
-	start := int(p.next.Add(1))
-	for i := 0; ; i++ { // There are more entries than places, so that one is free.
-		place.index = (start + i) % maxPlaces
+	// One entry is free, as Leave empties it before it counts one less.
+	for {
+		place.index = int(p.next.Add(1) % uint32(len(p.places)))
 		if p.places[place.index].CompareAndSwap(nil, place) {
 			return place, shed, nil
 		}
--- a/internal/jobentry/server.go
+++ b/internal/jobentry/server.go
@@ -76,14 +76,14 @@
 // door returns the bounds of one server.
 func (e *Entry) door(s Server, limits door.Limits) *httpdoor.Door {
 	d := &httpdoor.Door{Name: s.Duty, Clock: e.Clock, Log: e.Log, Scope: e.registry.Scope, NewScanner: s.NewScanner, MaxBody: s.MaxBody, Admits: s.Admits}
+	places, bytes := limits.CallerPlaces, limits.CallerBytes
 	switch s.Audience {
 	case AudiencePeers:
-		d.Places, d.Budget = &door.Places{Limit: limits.PeerPlaces}, &door.Budget{Limit: limits.PeerBytes}
+		places, bytes = limits.PeerPlaces, limits.PeerBytes
 	case AudienceProbes:
-		d.Places, d.Budget = &door.Places{Limit: limits.ProbePlaces}, &door.Budget{Limit: probeBytes}
-	default:
-		d.Places, d.Budget = &door.Places{Limit: limits.CallerPlaces}, &door.Budget{Limit: limits.CallerBytes}
+		places, bytes = limits.ProbePlaces, probeBytes
 	}
+	d.Places, d.Budget = door.NewPlaces(places), door.NewBudget(bytes, places)
 	if d.MaxBody == nil {
 		d.MaxBody = func() fleet.Bytes { return probeBytes }
 	}
