shard: let shares of accounts replace the order by risk

Together a steady account's job that had waited went behind younger ones of a hot account. Change: with weights, the order by risk is not used. Evidence: TestHotAccountsDoNotDelaySteadyOnes failed on the merge (slowest job of a steady account beyond the objective, 3 of 20 accounts hot); it passes. Without accounts nothing changes.

--- a/internal/shard/share.go
+++ b/internal/shard/share.go
@@ -18,12 +18,15 @@
 // selectInterval is the time between two decisions on what is put back, each of which sorts all that waits.
 const selectInterval = 100 * time.Millisecond
 
-// markShares marks the waiting steps of the jobs that are put back because there is not room for all in time. Without
-// weights nothing is marked.
+// markShares marks the waiting steps of the jobs that are put back because there is not room for all in time. That takes
+// the place of the order by risk. Without weights nothing is marked.
 func (e *Engine) markShares(now time.Time, list candidateQueue) {
 	if len(e.accounts.weights) == 0 {
 		return
 	}
+	for i := range list {
+		list[i].rank.AtRisk = false
+	}
 	if now.Sub(e.accounts.selectedAt) >= selectInterval {
 		e.accounts.selectedAt = now
 		e.selectWork(now, list)
