--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/allowance"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/nearness"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -180,7 +181,7 @@
 		near:             newNearWaits(),
 		starts:           startWindow{size: initialStarts},
 		advice:           map[StepID]*stepAdvice{},
-		accounts:         accounts{usage: accountUsage{}},
+		accounts:         accounts{usage: accountUsage{}, waiting: map[fleet.ClientAccountID]*allowance.Demand{}},
 		dirty:            map[job.Key]bool{},
 		drop:             map[fleet.JobID]bool{},
 		orphans:          map[job.Key]bool{},
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -52,6 +52,7 @@
 		e.ranked = e.candidates(now, e.ranked)
 		e.rankedAt, e.backlog = now, len(e.ranked)
 		clear(e.near.ahead)
+		e.countDemands(e.ranked)
 		e.markShares(now, e.ranked)
 		heap.Init(&e.ranked)
 	}
