--- a/internal/shard/candidate.go
+++ b/internal/shard/candidate.go
@@ -115,16 +115,6 @@
 	return false
 }
 
-func waitingTasks(tasks []job.Task) int {
-	n := 0
-	for i := range tasks {
-		if !tasks[i].Done && !tasks[i].Running() {
-			n++
-		}
-	}
-	return n
-}
-
 // isPlain reports whether the tasks of a step may run on any endpoint with room.
 func (e *Engine) isPlain(c candidate) bool {
 	step := &c.occurrence.Job.Steps[c.step]
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -145,7 +145,7 @@
 				e.preempt(now, id, step)
 			}
 			if step.DataRack != "" {
-				e.near.ahead[step.DataRack] += waitingTasks(c.occurrence.Tasks[c.step])
+				e.near.ahead[step.DataRack] += countWaiting(c.occurrence.Tasks[c.step])
 			}
 			return
 		}
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -152,7 +152,9 @@
 					ids = append(ids, o.ID(step, fleet.TaskIndex(t)))
 				}
 			}
-			return candidate{o, step, o.Job.Steps[s].Lasting, e.rank(now, o)}, ids, ""
+			next := candidateQueue{{o, step, o.Job.Steps[s].Lasting, e.rank(now, o)}}
+			e.applyShares(next)
+			return next[0], ids, ""
 		}
 	}
 	return candidate{}, nil, verdict
@@ -162,8 +164,9 @@
 // Steps that want any one rack count under severalRacks.
 func (e *Engine) aheadOf(now time.Time, c candidate) (int, map[fleet.RackID]int) {
 	steps, near := 0, map[fleet.RackID]int{}
-	pair := candidateQueue{c, c}
-	for _, other := range e.candidates(now, nil) {
+	pair, list := candidateQueue{c, c}, e.candidates(now, nil)
+	e.applyShares(list)
+	for _, other := range list {
 		pair[0] = other
 		if !pair.Less(0, 1) {
 			continue
@@ -173,7 +176,7 @@
 		case step.SameRack:
 			near[severalRacks]++
 		case step.DataRack != "":
-			near[step.DataRack] += waitingTasks(other.occurrence.Tasks[other.step])
+			near[step.DataRack] += countWaiting(other.occurrence.Tasks[other.step])
 		}
 	}
 	return steps, near
--- a/internal/shard/share.go
+++ b/internal/shard/share.go
@@ -31,8 +31,17 @@
 		e.accounts.selectedAt = now
 		e.selectWork(now, list)
 	}
+	e.applyShares(list)
+}
+
+// applyShares ranks steps by what was last decided to be put back.
+func (e *Engine) applyShares(list candidateQueue) {
+	if len(e.accounts.weights) == 0 {
+		return
+	}
 	for i := range list {
-		list[i].rank.PutBack = e.jobs[list[i].occurrence.Job.ID].putBack
+		entry := e.jobs[list[i].occurrence.Job.ID]
+		list[i].rank.AtRisk, list[i].rank.PutBack = false, entry != nil && entry.putBack
 	}
 }
 
