shard: test of a holder that changes at its queue's peak

The peak of the tests learns that a holder is lost and that the next one knows what is stored; renewals tell the engine that its bounds are stored, and are written without a batch too, as the scheduler does. Without that no endpoint was used for 5.8 s after the change, which is a fault of the test's holder only.

--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -22,6 +22,7 @@
 	peakLoad       = 250 * time.Millisecond
 	peakRegistry   = 500 * time.Millisecond
 	peakRenewal    = 600 * time.Millisecond
+	peakBounds     = 200 * time.Millisecond
 	peakStartAge   = 400 * time.Millisecond
 	peakRound      = 256
 	// peakRunTime is the mean run time of a task.
@@ -58,6 +59,7 @@
 	now       time.Time
 	random    *rand.Rand
 	engine    *shard.Engine
+	epoch     fleet.FencingToken
 	endpoints []*peakEndpoint
 	byID      map[fleet.EndpointID]*peakEndpoint
 	infos     []shard.EndpointInfo
@@ -71,6 +73,8 @@
 	// spend lets the time pass that a sender takes; nil takes none.
 	spend func(time.Duration)
 
+	// committed, if set, is called with each batch that is stored.
+	committed func(*shard.Batch)
 	// took, if set, is called with the run time of each task that starts.
 	took func(id fleet.TaskID, d time.Duration)
 
@@ -86,9 +90,10 @@
 
 // peakMessage is one message in the scheduler's ring.
 type peakMessage struct {
-	job       *fleet.Job
-	result    *shard.Result
-	committed bool
+	job    *fleet.Job
+	result *shard.Result
+	// committed is set when a write has taken effect, renewed when it was a renewal too.
+	committed, renewed bool
 }
 
 func newPeak(seed uint64, endpoints int, capacity fleet.Capacity) *peak {
@@ -103,11 +108,17 @@
 		e := &peakEndpoint{info: info, running: map[fleet.TaskID]fleet.RunNumber{}, highest: map[fleet.TaskID]fleet.RunNumber{}}
 		p.endpoints, p.byID[id], p.infos = append(p.endpoints, e), e, append(p.infos, info)
 	}
+	p.newEngine(shard.EpochStep, shard.Inheritance{})
+	return p
+}
+
+// newEngine starts a holder that knows the endpoints only.
+func (p *peak) newEngine(epoch fleet.FencingToken, inherited shard.Inheritance) {
 	bounds := shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: time.Hour}
-	p.engine = shard.NewEngine("service", shard.EpochStep, bounds, &p.counts, shard.Inheritance{}, p.now.Add(24*time.Hour))
+	p.epoch = epoch
+	p.engine = shard.NewEngine("service", epoch, bounds, &p.counts, inherited, p.now.Add(24*time.Hour))
 	p.engine.SetPolicies([]job.Policy{{Queue: "queue", Service: "service", MaxAttempts: 4, Stretch: 1.6, Target: 600 * time.Millisecond}})
 	p.engine.SetEndpoints(p.now, p.infos)
-	return p
 }
 
 // runTime draws the run time of a task.
@@ -214,10 +225,15 @@
 
 func (p *peak) handle(m peakMessage) {
 	switch {
+	case m.result != nil && m.result.Order.Epoch != p.epoch:
+		// It answers an order of an earlier holder.
 	case m.job != nil:
 		p.work(stepAccept, func() { p.engine.Accept(m.job) })
 	case m.committed:
 		p.writing = false
+		if m.renewed {
+			p.engine.BoundsStored(p.now)
+		}
 		p.work(stepCommitted, func() { p.engine.Committed(p.now) })
 	case m.result.Order.Kind == shard.OrderHold:
 		p.work(stepLists, func() { p.engine.Apply(p.now, *m.result) })
@@ -238,16 +254,26 @@
 	}
 	var batch *shard.Batch
 	p.work(stepBatch, func() { batch, _ = p.engine.NextBatch(p) })
-	if batch == nil {
+	since := p.now.Sub(p.renewedAt)
+	renews := since >= peakRenewal || since >= peakBounds && p.engine.BoundsDue(p.now)
+	if batch == nil && !renews {
 		return
 	}
-	if p.now.Sub(p.renewedAt) >= peakRenewal {
+	if renews {
 		p.work(stepBounds, func() { p.engine.PrepareBounds(p.now) })
 		p.renewedAt = p.now
 	}
+	if batch == nil {
+		batch = &shard.Batch{}
+	}
 	p.writing, p.batchedAt = true, p.now
 	p.work(stepWrite, func() { p.counts.rows += len(batch.Rows) })
-	p.after(peakCommit, func() { p.inbox = append(p.inbox, peakMessage{committed: true}) })
+	p.after(peakCommit, func() {
+		if p.committed != nil {
+			p.committed(batch)
+		}
+		p.inbox = append(p.inbox, peakMessage{committed: true, renewed: renews})
+	})
 }
 
 // peakEvent is something that happens outside of the holder.
