holder: blame a silent endpoint, not the holder, for a start too old

Starts to its endpoints wait behind orders without an answer and are dropped after 0.4 s; each halved the window of starts, as if the holder did not keep up. Each start also waits for a commit, so a window of 20 to 50 bounded what begins: 237 and 209 tasks assigned in the seconds 34 and 35, 1,000 a second after it, beside VMs that were free. Excluded: the pool (125 VMs and 125 arriving at 33.4 s), and the store's parts (no transaction answered 429).

Such a start is dropped as before, but is not marked as stale, so the window stays.

--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -171,7 +171,9 @@
 func (l *links) startSender(k *link, id fleet.EndpointID) {
 	k.senders++
 	name := fleet.DutyName("orders-" + strconv.Itoa(k.senders) + "-")
-	l.duties.Start(k.ctx, l.newSender(name, id, k.orders))
+	s := l.newSender(name, id, k.orders)
+	s.unanswered = k.senders > 1
+	l.duties.Start(k.ctx, s)
 }
 
 func (l *links) newSender(name fleet.DutyName, id fleet.EndpointID, inbox *ring.Ring[*queuedOrder]) *sender {
@@ -200,6 +202,8 @@
 	done     func(*queuedOrder, shard.Result)
 	// listedAt is when the endpoint last sent its lists to this sender.
 	listedAt time.Time
+	// unanswered is set while the endpoint has not answered the last order, or that of the sender before.
+	unanswered bool
 }
 
 // Name implements duty.Duty.
@@ -214,10 +218,13 @@
 			return trace.Wrap(err)
 		}
 		result := shard.Result{Order: queued.order, Answer: shard.AnswerUnsent, SentAt: s.clock.Now()}
-		result.Stale = queued.order.Kind == shard.OrderStart && result.SentAt.Sub(queued.at) > maxStartAge
-		if !result.Stale {
+		if queued.order.Kind == shard.OrderStart && result.SentAt.Sub(queued.at) > maxStartAge {
+			// Behind an order without an answer it has waited for the endpoint, not for the holder.
+			result.Stale = !s.unanswered
+		} else {
 			result = s.caller.Execute(ctx, s.withoutLateAck(queued))
 			result.Order = queued.order
+			s.unanswered = result.Answer == shard.AnswerUnknown || result.Answer == shard.AnswerUnsent
 		}
 		if queued.order.Kind == shard.OrderHold && result.Answer == shard.AnswerDone {
 			s.listedAt = s.clock.Now()
--- a/internal/holder/links_test.go
+++ b/internal/holder/links_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -103,6 +104,25 @@
 	is.Equal(l.result(t).Answer, shard.AnswerDone) // a stop is never too old
 }
 
+// Guards against a holder that counts as overloaded, and starts less, because an endpoint does not answer.
+func TestStartBehindSilentEndpointIsNotStale(t *testing.T) {
+	is := is.New(t)
+	l, c := newLinks(t, 1)
+	l.order(shard.OrderStop, 1)
+	for l.byEndpoint["e"].orders.Depth() > 0 {
+		runtime.Gosched() // The first sender takes the stop.
+	}
+	l.order(shard.OrderStart, 2)
+	c.Advance(maxStartAge + time.Millisecond)
+	l.addSenders(c.Now())
+	silent := l.result(t)
+	is.Equal(silent.Answer, shard.AnswerUnsent)
+	is.True(!silent.Stale)
+	answering, c := newLinks(t)
+	answering.send(&queuedOrder{order: shard.Order{Kind: shard.OrderStart, Process: fleet.EndpointProcess{Endpoint: "e"}, Address: "a"}, at: c.Now().Add(-time.Second)})
+	is.True(answering.result(t).Stale) // it has waited for the holder
+}
+
 // Guards against a run that waits for ever: its start was under way when the endpoint changed its address.
 func TestOrdersOfEarlierAddressAreAnswered(t *testing.T) {
 	is := is.New(t)
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -110,7 +110,8 @@
 
 // Result is the response to an order.
 type Result struct {
-	// Stale is set for an order that was not sent because it had waited for too long.
+	// Stale is set for an order that was not sent because it had waited for too long at an endpoint that answers: the
+	// holder does not keep up.
 	Stale  bool
 	Order  Order
 	Answer Answer
