--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -23,8 +23,12 @@
 	bodyPatience = 30 * time.Second
 	// bodyRate extends bodyPatience for large bodies: each 64 KB that has arrived gives a second more.
 	bodyRate fleet.BytesPerSecond = 64 << 10
+	// smallBody is the length in bytes up to which a body is read even if its headers show that it is of no use.
+	smallBody = 16 << 10
 	// writeTimeout bounds the time to write an answer.
 	writeTimeout = 10 * time.Second
+	// deadlineInterval is how long a deadline stays before it is set anew, which costs as much as writing a few bytes.
+	deadlineInterval = time.Second
 	// logInterval is the least time between two log lines with the same reason.
 	logInterval = time.Second
 	// retryAfter is the delay in seconds after which a body that was refused may find room; stalled ones make way
@@ -43,6 +47,9 @@
 	Budget *door.Budget
 	// MaxBody returns the longest body.
 	MaxBody func() fleet.Bytes
+	// Admits reports whether a request may be served, as far as its headers show. The handler answers another one
+	// without its body, which is not read if it is large. It may be nil.
+	Admits func(*http.Request) bool
 	// NewScanner returns the scanner of a request's body, or *door.Refusal. It may be nil.
 	NewScanner func(*http.Request) (door.Scanner, error)
 
@@ -75,8 +82,16 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connectionKey{}).(*connection)
 		answer := &answerWriter{ResponseWriter: w, controller: http.NewResponseController(w), clock: d.Clock, conn: conn}
-		// Clear the deadline of the previous answer on the connection.
-		_ = answer.controller.SetWriteDeadline(time.Time{})
+		if r.Header.Get("Expect") != "" {
+			// The server answers while it reads. Clear the deadline of the previous answer on the connection.
+			_ = answer.controller.SetWriteDeadline(time.Time{})
+		}
+		if d.Admits != nil && isLarge(r) && !d.Admits(r) {
+			answer.closeUnread()
+			r.Body = http.NoBody
+			next.ServeHTTP(answer, r)
+			return
+		}
 		message, err := d.read(reader, answer, r)
 		if err != nil {
 			d.refuse(answer, err)
@@ -94,6 +109,10 @@
 	})
 }
 
+// isLarge reports whether the body of a request is worth a new connection. The rest of a smaller one is read, so that
+// the connection can be used again.
+func isLarge(r *http.Request) bool { return r.ContentLength < 0 || r.ContentLength > smallBody }
+
 func (d *Door) read(reader *Reader, w http.ResponseWriter, r *http.Request) (*Message, error) {
 	var scanner door.Scanner
 	if d.NewScanner != nil && r.ContentLength != 0 {
@@ -144,8 +163,8 @@
 		return
 	}
 	d.Log.Info("door: refused", zap.String("door", string(d.Name)), zap.String("reason", string(reason)), zap.Int64("count", r.unlogged.Swap(0)),
-		zap.Int("connections", d.Places.Taken()), zap.Int("max-connections", d.Places.Limit),
-		zap.Int64("held-bytes", int64(d.Budget.Held())), zap.Int64("max-bytes", int64(d.Budget.Limit)))
+		zap.Int("connections", d.Places.Taken()), zap.Int("max-connections", d.Places.Limit()),
+		zap.Int64("held-bytes", int64(d.Budget.Held())), zap.Int64("max-bytes", int64(d.Budget.Limit())))
 }
 
 // answerWriter bounds the time to write each answer. Without a bound, a caller that reads nothing would hold its
@@ -155,6 +174,8 @@
 	controller *http.ResponseController
 	clock      clock.Clock
 	conn       *connection
+	// begunAt is when the deadline was set.
+	begunAt    time.Time
 	isHijacked bool
 }
 
@@ -170,12 +191,20 @@
 	return w.ResponseWriter.Write(p)
 }
 
-// begin sets the deadline anew for each part of an answer.
+// closeUnread closes the connection after the answer. The server would read the rest of the body before.
+func (w *answerWriter) closeUnread() {
+	_ = w.controller.SetReadDeadline(w.clock.Now()) // Fails only on a closed connection.
+	w.Header().Set("Connection", "close")
+}
+
+// begin sets the deadline anew for the parts of an answer.
 func (w *answerWriter) begin() {
-	if w.isHijacked {
+	now := w.clock.Now()
+	if w.isHijacked || now.Sub(w.begunAt) < deadlineInterval {
 		return
 	}
-	_ = w.controller.SetWriteDeadline(w.clock.Now().Add(writeTimeout)) // Fails only on a closed connection, on which the write fails too.
+	w.begunAt = now
+	_ = w.controller.SetWriteDeadline(now.Add(writeTimeout)) // Fails only on a closed connection, on which the write fails too.
 	if w.conn != nil {
 		w.conn.enter(door.StageAnswering)
 	}
--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -32,13 +32,20 @@
 	// Excess is set for work that its account has submitted beyond its weight. It is served when room is left.
 	Excess   bool
 	Priority int
+	// AtRisk is set for work that has not begun and has used up most of the time that its objective lets it wait. It is
+	// served after work that has more time left: by due time alone, all work of a queue beyond its capacity would begin
+	// at the last moment, and half of it would end late, as run times are not known in advance.
+	AtRisk bool
 	// Late is set for work that can no longer meet its objective. It is worth a fraction of on-time work,
 	// so it is served afterwards.
 	Late bool
-	// BeyondShare is set for work that exceeds its account's share while there is not room for all.
-	BeyondShare bool
-	// Due is the deadline that follows from the objective.
-	Due time.Time
+	// Expired is set for late work that is worth nothing any more.
+	Expired bool
+	// PutBack is set for work that gives way because there is not room for all in time.
+	PutBack bool
+	// Due is the deadline that follows from the objective. StartBy, which is no part of the order, is when the rest of the
+	// work has to start to meet it.
+	Due, StartBy time.Time
 }
 
 // Before reports whether r is served before o.
@@ -49,15 +56,29 @@
 	if r.Priority != o.Priority {
 		return r.Priority < o.Priority
 	}
+	if r.Expired != o.Expired {
+		return o.Expired
+	}
 	if r.Late != o.Late {
 		return o.Late
 	}
-	if r.BeyondShare != o.BeyondShare {
-		return o.BeyondShare
+	if r.PutBack != o.PutBack {
+		return o.PutBack
+	}
+	if r.AtRisk != o.AtRisk {
+		return o.AtRisk
 	}
 	return r.Due.Before(o.Due)
 }
 
+const (
+	// riskShare is the share of its slack that work has left when it is at risk. Its slack is what the objective leaves
+	// beyond the expected run time. A larger share makes work wait that could be in time.
+	riskShare = 0.3
+	// expiryFactor is how many times its objective work may take until it is worth nothing.
+	expiryFactor = 3
+)
+
 // CriticalPath returns the length of the critical path through all steps, and through those that are not done.
 // expected returns the run time of a step's tasks.
 func (o *Occurrence) CriticalPath(expected func(*fleet.Step) time.Duration) (all, left time.Duration) {
@@ -86,5 +107,11 @@
 	all, left := o.CriticalPath(expected)
 	objective := time.Duration(p.Stretch*float64(all)) + p.Target
 	due := o.Job.Due(o.Number).Add(objective)
-	return Rank{Priority: p.Priority, Late: now.Add(left).After(due), Due: due}
+	slack := due.Sub(now) - left
+	return Rank{
+		Priority: p.Priority, Due: due, StartBy: due.Add(-left),
+		AtRisk:  o.State == fleet.JobStatePending && slack >= 0 && slack < time.Duration(riskShare*float64(objective-all)),
+		Late:    slack < 0,
+		Expired: slack < -(expiryFactor-1)*objective,
+	}
 }
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -8,11 +8,12 @@
 
 	"github.com/matryer/is"
 
+	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/share"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// accountLoad is what accounts submit each second to a fleet that has room for one job of each of 20 accounts.
+// accountLoad is what accounts submit each second to a fleet that has room for one job of each of 22 accounts.
 type accountLoad struct {
 	accounts, hot, times int
 	// limit is how many tasks an account may have running; 0 is no limit.
@@ -24,9 +25,14 @@
 	return l.limit == 0 || used.Millicores <= fleet.Millicores(l.limit)*4000
 }
 
+// WithinLimit implements shard.Allowance.
+func (l accountLoad) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
+	return l.Allows(account, used)
+}
+
 // play returns the times that the jobs of each account took, in order, and the most tasks that one had running.
 func (l accountLoad) play(seconds int) (map[fleet.ClientAccountID][]time.Duration, int) {
-	sim := newSimulation(1, 10, worker64)
+	sim := newSimulation(1, 11, worker64)
 	weights := share.Weights{}
 	for n := range l.accounts {
 		weights[l.name(n)] = 1
@@ -107,3 +113,24 @@
 	is.True(slices.Max(served)-slices.Min(served) <= 1)
 	is.True(slices.Min(served) >= 8)
 }
+
+func TestNextHolderCountsInheritedRunsOfAnAccount(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, worker64)
+	sim.duration = func(fleet.TaskID) time.Duration { return 3 * time.Second }
+	sim.run(time.Second)
+	first, second := batchJob("first", 6, 4000), batchJob("second", 6, 4000)
+	first.Account, second.Account = "a", "a"
+	sim.submit(first)
+	sim.run(200 * time.Millisecond)
+	sim.takeOver(shard.Inheritance{End: sim.now.Add(5 * time.Second)})
+	sim.engine.SetWeights(share.Weights{"a": 1})
+	sim.engine.SetAllowance(accountLoad{limit: 8})
+	sim.submit(second)
+	sim.run(500 * time.Millisecond)
+	is.Equal(sim.started(), 8)
+	demand := sim.engine.AccountDemands()["a"]
+	is.Equal([]fleet.Millicores{demand.Used.Millicores, demand.Waiting.Millicores, demand.Least.Millicores}, []fleet.Millicores{8 * 4000, 4 * 4000, 4000})
+	sim.run(7 * time.Second)
+	is.Equal(sim.state("second"), fleet.JobStateCompleted)
+}
