--- a/internal/holder/fake_cluster_test.go
+++ b/internal/holder/fake_cluster_test.go
@@ -39,8 +39,10 @@
 
 // fakeCluster is a store, endpoints and entries with real schedulers, all in one synctest bubble.
 type fakeCluster struct {
-	t       *testing.T
-	config  *holder.Config
+	t      *testing.T
+	config *holder.Config
+	// account is that of the jobs.
+	account fleet.ClientAccountID
 	store   *rows.Store
 	began   time.Time
 	entries []*fakeEntry
@@ -122,7 +124,7 @@
 // submit stores a job as an entry that accepts it does.
 func (c *fakeCluster) submit(id fleet.JobID, tasks int, lasting bool) {
 	j := &fleet.Job{
-		ID: id, Queue: c.config.Queues[0].Queue, Service: fakeService, AcceptedAt: time.Now().UTC(), MaxAttempts: 3,
+		ID: id, Queue: c.config.Queues[0].Queue, Service: fakeService, Account: c.account, AcceptedAt: time.Now().UTC(), MaxAttempts: 3,
 		Steps: []fleet.Step{{Tasks: tasks, Demand: fleet.Capacity{Millicores: 1000, Memory: 1000}, Lasting: lasting, MaxUnavailable: 1, Estimate: time.Second}},
 	}
 	value, err := proto.Marshal(wire.Job(j))
--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"github.com/mimosawharf/mimosawharf/internal/allowance"
 	"github.com/mimosawharf/mimosawharf/internal/follow"
@@ -39,6 +41,8 @@
 	writing, due bool
 	dividedAt    time.Time
 	failed       bool
+	// reportedAt is when waiting accounts were last logged.
+	reportedAt time.Time
 }
 
 // serviceAllowance implements shard.Allowance.
@@ -93,7 +97,11 @@
 		return
 	}
 	l.dividedAt, l.due = now, false
-	if next, due := l.book.Plan(l.ledger, l.version, s.limitReports()); due {
+	reports := s.limitReports()
+	s.reportDenied(now, reports)
+	s.counter("limit_divisions").Inc(1)
+	if next, due := l.book.Plan(l.ledger, l.version, reports); due {
+		s.counter("limit_writes").Inc(1)
 		l.writing = true
 		_ = l.writes.Push(ledgerWrite{next, l.version}) // The ring has room: one write at a time is in flight.
 	}
@@ -134,6 +142,7 @@
 	case e.Written:
 		l.book.Written()
 	case e.IsAnswer && e.Ledger != nil:
+		s.counter("limit_conflicts").Inc(1)
 		l.dividedAt = time.Time{} // Another entry was faster.
 	}
 	// An answer is newer than what was read before. The version that a transaction reports may not be that of the row.
@@ -152,3 +161,49 @@
 	}
 	return reports
 }
+
+const (
+	// reportInterval is the time between log lines about accounts that wait for an allowance.
+	reportInterval = time.Second
+	// maxReported bounds the accounts that one line names.
+	maxReported = 5
+)
+
+// reportDenied logs the accounts whose tasks wait although their limits are all that keeps them from starting.
+func (s *Scheduler) reportDenied(now time.Time, reports []allowance.Report) {
+	if now.Sub(s.limits.reportedAt) < reportInterval {
+		return
+	}
+	for _, r := range reports {
+		var waiting []string
+		for account, d := range r.Accounts {
+			if d.Waiting != (fleet.Capacity{}) && !s.limits.book.Allows(r.Service, r.Epoch, account, d.Used.Plus(d.Least)) {
+				waiting = append(waiting, string(account))
+			}
+		}
+		if len(waiting) == 0 {
+			continue
+		}
+		s.limits.reportedAt = now
+		slices.Sort(waiting)
+		fields := []zap.Field{zap.String("service", string(r.Service)), zap.Int("accounts", len(waiting))}
+		for _, account := range waiting[:min(len(waiting), maxReported)] {
+			fields = append(fields, zap.Object(account, s.limitFields(r, fleet.ClientAccountID(account))))
+		}
+		s.Log.Info("limits: tasks wait for an allowance", fields...)
+	}
+}
+
+// limitFields returns what a log line says of an account.
+func (s *Scheduler) limitFields(r allowance.Report, account fleet.ClientAccountID) zapcore.ObjectMarshalerFunc {
+	return func(o zapcore.ObjectEncoder) error {
+		used, held, limit := r.Accounts[account].Used, s.limits.ledger[r.Service].Accounts[account].Held, s.limits.configured[account]
+		o.AddInt64("used-millicores", int64(used.Millicores))
+		o.AddInt64("held-millicores", int64(held.Millicores))
+		o.AddInt64("limit-millicores", int64(limit.Millicores))
+		o.AddInt64("used-memory-mb", int64(used.Memory))
+		o.AddInt64("held-memory-mb", int64(held.Memory))
+		o.AddInt64("limit-memory-mb", int64(limit.Memory))
+		return nil
+	}
+}
