--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -71,10 +71,14 @@
 // divideLimits divides the limits when that is due.
 func (s *Scheduler) divideLimits(now time.Time) {
 	l := &s.limits
-	holds := false
+	holds, loaded := false, false // The ledger is read while a service is loaded.
 	for _, h := range s.held {
-		if len(l.configured) > 0 && h.engine != nil && h.loaded {
-			holds = true
+		if len(l.configured) == 0 || h.engine == nil {
+			continue
+		}
+		holds = true
+		if h.loaded {
+			loaded = true
 			l.due = h.engine.Denied() || l.due
 		}
 	}
@@ -85,7 +89,7 @@
 		l.stop()
 		l.stop, l.ledger, l.writing = nil, nil, false
 	}
-	if !holds || l.ledger == nil || l.writing {
+	if !loaded || l.ledger == nil || l.writing {
 		return
 	}
 	interval := divideInterval
