share, shard: put back only what is beyond an account's share

Cause: work was put back where its estimated wait exceeded its slack. Change: only what lies above its account's max-min level by weight comes behind, and nothing of a job that has begun. The order by risk, which keeps an overload from making everything late, holds again within that.

--- a/internal/job/order.go
+++ b/internal/job/order.go
@@ -41,11 +41,10 @@
 	Late bool
 	// Expired is set for late work that is worth nothing any more.
 	Expired bool
-	// PutBack is set for work that gives way because there is not room for all in time.
+	// PutBack is set for work that is beyond its account's share while there is not room for all.
 	PutBack bool
-	// Due is the deadline that follows from the objective. StartBy, which is no part of the order, is when the rest of the
-	// work has to start to meet it.
-	Due, StartBy time.Time
+	// Due is the deadline that follows from the objective.
+	Due time.Time
 }
 
 // Before reports whether r is served before o.
@@ -109,7 +108,7 @@
 	due := o.Job.Due(o.Number).Add(objective)
 	slack := due.Sub(now) - left
 	return Rank{
-		Priority: p.Priority, Due: due, StartBy: due.Add(-left),
+		Priority: p.Priority, Due: due,
 		AtRisk:  o.State == fleet.JobStatePending && slack >= 0 && slack < time.Duration(riskShare*float64(objective-all)),
 		Late:    slack < 0,
 		Expired: slack < -(expiryFactor-1)*objective,
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -20,7 +20,7 @@
 	started bool
 	// excess is set for a job beyond its account's weight.
 	excess bool
-	// putBack is set while the job gives way because there is not room for all in time.
+	// putBack is set while the job is beyond its account's share and there is not room for all.
 	putBack bool
 }
 
--- a/internal/shard/share.go
+++ b/internal/shard/share.go
@@ -18,80 +18,71 @@
 // selectInterval is the time between two decisions on what is put back, each of which sorts all that waits.
 const selectInterval = 100 * time.Millisecond
 
-// markShares marks the waiting steps of the jobs that are put back because there is not room for all in time. That takes
-// the place of the order by risk. Without weights nothing is marked.
+// markShares marks the waiting steps of the jobs that are beyond their account's share while there is not room for all.
+// Without weights nothing is marked.
 func (e *Engine) markShares(now time.Time, list candidateQueue) {
 	if len(e.accounts.weights) == 0 {
 		return
 	}
-	for i := range list {
-		list[i].rank.AtRisk = false
-	}
 	if now.Sub(e.accounts.selectedAt) >= selectInterval {
 		e.accounts.selectedAt = now
-		e.selectWork(now, list)
+		e.putBack(list)
 	}
 	for i := range list {
 		list[i].rank.PutBack = e.jobs[list[i].occurrence.Job.ID].putBack
 	}
 }
 
-// selectWork decides which jobs are put back.
-func (e *Engine) selectWork(now time.Time, list candidateQueue) {
-	var served []*candidate
-	mean := e.meanCapacity()
+// putBack decides which jobs are beyond their account's share.
+func (e *Engine) putBack(list candidateQueue) {
+	mean, work := e.meanCapacity(), map[fleet.ClientAccountID][]*candidate{}
 	var waiting share.Amount
 	for i := range list {
 		c := &list[i]
-		e.jobs[c.occurrence.Job.ID].putBack = false
-		if !c.lasting && !c.rank.Late && !c.rank.Excess {
-			served = append(served, c)
-			waiting += waitingAmount(*c, mean)
+		entry := e.jobs[c.occurrence.Job.ID]
+		entry.putBack = false
+		if account := c.occurrence.Job.Account; account != "" && !c.lasting && !c.rank.Late && !c.rank.Excess {
+			work[account] = append(work[account], c)
+			waiting += waitingAmount(c, mean)
 		}
 	}
-	room := e.room(served, mean)
-	if waiting <= room.Free {
+	free, room := e.room(mean)
+	if waiting <= free {
 		return
 	}
-	slices.SortFunc(served, compareCandidates)
-	work := make([]share.Work, 0, len(served))
-	for _, c := range served {
-		work = append(work, share.Work{
-			Account: c.occurrence.Job.Account, Amount: waitingAmount(*c, mean), Slack: c.rank.StartBy.Sub(now), Begun: c.occurrence.State != fleet.JobStatePending,
-		})
+	claims := make([]share.Claim, 0, len(e.accounts.weights))
+	for account, weight := range e.accounts.weights {
+		claim := share.Claim{Weight: weight, Amount: share.Amount(dominantDemand(e.accounts.usage[account], mean))}
+		for _, c := range work[account] {
+			claim.Amount += waitingAmount(c, mean)
+		}
+		claims = append(claims, claim)
 	}
-	used := map[fleet.ClientAccountID]share.Amount{}
-	for account, c := range e.accounts.usage {
-		used[account] = share.Amount(dominantDemand(c, mean))
+	level := share.Fill(room, claims)
+	if level == share.Unbounded {
+		return
 	}
-	for i, back := range share.Select(work, room, e.accounts.weights, used) {
-		e.jobs[served[i].occurrence.Job.ID].putBack = back
+	for account, candidates := range work {
+		amount := share.Amount(dominantDemand(e.accounts.usage[account], mean))
+		slices.SortFunc(candidates, compareCandidates)
+		for _, c := range candidates {
+			// What has begun goes on, or its earlier steps would be for nothing.
+			begun := c.occurrence.State != fleet.JobStatePending
+			e.jobs[c.occurrence.Job.ID].putBack = !begun && share.LevelOf(amount, e.accounts.weights[account]) >= level
+			amount += waitingAmount(c, mean)
+		}
 	}
 }
 
-// room returns what the endpoints have free and what their runs release, if these last as long as what waits.
-func (e *Engine) room(served []*candidate, mean fleet.Capacity) share.Room {
-	var r share.Room
+// room returns what the endpoints have free, and all that they have.
+func (e *Engine) room(mean fleet.Capacity) (free, all share.Amount) {
 	for _, w := range e.open {
-		r.Free += share.Amount(max(0, w.free.Millicores))
+		free += share.Amount(max(0, w.free.Millicores))
+		all += share.Amount(dominantDemand(w.worker.Capacity, mean))
 	}
-	var used share.Amount
-	for _, w := range e.workers {
-		used += share.Amount(dominantDemand(w.used, mean))
-	}
-	var takes time.Duration
-	for _, c := range served {
-		takes += e.expected(c.occurrence.Job.Queue, &c.occurrence.Job.Steps[c.step])
-	}
-	if len(served) > 0 {
-		r.Released = share.Amount(float64(used) / max(takes/time.Duration(len(served)), minRunTime).Seconds())
-	}
-	return r
+	return free, all
 }
 
-// minRunTime bounds the rate at which a run releases its room: its end is learned from a list.
-const minRunTime = 50 * time.Millisecond
-
 // compareCandidates compares candidates by the order in which they are served.
 func compareCandidates(a, b *candidate) int {
 	switch {
@@ -104,7 +95,7 @@
 }
 
 // waitingAmount returns what the waiting tasks of a step ask for.
-func waitingAmount(c candidate, mean fleet.Capacity) share.Amount {
+func waitingAmount(c *candidate, mean fleet.Capacity) share.Amount {
 	return share.Amount(countWaiting(c.occurrence.Tasks[c.step])) * share.Amount(dominantDemand(c.occurrence.Job.Steps[c.step].Demand, mean))
 }
 
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -3,6 +3,9 @@
 package share
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -15,93 +18,48 @@
 // Amount is processor capacity, or the part of it that corresponds to another resource.
 type Amount float64
 
-// Work is a waiting part of a job that can still be in time.
-type Work struct {
-	Account fleet.ClientAccountID
-	Amount  Amount
-	// Slack is how long it may wait.
-	Slack time.Duration
-	// Begun is set where an earlier part of the job has been served, which would be for nothing.
-	Begun bool
+// Claim is what the work of an account asks for.
+type Claim struct {
+	Weight fleet.Weight
+	// Amount is what runs and waits.
+	Amount Amount
 }
 
-// Room is what there is to serve work with.
-type Room struct {
-	// Free is what may be used at once, Released how much becomes free in a second.
-	Free, Released Amount
-}
-
-// wait returns how long it takes until so much has been served.
-func (r Room) wait(a Amount) time.Duration {
-	const longest = time.Hour
-	if a <= r.Free {
-		return 0
-	}
-	if r.Released <= 0 {
-		return longest
-	}
-	return time.Duration(min(float64(a-r.Free)/float64(r.Released), longest.Seconds()) * float64(time.Second))
-}
-
-// Select decides which work is put back because there is not room for all in time. The work is given in the order in
-// which it is served. Where a part of it would be too late, the accounts that use most for their weight give way, each
-// with the work that has waited longest: what is left of it is the least certain to be in time. used is what the accounts
-// use already.
-func Select(work []Work, room Room, weights Weights, used map[fleet.ClientAccountID]Amount) (back []bool) {
-	back = make([]bool, len(work))
-	accounts := map[fleet.ClientAccountID]*selection{}
-	var ahead Amount
-	for i, w := range work {
-		a := accounts[w.Account]
-		if a == nil {
-			a = &selection{weight: max(1, weights[w.Account]), amount: used[w.Account]}
-			accounts[w.Account] = a
-		}
-		a.amount += w.Amount
-		ahead += w.Amount
-		if !w.Begun {
-			a.work = append(a.work, i)
+// Level is an amount for each unit of weight.
+type Level float64
+
+// Unbounded is the level where there is room for all.
+const Unbounded = Level(math.MaxFloat64)
+
+// Fill returns the level up to which the claims are met by max-min fairness: an account that asks for less than its part
+// leaves the rest to the others. Claims without a weight are met from what is left.
+func Fill(room Amount, claims []Claim) Level {
+	var weights float64
+	weighed := make([]Claim, 0, len(claims))
+	for _, c := range claims {
+		if c.Weight > 0 && c.Amount > 0 {
+			weighed = append(weighed, c)
+			weights += float64(c.Weight)
 		}
-		for room.wait(ahead) > w.Slack && !back[i] {
-			most := heaviest(accounts)
-			if most == nil {
-				break // All that is left has begun.
-			}
-			first := most.work[0]
-			most.work = most.work[1:]
-			back[first] = true
-			most.amount -= work[first].Amount
-			ahead -= work[first].Amount
+	}
+	slices.SortFunc(weighed, func(a, b Claim) int { return cmp.Compare(LevelOf(a.Amount, a.Weight), LevelOf(b.Amount, b.Weight)) })
+	left := float64(room)
+	for _, c := range weighed {
+		if level := Level(left / weights); LevelOf(c.Amount, c.Weight) > level {
+			return max(0, level)
 		}
+		left -= float64(c.Amount)
+		weights -= float64(c.Weight)
 	}
-	return back
-}
-
-// selection is what of an account's work is served.
-type selection struct {
-	weight fleet.Weight
-	amount Amount
-	// work holds the indices of what may be put back.
-	work []int
+	return Unbounded
 }
 
-// heaviest returns the account with the most for its weight among those that can give way.
-func heaviest(accounts map[fleet.ClientAccountID]*selection) *selection {
-	var most *selection
-	for _, a := range accounts {
-		if len(a.work) == 0 {
-			continue
-		}
-		if most == nil {
-			most = a
-			continue
-		}
-		mine, other := float64(a.amount)/float64(a.weight), float64(most.amount)/float64(most.weight)
-		if mine > other || mine == other && a.work[0] < most.work[0] {
-			most = a
-		}
+// LevelOf returns the level that an amount reaches at a weight.
+func LevelOf(a Amount, w fleet.Weight) Level {
+	if w <= 0 {
+		return Unbounded
 	}
-	return most
+	return Level(float64(a) / float64(w))
 }
 
 // Meter finds the jobs that an account submits beyond its weight in jobs a second, over meterSeconds. Seconds are those of
