--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -39,7 +39,7 @@
 // NewBook returns a book that allows nothing to accounts with a limit until a ledger is known.
 func NewBook() *Book { return &Book{held: map[fleet.ServiceID]*holding{}} }
 
-// SetLimits replaces the limits. Those that were raised or removed are in force at once.
+// SetLimits replaces the limits. One that was removed bounds nothing from now on, others are in force with the next Plan.
 func (b *Book) SetLimits(l Limits) { b.limits = l }
 
 // Allows reports whether the tasks of an account may use so much in a service.
