door: bound the lines of headers

Headers of 16 KB with 3,900 short fields take 430 KB once they are read, and the server keeps them while the rest does not arrive. The bound on header bytes does not help, and the handler that counts fields runs too late.

--- a/internal/door/httpdoor/connection.go
+++ b/internal/door/httpdoor/connection.go
@@ -42,13 +42,18 @@
 	net.Conn
 	place *door.Place
 	door  *Door
+	lines headerLines
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. It returns *door.Refusal within headers of too many lines.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.place.Moved(c.door.Clock.Now())
+		if !c.lines.count(p[:n]) {
+			c.door.count(door.ReasonTooManyFields)
+			return 0, &door.Refusal{Reason: door.ReasonTooManyFields}
+		}
 	}
 	return n, err
 }
@@ -90,6 +95,7 @@
 	case http.StateActive:
 		placed.enter(door.StageReceiving)
 	case http.StateIdle:
+		placed.lines.reset()
 		placed.enter(door.StageIdle)
 	case http.StateHijacked:
 		placed.enter(door.StageServing)
--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -103,6 +103,9 @@
 		}
 		if conn != nil {
 			conn.enter(door.StageServing)
+			if conn.lines.areAhead(message.Bytes()) {
+				answer.Header().Set("Connection", "close")
+			}
 		}
 		next.ServeHTTP(answer, r)
 		answer.begin() // The server writes what is buffered, or an answer of its own.
--- a/internal/door/httpdoor/door_test.go
+++ b/internal/door/httpdoor/door_test.go
@@ -47,6 +47,7 @@
 	c, err := net.Dial("tcp4", address)
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { _ = c.Close() })
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
 	for _, p := range parts {
 		_, _ = io.WriteString(c, p) // The door may have closed the connection.
 		_ = clock.Wait(t.Context(), clock.Real(), pause)
@@ -78,6 +79,8 @@
 		{"too many objects", 0, []string{post(testBody), strings.Repeat("{},", 11)}, 400, "too-many-fields; not run"},
 		{"broken framing", 0, []string{chunked, "zz\r\n"}, 400, "body-incomplete; not run"},
 		{"large body of a request that is not admitted", 2, []string{strings.Replace(post(testBody), "/", "/none", 1)}, 404, "no such path"},
+		{"headers with many fields", 0, []string{"GET / HTTP/1.1\r\nHost: x\r\n" + strings.Repeat("a: b\n", 200)}, 400, ""},
+		{"body with many lines", 0, []string{post(400), strings.Repeat("\n", 400)}, 200, ""},
 		{"no room beside stalled bodies", 2, []string{post(testBody)}, 503, "budget-short"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -123,3 +126,15 @@
 	_, err = http.ReadResponse(reader, nil)
 	is.NoErr(err)
 }
+
+// Guards against headers with very many fields that are sent ahead, behind a request that is served.
+func TestConnectionWithFieldsAheadIsClosed(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, clock.Real(), func(http.ResponseWriter, *http.Request) {})
+	const get = "GET / HTTP/1.1\r\nHost: x\r\n"
+	_, reader := dial(t, address, 0, get+"\r\n"+get+strings.Repeat("a:\n", 200))
+	answer, err := http.ReadResponse(reader, nil)
+	is.NoErr(err)
+	is.Equal(answer.StatusCode, http.StatusOK)
+	is.True(answer.Close)
+}
--- a/internal/door/httpdoor/reader.go
+++ b/internal/door/httpdoor/reader.go
@@ -35,8 +35,13 @@
 	share *door.Share
 }
 
-// Bytes returns the body.
-func (m *Message) Bytes() []byte { return m.data }
+// Bytes returns the body; that of a nil message is empty.
+func (m *Message) Bytes() []byte {
+	if m == nil {
+		return nil
+	}
+	return m.data
+}
 
 // Close implements io.Closer.
 func (m *Message) Close() error { return nil }
