door: keep idle connections whose next request arrives

The stage of a connection changes only once the headers of the next request are read. An idle connection now counts as such since its last byte. go test -race ./internal/door/... passes.

--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -144,10 +144,9 @@
 	refusal := &door.Refusal{Reason: door.ReasonBodyIncomplete}
 	_ = errors.As(err, &refusal) // There is no other error.
 	d.count(refusal.Reason)
-	_ = w.controller.SetReadDeadline(d.Clock.Now())     // The server would read on before it closes.
+	w.closeUnread()
 	body, _ := json.Marshal(errorBody{refusal.Error()}) // A string can always be encoded.
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Connection", "close")
 	status := statuses[refusal.Reason]
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
--- a/internal/door/places.go
+++ b/internal/door/places.go
@@ -101,8 +101,9 @@
 		switch {
 		case s.stage == StageServing:
 		case s.stage == StageIdle:
-			if age >= minIdle && age > longestIdle {
-				idle, longestIdle = c, age
+			// The next request may have begun to arrive, which the stage does not show yet.
+			if quiet >= minIdle && quiet > longestIdle {
+				idle, longestIdle = c, quiet
 			}
 		case quiet >= MaxStall || s.stage == StageReceiving && age >= maxReceiving:
 			if age > longestStall {
