--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -20,6 +20,8 @@
 	started bool
 	// excess is set for a job beyond its account's weight.
 	excess bool
+	// putBack is set while the job gives way because there is not room for all in time.
+	putBack bool
 }
 
 func (e *Engine) entry(j *fleet.Job) *jobEntry {
@@ -79,6 +81,7 @@
 			task := &o.Tasks[s][t]
 			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
 			delete(e.avoid, id)
+			delete(e.near.waits, id)
 			delete(e.unavailableSince, id)
 			if !task.Running() {
 				continue
