door: take gRPC-Web at the job interface

The door refused bodies of types that it cannot count, and gRPC-Web was one of them although the job interface had served it. Its frame is now passed over, and a compressed one refused.

TestJobInterfaceTakesEachProtocol/grpc-web without the change: "unknown != not_found"; it passes now, with connect, json and the two compressed cases.

--- a/internal/door/cost.go
+++ b/internal/door/cost.go
@@ -68,14 +68,36 @@
 }
 
 // ProtobufScanner counts the records of a protobuf message once it is complete.
-type ProtobufScanner struct{}
+type ProtobufScanner struct {
+	// IsFramed is set for gRPC-Web, which puts frameBytes before the message.
+	IsFramed bool
+
+	hasBegun bool
+}
+
+const (
+	// frameBytes is the length of the flags and the length before a message of gRPC-Web.
+	frameBytes = 5
+	// frameCompressed is the flag of a compressed message, whose decoded size is not known.
+	frameCompressed = 1
+)
 
 // Scan implements Scanner.
-func (ProtobufScanner) Scan([]byte) error { return nil }
+func (s *ProtobufScanner) Scan(p []byte) error {
+	if s.IsFramed && !s.hasBegun && len(p) > 0 && p[0]&frameCompressed != 0 {
+		return &Refusal{Reason: ReasonEncoding}
+	}
+	s.hasBegun = s.hasBegun || len(p) > 0
+	return nil
+}
 
 // Cost implements Scanner.
-func (ProtobufScanner) Cost(body []byte) fleet.Bytes {
-	return fleet.Bytes(countRecords(body, maxRecordDepth))*recordCost + fleet.Bytes(len(body))
+func (s *ProtobufScanner) Cost(body []byte) fleet.Bytes {
+	message := body
+	if s.IsFramed {
+		message = body[min(frameBytes, len(body)):]
+	}
+	return fleet.Bytes(countRecords(message, maxRecordDepth))*recordCost + fleet.Bytes(len(body))
 }
 
 // countRecords counts the records of a message and of what may be messages in it. It counts up to the first byte that
--- a/internal/door/door_test.go
+++ b/internal/door/door_test.go
@@ -199,7 +199,9 @@
 	for range 1000 {
 		message = append(message, 0x2a, 0) // an empty step
 	}
-	is.True(door.ProtobufScanner{}.Cost(message) >= 1000*256)
+	is.True((&door.ProtobufScanner{}).Cost(message) >= 1000*256)
+	is.True((&door.ProtobufScanner{IsFramed: true}).Cost(append([]byte{0, 0, 0, 7, 208}, message...)) >= 1000*256)
+	is.True((&door.ProtobufScanner{IsFramed: true}).Scan([]byte{1, 0, 0, 7, 208}) != nil) // compressed
 }
 
 // Guards against bounds that a client within the limits of the smallest VM meets.
--- a/internal/jobpeer/bounds.go
+++ b/internal/jobpeer/bounds.go
@@ -27,7 +27,9 @@
 	case kind == "application/json":
 		return &door.JSONScanner{MaxObjects: maxObjects, MaxDepth: maxDepth}, nil
 	case kind == "application/proto":
-		return door.ProtobufScanner{}, nil
+		return &door.ProtobufScanner{}, nil
+	case kind == "application/grpc-web", kind == "application/grpc-web+proto":
+		return &door.ProtobufScanner{IsFramed: true}, nil
 	}
 	return nil, &door.Refusal{Reason: door.ReasonEncoding}
 }
