--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -58,16 +58,21 @@
 
 // allows reports whether an account may have so many more tasks of a step running, and notes when it may not.
 func (e *Engine) allows(j *fleet.Job, step fleet.Step, tasks int) bool {
-	if e.accounts.allowance == nil || j.Account == "" {
-		return true
-	}
-	if e.accounts.allowance.Allows(j.Account, e.accounts.usage[j.Account].Plus(times(step.Demand, tasks))) {
+	if e.mayHave(j, step, tasks) {
 		return true
 	}
 	e.accounts.denied = true
 	return false
 }
 
+// mayHave reports whether an account may have so many more tasks of a step running.
+func (e *Engine) mayHave(j *fleet.Job, step fleet.Step, tasks int) bool {
+	if e.accounts.allowance == nil || j.Account == "" {
+		return true
+	}
+	return e.accounts.allowance.Allows(j.Account, e.accounts.usage[j.Account].Plus(times(step.Demand, tasks)))
+}
+
 // limited counts the waiting tasks that their accounts' limits leave room for, whatever part of the limits the service
 // holds at the moment: the parts follow what can be started.
 type limited struct {
