--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -1,6 +1,7 @@
 package allowance_test
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -169,20 +170,19 @@
 func TestRunningNeverExceedsLimitWhateverIsLostOrReplaced(t *testing.T) {
 	reached := 0
 	for seed := range uint64(300) {
-		m := newModel(seed, 1+int(seed%17), 4, 3)
-		for step := range 3000 {
-			m.step()
-			if m.running() > m.limit {
-				t.Fatalf("seed %d, step %d: %d run, the limit is %d", seed, step, m.running(), m.limit)
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			is := is.New(t)
+			m := newModel(seed, 1+int(seed%17), 4, 3)
+			for range 3000 {
+				m.step()
+				is.True(m.running() <= m.limit)
+				if m.running() == m.limit {
+					reached++
+				}
 			}
-			if m.running() == m.limit {
-				reached++
-			}
-		}
-	}
-	if reached < 10000 {
-		t.Errorf("the limit was reached in %d steps only", reached)
+		})
 	}
+	is.New(t).True(reached >= 10000) // The model keeps services busy enough to exceed it.
 }
 
 func TestUnusedShareIsTakenByTheServiceThatWaits(t *testing.T) {
