allowance: block an account by the ledger as it is, not by a draft

Cause: whether more of an account is held than its limit was decided from a mix of the present ledger and a division that was not written. Ruled out: the size of the task, and a claim without a holder; the log showed the part held and the task waiting. Change: the planned ledger counts if it is to be written, else the present one.

TestTwoServicesOfOneEntryAreNotBlockedByAnUnwrittenDivision failed with 'not true: b.Allows("A", 1, account, cores(30))' and passes.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -110,12 +110,12 @@
 			}
 		}
 	}
-	for _, r := range current {
-		b.restrict(l, next, r, due)
-	}
 	b.planned, b.based = nil, version
 	if due {
-		b.planned = next
+		b.planned, l = next, next
+	}
+	for _, r := range current {
+		b.restrict(l, r)
 	}
 	return next, due
 }
@@ -162,18 +162,15 @@
 	return false
 }
 
-// restrict lowers what a service may use to what both the present and the planned ledger allow.
-func (b *Book) restrict(l, next Ledger, r Report, due bool) {
+// restrict lowers what a service may use to what a ledger allows: the planned one, or the present one if that stays.
+func (b *Book) restrict(l Ledger, r Report) {
 	h := b.held[r.Service]
 	for account, limit := range b.limits {
-		others := next.held(account, limit, r.Service)
+		others := l.held(account, limit, r.Service)
 		d := r.Accounts[account]
 		alone := others == (fleet.Capacity{}) && bounded(d.Used, limit) == (fleet.Capacity{})
 		position := l[r.Service].Accounts[account].Held
-		if due {
-			position = next[r.Service].Accounts[account].Held
-			h.accounts[account] = lower(h.accounts[account], position)
-		}
+		h.accounts[account] = lower(h.accounts[account], position)
 		h.blocked[account] = !alone && !others.Plus(position).Fits(limit)
 	}
 }
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -280,3 +280,16 @@
 	b.Written()
 	is.True(b.Allows("A", 2, account, cores(40)))
 }
+
+func TestTwoServicesOfOneEntryAreNotBlockedByAnUnwrittenDivision(t *testing.T) {
+	is := is.New(t)
+	b := allowance.NewBook()
+	b.SetLimits(allowance.Limits{account: cores(40)})
+	ledger := allowance.Ledger{"A": {Epoch: 1, Accounts: position(30, 0)}, "B": {Epoch: 1, Accounts: position(10, 8)}}
+	reports := append(report(1, 0, 5), report(1, 0, 8)...)
+	reports[1].Service = "B"
+	_, due := b.Plan(ledger, 1, reports)
+	is.True(!due) // Both have what they want.
+	is.True(b.Allows("A", 1, account, cores(30)))
+	is.True(b.Allows("B", 1, account, cores(10)))
+}
