--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -131,6 +131,38 @@
 	}
 }
 
+// settles ends all faults and runs, and reports whether each service may then start what it asks for.
+func (m *model) settles() bool {
+	m.late, m.committed = nil, map[fleet.ServiceID]int{}
+	for _, e := range m.entries {
+		e.held = map[fleet.ServiceID]*holding{}
+	}
+	services := slices.Sorted(maps.Keys(m.epochs))
+	for i, s := range services {
+		e := m.entries[i%len(m.entries)]
+		m.take(e, s)
+	}
+	for range 8 { // What they ask for changes.
+		for _, e := range m.entries {
+			for _, h := range e.held {
+				h.asks = m.random.IntN(m.limit/len(services) + 1)
+			}
+		}
+		for range 4 {
+			for _, e := range m.entries {
+				m.round(e, false)
+			}
+		}
+		for i, s := range services {
+			e := m.entries[i%len(m.entries)]
+			if !e.book.Allows(s, m.epochs[s], account, cores(e.held[s].asks)) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 func (m *model) running() int {
 	sum := 0
 	for _, n := range m.committed {
@@ -180,6 +212,7 @@
 					reached++
 				}
 			}
+			is.True(m.settles()) // No fault strands what waits.
 		})
 	}
 	is.New(t).True(reached >= 10000) // The model keeps services busy enough to exceed it.
