holder: take the version of the ledger from reads only

Cause: after a write the version that the store reported counted as that of the row. The store's page leaves open which version a transaction reports; the chain of a duty does not rely on it. Change: after a write the row is read again before the next division.

--- a/internal/holder/ledger.go
+++ b/internal/holder/ledger.go
@@ -80,14 +80,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout+follow.TransferTime(len(row.Value)))
 	defer cancel()
-	version, err := l.store.Transact(ctx, rowstore.Transaction{
+	_, err := l.store.Transact(ctx, rowstore.Transaction{
 		Conditions: []rowstore.Condition{{Table: tableLimits, Part: partLimits, Key: keyLedger, Version: rowstore.Version(w.version)}},
 		Puts:       []rowstore.Row{row},
 	})
 	var conflict *rowstore.ConflictError
 	switch {
 	case err == nil:
-		return LedgerEvent{Written: true, Ledger: w.next, Version: allowance.Version(version)}
+		return LedgerEvent{Written: true}
 	case errors.As(err, &conflict):
 		return ledgerEvent(conflict.Rows, l.log)
 	}
--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -142,16 +142,18 @@
 			s.Log.Info("limits: writes of the ledger changed", zap.Bool("failing", failed), zap.Error(trace.Unwrap(e.Err)))
 		}
 	}
-	switch {
-	case e.Written:
+	if e.Written {
+		// The row is read again: the version that a transaction reports may be higher than that of the row.
 		l.book.Written()
-	case e.IsAnswer && e.Ledger != nil:
+		l.ledger = nil
+		return
+	}
+	if e.IsAnswer && e.Ledger != nil {
 		s.counter("limit_conflicts").Inc(1)
 		l.dividedAt = time.Time{} // Another entry was faster.
 	}
-	// An answer is newer than what was read before. The version that a transaction reports may not be that of the row.
-	if e.Ledger != nil && (e.IsAnswer || l.ledger == nil || e.Version > l.version) {
-		l.due = l.due || !e.IsAnswer
+	if e.Ledger != nil && (l.ledger == nil || e.Version > l.version) {
+		l.due = true
 		l.ledger, l.version = e.Ledger, e.Version
 	}
 }
