--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -103,6 +103,9 @@
 		}
 		if conn != nil {
 			conn.enter(door.StageServing)
+			if conn.lines.areAhead(message.Bytes()) {
+				answer.Header().Set("Connection", "close")
+			}
 		}
 		next.ServeHTTP(answer, r)
 		answer.begin() // The server writes what is buffered, or an answer of its own.
@@ -141,10 +144,9 @@
 	refusal := &door.Refusal{Reason: door.ReasonBodyIncomplete}
 	_ = errors.As(err, &refusal) // There is no other error.
 	d.count(refusal.Reason)
-	_ = w.controller.SetReadDeadline(d.Clock.Now())     // The server would read on before it closes.
+	w.closeUnread()
 	body, _ := json.Marshal(errorBody{refusal.Error()}) // A string can always be encoded.
 	w.Header().Set("Content-Type", "application/json")
-	w.Header().Set("Connection", "close")
 	status := statuses[refusal.Reason]
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set("Retry-After", strconv.Itoa(retryAfter))
