--- a/internal/nearness/nearness_test.go
+++ b/internal/nearness/nearness_test.go
@@ -30,8 +30,8 @@
 
 // task is a task with data on a rack. since is when it first had room elsewhere only.
 type task struct {
-	at, run, since, began time.Duration
-	rack                  int
+	at, run, since time.Duration
+	rack           int
 }
 
 // load is what arrives at racks of equal size.
