follow: let a silent part delay only its own reader

A new holder reads the 32 parts of its jobs with eight readers, page by page in step: while the store swallows the calls for some parts, each step that meets one takes 1.2 s, then the whole read pauses, and a call that was sent just before the store returned costs another 1.2 s.

With trace lines for each page: the holder of the service at its peak took the lease at 31.4 s, intake-7 was swallowed until 32.6 s, intake-7, 10 and 13 from 32.8 to 34.0 s, and 17 parts were not asked before 34.0 s. Loading took 2.49 s.

Each reader goes on by itself until the changes are due to be read, and asks again for a page that got no answer within 400 ms, or within four times the slowest answer so far. If that is more than a second, the store's own bound holds, which counts from the last progress of a slow link.

--- a/internal/follow/parallel.go
+++ b/internal/follow/parallel.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"github.com/gravitational/trace"
 
@@ -15,8 +17,17 @@
 	scans []*Scan
 	// added is the number of parts that were handed to the scans.
 	added int
+	// slowest is the longest time in nanoseconds that a page took, 0 before one was read.
+	slowest atomic.Int64
 }
 
+// A page of a slow store takes a quarter of a second. Above maxPatience the store's own bound is about as short, and
+// counts from the last progress.
+const (
+	firstPatience = 400 * time.Millisecond
+	maxPatience   = time.Second
+)
+
 // add hands parts to the scans in turn.
 func (p *parallelScan) add(parts []rowstore.Part) {
 	for _, part := range parts {
@@ -56,16 +67,15 @@
 	return first
 }
 
-// next reads a page with each scan that has parts left, and returns the error of one that failed.
+// next reads pages with each scan until its parts are read, a page fails, or the changes are due to be read, and returns the error
+// of a scan that failed. A part that does not answer delays only the parts of its own scan.
 func (p *parallelScan) next(ctx context.Context) error {
-	var pages sync.WaitGroup
+	var readers sync.WaitGroup
 	failed := make([]error, len(p.scans))
 	for n, s := range p.scans {
-		if len(s.Parts) > 0 {
-			pages.Go(func() { failed[n] = s.next(ctx) })
-		}
+		readers.Go(func() { failed[n] = p.read(ctx, s) })
 	}
-	pages.Wait()
+	readers.Wait()
 	for _, err := range failed {
 		if err != nil {
 			return trace.Wrap(err)
@@ -73,3 +83,62 @@
 	}
 	return nil
 }
+
+// read reads pages with one scan.
+func (p *parallelScan) read(ctx context.Context, s *Scan) error {
+	began := s.Clock.Now()
+	for unanswered := 0; len(s.Parts) > 0; {
+		sent := s.Clock.Now()
+		if sent.Sub(began) >= followDuringLoad {
+			return nil // The changes are due to be read.
+		}
+		patience := p.patience(unanswered)
+		swallowed, err := nextWithin(ctx, s, patience)
+		switch {
+		case err == nil:
+			unanswered = 0
+			p.answered(s.Clock.Now().Sub(sent))
+		case swallowed:
+			unanswered++
+		default:
+			return trace.Wrap(err)
+		}
+	}
+	return nil
+}
+
+// nextWithin reads a page and reports whether it got no answer within the patience. Without a patience the store's own
+// bound holds.
+func nextWithin(ctx context.Context, s *Scan, patience time.Duration) (swallowed bool, err error) {
+	if patience == 0 {
+		return false, trace.Wrap(s.next(ctx))
+	}
+	bounded, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	err = s.next(bounded)
+	return err != nil && bounded.Err() != nil && ctx.Err() == nil, trace.Wrap(err)
+}
+
+// patience returns how long a page may take after so many that got no answer, or 0 for as long as the store lets it
+// take. The store may swallow the calls for some parts while it answers those for others, so once a page was answered
+// the time that it took tells how long to wait.
+func (p *parallelScan) patience(unanswered int) time.Duration {
+	d := firstPatience << min(unanswered, 2)
+	if slowest := time.Duration(p.slowest.Load()); slowest > 0 {
+		d = max(firstPatience, 4*slowest)
+	}
+	if len(p.scans) == 1 || d > maxPatience {
+		return 0
+	}
+	return d
+}
+
+// answered records how long a page took.
+func (p *parallelScan) answered(took time.Duration) {
+	for {
+		slowest := p.slowest.Load()
+		if int64(took) <= slowest || p.slowest.CompareAndSwap(slowest, int64(took)) {
+			return
+		}
+	}
+}
