holder: keep a ledger that was read before its write's answer

A write of the ledger that took effect made the entry forget the ledger until the follower shows the written row. The follower and the writer use different calls, so the row may be shown first. It is shown once: the entry then knew no ledger and divided no limits until another entry wrote, and tasks of accounts with limits waited for a part that nobody needed.

The ledger is forgotten only if nothing newer than what the write replaced has been seen. Excluded: a stale row, which Book.Plan refuses by its version.

TestLedgerStaysKnownWhenItIsReadBeforeTheAnswerToItsWrite (go test -run LedgerStaysKnown ./internal/holder) printed 'not true: s.limits.ledger != nil' before.

--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -39,8 +39,10 @@
 	version allowance.Version
 	// writing is set while a write is in flight, due while a division should not wait for divideInterval.
 	writing, due bool
-	dividedAt    time.Time
-	failed       bool
+	// written is the version that the last write replaces.
+	written   allowance.Version
+	dividedAt time.Time
+	failed    bool
 	// reportedAt is when waiting accounts were last logged.
 	reportedAt time.Time
 }
@@ -106,7 +108,7 @@
 	s.counter("limit_divisions").Inc(1)
 	if next, due := l.book.Plan(l.ledger, l.version, reports); due {
 		s.counter("limit_writes").Inc(1)
-		l.writing = true
+		l.writing, l.written = true, l.version
 		_ = l.writes.Push(ledgerWrite{next, l.version}) // The ring has room: one write at a time is in flight.
 	}
 }
@@ -143,9 +145,12 @@
 		}
 	}
 	if e.Written {
-		// The row is read again: the version that a transaction reports may be higher than that of the row.
 		l.book.Written()
-		l.ledger = nil
+		// The follower shows the written row once, before or after this answer. The version that a transaction reports may
+		// be higher than that of the row.
+		if l.version <= l.written {
+			l.ledger = nil
+		}
 		return
 	}
 	if e.IsAnswer && e.Ledger != nil {
