share: forget seconds after a time ahead of the present

The meter forgets old seconds when a newer one comes.

Once there are more seconds than twice what the accounts use, those that are not around the present are removed, whichever is newest.

TestMeterForgetsSecondsBeforeATimeAhead (go test ./internal/share) printed 'not true: len(m.seconds) <= 4*keptSeconds' before. It was found by reading.

--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -105,14 +105,16 @@
 	return jobs > meterSeconds*int(weight)
 }
 
-// forget removes old seconds once for each new one.
+// forget removes old seconds once for each new one. After a time ahead of the present no second is new, so others than
+// those around the present are removed once there are more than what the accounts use.
 func (m *Meter) forget(unix int64) {
-	if unix <= m.latest {
+	ahead := len(m.seconds) > 2*keptSeconds*len(m.weights)
+	if unix <= m.latest && !ahead {
 		return
 	}
 	m.latest = unix
 	for s := range m.seconds {
-		if s.unix < unix-keptSeconds {
+		if s.unix < unix-keptSeconds || ahead && s.unix > unix+keptSeconds {
 			delete(m.seconds, s)
 		}
 	}
