follow: bound a page only by the answers of fast parts

A page that was asked for before any answer was given up after 400 ms.

The bound is eight times the slowest answer of this load, and does not hold before the first one, nor for a slow store.

--- a/internal/follow/parallel.go
+++ b/internal/follow/parallel.go
@@ -21,11 +21,10 @@
 	slowest atomic.Int64
 }
 
-// A page of a slow store takes a quarter of a second. Above maxPatience the store's own bound is about as short, and
-// counts from the last progress.
+// Above maxPatience the store's own bound is about as short, and counts from the last progress.
 const (
-	firstPatience = 400 * time.Millisecond
-	maxPatience   = time.Second
+	minPatience = 400 * time.Millisecond
+	maxPatience = time.Second
 )
 
 // add hands parts to the scans in turn.
@@ -87,20 +86,16 @@
 // read reads pages with one scan.
 func (p *parallelScan) read(ctx context.Context, s *Scan) error {
 	began := s.Clock.Now()
-	for unanswered := 0; len(s.Parts) > 0; {
+	for len(s.Parts) > 0 {
 		sent := s.Clock.Now()
 		if sent.Sub(began) >= followDuringLoad {
 			return nil // The changes are due to be read.
 		}
-		patience := p.patience(unanswered)
-		swallowed, err := nextWithin(ctx, s, patience)
+		swallowed, err := nextWithin(ctx, s, p.patience())
 		switch {
 		case err == nil:
-			unanswered = 0
 			p.answered(s.Clock.Now().Sub(sent))
-		case swallowed:
-			unanswered++
-		default:
+		case !swallowed:
 			return trace.Wrap(err)
 		}
 	}
@@ -119,15 +114,12 @@
 	return err != nil && bounded.Err() != nil && ctx.Err() == nil, trace.Wrap(err)
 }
 
-// patience returns how long a page may take after so many that got no answer, or 0 for as long as the store lets it
-// take. The store may swallow the calls for some parts while it answers those for others, so once a page was answered
-// the time that it took tells how long to wait.
-func (p *parallelScan) patience(unanswered int) time.Duration {
-	d := firstPatience << min(unanswered, 2)
-	if slowest := time.Duration(p.slowest.Load()); slowest > 0 {
-		d = max(firstPatience, 4*slowest)
-	}
-	if len(p.scans) == 1 || d > maxPatience {
+// patience returns how long a page may take, or 0 for as long as the store lets it take. The store may swallow the calls
+// for some parts while it answers those for others, so the time that answers take tells how long to wait. A slow store
+// is not asked again.
+func (p *parallelScan) patience() time.Duration {
+	d := max(minPatience, 8*time.Duration(p.slowest.Load()))
+	if len(p.scans) == 1 || p.slowest.Load() == 0 || d > maxPatience {
 		return 0
 	}
 	return d
