holder: bound each read of a claim like its writes

A claim reads the chain, the lease and the bounds of a duty before it writes. The context of the whole attempt has a deadline of 5 s, which replaces the store's own bound of 1.2 s, so a read that the store swallowed lasted until then, and an entry takes one lease at a time. Probes wait in the same way.

The entry in yeka with 0.8 cores claimed a lease at 32.9 s; its read ended at 37.9 s ('lease not taken ... rows-get: i/o timeout'). Meanwhile, at 35.9 s, an entry with 0.192 cores took the lease.

Reads of claims and probes have the timeout of a write: 250 ms while the store answers in milliseconds, 400 ms in an outage, more for a slow store.

--- a/internal/holder/bounds.go
+++ b/internal/holder/bounds.go
@@ -46,7 +46,7 @@
 
 // readBounds reads the bounds that the previous holder stored. A row that is missing or cannot be read is returned as nil.
 func (c *Chain) readBounds(ctx context.Context) (*jobv1.LeaseBounds, error) {
-	page, err := c.Store.Scan(ctx, rowstore.Only(tableProgress, dutyPart(c.Duty), keyLeaseBounds))
+	page, err := c.scan(ctx, rowstore.Only(tableProgress, dutyPart(c.Duty), keyLeaseBounds))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -135,12 +135,7 @@
 }
 
 func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, attempts int) (rowstore.Version, error) {
-	timeout := transactTimeout
-	if c.Latency != nil {
-		timeout = c.Latency.Get().Timeout(c.Clock.Now(), attempts)
-	}
-	timeout += follow.TransferTime(size(t))
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(attempts)+follow.TransferTime(size(t)))
 	defer cancel()
 	return c.Store.Transact(ctx, t)
 }
@@ -205,12 +200,6 @@
 	return rowstore.Row{Table: table, Part: part, Key: key, Value: value}
 }
 
-// Probe asks the store for the chain row of the duty. It returns *rowstore.RefusedError or *rowstore.UnknownError.
-func (c *Chain) Probe(ctx context.Context) error {
-	_, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
-	return trace.Wrap(err)
-}
-
 // Take takes the lease, and returns what is known of the leases that earlier holders granted. It returns
 // *LostLeaseError when another entry was faster or still holds it, *rowstore.RefusedError or *rowstore.UnknownError when
 // the store did not answer in time. previous is the lease as last read, or the zero value for a duty that never had a
@@ -218,7 +207,7 @@
 // taken.
 func (c *Chain) Take(ctx context.Context, previous election.Lease) (shard.Inheritance, error) {
 	var none shard.Inheritance
-	page, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
+	page, err := c.scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
@@ -232,7 +221,7 @@
 			}
 		}
 	}
-	leases, err := c.Store.Scan(ctx, rowstore.Only(MembersTable, dutyPart(c.Duty), keyLease))
+	leases, err := c.scan(ctx, rowstore.Only(MembersTable, dutyPart(c.Duty), keyLease))
 	if err != nil {
 		return none, trace.Wrap(err)
 	}
