door: let a refusal reach a caller that still sends

A request that was refused before its body had been read was answered, and its connection closed with unread data. The kernel then resets it: the caller may lose a 401, 413 or 503 that says 'not run' and has to assume that the outcome is unknown. A body of 16 KB or more within the limits is enough, for example at an entry whose keys are outdated. The server waits before it closes only for a body of more than 256 KB that is still in the request.

The connection now ends its own side and discards up to 256 KB for at most 0.5 s, until the caller has closed its side. Ruled out: extending the read deadline, since the server does not read the rest of a request that asks for 'Connection: close'.

--- a/internal/door/httpdoor/connection.go
+++ b/internal/door/httpdoor/connection.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/door"
 )
@@ -43,8 +46,16 @@
 	place *door.Place
 	door  *Door
 	lines headerLines
+	// isUnread is set when a request was refused before its body had been read.
+	isUnread atomic.Bool
 }
 
+const (
+	// lingerTime and lingerBytes bound what is read and discarded behind a refusal.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
 // Read implements net.Conn. It returns *door.Refusal within headers of too many lines.
 func (c *connection) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
@@ -67,8 +78,16 @@
 	return n, err
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. Closing with unread data resets the connection, and the caller may lose the refusal with it.
+// So the rest of an unread body is read first, until the caller has closed its side.
 func (c *connection) Close() error {
+	if c.isUnread.Swap(false) {
+		if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+			_ = half.CloseWrite() // Fails only on a closed connection, on which the read fails too.
+		}
+		_ = c.SetReadDeadline(c.door.Clock.Now().Add(lingerTime))
+		_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
+	}
 	c.place.Leave()
 	c.door.connections.Update(float64(c.door.Places.Taken()))
 	return c.Conn.Close()
--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -195,6 +195,9 @@
 
 // closeUnread closes the connection after the answer. The server would read the rest of the body before.
 func (w *answerWriter) closeUnread() {
+	if w.conn != nil {
+		w.conn.isUnread.Store(true)
+	}
 	_ = w.controller.SetReadDeadline(w.clock.Now()) // Fails only on a closed connection.
 	w.Header().Set("Connection", "close")
 }
--- a/internal/door/httpdoor/door_test.go
+++ b/internal/door/httpdoor/door_test.go
@@ -138,3 +138,21 @@
 	is.Equal(answer.StatusCode, http.StatusOK)
 	is.True(answer.Close)
 }
+
+// Guards against a refusal that is lost because the connection is reset while its caller still sends the body.
+func TestRefusalReachesCallerThatStillSends(t *testing.T) {
+	refused := strings.Replace(post(testBody), "POST /", "POST /none", 1)
+	for name, head := range map[string]string{
+		"not admitted": refused, "too many fields": post(testBody), "closed by the caller": strings.Replace(refused, "Host", "Connection: close\r\nHost", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address := serve(t, clock.Real(), func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNotFound) })
+			_, reader := dial(t, address, 20*time.Millisecond, head+strings.Repeat("{", testBody))
+			_, err := http.ReadResponse(reader, nil)
+			is.NoErr(err)
+			_, err = io.Copy(io.Discard, reader)
+			is.NoErr(err) // closed, not reset
+		})
+	}
+}
