door: count messages of the door of entries by their type

The scanner took each field with a length for a message and counted its text as the records that it could be read as, up to four levels deep: a payload of 4,000 bytes, which is legal, counted as 1 MB. Beside eight such requests others were refused as budget-short, and a refused announcement delays its job until the holder's next read. 'after' lists were counted the same way.

The scanner now follows the type of the method's request: messages and their fields count, text counts as text, packed numbers by their bytes and unknown fields by theirs. Ruled out: a lower cost of a record, which would no longer cover empty steps.

--- a/internal/door/cost.go
+++ b/internal/door/cost.go
@@ -2,6 +2,7 @@
 
 import (
 	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -20,8 +21,10 @@
 	objectCost fleet.Bytes = 1 << 10
 	// valueCost is what another value takes, which is a number in two slices at most.
 	valueCost fleet.Bytes = 32
-	// recordCost is what a record of a protobuf message takes: a message of some 200 bytes and what it is converted to.
-	recordCost fleet.Bytes = 512
+	// messageCost is what a message within a protobuf message takes: some 200 bytes and what it is converted to.
+	messageCost fleet.Bytes = 512
+	// textCost is what a string takes beside its bytes, which is a header in two slices at most and an allocation.
+	textCost fleet.Bytes = 128
 	// maxRecordDepth is how deep messages are nested in any request.
 	maxRecordDepth = 4
 )
@@ -69,6 +72,8 @@
 
 // ProtobufScanner counts the records of a protobuf message once it is complete.
 type ProtobufScanner struct {
+	// Type is the type of the message. Without it, the whole message is of unknown fields, which are not decoded.
+	Type protoreflect.MessageDescriptor
 	// IsFramed is set for gRPC-Web, which puts frameBytes before the message.
 	IsFramed bool
 
@@ -97,28 +102,44 @@
 	if s.IsFramed {
 		message = body[min(frameBytes, len(body)):]
 	}
-	return fleet.Bytes(countRecords(message, maxRecordDepth))*recordCost + fleet.Bytes(len(body))
+	return recordsCost(message, s.Type, maxRecordDepth) + fleet.Bytes(len(body))
 }
 
-// countRecords counts the records of a message and of what may be messages in it. It counts up to the first byte that
-// is no record, as decoding fails there.
-func countRecords(data []byte, depth int) int {
-	n := 0
+// recordsCost returns what the records of a message take. It counts up to the first byte that is no record, as decoding
+// fails there.
+func recordsCost(data []byte, of protoreflect.MessageDescriptor, depth int) fleet.Bytes {
+	var sum fleet.Bytes
 	for len(data) > 0 {
-		_, kind, length := protowire.ConsumeTag(data)
+		number, kind, length := protowire.ConsumeTag(data)
 		if length < 0 {
-			return n
+			return sum
 		}
 		data = data[length:]
-		length = protowire.ConsumeFieldValue(1, kind, data)
+		length = protowire.ConsumeFieldValue(number, kind, data)
 		if length < 0 {
-			return n
+			return sum
 		}
-		n++
-		if value, m := protowire.ConsumeBytes(data); kind == protowire.BytesType && m > 0 && depth > 1 {
-			n += countRecords(value, depth-1)
+		sum += valueCost
+		if value, n := protowire.ConsumeBytes(data); kind == protowire.BytesType && n > 0 && of != nil {
+			sum += fieldCost(value, of.Fields().ByNumber(number), depth)
 		}
 		data = data[length:]
 	}
-	return n
+	return sum
+}
+
+// fieldCost returns what a field with a length takes. Text is not counted as records, although most of it could be
+// some. An unknown field is kept as it is.
+func fieldCost(value []byte, f protoreflect.FieldDescriptor, depth int) fleet.Bytes {
+	switch {
+	case f == nil:
+		return 0
+	case f.Message() != nil && depth > 1:
+		return messageCost + recordsCost(value, f.Message(), depth-1)
+	case f.Message() != nil:
+		return messageCost
+	case f.IsPacked():
+		return fleet.Bytes(len(value)) * valueCost
+	}
+	return textCost
 }
--- a/internal/jobpeer/bounds.go
+++ b/internal/jobpeer/bounds.go
@@ -3,8 +3,12 @@
 import (
 	"mime"
 	"net/http"
+	"strings"
+
+	"google.golang.org/protobuf/reflect/protoreflect"
 
 	"github.com/mimosawharf/mimosawharf/internal/door"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -27,9 +31,22 @@
 	case kind == "application/json":
 		return &door.JSONScanner{MaxObjects: maxObjects, MaxDepth: maxDepth}, nil
 	case kind == "application/proto":
-		return &door.ProtobufScanner{}, nil
+		return &door.ProtobufScanner{Type: inputOf(r.URL.Path)}, nil
 	case kind == "application/grpc-web", kind == "application/grpc-web+proto":
-		return &door.ProtobufScanner{IsFramed: true}, nil
+		return &door.ProtobufScanner{Type: inputOf(r.URL.Path), IsFramed: true}, nil
 	}
 	return nil, &door.Refusal{Reason: door.ReasonEncoding}
 }
+
+// inputOf returns the type of the requests on a path, or nil for a path without a method.
+func inputOf(path string) protoreflect.MessageDescriptor {
+	service, method, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	s := jobv1.File_mimosawharf_job_v1_job_proto.Services().ByName(protoreflect.FullName(service).Name())
+	if s == nil {
+		return nil
+	}
+	if m := s.Methods().ByName(protoreflect.Name(method)); m != nil {
+		return m.Input()
+	}
+	return nil
+}
