door: end the count of header lines where the server has read them

A request that is sent ahead may arrive with its headers behind the request before, in one read. The count begins anew when that one ends, so that the lines of the body that follows counted as headers: a body of more than 128 lines, such as an indented job, was refused as incomplete (400).

The handler now ends the count, since the server has read the headers by then. Ruled out: a parser of the requests ahead, which the server has.

go test ./internal/door/httpdoor -run TestBodyBehind -count=3: before '400 != 200' in three of three, passes since; go test -race ./internal/door/httpdoor -count=3 passes. go test ./platform -run 'TestCrowdOf(Headers|Requests)' passes.

--- a/internal/door/httpdoor/door.go
+++ b/internal/door/httpdoor/door.go
@@ -81,6 +81,9 @@
 	reader := &Reader{Clock: d.Clock, Budget: d.Budget, Patience: bodyPatience, Rate: bodyRate}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn, _ := r.Context().Value(connectionKey{}).(*connection)
+		if conn != nil {
+			conn.lines.end()
+		}
 		answer := &answerWriter{ResponseWriter: w, controller: http.NewResponseController(w), clock: d.Clock, conn: conn}
 		if r.Header.Get("Expect") != "" {
 			// The server answers while it reads. Clear the deadline of the previous answer on the connection.
--- a/internal/door/httpdoor/door_test.go
+++ b/internal/door/httpdoor/door_test.go
@@ -156,3 +156,15 @@
 		})
 	}
 }
+
+// Guards against the lines of a body that count as headers, because its own headers arrived with the request before.
+func TestBodyBehindRequestSentAheadIsRead(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, clock.Real(), func(http.ResponseWriter, *http.Request) {})
+	_, reader := dial(t, address, 50*time.Millisecond, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"+post(400), strings.Repeat("x\n", 200))
+	for range 2 {
+		answer, err := http.ReadResponse(reader, nil)
+		is.NoErr(err)
+		is.Equal(answer.StatusCode, http.StatusOK)
+	}
+}
--- a/internal/door/httpdoor/lines.go
+++ b/internal/door/httpdoor/lines.go
@@ -43,6 +43,9 @@
 	return true
 }
 
+// end records that the server has read the headers. Their end may have arrived with the request before.
+func (h *headerLines) end() { h.isPastEnd.Store(true) }
+
 // areAhead reports whether the caller has sent more lines behind the headers than its body and one more request have.
 func (h *headerLines) areAhead(body []byte) bool {
 	ahead := int(h.ahead.Load())
