follow: read parts through duties that rings join

A follower with several readers started goroutines for each round of pages and waited for them. The shape asks for a thread for each duty, joined by bounded rings.

The group of duties starts a reader for each part that is read at a time. A ring passes them scans to read a page of, a second one passes the results back. The readers end with the read of the table: when it is complete, when the store cannot list the changes and it begins anew, and when the follower ends. A panic in a reader stops the group now, as in any duty. A design without threads was ruled out: the store interface blocks, so that several reads in flight need several duties.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -24,9 +24,10 @@
 	Parts []rowstore.Part
 	// All reads the other parts of the table too.
 	All bool
-	// Readers is the number of parts that are read at a time while the table is read in full, at least 1. Latency
-	// requires 1.
+	// Readers is the number of parts that are read at a time while the table is read in full. Duties starts a reader for
+	// each when there are several; Latency requires at most 1.
 	Readers int
+	Duties  Starter
 	Store   Store
 	Sink    Sink
 	Clock   clock.Clock
@@ -65,6 +66,7 @@
 
 // Run implements duty.Duty.
 func (f *Follower) Run(ctx context.Context) error {
+	defer f.endLoad()
 	retry := followRetry
 	var pending []func()
 	for ctx.Err() == nil {
--- a/internal/follow/load.go
+++ b/internal/follow/load.go
@@ -44,6 +44,9 @@
 			f.load.scan.scans = append(f.load.scan.scans, &Scan{Store: timedStore{f.Store, f}, Table: f.Table, Clock: f.Clock, Log: f.Log})
 		}
 		f.load.scan.add(f.Parts)
+		if f.Readers > 1 {
+			f.load.scan.startReaders(ctx, f.Duty, f.Duties)
+		}
 	}
 	l := f.load
 	for !l.listed || l.scan.left() > 0 {
@@ -64,7 +67,8 @@
 	if took >= loadReportInterval {
 		f.Log.Info("follower: table read in full", zap.String("table", string(f.Table)), zap.Int("rows", len(l.scan.rows())), zap.Duration("took", took))
 	}
-	f.after, f.loaded, f.load, f.syncedTo = max(l.version, l.scan.version()), true, nil, l.since
+	f.after, f.loaded, f.syncedTo = max(l.version, l.scan.version()), true, l.since
+	f.endLoad()
 	f.Sink.Replace(l.scan.rows())
 	if len(l.changes) > 0 {
 		f.Sink.Change(latestRows(l.changes))
@@ -73,6 +77,14 @@
 	return nil
 }
 
+// endLoad ends the read of the whole table, if one is in progress, with its readers.
+func (f *Follower) endLoad() {
+	if f.load != nil {
+		f.load.scan.close()
+		f.load = nil
+	}
+}
+
 // listParts adds the parts of the table that are not read first.
 func (f *Follower) listParts(ctx context.Context) error {
 	parts, err := f.Store.Parts(ctx, f.Table)
@@ -105,7 +117,7 @@
 		var historyErr *rowstore.HistoryError
 		if errors.As(err, &historyErr) {
 			f.Log.Warn("follower: store cannot list the changes, reading the table again", zap.String("table", string(f.Table)), zap.Uint64("store-version", uint64(after)))
-			f.load = nil
+			f.endLoad()
 			return trace.Wrap(err)
 		}
 		if err != nil {
--- a/internal/follow/parallel.go
+++ b/internal/follow/parallel.go
@@ -2,19 +2,52 @@
 
 import (
 	"context"
-	"sync"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// Starter starts a duty that runs until its context ends.
+type Starter interface {
+	Start(ctx context.Context, d duty.Duty)
+}
+
 // parallelScan reads parts of one table, several at a time: a slow store takes a quarter of a second for each page,
 // whatever is in it.
 type parallelScan struct {
 	scans []*Scan
 	// added is the number of parts that were handed to the scans.
 	added int
+	// pages holds the scans that a reader has to read a page of, read those whose page was read. A scan belongs to a
+	// reader between the two rings. Both are nil where the follower reads the pages itself.
+	pages *ring.Ring[*Scan]
+	read  *ring.Ring[pageRead]
+	// stop ends the readers.
+	stop context.CancelFunc
+}
+
+// pageRead is the result of reading a page; Err is nil for one that was read.
+type pageRead struct{ Err error }
+
+// startReaders starts a reader for each scan.
+func (p *parallelScan) startReaders(ctx context.Context, follower fleet.DutyName, duties Starter) {
+	ctx, p.stop = context.WithCancel(ctx)
+	p.pages, p.read = ring.New[*Scan]("pages", len(p.scans)), ring.New[pageRead]("pages-read", len(p.scans))
+	for n := range p.scans {
+		duties.Start(ctx, &pageReader{name: fleet.DutyName("read-"+strconv.Itoa(n)+"-") + follower, pages: p.pages, read: p.read})
+	}
+}
+
+// close ends the readers, if any.
+func (p *parallelScan) close() {
+	if p.stop != nil {
+		p.stop()
+	}
 }
 
 // add hands parts to the scans in turn.
@@ -56,20 +89,52 @@
 	return first
 }
 
-// next reads a page with each scan that has parts left, and returns the error of one that failed.
+// next reads a page of each scan that has parts left, and returns the error of one that failed. The scans belong to
+// the follower again once it returns, unless the context has ended.
 func (p *parallelScan) next(ctx context.Context) error {
-	var pages sync.WaitGroup
-	failed := make([]error, len(p.scans))
-	for n, s := range p.scans {
-		if len(s.Parts) > 0 {
-			pages.Go(func() { failed[n] = s.next(ctx) })
+	if p.pages == nil {
+		return trace.Wrap(p.scans[0].next(ctx))
+	}
+	outstanding := 0
+	for _, s := range p.scans {
+		if len(s.Parts) == 0 {
+			continue
+		}
+		if err := p.pages.Push(s); err != nil {
+			return trace.Wrap(err)
+		}
+		outstanding++
+	}
+	var failed error
+	for ; outstanding > 0; outstanding-- {
+		page, err := p.read.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if page.Err != nil && failed == nil {
+			failed = page.Err
 		}
 	}
-	pages.Wait()
-	for _, err := range failed {
+	return trace.Wrap(failed)
+}
+
+// pageReader is a duty that reads pages for a follower.
+type pageReader struct {
+	name  fleet.DutyName
+	pages *ring.Ring[*Scan]
+	read  *ring.Ring[pageRead]
+}
+
+// Name implements duty.Duty.
+func (r *pageReader) Name() fleet.DutyName { return r.name }
+
+// Run implements duty.Duty.
+func (r *pageReader) Run(ctx context.Context) error {
+	for {
+		s, err := r.pages.Pop(ctx)
 		if err != nil {
 			return trace.Wrap(err)
 		}
+		_ = r.read.Push(pageRead{s.next(ctx)}) // The ring has room for a page of each scan.
 	}
-	return nil
 }
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -104,7 +104,7 @@
 		parts = append(parts, intakePart(n))
 	}
 	s.Duties.Start(h.ctx, &follow.Follower{
-		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Readers: jobReaders, Store: s.Store, Clock: s.Clock, Log: s.Log,
+		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Readers: jobReaders, Duties: s.Duties, Store: s.Store, Clock: s.Clock, Log: s.Log,
 		Interval: follow.Every(jobsInterval), Inbox: h.refresh,
 		Sink: &jobSink{scheduler: s.Inbox, log: s.Log, duty: h.chain.Duty, epoch: h.chain.Epoch, service: h.service},
 	})
