shard: recognize far runs of an earlier holder

Whether a run is away from its data, or its step on several racks, was known of a holder's own runs only. After a takeover the far runs that were inherited counted as near ones: their run times, longer by the factor, entered the expected run times of the queue, and places near data were expected free too early.

The place is not stored. For an inherited run it follows from the racks of its worker and of the workers of the step's other tasks. It is taken from each list, as a task that has ended names no process any more.

TestInheritedFarRunsDoNotLengthenExpectedRunTime fails before for data on a rack and for a step on several racks ("not true: Expected < 1500ms"; 3 s for 1 s) and passes after (go test -run InheritedFar ./internal/shard).

--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -1,6 +1,13 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
 
 // RankedAt returns when the waiting steps were last ranked.
 func (e *Engine) RankedAt() time.Time { return e.rankedAt }
+
+// Expected returns the expected run time of a task of a step near its data.
+func (e *Engine) Expected(q fleet.QueueID, s *fleet.Step) time.Duration { return e.expected(q, s) }
--- a/internal/shard/lists.go
+++ b/internal/shard/lists.go
@@ -87,6 +87,7 @@
 		return
 	}
 	a.markSeen(now, EvidenceList)
+	a.isFar = e.runsFar(o, w, a) // While the other runs of its step can still be seen.
 	a.listedClock = max(a.listedClock, clock)
 	if run.Checkpoint != "" {
 		o.Task(run.Task).Checkpoint = run.Checkpoint
@@ -166,7 +167,7 @@
 	case fleet.RunEndDone:
 		w.recordSuccess(a)
 		if !a.startedAt.IsZero() && !a.step.Lasting {
-			e.recordRunTime(o, a, e.nearTime(a, ran))
+			e.recordRunTime(o, a, e.nearTime(o, w, a, ran))
 		}
 		delete(e.avoid, end.Task)
 		if a.step.Gang {
--- a/internal/shard/near.go
+++ b/internal/shard/near.go
@@ -1,8 +1,10 @@
 package shard
 
 import (
+	"slices"
 	"time"
 
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/nearness"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -153,9 +155,24 @@
 }
 
 // nearTime returns how long a run would have taken near its data.
-func (e *Engine) nearTime(a *assignment, ran time.Duration) time.Duration {
-	if !a.isFar || e.Bounds.FarFactor <= 1 {
+func (e *Engine) nearTime(o *job.Occurrence, w *worker, a *assignment, ran time.Duration) time.Duration {
+	if e.Bounds.FarFactor <= 1 || !e.runsFar(o, w, a) {
 		return ran
 	}
 	return time.Duration(float64(ran) / e.Bounds.FarFactor)
 }
+
+// runsFar reports whether a run is away from its data, or one of a step on several racks. It is not stored, so for a run
+// of an earlier holder it follows from the racks of the workers that are known.
+func (e *Engine) runsFar(o *job.Occurrence, w *worker, a *assignment) bool {
+	if a.isFar || !a.inherited || w.Rack == "" {
+		return a.isFar
+	}
+	if a.step.DataRack != "" && w.Rack != a.step.DataRack {
+		return true
+	}
+	return a.step.SameRack && slices.ContainsFunc(o.Tasks[a.id.Step], func(t job.Task) bool {
+		other := e.workers[t.Process.Endpoint]
+		return other != nil && other.Rack != "" && other.Rack != w.Rack
+	})
+}
--- a/internal/shard/racks.go
+++ b/internal/shard/racks.go
@@ -198,7 +198,7 @@
 		case a.step.Lasting || o == nil:
 		default:
 			takes := e.expected(o.Job.Queue, &a.step)
-			if a.isFar {
+			if e.runsFar(o, w, a) {
 				takes = time.Duration(float64(takes) * e.Bounds.FarFactor)
 			}
 			list = append(list, expectedEnd{a, nearness.Remaining(takes, since(now, a.startedAt), e.deviation(o.Job.Queue, &a.step))})
