nearness: find the place that is left without a search for each task

For each task that waits for a rack, the expected wait searched all places of the rack once for each task ahead. Hundreds of tasks at a rack with hundreds of places made that places x tasks x tasks at a placement.

Places are taken in ascending order and are free again a fixed time later, so both lists are ascending and merge. The places of a step are sorted once for all its tasks.

This is a change of cost only: TestWaitIsThatOfThePlacesLeft compares 300 random questions with the search and passes before and after.

--- a/internal/nearness/nearness.go
+++ b/internal/nearness/nearness.go
@@ -99,18 +99,30 @@
 // wait returns when a place near the data is expected to be free for the task, after those ahead have had theirs, or
 // some time after the limit.
 func (q Question) wait(limit time.Duration) time.Duration {
-	near := slices.Clone(q.Near)
+	near := q.Near
+	if !slices.IsSorted(near) {
+		near = slices.Sorted(slices.Values(near))
+	}
+	// Each task ahead takes the earliest place and frees it after a run. Places are taken in ascending order, so those
+	// that are free again are ascending too.
+	var again []time.Duration
 	for ahead := q.Ahead; ; ahead-- {
-		next := 0
-		for n := range near {
-			if near[n] < near[next] {
-				next = n
-			}
+		var next time.Duration
+		isAgain := len(near) == 0 || len(again) > 0 && again[0] < near[0]
+		if isAgain {
+			next = again[0]
+		} else {
+			next = near[0]
+		}
+		if ahead <= 0 || next > limit {
+			return next
 		}
-		if ahead <= 0 || near[next] > limit {
-			return near[next]
+		if isAgain {
+			again = again[1:]
+		} else {
+			near = near[1:]
 		}
-		near[next] += max(q.Run, time.Millisecond)
+		again = append(again, next+max(q.Run, time.Millisecond))
 	}
 }
 
--- a/internal/shard/racks.go
+++ b/internal/shard/racks.go
@@ -119,6 +119,7 @@
 			list = e.appendPlaces(now, list, w, id, step)
 		}
 	}
+	slices.Sort(list) // Once for all tasks of the step.
 	return list
 }
 
