election: probe the duties without a holder in turns

An entry probes or claims one duty at a time, in the order in which the duties are listed. Where the store answers none of the probes, the first ones are due again before the last ones had a turn: the rows of those stay unknown, and the entry doesn't claim them, for as long as the store keeps the first ones back.

Probes returns the duty first whose last probe is the longest ago. Claims need no order: a claim that fails becomes a probe.

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -147,3 +147,23 @@
 	}
 	is.Equal(first, fleet.EntryID("entry-1"))
 }
+
+// Guards against rows that stay unknown because others, which the store still keeps back, are always probed first.
+func TestProbesTakeTurns(t *testing.T) {
+	is := is.New(t)
+	s, duties := states(192)[0], []fleet.DutyName{"a", "b", "c", "d"}
+	for _, d := range duties {
+		s.SetLease(start, lease(d, "gone"))
+	}
+	now := start.Add(election.LeaseTimeout)
+	s.Claims(now, duties)
+	probed := map[fleet.DutyName]int{}
+	for range 12 { // one probe at a time, each without an answer
+		if probes := s.Probes(now, duties); len(probes) > 0 {
+			probed[probes[0]]++
+			now = now.Add(400 * time.Millisecond)
+			s.SetUnavailable(now, probes[0])
+		}
+	}
+	is.Equal(probed, map[fleet.DutyName]int{"a": 3, "b": 3, "c": 3, "d": 3})
+}
--- a/internal/election/outage.go
+++ b/internal/election/outage.go
@@ -1,6 +1,7 @@
 package election
 
 import (
+	"slices"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -21,7 +22,8 @@
 // ranks, so that the first entry claims before the second one.
 const probeInterval = 2 * rankDelay
 
-// Probes returns those of the given duties for which this entry should ask the store whether it gives out their rows.
+// Probes returns those of the given duties for which this entry should ask the store whether it gives out their rows, the
+// one whose last probe is the longest ago first.
 // The ranks of the entries pass in an outage, so that whichever entry asks first at its end would take the lease, and the
 // smallest VM the largest duty. So an entry learns of the outage while it waits for its rank.
 func (s *State) Probes(now time.Time, duties []fleet.DutyName) []fleet.DutyName {
@@ -35,6 +37,7 @@
 			probes = append(probes, d)
 		}
 	}
+	slices.SortStableFunc(probes, func(a, b fleet.DutyName) int { return s.retryAt[a].Compare(s.retryAt[b]) })
 	return probes
 }
 
