holder: give up a probe of the store as soon as an attempt to write

A probe had the five seconds of a takeover. A read that began in an outage may stay without an answer after it, so an entry could learn of the end of the outage five seconds late, while ranks are 250 ms apart: a small VM takes the lease then, which probes were made to prevent. No other duty was probed or claimed meanwhile either.

A probe takes no longer than an attempt to write, which follows from the latency of the store's reads.

--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -135,16 +135,19 @@
 }
 
 func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, attempts int) (rowstore.Version, error) {
-	timeout := transactTimeout
-	if c.Latency != nil {
-		timeout = c.Latency.Get().Timeout(c.Clock.Now(), attempts)
-	}
-	timeout += follow.TransferTime(size(t))
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(attempts)+follow.TransferTime(size(t)))
 	defer cancel()
 	return c.Store.Transact(ctx, t)
 }
 
+// timeout returns how long a call to the store may take after a number of attempts without an answer.
+func (c *Chain) timeout(attempts int) time.Duration {
+	if c.Latency == nil {
+		return transactTimeout
+	}
+	return c.Latency.Get().Timeout(c.Clock.Now(), attempts)
+}
+
 // size approximates the size of a transaction by its values, which dominate it.
 func size(t rowstore.Transaction) int {
 	n := 0
@@ -205,8 +208,11 @@
 	return rowstore.Row{Table: table, Part: part, Key: key, Value: value}
 }
 
-// Probe asks the store for the chain row of the duty. It returns *rowstore.RefusedError or *rowstore.UnknownError.
+// Probe asks the store for the chain row of the duty. It returns *rowstore.RefusedError or *rowstore.UnknownError. A read
+// that began in an outage may stay without an answer after it, so a probe takes no longer than an attempt to write.
 func (c *Chain) Probe(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout(0))
+	defer cancel()
 	_, err := c.Store.Scan(ctx, rowstore.Only(tableChain, dutyPart(c.Duty), keyChain))
 	return trace.Wrap(err)
 }
