shard: compute the expected ends of a worker's runs once a placement

A step that has room, though on no single rack, asked at each placement for the expected ends of all runs of the service and sorted them by worker: 5.0 ms at 1,100 endpoints with 22,000 runs, so 300 such steps take 1.5 s. The ends do not depend on the step.

A worker keeps them for the time of the placement, until a run is added, removed or stopped.

What is left is filling and sorting the places of all racks: 0.4 s for 300 steps that all want one rack.

--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -267,7 +267,7 @@
 		e.markLost(now, w, a, Loss{Reason: LossNotSent})
 		return
 	}
-	a.phase = phaseStopping
+	a.phase, w.endsAt = phaseStopping, time.Time{}
 	if !e.Permitted(now) {
 		return // Sent with the repeated stops, if the holder may order anything again.
 	}
--- a/internal/shard/racks.go
+++ b/internal/shard/racks.go
@@ -188,9 +188,13 @@
 	after time.Duration
 }
 
-// endsOn returns when the runs of a worker are expected to end, the first one first. Lasting runs have no end.
+// endsOn returns when the runs of a worker are expected to end, the first one first. Lasting runs have no end. It is the
+// same for all steps of a placement while the worker's runs are.
 func (e *Engine) endsOn(now time.Time, w *worker) []expectedEnd {
-	list := make([]expectedEnd, 0, len(w.runs))
+	if w.endsAt.Equal(now) {
+		return w.ends
+	}
+	list := w.ends[:0]
 	for id, a := range w.runs {
 		o := e.occurrence(id)
 		switch {
@@ -206,5 +210,6 @@
 		}
 	}
 	slices.SortFunc(list, func(a, b expectedEnd) int { return int(a.after - b.after) })
+	w.ends, w.endsAt = list, now
 	return list
 }
--- a/internal/shard/worker.go
+++ b/internal/shard/worker.go
@@ -139,6 +139,9 @@
 	openIndex int
 	runs      map[fleet.TaskID]*assignment
 	used      fleet.Capacity
+	// ends is when the runs are expected to end, as of endsAt; zero after a change of the runs.
+	ends   []expectedEnd
+	endsAt time.Time
 	// usage is what the runs of accounts use on all workers.
 	usage accountUsage
 	// failures counts the jobs that failed on the worker since its last success.
@@ -234,6 +237,7 @@
 	a.trial = w.onProbation()
 	w.runs[a.id] = a
 	w.used = w.used.Plus(a.step.CountedDemand())
+	w.endsAt = time.Time{}
 	w.usage.add(a)
 }
 
@@ -244,6 +248,7 @@
 	}
 	delete(w.runs, id)
 	w.used = w.used.Minus(a.step.CountedDemand())
+	w.endsAt = time.Time{}
 	w.usage.remove(a)
 	w.fullUntil = time.Time{}
 }
