holder: load jobs in the order of their acceptance

Which jobs are beyond their account's weight depends on the order in which the meter counts them. A new holder passed the jobs to its engine in the random order of a map: other jobs than before were beyond the weight after a takeover, and work that was served first fell behind all of the others.

The jobs are loaded by time of acceptance, then by id. A job whose row is removed is not counted again; an account can submit somewhat more after a takeover, as before.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -1,8 +1,11 @@
 package holder
 
 import (
+	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -155,6 +158,15 @@
 	s.load(now, h)
 }
 
+// acceptAll passes the jobs to the engine in the order of their acceptance, by which jobs are beyond their account's weight.
+func (h *heldDuty) acceptAll() {
+	for _, j := range slices.SortedFunc(maps.Values(h.jobs), func(a, b *fleet.Job) int {
+		return cmp.Or(a.AcceptedAt.Compare(b.AcceptedAt), cmp.Compare(a.ID, b.ID))
+	}) {
+		h.engine.Accept(j)
+	}
+}
+
 // load fills the engine once the jobs, the progress that earlier holders committed, and the endpoints are known.
 func (s *Scheduler) load(now time.Time, h *heldDuty) {
 	if h.engine == nil || h.loaded || !h.jobsRead || h.progress == nil || s.endpoints == nil {
@@ -162,9 +174,7 @@
 	}
 	s.updatePolicies(h)
 	s.updateEndpoints(now, h)
-	for _, j := range h.jobs {
-		h.engine.Accept(j)
-	}
+	h.acceptAll()
 	rows := h.progress.Rows
 	for _, row := range rows {
 		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] })
