--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -156,18 +156,6 @@
 	stopMargin = 1500 * time.Millisecond
 )
 
-// Limits of connections.
-const (
-	// headerTimeout bounds reading the headers of a request.
-	headerTimeout = 3 * time.Second
-	// idleTimeout is how long an idle connection stays open.
-	idleTimeout = 60 * time.Second
-	// dialTimeout bounds dialing another entry.
-	dialTimeout = 300 * time.Millisecond
-	// defaultHeaderBytes bounds the headers of a request to a server that sets no MaxHeaderBytes.
-	defaultHeaderBytes = 16 << 10
-)
-
 // Run serves until the context is cancelled and then stops gracefully. It returns *duty.StoppedError or
 // *ListenError.
 func (e *Entry) Run(ctx context.Context) error {
--- a/internal/jobentry/server.go
+++ b/internal/jobentry/server.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
@@ -15,6 +16,18 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// Limits of connections.
+const (
+	// headerTimeout bounds reading the headers of a request.
+	headerTimeout = 3 * time.Second
+	// idleTimeout is how long an idle connection stays open.
+	idleTimeout = 60 * time.Second
+	// dialTimeout bounds dialing another entry.
+	dialTimeout = 300 * time.Millisecond
+	// defaultHeaderBytes bounds the headers of a request to a server that sets no MaxHeaderBytes.
+	defaultHeaderBytes = 16 << 10
+)
+
 // httpServer is a duty that serves HTTP on one listener.
 type httpServer struct {
 	name     fleet.DutyName
