--- a/internal/follow/parallel.go
+++ b/internal/follow/parallel.go
@@ -2,30 +2,54 @@
 
 import (
 	"context"
-	"sync"
-	"sync/atomic"
-	"time"
+	"strconv"
 
 	"github.com/gravitational/trace"
 
+	"github.com/mimosawharf/mimosawharf/internal/duty"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
+// Starter starts a duty that runs until its context ends.
+type Starter interface {
+	Start(ctx context.Context, d duty.Duty)
+}
+
 // parallelScan reads parts of one table, several at a time: a slow store takes a quarter of a second for each page,
 // whatever is in it.
 type parallelScan struct {
 	scans []*Scan
 	// added is the number of parts that were handed to the scans.
 	added int
-	// slowest is the longest time in nanoseconds that a page took, 0 before one was read.
-	slowest atomic.Int64
+	// pages holds the scans that a reader has to read pages of, read the results. A scan belongs to a
+	// reader between the two rings. Both are nil where the follower reads the pages itself.
+	pages *ring.Ring[*Scan]
+	read  *ring.Ring[pageRead]
+	// stop ends the readers.
+	stop context.CancelFunc
+	pace pace
 }
 
-// Above maxPatience the store's own bound is about as short, and counts from the last progress.
-const (
-	minPatience = 400 * time.Millisecond
-	maxPatience = time.Second
-)
+// pageRead is the result of reading pages; Err is nil if none failed.
+type pageRead struct{ Err error }
+
+// startReaders starts a reader for each scan.
+func (p *parallelScan) startReaders(ctx context.Context, follower fleet.DutyName, duties Starter) {
+	ctx, p.stop = context.WithCancel(ctx)
+	p.pages, p.read = ring.New[*Scan]("pages", len(p.scans)), ring.New[pageRead]("pages-read", len(p.scans))
+	for n := range p.scans {
+		duties.Start(ctx, &pageReader{name: fleet.DutyName("read-"+strconv.Itoa(n)+"-") + follower, pages: p.pages, read: p.read, pace: &p.pace})
+	}
+}
+
+// close ends the readers, if any.
+func (p *parallelScan) close() {
+	if p.stop != nil {
+		p.stop()
+	}
+}
 
 // add hands parts to the scans in turn.
 func (p *parallelScan) add(parts []rowstore.Part) {
@@ -66,71 +90,54 @@
 	return first
 }
 
-// next reads pages with each scan until its parts are read, a page fails, or the changes are due to be read, and returns the error
-// of a scan that failed. A part that does not answer delays only the parts of its own scan.
+// next reads pages of each scan, with readers until its parts are read, a page fails, or the changes are due to be read.
+// A part that does not answer delays only the parts of its own scan. It returns the error of one that failed. The scans belong to
+// the follower again once it returns, unless the context has ended.
 func (p *parallelScan) next(ctx context.Context) error {
-	var readers sync.WaitGroup
-	failed := make([]error, len(p.scans))
-	for n, s := range p.scans {
-		readers.Go(func() { failed[n] = p.read(ctx, s) })
+	if p.pages == nil {
+		return trace.Wrap(p.scans[0].next(ctx))
 	}
-	readers.Wait()
-	for _, err := range failed {
-		if err != nil {
+	outstanding := 0
+	for _, s := range p.scans {
+		if len(s.Parts) == 0 {
+			continue
+		}
+		if err := p.pages.Push(s); err != nil {
 			return trace.Wrap(err)
 		}
+		outstanding++
 	}
-	return nil
-}
-
-// read reads pages with one scan.
-func (p *parallelScan) read(ctx context.Context, s *Scan) error {
-	began := s.Clock.Now()
-	for len(s.Parts) > 0 {
-		sent := s.Clock.Now()
-		if sent.Sub(began) >= followDuringLoad {
-			return nil // The changes are due to be read.
-		}
-		swallowed, err := nextWithin(ctx, s, p.patience())
-		switch {
-		case err == nil:
-			p.answered(s.Clock.Now().Sub(sent))
-		case !swallowed:
+	var failed error
+	for ; outstanding > 0; outstanding-- {
+		page, err := p.read.Pop(ctx)
+		if err != nil {
 			return trace.Wrap(err)
 		}
+		if page.Err != nil && failed == nil {
+			failed = page.Err
+		}
 	}
-	return nil
+	return trace.Wrap(failed)
 }
 
-// nextWithin reads a page and reports whether it got no answer within the patience. Without a patience the store's own
-// bound holds.
-func nextWithin(ctx context.Context, s *Scan, patience time.Duration) (swallowed bool, err error) {
-	if patience == 0 {
-		return false, trace.Wrap(s.next(ctx))
-	}
-	bounded, cancel := context.WithTimeout(ctx, patience)
-	defer cancel()
-	err = s.next(bounded)
-	return err != nil && bounded.Err() != nil && ctx.Err() == nil, trace.Wrap(err)
+// pageReader is a duty that reads pages for a follower.
+type pageReader struct {
+	name  fleet.DutyName
+	pages *ring.Ring[*Scan]
+	read  *ring.Ring[pageRead]
+	pace  *pace
 }
 
-// patience returns how long a page may take, or 0 for as long as the store lets it take. The store may swallow the calls
-// for some parts while it answers those for others, so the time that answers take tells how long to wait. A slow store
-// is not asked again.
-func (p *parallelScan) patience() time.Duration {
-	d := max(minPatience, 8*time.Duration(p.slowest.Load()))
-	if len(p.scans) == 1 || p.slowest.Load() == 0 || d > maxPatience {
-		return 0
-	}
-	return d
-}
+// Name implements duty.Duty.
+func (r *pageReader) Name() fleet.DutyName { return r.name }
 
-// answered records how long a page took.
-func (p *parallelScan) answered(took time.Duration) {
+// Run implements duty.Duty.
+func (r *pageReader) Run(ctx context.Context) error {
 	for {
-		slowest := p.slowest.Load()
-		if int64(took) <= slowest || p.slowest.CompareAndSwap(slowest, int64(took)) {
-			return
+		s, err := r.pages.Pop(ctx)
+		if err != nil {
+			return trace.Wrap(err)
 		}
+		_ = r.read.Push(pageRead{r.pace.readOn(ctx, s)}) // The ring has room for a page of each scan.
 	}
 }
--- a/internal/holder/chainread.go
+++ b/internal/holder/chainread.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/gravitational/trace"
 
@@ -23,11 +22,3 @@
 	page, err := c.Store.Scan(ctx, r)
 	return page, trace.Wrap(err)
 }
-
-// timeout bounds a call after a number of attempts without an answer.
-func (c *Chain) timeout(attempts int) time.Duration {
-	if c.Latency == nil {
-		return transactTimeout
-	}
-	return c.Latency.Get().Timeout(c.Clock.Now(), attempts)
-}
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -140,6 +140,14 @@
 	return c.Store.Transact(ctx, t)
 }
 
+// timeout returns how long a call to the store may take after a number of attempts without an answer.
+func (c *Chain) timeout(attempts int) time.Duration {
+	if c.Latency == nil {
+		return transactTimeout
+	}
+	return c.Latency.Get().Timeout(c.Clock.Now(), attempts)
+}
+
 // size approximates the size of a transaction by its values, which dominate it.
 func size(t rowstore.Transaction) int {
 	n := 0
--- a/internal/shard/racks.go
+++ b/internal/shard/racks.go
@@ -119,6 +119,7 @@
 			list = e.appendPlaces(now, list, w, id, step)
 		}
 	}
+	slices.Sort(list) // Once for all tasks of the step.
 	return list
 }
 
@@ -187,9 +188,13 @@
 	after time.Duration
 }
 
-// endsOn returns when the runs of a worker are expected to end, the first one first. Lasting runs have no end.
+// endsOn returns when the runs of a worker are expected to end, the first one first. Lasting runs have no end. It is the
+// same for all steps of a placement while the worker's runs are.
 func (e *Engine) endsOn(now time.Time, w *worker) []expectedEnd {
-	list := make([]expectedEnd, 0, len(w.runs))
+	if w.endsAt.Equal(now) {
+		return w.ends
+	}
+	list := w.ends[:0]
 	for id, a := range w.runs {
 		o := e.occurrence(id)
 		switch {
@@ -198,12 +203,13 @@
 		case a.step.Lasting || o == nil:
 		default:
 			takes := e.expected(o.Job.Queue, &a.step)
-			if a.isFar {
+			if e.runsFar(o, w, a) {
 				takes = time.Duration(float64(takes) * e.Bounds.FarFactor)
 			}
 			list = append(list, expectedEnd{a, nearness.Remaining(takes, since(now, a.startedAt), e.deviation(o.Job.Queue, &a.step))})
 		}
 	}
 	slices.SortFunc(list, func(a, b expectedEnd) int { return int(a.after - b.after) })
+	w.ends, w.endsAt = list, now
 	return list
 }
