holder: log cancellations apart from tasks, and what is not announced

An entry that knows no holder, or whose scheduler is busy, leaves an announcement out without a line. Change: the line is "cancel: job cancelled", a part of its own, and "announcer: not announced" names the reason. No change of logic.

--- a/internal/holder/announcer.go
+++ b/internal/holder/announcer.go
@@ -45,17 +45,31 @@
 	local := q
 	local.Reply = func(x Answer) { _ = reply.Push(x) } // The ring has room for the only answer.
 	if err := a.Scheduler.Push(Event{Query: &local}); err != nil {
-		return // The holder's next read of its jobs brings the job.
+		a.leave(q, "scheduler busy")
+		return
 	}
 	timer := a.Clock.NewTimer(schedulerTimeout)
 	defer timer.Stop()
 	answer, ok, err := reply.PopUntil(ctx, timer.Chan())
-	if err != nil || !ok || answer.Held || answer.Holder == "" {
+	switch {
+	case err != nil || answer.Held:
+		return
+	case !ok:
+		a.leave(q, "scheduler busy")
+		return
+	case answer.Holder == "":
+		a.leave(q, "no holder known")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	if _, err := a.Peers.Query(ctx, answer.Holder, q); err != nil {
-		a.Log.Warn("announcer: holder does not answer", zap.String("job", string(q.Job)), zap.String("holder", string(answer.Holder)), zap.Error(trace.Unwrap(err)))
+		a.Log.Warn("announcer: holder does not answer", zap.String("job", string(q.Job)), zap.Bool("cancelled", q.Cancelled),
+			zap.String("holder", string(answer.Holder)), zap.Error(trace.Unwrap(err)))
 	}
 }
+
+// leave leaves it to the holder's next read of its jobs to bring what was stored.
+func (a *Announcer) leave(q Query, reason string) {
+	a.Log.Info("announcer: not announced", zap.String("job", string(q.Job)), zap.Bool("cancelled", q.Cancelled), zap.String("reason", reason))
+}
--- a/internal/holder/observer.go
+++ b/internal/holder/observer.go
@@ -183,7 +183,7 @@
 
 // Cancelled implements shard.Observer.
 func (o *Observer) Cancelled(id fleet.JobID) {
-	o.log.Info("shard: job cancelled", zap.String("job", string(id)))
+	o.log.Info("cancel: job cancelled", zap.String("job", string(id)))
 }
 
 // Rejected implements shard.Observer.
