follow: let no read confirm what is known that is behind another answer

Change: the client of the store keeps the newest version that any answer has shown. An answer to a read of changes with a lower one than was known when the read was sent is marked Behind and confirms nothing. A holder writes at least each renewal interval, so an unnoticed silence lasts that long; the bound on starts leaves as much room.

Before, without the check in the follower: TestCancelledJobStartsNothingLateWhileReadsHearNothing: UNASKED at 13.351 s: plan.0.0.8: entry-1/1 starts run 1 on endpoint-01 4.250558283s after the cancellation was acknowledged. TestSyncedIsNoLaterThanWhatWasRead fails too once its store answers so.

--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -158,7 +158,7 @@
 		f.Sink.Change(latestRows(page.Rows))
 	}
 	// Rows that are not newer contradict the question: such an answer is not about the present.
-	if !page.More && !slices.ContainsFunc(page.Rows, func(row rowstore.Row) bool { return row.Version <= after }) {
+	if !page.More && !page.Behind && !slices.ContainsFunc(page.Rows, func(row rowstore.Row) bool { return row.Version <= after }) {
 		f.syncedTo = sentAt
 	}
 	f.Sink.Synced(f.syncedTo)
--- a/internal/follow/synced_test.go
+++ b/internal/follow/synced_test.go
@@ -73,6 +73,9 @@
 	if after > 0 && s.random.IntN(8) == 0 {
 		return rowstore.Page{Version: after, Rows: s.rows[after-1 : after]}, nil // an answer of before
 	}
+	if after > 0 && s.random.IntN(8) == 0 {
+		return rowstore.Page{Version: after, Behind: true}, nil // the same without rows
+	}
 	p := rowstore.Page{Version: rowstore.Version(len(s.rows))}
 	p.Rows = slices.Clone(s.rows[after:])
 	if len(p.Rows) > 2 {
--- a/internal/holder/cancel_test.go
+++ b/internal/holder/cancel_test.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// Guards against the same while reads of changes are answered and hear of none.
+func TestCancelledJobStartsNothingLateWhileReadsHearNothing(t *testing.T) {
+	withBacklog(t, 1, func(c *fakeCluster) {
+		c.submit("plan", 16, false)
+		c.run(time.Second)
+		c.compact(8 * time.Second)
+		c.run(100 * time.Millisecond)
+		c.cancel("plan")
+		c.run(10 * time.Second)
+	})
+}
+
 // Guards against tasks of cancelled jobs that start late after schedules of faults of holders and of the store.
 func TestCancelledJobsStartNothingLate(t *testing.T) {
 	for n := range *cancelSchedules {
--- a/internal/holder/fake_calls_test.go
+++ b/internal/holder/fake_calls_test.go
@@ -86,6 +86,7 @@
 		return 0, err
 	}
 	version, err := s.apply(t)
+	s.life.newest.See(version)
 	back := c.duration(time.Millisecond, 5*time.Millisecond)
 	if s.mode("") == storeSlow {
 		back *= 100
@@ -116,6 +117,7 @@
 		return rowstore.Page{}, err
 	}
 	page, err := s.life.cluster.store.Scan(ctx, r)
+	s.life.newest.See(page.Version)
 	_ = s.life.wait(ctx, 0)
 	return page, err
 }
@@ -133,11 +135,14 @@
 	if err := s.reach(ctx, "changes", table); err != nil {
 		return rowstore.Page{}, err
 	}
+	newest := s.life.newest.Version()
 	page, err := s.life.cluster.store.Changes(ctx, table, after, wait)
 	if err == nil {
 		page, err = s.life.cluster.compacted(after, page)
 	}
 	_ = s.life.wait(ctx, 0)
+	page.Behind = page.Version < newest
+	s.life.newest.See(page.Version)
 	return page, err
 }
 
--- a/internal/holder/fake_entry_test.go
+++ b/internal/holder/fake_entry_test.go
@@ -40,6 +40,7 @@
 	inbox   *ring.Ring[holder.Event]
 	status  ring.Latest[holder.Status]
 	latency ring.Latest[follow.Latency]
+	newest  rowstore.Newest
 	// drain begins a planned stop.
 	drain context.CancelFunc
 
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -67,6 +67,9 @@
 	More bool
 	// Version is the newest version when the page was read.
 	Version Version
+	// Behind is set for an answer older than another one that had come before the page was asked for. It may lack
+	// changes that were made before.
+	Behind bool
 }
 
 // ConflictError reports a condition that did not hold. Nothing was changed.
--- a/internal/shard/knowledge.go
+++ b/internal/shard/knowledge.go
@@ -1,6 +1,10 @@
 package shard
 
-import "time"
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/internal/election"
+)
 
 // knowledge is how much of what was stored has reached the engine. A time is zero before the first complete read.
 type knowledge struct {
@@ -12,7 +16,10 @@
 	// minKnowledgeAge is the least age of what is known at which tasks still start. It exceeds the time between two
 	// reads, so that a platform with short bounds is served.
 	minKnowledgeAge = 800 * time.Millisecond
-	maxPercent      = 100
+	// unnoticedTime is the longest time for which reads of changes may hear of none without a sign: a renewal of the
+	// service's lease shows a newer version of the store.
+	unnoticedTime = election.RenewInterval
+	maxPercent    = 100
 )
 
 // JobsKnown records that the engine has all jobs and cancellations that were stored before a time.
@@ -33,6 +40,6 @@
 	if bound == 0 {
 		return true
 	}
-	maxAge := bound*(maxPercent-clockDriftPercent)/maxPercent - orderTransit
+	maxAge := bound*(maxPercent-clockDriftPercent)/maxPercent - orderTransit - unnoticedTime
 	return now.Sub(upTo) <= max(maxAge, minKnowledgeAge)
 }
