holder: pass on changes for which the scheduler has no room

Cause, found by reading: a change of jobs, or of the registry, for which the scheduler's ring had no room was logged and dropped.

Change: such changes wait in an Outbox and go first; nothing is confirmed while one waits.

--- a/internal/holder/fuzz_test.go
+++ b/internal/holder/fuzz_test.go
@@ -28,7 +28,7 @@
 		row := rowstore.Row{Part: rowstore.Part(part), Key: rowstore.Key(key), Value: value, Deleted: deleted}
 		events := ring.New[Event]("events", 4)
 		(&MembersSink{Scheduler: events, Log: zap.NewNop()}).Change([]rowstore.Row{row})
-		(&jobSink{scheduler: events, log: zap.NewNop(), service: "s"}).Change([]rowstore.Row{row})
+		(&jobSink{out: Outbox{Scheduler: events}, log: zap.NewNop(), service: "s"}).Change([]rowstore.Row{row})
 		for event, ok := events.TryPop(); ok; event, ok = events.TryPop() {
 			if event.Members != nil {
 				for _, l := range event.Members.Leases {
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -110,7 +110,7 @@
 	s.Duties.Start(h.ctx, &follow.Follower{
 		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Readers: jobReaders, Duties: s.Duties, Store: s.Store, Clock: s.Clock, Log: s.Log,
 		Interval: follow.Every(jobsInterval), Inbox: h.refresh,
-		Sink: &jobSink{scheduler: s.Inbox, log: s.Log, duty: h.chain.Duty, epoch: h.chain.Epoch, service: h.service},
+		Sink: &jobSink{out: Outbox{Scheduler: s.Inbox}, log: s.Log, duty: h.chain.Duty, epoch: h.chain.Epoch, service: h.service},
 	})
 	s.Duties.Start(h.ctx, &progressReader{
 		chain: h.chain, clock: s.Clock, log: s.Log, done: func(p *ProgressRead) { s.push(Event{Progress: p}) },
--- a/internal/holder/jobrows.go
+++ b/internal/holder/jobrows.go
@@ -8,7 +8,6 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
@@ -17,11 +16,11 @@
 
 // jobSink decodes the jobs and cancellations of one service for the scheduler of its holder.
 type jobSink struct {
-	scheduler *ring.Ring[Event]
-	log       *zap.Logger
-	duty      fleet.DutyName
-	epoch     fleet.FencingToken
-	service   fleet.ServiceID
+	out     Outbox
+	log     *zap.Logger
+	duty    fleet.DutyName
+	epoch   fleet.FencingToken
+	service fleet.ServiceID
 }
 
 // Replace implements follow.Sink.
@@ -32,8 +31,7 @@
 
 // Synced implements follow.Sink. The scheduler receives it behind the changes.
 func (s *jobSink) Synced(upTo time.Time) {
-	// A report that finds no room only leaves what is known older than it is.
-	_ = s.scheduler.PushReserved(Event{Known: &Known{Duty: s.duty, Epoch: s.epoch, UpTo: upTo}})
+	s.out.Confirm(Event{Known: &Known{Duty: s.duty, Epoch: s.epoch, UpTo: upTo}})
 }
 
 func (s *jobSink) send(rows []rowstore.Row, all bool) {
@@ -41,8 +39,8 @@
 	for _, row := range rows {
 		s.add(c, row)
 	}
-	if err := s.scheduler.PushReserved(Event{Jobs: c}); err != nil {
-		s.log.Error("follower: change of jobs dropped", zap.String("service", string(s.service)), zap.Error(trace.Unwrap(err)))
+	if !s.out.Change(Event{Jobs: c}) {
+		s.log.Warn("follower: changes of jobs wait for the scheduler", zap.String("service", string(s.service)))
 	}
 }
 
