shard: start nothing on endpoints as they were too long ago

Cause: the same class as the start of cancelled jobs.

TestLeavingEndpointGetsNothingLateWithoutReadsOfRegistry without the bound in the settings: DRAIN at 12.441 s: plan.0.0.7: entry-1/1 starts run 1 on endpoint-00 3.341114154s after it has said that it leaves. It passes now.

--- a/internal/holder/cancel_test.go
+++ b/internal/holder/cancel_test.go
@@ -74,6 +74,21 @@
 	})
 }
 
+// Guards against tasks that start on an endpoint long after it has said that it leaves, because the holder reads no
+// registry.
+func TestLeavingEndpointGetsNothingLateWithoutReadsOfRegistry(t *testing.T) {
+	withBacklog(t, 1, func(c *fakeCluster) {
+		c.submit("plan", 16, false)
+		c.run(time.Second)
+		c.mu.Lock()
+		c.holder().registryMode = storeRefuses
+		c.mu.Unlock()
+		c.run(100 * time.Millisecond)
+		c.drain(c.endpoints[0])
+		c.run(10 * time.Second)
+	})
+}
+
 // Guards against tasks of cancelled jobs that start late after schedules of faults of holders and of the store.
 func TestCancelledJobsStartNothingLate(t *testing.T) {
 	for n := range *cancelSchedules {
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -48,8 +48,10 @@
 	Removed   []fleet.JobID
 }
 
-// Known reports that all jobs and cancellations of a held service that were stored before a time have been passed on.
+// Known reports that what was stored before a time has been passed on: the jobs and cancellations of a held service, or
+// the endpoints.
 type Known struct {
+	// Duty is empty for the endpoints.
 	Duty  fleet.DutyName
 	Epoch fleet.FencingToken
 	UpTo  time.Time
--- a/internal/holder/fake_calls_test.go
+++ b/internal/holder/fake_calls_test.go
@@ -46,6 +46,8 @@
 		return c.storeMode
 	case table == holder.JobTable(fakeService) && s.life.entry.jobsMode != storeAnswers:
 		return s.life.entry.jobsMode
+	case table == registryTable && s.life.entry.registryMode != storeAnswers:
+		return s.life.entry.registryMode
 	}
 	return s.life.entry.storeMode
 }
@@ -226,6 +228,9 @@
 	if at := c.cancelled[o.Task.Job]; o.Kind == shard.OrderStart && !at.IsZero() && time.Since(at) > cancelTime && time.Since(paused) > calmTime {
 		c.violation("UNASKED", o.Task, "%s starts run %d on %s %v after the cancellation was acknowledged", l.name, o.Run, p.Process.Endpoint, time.Since(at))
 	}
+	if at := c.drainingSince(p.Process.Endpoint); o.Kind == shard.OrderStart && !at.IsZero() && time.Since(at) > drainTime && time.Since(paused) > calmTime {
+		c.violation("DRAIN", o.Task, "%s starts run %d on %s %v after it has said that it leaves", l.name, o.Run, p.Process.Endpoint, time.Since(at))
+	}
 	if o.Kind != shard.OrderHold && time.Now().After(lastGrant) {
 		c.violation("EXPIRED", o.Task, "%s orders %s on %s %v after its last renewal, released %v", l.name, o.Kind, p.Process.Endpoint, age, hasReleased)
 	}
--- a/internal/holder/fake_cluster_test.go
+++ b/internal/holder/fake_cluster_test.go
@@ -37,8 +37,11 @@
 	// last run, or within the other after the last disruption.
 	lastingRestart = 9 * time.Second
 	calmTime       = 7 * time.Second
-	// cancelTime is the bound of rule UNASKED.
+	// cancelTime and drainTime are the bounds of rules UNASKED and DRAIN.
 	cancelTime = 4 * time.Second
+	drainTime  = 3 * time.Second
+	// registryTable is the registry of endpoints.
+	registryTable rowstore.Table = "registry"
 )
 
 // fakeCluster is a store, endpoints and entries with real schedulers, all in one synctest bubble.
@@ -98,6 +101,8 @@
 	isMute bool
 	silent time.Time
 	epoch  fleet.FencingToken
+	// drainingSince is when the registry had that the endpoint leaves; zero while it stays.
+	drainingSince time.Time
 }
 
 func newFakeCluster(t *testing.T, seed uint64, endpoints int) *fakeCluster {
@@ -251,6 +256,24 @@
 	}
 }
 
+// drain has the registry say that an endpoint leaves.
+func (c *fakeCluster) drain(e *fakeEndpoint) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.note("%s drains", e.id)
+	e.drainingSince = time.Now()
+}
+
+// drainingSince returns when the registry had that an endpoint leaves, or zero.
+func (c *fakeCluster) drainingSince(id fleet.EndpointID) time.Time {
+	for _, e := range c.endpoints {
+		if e.id == id {
+			return e.drainingSince
+		}
+	}
+	return time.Time{}
+}
+
 // restart starts the next process of an endpoint that has ended.
 func (c *fakeCluster) restart(e *fakeEndpoint) {
 	if e.process == nil {
@@ -297,7 +320,7 @@
 		}
 		list = append(list, shard.EndpointInfo{
 			Endpoint: e.id, Service: fakeService, Address: fleet.Address(e.id), StartMillis: e.started,
-			Capacity: fleet.Capacity{Millicores: 4000, Memory: 4000},
+			Capacity: fleet.Capacity{Millicores: 4000, Memory: 4000}, Draining: !e.drainingSince.IsZero(),
 		})
 	}
 	return list
--- a/internal/holder/fake_entry_test.go
+++ b/internal/holder/fake_entry_test.go
@@ -26,8 +26,8 @@
 	count     int
 	life      *fakeLife
 	storeMode storeMode
-	// jobsMode is how the store treats the entry's reads of jobs.
-	jobsMode storeMode
+	// jobsMode and registryMode are how the store treats the entry's reads of jobs and of the registry.
+	jobsMode, registryMode storeMode
 }
 
 // fakeLife is one process of an entry with the duties of a holder.
@@ -79,7 +79,7 @@
 	log, gated, store := c.log(l.name), &gatedClock{l}, &fakeStore{l}
 	s := &holder.Scheduler{
 		Self: self, Inbox: l.inbox, Store: store, Clock: gated, Log: log, Duties: l.group,
-		Bounds:    shard.Bounds{MaxLease: fakeLease, StopTime: fakeStop, StatusRetention: time.Hour, CancelTime: cancelTime},
+		Bounds:    shard.Bounds{MaxLease: fakeLease, StopTime: fakeStop, StatusRetention: time.Hour, CancelTime: cancelTime, DrainTime: drainTime},
 		NewCaller: func() holder.EndpointCaller { return &fakeCaller{life: l} }, NewRegistry: func() duty.Duty { return &fakeRegistry{l} },
 		Advice: ring.New[shard.AdviceRequest]("advice", 1), Status: &l.status, Latency: &l.latency, Rounds: holder.NewRounds(tally.NoopScope),
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
@@ -222,8 +222,10 @@
 // Run implements duty.Duty.
 func (r *fakeRegistry) Run(ctx context.Context) error {
 	for {
-		if (&fakeStore{r.life}).reach(ctx, "registry", "") == nil {
+		sent := time.Now()
+		if (&fakeStore{r.life}).reach(ctx, "registry", registryTable) == nil {
 			_ = r.life.inbox.PushReserved(holder.Event{Endpoints: &holder.EndpointList{All: true, Endpoints: r.life.cluster.listed()}})
+			_ = r.life.inbox.PushReserved(holder.Event{Known: &holder.Known{UpTo: sent}})
 		}
 		if err := r.life.wait(ctx, 500*time.Millisecond); err != nil {
 			return trace.Wrap(err)
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -150,6 +150,17 @@
 }
 
 func (s *Scheduler) applyKnown(k *Known) {
+	if k.Duty == "" {
+		if s.endpoints != nil {
+			s.endpointsKnown = k.UpTo
+		}
+		for _, h := range s.held {
+			if h.engine != nil {
+				h.engine.EndpointsKnown(s.endpointsKnown)
+			}
+		}
+		return
+	}
 	if h := s.held[k.Duty]; h != nil && h.chain.Epoch == k.Epoch {
 		h.engine.JobsKnown(k.UpTo)
 	}
@@ -253,6 +264,6 @@
 	}
 	if s.stopRegistry != nil {
 		s.stopRegistry()
-		s.stopRegistry, s.endpoints = nil, nil
+		s.stopRegistry, s.endpoints, s.endpointsKnown = nil, nil, time.Time{}
 	}
 }
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -112,6 +112,8 @@
 	queued map[fleet.ServiceID]bool
 	// endpoints is nil while the registry has not been read.
 	endpoints map[fleet.EndpointID]shard.EndpointInfo
+	// endpointsKnown is up to when endpoints has what was stored.
+	endpointsKnown time.Time
 	// stopRegistry ends the duty that sends the endpoints. It is nil while no service is held.
 	stopRegistry    context.CancelFunc
 	config          *Config
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -228,6 +228,7 @@
 	s.Duties.Start(h.ctx, &Writer{Chain: t.Chain, Inbox: h.writes, Done: func(w Written) { s.push(Event{Written: &w}) }})
 	s.read(h)
 	if s.endpoints != nil {
+		h.engine.EndpointsKnown(s.endpointsKnown)
 		s.updateEndpoints(now, h)
 	}
 }
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -131,13 +131,14 @@
 	}
 }
 
-// observeKnowledge logs when a holder stops to start tasks because what it knows of the jobs is too old, and when it
+// observeKnowledge logs when a holder stops to start tasks because what it knows of jobs or endpoints is too old, and when it
 // goes on.
 func (s *Scheduler) observeKnowledge(now time.Time, h *heldDuty) {
 	if outdated := h.loaded && !h.engine.Current(now); outdated != h.outdated {
 		h.outdated = outdated
+		jobs, endpoints := h.engine.KnowledgeAge(now)
 		s.Log.Info("scheduler: knowledge of the holder changed", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
-			zap.Bool("outdated", outdated), zap.Duration("age", h.engine.KnowledgeAge(now)))
+			zap.Bool("outdated", outdated), zap.Duration("jobs-age", jobs), zap.Duration("endpoints-age", endpoints))
 	}
 }
 
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -22,6 +22,9 @@
 	// CancelTime is how long after the acknowledgement of a job's cancellation its tasks may still start; 0 if that is not
 	// bounded.
 	CancelTime time.Duration
+	// DrainTime is how long after an endpoint's row says that it leaves tasks may still start there; 0 if that is not
+	// bounded.
+	DrainTime time.Duration
 	// StatusRetention is how long the state of an ended job has to be kept.
 	StatusRetention time.Duration
 	// FarFactor is how many times as long a task runs away from its data, or a step on several racks. No wait for a near
--- a/internal/shard/knowledge.go
+++ b/internal/shard/knowledge.go
@@ -10,6 +10,8 @@
 type knowledge struct {
 	// jobs and cancellations of the service that were stored before this time are known.
 	jobs time.Time
+	// endpoints whose rows were stored before this time are known as these rows describe them.
+	endpoints time.Time
 }
 
 const (
@@ -25,13 +27,18 @@
 // JobsKnown records that the engine has all jobs and cancellations that were stored before a time.
 func (e *Engine) JobsKnown(upTo time.Time) { e.known.jobs = later(e.known.jobs, upTo) }
 
-// KnowledgeAge returns how long ago the jobs were read that the engine knows.
-func (e *Engine) KnowledgeAge(now time.Time) time.Duration { return since(now, e.known.jobs) }
+// EndpointsKnown records that the engine has all changes of endpoints that were stored before a time.
+func (e *Engine) EndpointsKnown(upTo time.Time) { e.known.endpoints = later(e.known.endpoints, upTo) }
 
-// Current reports whether what the engine knows is recent enough to start tasks: a task of a job that was cancelled since
-// must not start later than Bounds.CancelTime after the acknowledgement.
+// KnowledgeAge returns how long ago the jobs and the endpoints were read that the engine knows.
+func (e *Engine) KnowledgeAge(now time.Time) (jobs, endpoints time.Duration) {
+	return since(now, e.known.jobs), since(now, e.known.endpoints)
+}
+
+// Current reports whether what the engine knows is recent enough to start tasks: none of a job that was cancelled since,
+// and none on an endpoint that leaves since, may start after its bound.
 func (e *Engine) Current(now time.Time) bool {
-	return isCurrent(now, e.known.jobs, e.Bounds.CancelTime)
+	return isCurrent(now, e.known.jobs, e.Bounds.CancelTime) && isCurrent(now, e.known.endpoints, e.Bounds.DrainTime)
 }
 
 // isCurrent reports whether an order that rests on what was stored before a time reaches its endpoint within the bound
