shard: keep large bounds on what is known from overflowing

Cause, found in the review of the fix: the product of a bound of cancel_ms or drain_ms of decades and the percentage of drift overflowed, and the bound counted as 0.8 s. Change: divide first. For the bounds of all sites the result is the same.

--- a/internal/holder/outbox.go
+++ b/internal/holder/outbox.go
@@ -3,7 +3,8 @@
 import "github.com/mimosawharf/mimosawharf/internal/ring"
 
 // Outbox passes what a follower has read on to the scheduler, in order. A change for which the scheduler's ring has no
-// room waits for the next one: the follower does not read it again. It is used by one duty.
+// room waits for the next one: the follower does not read it again. While the ring is full, one change a read waits. It is
+// used by one duty.
 type Outbox struct {
 	// Scheduler is set before the first call.
 	Scheduler *ring.Ring[Event]
--- a/internal/shard/knowledge.go
+++ b/internal/shard/knowledge.go
@@ -47,6 +47,6 @@
 	if bound == 0 {
 		return true
 	}
-	maxAge := bound*(maxPercent-clockDriftPercent)/maxPercent - orderTransit - unnoticedTime
+	maxAge := bound - bound/maxPercent*clockDriftPercent - orderTransit - unnoticedTime
 	return now.Sub(upTo) <= max(maxAge, minKnowledgeAge)
 }
