election: probe for a duty whose first claims have failed

Cause: a failed claim marks the duty's rows as unavailable until a probe is answered, and only duties that have had a holder are probed. So a service that nobody has held yet, new or at the first start, is never held once each entry's first claim has failed.

Change: what is marked as unavailable is probed, held before or not.

TestFirstHolderIsFoundAfterRefusedClaims failed before: "<nil> != []fleet.DutyName([new])".

--- a/internal/election/election_test.go
+++ b/internal/election/election_test.go
@@ -148,6 +148,20 @@
 	is.Equal(first, fleet.EntryID("entry-1"))
 }
 
+// Guards against a duty that nobody ever holds because the store refused each entry's first claim.
+func TestFirstHolderIsFoundAfterRefusedClaims(t *testing.T) {
+	is := is.New(t)
+	s, duties := states(400)[0], []fleet.DutyName{"new"}
+	is.Equal(s.Claims(start, duties), duties)
+	is.Equal(len(s.Probes(start, duties)), 0) // a claim shows as much
+	s.SetUnavailable(start, "new")
+	later := start.Add(time.Second)
+	is.Equal(len(s.Claims(later, duties)), 0)
+	is.Equal(s.Probes(later, duties), duties)
+	s.SetAvailable(later, "new")
+	is.Equal(s.Claims(later.Add(time.Second), duties), duties)
+}
+
 // Guards against rows that stay unknown because others, which the store still keeps back, are always probed first.
 func TestProbesTakeTurns(t *testing.T) {
 	is := is.New(t)
--- a/internal/election/outage.go
+++ b/internal/election/outage.go
@@ -30,10 +30,11 @@
 	var probes []fleet.DutyName
 	for _, d := range duties {
 		_, hadHolder := s.Leases[d]
-		if !hadHolder || s.freeSince[d].IsZero() || now.Before(s.retryAt[d]) {
+		if s.freeSince[d].IsZero() || now.Before(s.retryAt[d]) {
 			continue
 		}
-		if s.outages[d] == "" || s.outages[d] == outageLasts {
+		// An entry that has never seen a holder claims at once, and probes only after that has failed.
+		if hadHolder && s.outages[d] == "" || s.outages[d] == outageLasts {
 			probes = append(probes, d)
 		}
 	}
