--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -129,17 +129,6 @@
 	ctx      context.Context
 }
 
-// Status is what the scheduler publishes.
-type Status struct {
-	// Configured is set once a configuration is known.
-	Configured bool
-	// Candidate is set while the entry is among those that claim leases first.
-	Candidate bool
-	// Jobs counts the jobs of the held services.
-	Jobs int
-	Held []fleet.DutyName
-}
-
 // Name implements duty.Duty.
 func (*Scheduler) Name() fleet.DutyName { return "scheduler" }
 
@@ -280,15 +269,6 @@
 	s.publish()
 }
 
-func (s *Scheduler) publish() {
-	status := Status{Configured: s.config != nil, Candidate: s.election.Candidate(s.Clock.Now())}
-	for _, h := range s.sorted() {
-		status.Held = append(status.Held, h.chain.Duty)
-		status.Jobs += len(h.jobs)
-	}
-	s.Status.Set(status)
-}
-
 func (s *Scheduler) sorted() []*heldDuty {
 	list := make([]*heldDuty, 0, len(s.held))
 	for _, h := range s.held {
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -293,10 +293,3 @@
 
 // Knows reports whether an endpoint is listed or has runs or a renewal that is not answered.
 func (e *Engine) Knows(id fleet.EndpointID) bool { return e.workers[id] != nil }
-
-// Orders returns the orders to be sent, each once.
-func (e *Engine) Orders() []Order {
-	out := e.out
-	e.out = nil
-	return out
-}
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -127,3 +127,10 @@
 	// MoreEnds is set when Ends may lack the latest ends.
 	MoreEnds bool
 }
+
+// Orders returns the orders to be sent, each once.
+func (e *Engine) Orders() []Order {
+	out := e.out
+	e.out = nil
+	return out
+}
