endpoint: send no attempt on a connection with a repeated answer

Cause: net/http returns a connection to the idle ones before it looks for bytes beyond the answer. A request that takes the connection in between gets these bytes as its answer. An answer for another request id counts as lost. An answer to an earlier attempt of the same request counts: a repeated "busy" makes an attempt not-run that has run, so the request is sent again. Callers of a request that must not be repeated saw an unknown outcome, or a second run.

Ruled out: the stand-in (it writes both answers at once and closes, as meant) and the test (its check is what the design promises). The clients of the job platform check their idle connections themselves.

Change: a connection takes no request before the transport has consumed what was received, and none after bytes that came while it was idle. An attempt of which nothing was sent on a kept connection is sent on another one, so a connection that its endpoint has closed no longer counts as an unreachable endpoint. Bytes that come after the request has been written can't be told from its answer; the request id still is.

--- a/internal/endpoint/fault_test.go
+++ b/internal/endpoint/fault_test.go
@@ -34,8 +34,10 @@
 	ctx     context.Context
 }
 
-func newFixture(t *testing.T) *fixture {
-	group, ctx := duty.NewGroup(context.Background())
+func newFixture(t *testing.T) *fixture { return newFixtureWithContext(context.Background(), t) }
+
+func newFixtureWithContext(ctx context.Context, t *testing.T) *fixture {
+	group, ctx := duty.NewGroup(ctx)
 	f := &fixture{
 		pool:    &endpoint.Pool{WorkItems: ring.New[endpoint.WorkItem]("calls", 8)},
 		results: ring.New[dispatch.Event]("dispatcher", 8),
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -135,6 +135,8 @@
 	writtenBefore atomic.Int64
 	// unguarded is set if the attempt got a connection of another client, which proves nothing.
 	unguarded atomic.Bool
+	// reused is set if the attempt got a connection that has carried an earlier request.
+	reused atomic.Bool
 }
 
 func (t *connTracker) gotConn(info httptrace.GotConnInfo) {
@@ -143,6 +145,10 @@
 		t.unguarded.Store(true)
 		return
 	}
+	conn.settle()
+	if info.Reused {
+		t.reused.Store(true)
+	}
 	t.writtenBefore.Store(conn.written.Load())
 	if !t.conn.CompareAndSwap(nil, conn) {
 		// The attempt was abandoned before it got this connection.
@@ -166,20 +172,28 @@
 func (w *Worker) send(ctx context.Context, s dispatch.Send) request.Result {
 	ctx, cancel := context.WithTimeout(ctx, s.Timeout)
 	defer cancel()
-	var t connTracker
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn})
 	started := w.Clock.Now()
-	response, err := w.client(s.Target).Run(ctx, connect.NewRequest(runRequest(s)))
-	elapsed := w.Clock.Now().Sub(started)
-	if err != nil {
-		return failedCall(err, &t, elapsed)
-	}
-	result := wire.FromRunResponse(runID(s.Request.Account, s.Request.ID), response.Msg)
-	result.Elapsed = elapsed
-	if result.Load != nil {
-		w.reportSeen(s.Target)
+	for {
+		var t connTracker
+		response, err := w.client(s.Target).Run(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), connect.NewRequest(runRequest(s)))
+		isUnsent := t.isUnsent()
+		if isUnsent && t.reused.Load() && ctx.Err() == nil {
+			continue // The kept connection is gone, so this ends at the latest with a new one.
+		}
+		elapsed := w.Clock.Now().Sub(started)
+		if isUnsent {
+			return request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalUnreachable, Elapsed: elapsed}
+		}
+		if err != nil {
+			return failedCall(err, elapsed)
+		}
+		result := wire.FromRunResponse(runID(s.Request.Account, s.Request.ID), response.Msg)
+		result.Elapsed = elapsed
+		if result.Load != nil {
+			w.reportSeen(s.Target)
+		}
+		return result
 	}
-	return result
 }
 
 // logAttempt lets an operator trace a request to its endpoints.
@@ -241,12 +255,9 @@
 	}
 }
 
-// failedCall classifies a call without a response. Only a call of which no byte was sent is known not
-// to have run.
-func failedCall(err error, t *connTracker, elapsed time.Duration) request.Result {
+// failedCall classifies a call that was sent, at least in part, and got no response.
+func failedCall(err error, elapsed time.Duration) request.Result {
 	switch {
-	case t.isUnsent():
-		return request.Result{Kind: request.ResultNotRun, Refusal: request.RefusalUnreachable, Elapsed: elapsed}
 	case errors.Is(err, context.DeadlineExceeded):
 		return request.Result{Kind: request.ResultLost, Reason: request.ReasonTimeout, Elapsed: elapsed}
 	case connect.CodeOf(err) == connect.CodeResourceExhausted:
--- a/internal/endpoint/transport.go
+++ b/internal/endpoint/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,7 +34,7 @@
 				if err != nil {
 					return nil, trace.Wrap(err)
 				}
-				return &guardedConn{Conn: conn}, nil
+				return newGuardedConn(conn), nil
 			},
 			// The bytes of the request are counted above TLS, because the handshake is not part of it.
 			DialTLSContext: func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -43,7 +44,7 @@
 				if err != nil {
 					return nil, trace.Wrap(err)
 				}
-				return &guardedConn{Conn: conn}, nil
+				return newGuardedConn(conn), nil
 			},
 			MaxConnsPerHost:     int(connections),
 			MaxIdleConnsPerHost: int(connections),
@@ -77,14 +78,74 @@
 const sealed = -1
 
 // guardedConn counts the bytes passed to the network. It can be closed on the condition that no bytes were
-// passed since an earlier count, which proves that a request was not sent.
+// passed since an earlier count, which proves that a request was not sent. It sends no request after bytes that
+// answer none, because net/http may take them for the answer to the next request.
 type guardedConn struct {
 	net.Conn
 	written atomic.Int64
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// isReading is true while the transport waits for bytes, having consumed all earlier ones.
+	isReading bool
+	// isIdle is true from settle until the first write after it.
+	isIdle bool
+	// isUnusable is set once the connection is closed or has received bytes while it was idle.
+	isUnusable bool
+}
+
+func newGuardedConn(conn net.Conn) *guardedConn {
+	g := &guardedConn{Conn: conn}
+	g.changed = sync.NewCond(&g.mu)
+	return g
+}
+
+// settle waits until the transport either waits for bytes or has closed the connection.
+func (g *guardedConn) settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for !g.isReading && !g.isUnusable {
+		g.changed.Wait()
+	}
+	g.isIdle = true
+}
+
+// Read implements net.Conn.
+func (g *guardedConn) Read(p []byte) (int, error) {
+	g.mu.Lock()
+	g.isReading = true
+	g.changed.Broadcast()
+	g.mu.Unlock()
+	n, err := g.Conn.Read(p)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isReading = false
+	g.isUnusable = g.isUnusable || g.isIdle
+	return n, err
+}
+
+// Close implements net.Conn.
+func (g *guardedConn) Close() error {
+	g.mu.Lock()
+	g.isUnusable = true
+	g.changed.Broadcast()
+	g.mu.Unlock()
+	return g.Conn.Close()
+}
+
+// beginWrite returns false if the connection is unusable.
+func (g *guardedConn) beginWrite() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.isIdle = false
+	return !g.isUnusable
 }
 
 // Write implements net.Conn.
 func (g *guardedConn) Write(p []byte) (int, error) {
+	if !g.beginWrite() {
+		return 0, net.ErrClosed
+	}
 	for {
 		before := g.written.Load()
 		if before == sealed {
