jobpeer, holder: bound what relay sessions hold in memory

Strangers at the port of other entries open relay sessions and send messages that declare 16 MB, or 1 MB of empty orders.

Cause: a session allocated the length in front of a message before any of it had come, and decoded it without counting what it becomes. The door of other entries ended where the connection was taken over. A holder's batch was bounded in orders, not in bytes: with payloads of 256 KB it was longer than the 16 MB that a relay reads.

Change: a message takes its share of the door's budget before it is read and before it is decoded. A batch ends once its payloads have 2 MB, and a session refuses orders, truly unsent, while those it holds carry as much.

TestRelayedPayloadsAreBounded fails without the bound of a batch ("not true: p.longest < MaxRelayPayload+length"). Not bounded: to which addresses such a session has orders sent, as entries don't authenticate each other.

--- a/internal/door/httpdoor/connection.go
+++ b/internal/door/httpdoor/connection.go
@@ -103,6 +103,11 @@
 	return context.WithValue(ctx, connectionKey{}, c)
 }
 
+// BudgetOf returns the budget of the door that a request came through, for what follows on its connection.
+func BudgetOf(r *http.Request) *door.Budget {
+	return r.Context().Value(connectionKey{}).(*connection).door.Budget
+}
+
 // recordState records when a connection becomes idle and when a request begins. A connection that the handler has
 // taken over keeps its place until it is closed.
 func recordState(c net.Conn, s http.ConnState) {
--- a/internal/holder/relay.go
+++ b/internal/holder/relay.go
@@ -76,6 +76,9 @@
 	relayBeat = 250 * time.Millisecond
 	// maxRelayBatch bounds the orders or results of one message.
 	maxRelayBatch = 256
+	// MaxRelayPayload bounds the payloads of the orders of one message, apart from the last one, and of those that one
+	// session has outstanding at a relay.
+	MaxRelayPayload fleet.Bytes = 2 << 20
 	// relayBacklog bounds the orders that wait for a relay, and the results that wait for the holder.
 	relayBacklog = 4096
 	// maxRelayOrders bounds the orders that one session has outstanding at a relay.
--- a/internal/holder/relay_fake_test.go
+++ b/internal/holder/relay_fake_test.go
@@ -30,6 +30,8 @@
 	breakAfter int
 	// losesReports drops the results.
 	losesReports bool
+	// longest is the size of the most payload in one batch.
+	longest fleet.Bytes
 }
 
 func newPipe(ctx context.Context) *pipe {
@@ -43,6 +45,11 @@
 
 // Send implements RelayConn.
 func (p holderPipe) Send(b RelayBatch) error {
+	var payload fleet.Bytes
+	for _, o := range b.Orders {
+		payload += o.Order.PayloadBytes()
+	}
+	p.longest = max(p.longest, payload)
 	if len(b.Orders) > 0 && p.breakAfter > 0 {
 		if p.breakAfter--; p.breakAfter == 0 {
 			p.cancel()
@@ -103,7 +110,9 @@
 	executed, relayed map[fleet.RunNumber]int
 	// unanswered are the runs whose orders endpoints do not answer.
 	unanswered map[fleet.RunNumber]bool
-	results    map[fleet.RunNumber][]shard.Result
+	// payload is that of the orders.
+	payload string
+	results map[fleet.RunNumber][]shard.Result
 }
 
 const relayedEndpoints = 120
@@ -197,7 +206,7 @@
 func (s *relaySite) send(kind shard.OrderKind, first int) {
 	for n := range relayedEndpoints {
 		id := fleet.EndpointID(fmt.Sprintf("e-%03d", n))
-		s.routes.send(shard.Order{Kind: kind, Service: "s", Epoch: 1, Process: fleet.EndpointProcess{Endpoint: id}, Address: fleet.Address(id), Run: fleet.RunNumber(first + n)})
+		s.routes.send(shard.Order{Kind: kind, Service: "s", Epoch: 1, Process: fleet.EndpointProcess{Endpoint: id}, Address: fleet.Address(id), Run: fleet.RunNumber(first + n), Payload: s.payload})
 	}
 }
 
--- a/internal/holder/relay_test.go
+++ b/internal/holder/relay_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"strings"
 	"testing"
 	"time"
 
@@ -74,6 +75,28 @@
 	}
 }
 
+// Guards against messages to relays, and orders held by them, that have no bound in bytes.
+func TestRelayedPayloadsAreBounded(t *testing.T) {
+	const length fleet.Bytes = 256 << 10
+	is := is.New(t)
+	s := newRelaySite(t, clock.Real())
+	s.payload = strings.Repeat("x", int(length))
+	s.routes.choose(s.scheduler.Clock.Now())
+	s.send(shard.OrderHold, 1)
+	s.run(func() bool { return s.answered() == relayedEndpoints })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, list := range s.results {
+		is.Equal(len(list), 1)
+		is.Equal(list[0].Answer, shard.AnswerDone)
+	}
+	for _, r := range s.relays {
+		for _, p := range r.pipes {
+			is.True(p.longest < MaxRelayPayload+length)
+		}
+	}
+}
+
 func eachRelay(f func(*fakeRelay)) func(*relaySite) {
 	return func(s *relaySite) {
 		s.mu.Lock()
--- a/internal/holder/relaylink.go
+++ b/internal/holder/relaylink.go
@@ -115,9 +115,10 @@
 		}
 		now := s.clock.Now()
 		batch := RelayBatch{SentAfter: now.Sub(openedAt)}
+		var payload fleet.Bytes
 		for ok {
 			batch.Orders = append(batch.Orders, RelayOrder{Number: queued.number, Age: now.Sub(queued.at), Order: queued.order})
-			if len(batch.Orders) == maxRelayBatch {
+			if payload += queued.order.PayloadBytes(); len(batch.Orders) == maxRelayBatch || payload >= MaxRelayPayload {
 				break
 			}
 			queued, ok = s.link.inbox.TryPop()
--- a/internal/holder/relaysession.go
+++ b/internal/holder/relaysession.go
@@ -29,8 +29,9 @@
 	inbox  *ring.Ring[relayEvent]
 	outbox *ring.Ring[RelayReport]
 	links  *links
-	// outstanding counts the orders without a result, taken all orders.
+	// outstanding counts the orders without a result, payload sums what they carry, and taken counts all orders.
 	outstanding, taken int
+	payload            fleet.Bytes
 	// offset is the difference between the time of arrival and of sending of the fastest batch, each since the start
 	// on its side's clock, seen at offsetAt. What exceeds it is the time that a batch was held up on its way.
 	offset    time.Duration
@@ -110,6 +111,7 @@
 func (s *relaySession) handle(e relayEvent) {
 	if e.batch == nil {
 		s.outstanding--
+		s.payload -= e.queued.order.PayloadBytes()
 		s.links.answered(s.clock.Now(), e.queued.order)
 		s.report(RelayReport{Results: []RelayResult{{Number: e.queued.number, Result: e.result}}})
 		return
@@ -117,11 +119,12 @@
 	s.announceStop()
 	heldUp := s.heldUp(e)
 	for _, o := range e.batch.Orders {
-		if s.announced || s.outstanding >= maxRelayOrders {
+		if s.announced || s.outstanding >= maxRelayOrders || s.payload >= MaxRelayPayload {
 			s.report(RelayReport{Results: []RelayResult{{Number: o.Number, Refused: true, Result: shard.Result{Answer: shard.AnswerUnsent}}}})
 			continue
 		}
 		s.outstanding++
+		s.payload += o.Order.PayloadBytes()
 		s.taken++
 		s.links.send(&queuedOrder{order: o.Order, at: e.at.Add(-o.Age - heldUp), number: o.Number})
 	}
--- a/internal/jobentry/server.go
+++ b/internal/jobentry/server.go
@@ -56,7 +56,7 @@
 	peerMux.Handle((&jobpeer.PeerHandler{Scheduler: e.feeds.Scheduler}).Path())
 	peerMux.Handle((&jobpeer.Jobs{Feeds: jobpeer.JobFeeds{Config: e.feeds.Config, Intakes: e.feeds.Intakes, JobRequests: e.feeds.JobRequests}, Clock: e.Clock}).Path())
 	peerMux.Handle((&jobpeer.RelayHandler{
-		Sessions: e.relaySessions, Clock: e.Clock, Ready: func() bool { return e.drainCtx.Err() == nil },
+		Sessions: e.relaySessions, Clock: e.Clock, MemoryOf: httpdoor.BudgetOf, Ready: func() bool { return e.drainCtx.Err() == nil },
 	}).Path())
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("GET /metrics", e.registry.Page)
--- a/internal/jobpeer/relay.go
+++ b/internal/jobpeer/relay.go
@@ -17,8 +17,10 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -35,8 +37,10 @@
 const (
 	// lengthBytes is the size of the length in front of each message.
 	lengthBytes = 4
-	// maxRelayMessage bounds a message. After an outage each of some hundred lists may name 500 ends, of 40 bytes each.
-	maxRelayMessage = 16 << 20
+	// maxReport bounds a message of a relay. After an outage each of some hundred lists may name 500 ends, of 40 bytes each.
+	maxReport fleet.Bytes = 16 << 20
+	// maxBatch bounds a message of a holder: the payloads of a full one, one more of any job, and the rest of its orders.
+	maxBatch = holder.MaxRelayPayload + MaxMessage + 1<<20
 	// relayBuffer fits most messages.
 	relayBuffer = 32 << 10
 	// lateReadTime is how long a read goes on after its time-out. A process that was held up itself finds what has
@@ -65,7 +69,8 @@
 	return trace.Wrap(err)
 }
 
-func (c *framedConn) receive() ([]byte, error) {
+// receiveLength returns the length of the next message.
+func (c *framedConn) receiveLength(limit fleet.Bytes) (fleet.Bytes, error) {
 	_ = c.conn.SetReadDeadline(c.clock.Now().Add(holder.RelaySilence)) // Fails only on a closed connection.
 	head, err := c.reader.Peek(lengthBytes)
 	if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -73,13 +78,18 @@
 		head, err = c.reader.Peek(lengthBytes)
 	}
 	if err != nil {
-		return nil, trace.Wrap(err)
+		return 0, trace.Wrap(err)
 	}
-	length := binary.BigEndian.Uint32(head)
-	if length > maxRelayMessage {
-		return nil, trace.Wrap(&RelayMessageError{Problem: "longer than " + strconv.Itoa(maxRelayMessage) + " bytes"})
+	length := fleet.Bytes(binary.BigEndian.Uint32(head))
+	if length > limit {
+		return 0, trace.Wrap(&RelayMessageError{Problem: "longer than " + strconv.FormatInt(int64(limit), 10) + " bytes"})
 	}
 	_, _ = c.reader.Discard(lengthBytes) // They are buffered.
+	return length, nil
+}
+
+// receiveBody returns a message of a known length.
+func (c *framedConn) receiveBody(length fleet.Bytes) ([]byte, error) {
 	raw := make([]byte, length)
 	_ = c.conn.SetReadDeadline(c.clock.Now().Add(holder.RelaySilence)) // A long message takes its time on a slow link.
 	if _, err := io.ReadFull(c.reader, raw); err != nil {
@@ -99,7 +109,11 @@
 
 // Receive implements holder.RelayConn.
 func (c *holderConn) Receive() (holder.RelayReport, error) {
-	raw, err := c.receive()
+	length, err := c.receiveLength(maxReport)
+	if err != nil {
+		return holder.RelayReport{}, err
+	}
+	raw, err := c.receiveBody(length)
 	if err != nil {
 		return holder.RelayReport{}, err
 	}
@@ -107,17 +121,36 @@
 }
 
 // relayConn is the relay's side of a connection. It implements holder.RelayedConn.
-type relayConn struct{ framedConn }
+type relayConn struct {
+	framedConn
+	memory *door.Budget
+}
 
 // Send implements holder.RelayedConn.
 func (c *relayConn) Send(r holder.RelayReport) error { return c.send(encodeReport(r)) }
 
 // Receive implements holder.RelayedConn.
 func (c *relayConn) Receive() (holder.RelayBatch, error) {
-	raw, err := c.receive()
+	length, err := c.receiveLength(maxBatch)
 	if err != nil {
 		return holder.RelayBatch{}, err
 	}
+	share, err := c.memory.Take(c.clock.Now(), length, c.Close)
+	if err != nil {
+		return holder.RelayBatch{}, trace.Wrap(err)
+	}
+	defer share.Release()
+	raw, err := c.receiveBody(length)
+	if err != nil {
+		return holder.RelayBatch{}, err
+	}
+	if err := share.Complete(); err != nil {
+		return holder.RelayBatch{}, trace.Wrap(err)
+	}
+	scanner := door.ProtobufScanner{Type: (&jobv1.RelayBatch{}).ProtoReflect().Descriptor()}
+	if err := share.Grow(c.clock.Now(), scanner.Cost(raw)); err != nil {
+		return holder.RelayBatch{}, trace.Wrap(err)
+	}
 	return decodeBatch(raw)
 }
 
@@ -187,6 +220,8 @@
 	// Sessions receives the connections.
 	Sessions *ring.Ring[holder.RelayRequest]
 	Clock    clock.Clock
+	// MemoryOf returns the budget of the messages that come on the connection of a request.
+	MemoryOf func(*http.Request) *door.Budget
 	// Ready reports whether the entry takes sessions.
 	Ready func() bool
 }
@@ -212,7 +247,7 @@
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
-	c := &relayConn{framedConn{conn: conn, reader: buffered.Reader, clock: h.Clock}}
+	c := &relayConn{framedConn{conn: conn, reader: buffered.Reader, clock: h.Clock}, h.MemoryOf(r)}
 	_ = conn.SetDeadline(time.Time{}) // Fails only on a closed connection.
 	if _, err := io.WriteString(conn, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+relayProtocol+"\r\n\r\n"); err != nil {
 		c.Close()
--- a/internal/jobpeer/relay_test.go
+++ b/internal/jobpeer/relay_test.go
@@ -14,6 +14,7 @@
 	"github.com/matryer/is"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
+	"github.com/mimosawharf/mimosawharf/internal/door"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/jobpeer"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -23,11 +24,22 @@
 
 var session = holder.RelaySession{Service: "s/ä", Epoch: 1 << 40, Holder: "entry-1"}
 
+// relayMemory is the budget of relays that are not short of it.
+const relayMemory fleet.Bytes = 32 << 20
+
+func newRelayHandler(memory fleet.Bytes) *jobpeer.RelayHandler {
+	budget := door.NewBudget(memory, 4)
+	return &jobpeer.RelayHandler{
+		Sessions: ring.New[holder.RelayRequest]("sessions", 1), Clock: clock.Real(), Ready: func() bool { return true },
+		MemoryOf: func(*http.Request) *door.Budget { return budget },
+	}
+}
+
 // openRelay returns both sides of a connection.
-func openRelay(t *testing.T) (holder.RelayConn, holder.RelayedConn) {
+func openRelay(t *testing.T, memory fleet.Bytes) (holder.RelayConn, holder.RelayedConn) {
 	t.Helper()
 	is := is.New(t)
-	handler := &jobpeer.RelayHandler{Sessions: ring.New[holder.RelayRequest]("sessions", 1), Clock: clock.Real(), Ready: func() bool { return true }}
+	handler := newRelayHandler(memory)
 	mux := http.NewServeMux()
 	mux.Handle(handler.Path())
 	server := httptest.NewServer(mux)
@@ -46,7 +58,7 @@
 // Guards against fields of orders and results that are lost between a holder and its relay.
 func TestRelayedMessagesAreComplete(t *testing.T) {
 	is := is.New(t)
-	near, far := openRelay(t)
+	near, far := openRelay(t, relayMemory)
 	task := fleet.TaskID{Job: "j", Occurrence: 3, Step: 2, Task: 17}
 	batch := holder.RelayBatch{SentAfter: 3 * time.Second, Orders: []holder.RelayOrder{
 		{Number: 1, Age: time.Millisecond, Order: shard.Order{
@@ -79,7 +91,7 @@
 // Guards against a connection that is silent for good: its orders would never end.
 func TestSilentRelayIsNoticed(t *testing.T) {
 	is := is.New(t)
-	near, far := openRelay(t)
+	near, far := openRelay(t, relayMemory)
 	began := time.Now()
 	_, err := near.Receive()
 	is.True(err != nil)
@@ -117,7 +129,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			handler := &jobpeer.RelayHandler{Sessions: ring.New[holder.RelayRequest]("sessions", 1), Clock: clock.Real(), Ready: func() bool { return true }}
+			handler := newRelayHandler(relayMemory)
 			server := httptest.NewServer(handler)
 			defer server.Close()
 			conn, err := net.Dial("tcp4", server.Listener.Addr().String())
@@ -137,3 +149,31 @@
 		})
 	}
 }
+
+// Guards against messages that take more memory than the door of other entries has, before they are read and once they
+// are decoded.
+func TestRelayedMessagesStayWithinMemory(t *testing.T) {
+	const memory fleet.Bytes = 1 << 20
+	for _, c := range []struct {
+		name   string
+		orders int
+		bytes  fleet.Bytes
+		fits   bool
+	}{
+		{"full batch", 256, 1 << 10, true},
+		{"long", 1, memory, false},
+		{"many orders", 4096, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			near, far := openRelay(t, memory)
+			var batch holder.RelayBatch
+			for range c.orders {
+				batch.Orders = append(batch.Orders, holder.RelayOrder{Order: shard.Order{Kind: shard.OrderHold, Payload: strings.Repeat("x", int(c.bytes))}})
+			}
+			_ = near.Send(batch) // The relay may close the connection meanwhile.
+			_, err := far.Receive()
+			is.Equal(err == nil, c.fits)
+		})
+	}
+}
--- a/internal/shard/order.go
+++ b/internal/shard/order.go
@@ -50,6 +50,9 @@
 	Wait time.Duration
 }
 
+// PayloadBytes returns the size of what the order carries for its task.
+func (o *Order) PayloadBytes() fleet.Bytes { return fleet.Bytes(len(o.Payload) + len(o.Checkpoint)) }
+
 // Answer classifies the response to an order.
 type Answer string
 
