command: explain what an account or a pool runs and waits for

Until now an operator had the counters of accounts and the log, and job place for one job at a time.

account explain asks the holder of each service, pool explain one of them, through any entry, with a query of the kind that job place uses. The holder counts runs and waiting tasks with the functions that rank and place them, so an explanation can't differ from the decision, and says of the first one what would happen to it. The part of a limit comes from the book that the holder starts by. Nothing is changed: the test that compares a service with and without explanations asks for these too. An account is known by its id only; keys are neither taken nor shown.

Tests: TestBacklogNamesWhyTasksWait, TestBacklogSurvivesEncoding, TestJobCommands, TestLoweredLimitStopsStartsUntilItFits.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -52,6 +52,18 @@
 	return h != nil && h.epoch == epoch && !h.blocked[account] && bounded(used, limit).Fits(h.accounts[account])
 }
 
+// Allowed returns what the tasks of an account may use in a service, whether the account has a limit at all, and whether
+// nothing starts because more of it is held than there is.
+func (b *Book) Allowed(s fleet.ServiceID, epoch fleet.FencingToken, account fleet.ClientAccountID) (allowed fleet.Capacity, isLimited, isBlocked bool) {
+	if _, isLimited = b.limits[account]; !isLimited {
+		return fleet.Capacity{}, false, false
+	}
+	if h := b.held[s]; h != nil && h.epoch == epoch {
+		return h.accounts[account], true, h.blocked[account]
+	}
+	return fleet.Capacity{}, true, false
+}
+
 // WithinLimit reports whether the limit of an account is at least so much.
 func (b *Book) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
 	limit, ok := b.limits[account]
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -251,6 +251,9 @@
 	}
 	is.True(!a.book.Allows("A", 1, account, cores(31)))
 	is.True(!b.book.Allows("B", 1, account, cores(9)))
+	allowed, isLimited, isBlocked := b.book.Allowed("B", 1, account)
+	is.Equal([]fleet.Millicores{allowed.Millicores}, []fleet.Millicores{8})
+	is.True(isLimited && isBlocked)
 	a.held["A"].used, m.committed["A"] = 0, 0
 	b.held["B"].asks = 5
 	for range 3 {
--- a/internal/command/account.go
+++ b/internal/command/account.go
@@ -82,7 +82,7 @@
 		remove: func(id string) *configv1.Change {
 			return &configv1.Change{Item: &configv1.Change_DeleteAccount{DeleteAccount: id}}
 		},
-	}), put)...)
+	}), put, c.accountExplain(parent))...)
 }
 
 func writeAccounts(w *tabwriter.Writer, accounts []*configv1.ClientAccount) {
--- a/internal/command/job_test.go
+++ b/internal/command/job_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/command"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
@@ -40,7 +41,8 @@
 			Endpoints: []*runner.Endpoint{runner.New(fleet.EndpointProcess{Endpoint: "i-1", StartMillis: 1}, c, 20*time.Millisecond)},
 			Config: &holder.Config{
 				Version: 1, Queues: []holder.Queue{{Policy: job.Policy{Queue: "plans", Service: "planner", MaxAttempts: 2, Stretch: 2}}},
-				Services: []holder.Service{{ID: "planner"}},
+				Services: []holder.Service{{ID: "planner"}, {ID: "off", Spare: true}},
+				Accounts: account.NewDirectory([]fleet.ClientAccount{{ID: "newsroom", Weight: 3, MaxRunning: fleet.Capacity{Millicores: 2000}}}),
 			},
 		},
 	}
@@ -56,7 +58,7 @@
 	is := is.New(t)
 	server := startJobEntry(t)
 	file := filepath.Join(t.TempDir(), "job.json")
-	is.NoErr(os.WriteFile(file, []byte(`{"id":"0123456789abcdef","queue":"plans","steps":[{"tasks":2,"demand":{"millicores":"1000","memory-mb":"100"}}]}`), 0o600))
+	is.NoErr(os.WriteFile(file, []byte(`{"id":"0123456789abcdef","queue":"plans","account":"newsroom","steps":[{"tasks":2,"demand":{"millicores":"1000","memory-mb":"100"}}]}`), 0o600))
 	run := func(arguments ...string) (command.ExitCode, string) {
 		var out, problems bytes.Buffer
 		code := command.Program{Output: &out, Errors: &problems, Clock: clock.Real()}.Run(context.Background(), append([]string{"--job-server", server}, arguments...))
@@ -74,6 +76,14 @@
 		t.Errorf("%v: want %q, got %q", arguments, want, text)
 	}
 	until("starts", "job", "place", file)
+	until("1 with 8000m/8000MB", "pool", "explain", "planner")
+	until("no task: nothing-waits", "pool", "explain", "planner")
+	until("3 jobs/s", "account", "explain", "newsroom")
+	until("2000m/0MB", "account", "explain", "newsroom")
+	for _, c := range [][]string{{"pool", "explain", "off"}, {"pool", "explain", "none"}, {"account", "explain", "none"}} {
+		code, _ := run(c...)
+		is.True(code != command.ExitOK)
+	}
 	code, text := run("--output", "json", "job", "place", file)
 	is.Equal(code, command.ExitOK)
 	text = strings.ReplaceAll(text, " ", "")
--- a/internal/command/pool.go
+++ b/internal/command/pool.go
@@ -76,7 +76,7 @@
 		remove: func(id string) *configv1.Change {
 			return &configv1.Change{Item: &configv1.Change_DeletePool{DeletePool: id}}
 		},
-	}), put)...)
+	}), put, c.poolExplain(parent))...)
 }
 
 func writePools(w *tabwriter.Writer, pools []*configv1.Pool) {
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -40,6 +40,9 @@
 		a.Jobs = h.engine.Jobs(q.Queue)
 	case QueryPlace:
 		a.Placement = h.engine.Place(now, q.Planned)
+	case QueryBacklog:
+		a.Backlog = h.engine.Backlog(now, q.Account)
+		a.Backlog.Allowed, a.Backlog.IsLimited, a.Backlog.IsBlocked = s.limits.book.Allowed(service, h.chain.Epoch, q.Account)
 	case QueryLoad:
 		a.Load = h.engine.Load(now)
 	case QueryVacate:
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -165,6 +165,8 @@
 	QueryJobs     QueryKind = "jobs"
 	// QueryPlace asks where the next task of a job would go.
 	QueryPlace QueryKind = "place"
+	// QueryBacklog asks what runs and waits, of all jobs or of those of one client account.
+	QueryBacklog QueryKind = "backlog"
 )
 
 // Query is a request that the scheduler answers.
@@ -183,6 +185,8 @@
 	Cancelled bool
 	// Planned is the job to place.
 	Planned *fleet.Job
+	// Account is the client account that QueryBacklog is about; empty for all.
+	Account fleet.ClientAccountID
 	// Reply receives the answer. It must not block.
 	Reply func(Answer)
 }
@@ -204,6 +208,8 @@
 	Jobs    []shard.JobStatus
 	// Placement answers QueryPlace.
 	Placement shard.Placement
+	// Backlog answers QueryBacklog.
+	Backlog shard.Backlog
 	// Idle is set for a service that has neither queues nor jobs, so that nobody holds it.
 	Idle bool
 	// Holder is the address of the entry that can answer; empty when nobody holds the service.
--- a/internal/holder/jobrequest.go
+++ b/internal/holder/jobrequest.go
@@ -18,6 +18,7 @@
 	JobRequestWaiting JobRequestKind = "waiting"
 	JobRequestJobs    JobRequestKind = "jobs"
 	JobRequestPlace   JobRequestKind = "place"
+	JobRequestBacklog JobRequestKind = "backlog"
 )
 
 // JobRequest is a caller's request about a job or a queue.
@@ -29,7 +30,9 @@
 	Service fleet.ServiceID
 	Queue   fleet.QueueID
 	// Planned is the job to place.
-	Planned  *fleet.Job
+	Planned *fleet.Job
+	// Account is the client account that JobRequestBacklog is about; empty for all.
+	Account  fleet.ClientAccountID
 	Deadline time.Time
 	// Reply receives the outcome. It must not block.
 	Reply func(Reply)
@@ -59,6 +62,8 @@
 	Jobs    []shard.JobStatus
 	// Placement answers JobRequestPlace.
 	Placement shard.Placement
+	// Backlog answers JobRequestBacklog.
+	Backlog shard.Backlog
 	// Source is where the answer came from, or what was unavailable, for logs and errors.
 	Source string
 }
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -73,7 +73,7 @@
 
 // resolve answers a request that changes nothing.
 func (r *Resolver) resolve(ctx context.Context, request *JobRequest) Reply {
-	q := Query{Kind: QueryState, Service: request.Service, Job: request.Job, Queue: request.Queue, Planned: request.Planned}
+	q := Query{Kind: QueryState, Service: request.Service, Job: request.Job, Queue: request.Queue, Planned: request.Planned, Account: request.Account}
 	switch request.Kind {
 	case JobRequestWaiting:
 		q.Kind = QueryWaiting
@@ -81,6 +81,8 @@
 		q.Kind = QueryJobs
 	case JobRequestPlace:
 		q.Kind = QueryPlace
+	case JobRequestBacklog:
+		q.Kind = QueryBacklog
 	}
 	reply, ok := r.askHolder(ctx, q)
 	if ok || reply.Kind == ReplyUnavailable {
@@ -134,7 +136,7 @@
 	if !a.Held || q.Kind == QueryState && !a.Known {
 		return Reply{}, false
 	}
-	return Reply{Kind: ReplyFound, State: a.State, Account: a.Account, Count: a.Count, Jobs: a.Jobs, Placement: a.Placement, Source: source}, true
+	return Reply{Kind: ReplyFound, State: a.State, Account: a.Account, Count: a.Count, Jobs: a.Jobs, Placement: a.Placement, Backlog: a.Backlog, Source: source}, true
 }
 
 func (r *Resolver) askScheduler(ctx context.Context, q Query) (Answer, bool) {
--- /dev/null
+++ b/internal/jobpeer/backlog.go
@@ -0,0 +1,115 @@
+package jobpeer
+
+import (
+	"context"
+	"sync"
+
+	"connectrpc.com/connect"
+
+	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/internal/wire"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// ExplainAccount implements jobv1connect.JobServiceHandler.
+func (j *Jobs) ExplainAccount(ctx context.Context, r *connect.Request[jobv1.ExplainAccountRequest]) (*connect.Response[jobv1.ExplainAccountResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	config := j.Feeds.Config.Get()
+	id := fleet.ClientAccountID(r.Msg.GetAccount())
+	if config == nil || config.Accounts == nil {
+		return nil, requestError(connect.CodeNotFound, "no such account")
+	}
+	a, ok := config.Accounts.Account(id)
+	if !ok {
+		return nil, requestError(connect.CodeNotFound, "no such account")
+	}
+	m := &jobv1.ExplainAccountResponse{Weight: uint64(max(0, a.Weight))}
+	if a.MaxRunning != (fleet.Capacity{}) {
+		m.Limit = wire.Demand(a.MaxRunning)
+	}
+	var asked sync.WaitGroup
+	for _, service := range config.Services {
+		if service.Spare {
+			continue
+		}
+		b := &jobv1.Backlog{Service: string(service.ID), Unknown: true}
+		m.Services = append(m.Services, b)
+		asked.Go(func() {
+			if got, err := j.ask(ctx, holder.JobRequest{Kind: holder.JobRequestBacklog, Service: service.ID, Account: id}); err == nil {
+				fillBacklog(b, got.Backlog)
+			}
+		})
+	}
+	asked.Wait()
+	return connect.NewResponse(m), nil
+}
+
+// ExplainPool implements jobv1connect.JobServiceHandler.
+func (j *Jobs) ExplainPool(ctx context.Context, r *connect.Request[jobv1.ExplainPoolRequest]) (*connect.Response[jobv1.ExplainPoolResponse], error) {
+	if err := r.Msg.Check(); err != nil {
+		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+	}
+	id := fleet.ServiceID(r.Msg.GetService())
+	if !j.hasService(id) {
+		return nil, requestError(connect.CodeNotFound, "no such service, or a pool of VMs that are off")
+	}
+	got, err := j.ask(ctx, holder.JobRequest{Kind: holder.JobRequestBacklog, Service: id})
+	if err != nil {
+		return nil, err
+	}
+	m := &jobv1.Backlog{Service: string(id)}
+	fillBacklog(m, got.Backlog)
+	return connect.NewResponse(&jobv1.ExplainPoolResponse{Backlog: m}), nil
+}
+
+func (j *Jobs) hasService(id fleet.ServiceID) bool {
+	if c := j.Feeds.Config.Get(); c != nil {
+		for _, s := range c.Services {
+			if s.ID == id {
+				return !s.Spare
+			}
+		}
+	}
+	return false
+}
+
+// Backlog implements jobv1connect.JobPeerServiceHandler.
+func (h *PeerHandler) Backlog(ctx context.Context, r *connect.Request[jobv1.BacklogRequest]) (*connect.Response[jobv1.BacklogResponse], error) {
+	a, err := h.ask(ctx, holder.Query{Kind: holder.QueryBacklog, Service: fleet.ServiceID(r.Msg.GetService()), Account: fleet.ClientAccountID(r.Msg.GetAccount())})
+	if err != nil {
+		return nil, err
+	}
+	m := &jobv1.Backlog{Service: r.Msg.GetService()}
+	fillBacklog(m, a.Backlog)
+	return connect.NewResponse(&jobv1.BacklogResponse{Held: a.Held, Backlog: m}), nil
+}
+
+// fillBacklog sets all fields but the service's name.
+func fillBacklog(m *jobv1.Backlog, b shard.Backlog) {
+	m.Unknown = false
+	m.Running, m.Used, m.Waiting, m.Wanted = uint32(b.Running), wire.Demand(b.Used), uint32(b.Waiting), wire.Demand(b.Wanted)
+	m.Late, m.Excess, m.PutBack, m.Verdict = uint32(b.Late), uint32(b.Excess), uint32(b.PutBack), string(b.Verdict)
+	m.Endpoints, m.Capacity, m.Blocked = uint32(b.Endpoints), wire.Demand(b.Capacity), b.IsBlocked
+	if b.Next.Job != "" {
+		m.Next = b.Next.String()
+	}
+	if b.IsLimited {
+		m.Allowed = wire.Demand(b.Allowed)
+	}
+}
+
+// fromBacklog decodes what another entry explains. The task's name is left out where it cannot be parsed.
+func fromBacklog(m *jobv1.Backlog) shard.Backlog {
+	b := shard.Backlog{
+		Running: int(m.GetRunning()), Used: wire.FromDemand(m.GetUsed()), Waiting: int(m.GetWaiting()), Wanted: wire.FromDemand(m.GetWanted()),
+		Late: int(m.GetLate()), Excess: int(m.GetExcess()), PutBack: int(m.GetPutBack()), Verdict: shard.Verdict(m.GetVerdict()),
+		Endpoints: int(m.GetEndpoints()), Capacity: wire.FromDemand(m.GetCapacity()),
+		IsLimited: m.GetAllowed() != nil, IsBlocked: m.GetBlocked(), Allowed: wire.FromDemand(m.GetAllowed()),
+	}
+	b.Next, _ = fleet.ParseTaskID(m.GetNext())
+	return b
+}
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -85,6 +85,12 @@
 			return holder.Answer{}, trace.Wrap(err)
 		}
 		return holder.Answer{Held: r.Msg.GetHeld(), Placement: fromPlacement(r.Msg.GetPlacement())}, nil
+	case holder.QueryBacklog:
+		r, err := peer.Backlog(ctx, connect.NewRequest(&jobv1.BacklogRequest{Service: string(q.Service), Account: string(q.Account)}))
+		if err != nil {
+			return holder.Answer{}, trace.Wrap(err)
+		}
+		return holder.Answer{Held: r.Msg.GetHeld(), Backlog: fromBacklog(r.Msg.GetBacklog())}, nil
 	case holder.QueryLoad:
 		r, err := peer.Load(ctx, connect.NewRequest(&jobv1.LoadRequest{Service: string(q.Service)}))
 		if err != nil {
--- a/internal/jobpeer/place_test.go
+++ b/internal/jobpeer/place_test.go
@@ -9,6 +9,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/nearness"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
+	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -22,3 +23,18 @@
 	}
 	is.New(t).Equal(fromPlacement(placement(p)), p)
 }
+
+// Guards against a part of a backlog that is lost between the holder and the entry that was asked.
+func TestBacklogSurvivesEncoding(t *testing.T) {
+	is := is.New(t)
+	b := shard.Backlog{
+		Running: 3, Used: fleet.Capacity{Millicores: 3000, Memory: 12, Accelerators: 1}, Waiting: 9, Wanted: fleet.Capacity{Millicores: 9000}, Late: 2, Excess: 4, PutBack: 1,
+		Next: fleet.TaskID{Job: "job", Occurrence: 2, Step: 1, Task: 7}, Verdict: shard.VerdictAllowance, Endpoints: 5, Capacity: fleet.Capacity{Millicores: 64000},
+		IsLimited: true, IsBlocked: true, Allowed: fleet.Capacity{Memory: 8},
+	}
+	for _, b := range []shard.Backlog{b, {Verdict: shard.VerdictNothingWaits}, {IsLimited: true}} {
+		m := &jobv1.Backlog{}
+		fillBacklog(m, b)
+		is.Equal(fromBacklog(m), b)
+	}
+}
--- a/internal/shard/account_test.go
+++ b/internal/shard/account_test.go
@@ -114,6 +114,39 @@
 	is.True(slices.Min(served) >= 8)
 }
 
+// Guards against an explanation that counts the work of other accounts, or names another reason than that for which the
+// next task waits.
+func TestBacklogNamesWhyTasksWait(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 2, worker64)
+	sim.duration = func(fleet.TaskID) time.Duration { return time.Minute }
+	sim.engine.SetWeights(share.Weights{"a": 1, "b": 1})
+	sim.engine.SetAllowance(accountLoad{limit: 8})
+	sim.run(time.Second)
+	is.Equal(sim.engine.Backlog(sim.now, "").Verdict, shard.VerdictNothingWaits)
+	limited, open := batchJob("limited", 12, 4000), batchJob("open", 4, 4000)
+	limited.Account, open.Account = "a", "b"
+	sim.submit(limited)
+	sim.submit(open)
+	sim.run(time.Second)
+	a := sim.engine.Backlog(sim.now, "a")
+	is.Equal([]int{a.Running, a.Waiting, a.Endpoints}, []int{8, 4, 2})
+	is.Equal([]fleet.Millicores{a.Used.Millicores, a.Wanted.Millicores, a.Capacity.Millicores}, []fleet.Millicores{32000, 16000, 2 * worker64.Millicores})
+	is.Equal(a.Verdict, shard.VerdictAllowance)
+	is.Equal(a.Next.Job, fleet.JobID("limited"))
+	b := sim.engine.Backlog(sim.now, "b")
+	is.Equal([]int{b.Running, b.Waiting}, []int{4, 0})
+	is.Equal(b.Verdict, shard.VerdictNothingWaits)
+	large := batchJob("large", 30, 4000)
+	sim.submit(large) // without an account
+	sim.run(time.Second)
+	all := sim.engine.Backlog(sim.now, "")
+	is.Equal(all.Running, 2*16) // what two endpoints have room for
+	is.Equal(all.Waiting, 4+30-20)
+	sim.run(time.Minute / 2)
+	is.Equal(sim.engine.Backlog(sim.now, "").Late, 14) // the objective has passed
+}
+
 func TestNextHolderCountsInheritedRunsOfAnAccount(t *testing.T) {
 	is := is.New(t)
 	sim := newSimulation(1, 4, worker64)
--- a/internal/shard/placement_test.go
+++ b/internal/shard/placement_test.go
@@ -32,6 +32,7 @@
 			var p shard.Placement
 			if explains {
 				p = sim.engine.Place(sim.now, j)
+				sim.engine.Backlog(sim.now, "")
 			}
 			sim.submit(j)
 			sim.run(fakeTick)
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -30,10 +30,8 @@
 
 func step(s fleet.Step) *jobv1.Step {
 	m := &jobv1.Step{
-		Tasks: uint32(s.Tasks),
-		Demand: &jobv1.Demand{
-			Millicores: uint64(s.Demand.Millicores), MemoryMb: uint64(s.Demand.Memory), Accelerators: uint64(s.Demand.Accelerators),
-		},
+		Tasks:         uint32(s.Tasks),
+		Demand:        Demand(s.Demand),
 		Checkpointing: s.Checkpointing, Gang: s.Gang, SameRack: s.SameRack, RequiredLabel: string(s.RequiredLabel),
 		DataRack: string(s.DataRack), MaxPerEndpoint: uint32(s.MaxPerEndpoint), Speculative: s.Speculative, Lasting: s.Lasting,
 		Image: string(s.Image), Fill: s.Fill, MaxUnavailable: uint32(s.MaxUnavailable),
@@ -65,13 +63,21 @@
 	return j
 }
 
+// Demand converts what tasks need, or endpoints have, to its message.
+func Demand(c fleet.Capacity) *jobv1.Demand {
+	return &jobv1.Demand{Millicores: uint64(c.Millicores), MemoryMb: uint64(c.Memory), Accelerators: uint64(c.Accelerators)}
+}
+
+// FromDemand converts a message to what tasks need, or endpoints have.
+func FromDemand(m *jobv1.Demand) fleet.Capacity {
+	return fleet.Capacity{
+		Millicores: fleet.Millicores(m.GetMillicores()), Memory: fleet.Megabytes(m.GetMemoryMb()), Accelerators: fleet.Accelerators(m.GetAccelerators()),
+	}
+}
+
 func fromStep(m *jobv1.Step) fleet.Step {
-	d := m.GetDemand()
 	s := fleet.Step{
-		Tasks: int(m.GetTasks()),
-		Demand: fleet.Capacity{
-			Millicores: fleet.Millicores(d.GetMillicores()), Memory: fleet.Megabytes(d.GetMemoryMb()), Accelerators: fleet.Accelerators(d.GetAccelerators()),
-		},
+		Tasks: int(m.GetTasks()), Demand: FromDemand(m.GetDemand()),
 		Estimate: m.GetEstimate().AsDuration(), Checkpointing: m.GetCheckpointing(), Gang: m.GetGang(), SameRack: m.GetSameRack(),
 		RequiredLabel: fleet.Label(m.GetRequiredLabel()), DataRack: fleet.RackID(m.GetDataRack()), MaxPerEndpoint: int(m.GetMaxPerEndpoint()),
 		Speculative: m.GetSpeculative(), Lasting: m.GetLasting(), Image: fleet.ImageID(m.GetImage()),
--- a/pkg/api/mimosawharf/job/v1/job_check_gen.go
+++ b/pkg/api/mimosawharf/job/v1/job_check_gen.go
@@ -125,6 +125,22 @@
 	return nil
 }
 
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *ExplainAccountRequest) Check() error {
+	if err := check.Length("account", len(x.GetAccount()), 1, 256); err != nil {
+		return err
+	}
+	return nil
+}
+
+// Check returns a *check.FieldError for the first field that is out of bounds.
+func (x *ExplainPoolRequest) Check() error {
+	if err := check.Length("service", len(x.GetService()), 1, 256); err != nil {
+		return err
+	}
+	return nil
+}
+
 // Check returns a *check.FieldError for the first field that is out of bounds.
 func (x *RelayBatch) Check() error {
 	if err := check.Items("orders", len(x.GetOrders()), 4096); err != nil {
--- a/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
+++ b/pkg/api/mimosawharf/job/v1/jobv1connect/job.connect.go
@@ -50,6 +50,8 @@
 	JobPeerServiceJobsProcedure = "/mimosawharf.job.v1.JobPeerService/Jobs"
 	// JobPeerServicePlaceProcedure is the fully-qualified name of the JobPeerService's Place RPC.
 	JobPeerServicePlaceProcedure = "/mimosawharf.job.v1.JobPeerService/Place"
+	// JobPeerServiceBacklogProcedure is the fully-qualified name of the JobPeerService's Backlog RPC.
+	JobPeerServiceBacklogProcedure = "/mimosawharf.job.v1.JobPeerService/Backlog"
 	// JobServiceSubmitProcedure is the fully-qualified name of the JobService's Submit RPC.
 	JobServiceSubmitProcedure = "/mimosawharf.job.v1.JobService/Submit"
 	// JobServiceGetProcedure is the fully-qualified name of the JobService's Get RPC.
@@ -62,6 +64,11 @@
 	JobServiceListProcedure = "/mimosawharf.job.v1.JobService/List"
 	// JobServiceExplainProcedure is the fully-qualified name of the JobService's Explain RPC.
 	JobServiceExplainProcedure = "/mimosawharf.job.v1.JobService/Explain"
+	// JobServiceExplainAccountProcedure is the fully-qualified name of the JobService's ExplainAccount
+	// RPC.
+	JobServiceExplainAccountProcedure = "/mimosawharf.job.v1.JobService/ExplainAccount"
+	// JobServiceExplainPoolProcedure is the fully-qualified name of the JobService's ExplainPool RPC.
+	JobServiceExplainPoolProcedure = "/mimosawharf.job.v1.JobService/ExplainPool"
 )
 
 // JobPeerServiceClient is a client for the mimosawharf.job.v1.JobPeerService service.
@@ -80,6 +87,8 @@
 	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 	// Place explains where the next task of a job would go now. It changes nothing.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
+	// Backlog explains what runs and waits in a service. It changes nothing.
+	Backlog(context.Context, *connect.Request[v1.BacklogRequest]) (*connect.Response[v1.BacklogResponse], error)
 }
 
 // NewJobPeerServiceClient constructs a client for the mimosawharf.job.v1.JobPeerService service. By
@@ -135,6 +144,12 @@
 			connect.WithSchema(jobPeerServiceMethods.ByName("Place")),
 			connect.WithClientOptions(opts...),
 		),
+		backlog: connect.NewClient[v1.BacklogRequest, v1.BacklogResponse](
+			httpClient,
+			baseURL+JobPeerServiceBacklogProcedure,
+			connect.WithSchema(jobPeerServiceMethods.ByName("Backlog")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -147,6 +162,7 @@
 	load     *connect.Client[v1.LoadRequest, v1.LoadResponse]
 	jobs     *connect.Client[v1.JobsRequest, v1.JobsResponse]
 	place    *connect.Client[v1.PlaceRequest, v1.PlaceResponse]
+	backlog  *connect.Client[v1.BacklogRequest, v1.BacklogResponse]
 }
 
 // Announce calls mimosawharf.job.v1.JobPeerService.Announce.
@@ -184,6 +200,11 @@
 	return c.place.CallUnary(ctx, req)
 }
 
+// Backlog calls mimosawharf.job.v1.JobPeerService.Backlog.
+func (c *jobPeerServiceClient) Backlog(ctx context.Context, req *connect.Request[v1.BacklogRequest]) (*connect.Response[v1.BacklogResponse], error) {
+	return c.backlog.CallUnary(ctx, req)
+}
+
 // JobPeerServiceHandler is an implementation of the mimosawharf.job.v1.JobPeerService service.
 type JobPeerServiceHandler interface {
 	// Announce hands an accepted or cancelled job to the holder ahead of its next read of the store.
@@ -200,6 +221,8 @@
 	Jobs(context.Context, *connect.Request[v1.JobsRequest]) (*connect.Response[v1.JobsResponse], error)
 	// Place explains where the next task of a job would go now. It changes nothing.
 	Place(context.Context, *connect.Request[v1.PlaceRequest]) (*connect.Response[v1.PlaceResponse], error)
+	// Backlog explains what runs and waits in a service. It changes nothing.
+	Backlog(context.Context, *connect.Request[v1.BacklogRequest]) (*connect.Response[v1.BacklogResponse], error)
 }
 
 // NewJobPeerServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -251,6 +274,12 @@
 		connect.WithSchema(jobPeerServiceMethods.ByName("Place")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobPeerServiceBacklogHandler := connect.NewUnaryHandler(
+		JobPeerServiceBacklogProcedure,
+		svc.Backlog,
+		connect.WithSchema(jobPeerServiceMethods.ByName("Backlog")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobPeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobPeerServiceAnnounceProcedure:
@@ -267,6 +296,8 @@
 			jobPeerServiceJobsHandler.ServeHTTP(w, r)
 		case JobPeerServicePlaceProcedure:
 			jobPeerServicePlaceHandler.ServeHTTP(w, r)
+		case JobPeerServiceBacklogProcedure:
+			jobPeerServiceBacklogHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -304,6 +335,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Place is not implemented"))
 }
 
+func (UnimplementedJobPeerServiceHandler) Backlog(context.Context, *connect.Request[v1.BacklogRequest]) (*connect.Response[v1.BacklogResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobPeerService.Backlog is not implemented"))
+}
+
 // JobServiceClient is a client for the mimosawharf.job.v1.JobService service.
 type JobServiceClient interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -318,6 +353,10 @@
 	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 	// Explain returns where the next task of a job would go now, and why, without submitting it.
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+	// ExplainAccount returns what a client account runs and waits for in each service, and why its next task waits.
+	ExplainAccount(context.Context, *connect.Request[v1.ExplainAccountRequest]) (*connect.Response[v1.ExplainAccountResponse], error)
+	// ExplainPool returns what runs and waits in a service, and why its next task waits.
+	ExplainPool(context.Context, *connect.Request[v1.ExplainPoolRequest]) (*connect.Response[v1.ExplainPoolResponse], error)
 }
 
 // NewJobServiceClient constructs a client for the mimosawharf.job.v1.JobService service. By
@@ -367,17 +406,31 @@
 			connect.WithSchema(jobServiceMethods.ByName("Explain")),
 			connect.WithClientOptions(opts...),
 		),
+		explainAccount: connect.NewClient[v1.ExplainAccountRequest, v1.ExplainAccountResponse](
+			httpClient,
+			baseURL+JobServiceExplainAccountProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("ExplainAccount")),
+			connect.WithClientOptions(opts...),
+		),
+		explainPool: connect.NewClient[v1.ExplainPoolRequest, v1.ExplainPoolResponse](
+			httpClient,
+			baseURL+JobServiceExplainPoolProcedure,
+			connect.WithSchema(jobServiceMethods.ByName("ExplainPool")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // jobServiceClient implements JobServiceClient.
 type jobServiceClient struct {
-	submit  *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
-	get     *connect.Client[v1.GetRequest, v1.GetResponse]
-	cancel  *connect.Client[v1.CancelRequest, v1.CancelResponse]
-	count   *connect.Client[v1.CountRequest, v1.CountResponse]
-	list    *connect.Client[v1.ListRequest, v1.ListResponse]
-	explain *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+	submit         *connect.Client[v1.SubmitRequest, v1.SubmitResponse]
+	get            *connect.Client[v1.GetRequest, v1.GetResponse]
+	cancel         *connect.Client[v1.CancelRequest, v1.CancelResponse]
+	count          *connect.Client[v1.CountRequest, v1.CountResponse]
+	list           *connect.Client[v1.ListRequest, v1.ListResponse]
+	explain        *connect.Client[v1.ExplainRequest, v1.ExplainResponse]
+	explainAccount *connect.Client[v1.ExplainAccountRequest, v1.ExplainAccountResponse]
+	explainPool    *connect.Client[v1.ExplainPoolRequest, v1.ExplainPoolResponse]
 }
 
 // Submit calls mimosawharf.job.v1.JobService.Submit.
@@ -410,6 +463,16 @@
 	return c.explain.CallUnary(ctx, req)
 }
 
+// ExplainAccount calls mimosawharf.job.v1.JobService.ExplainAccount.
+func (c *jobServiceClient) ExplainAccount(ctx context.Context, req *connect.Request[v1.ExplainAccountRequest]) (*connect.Response[v1.ExplainAccountResponse], error) {
+	return c.explainAccount.CallUnary(ctx, req)
+}
+
+// ExplainPool calls mimosawharf.job.v1.JobService.ExplainPool.
+func (c *jobServiceClient) ExplainPool(ctx context.Context, req *connect.Request[v1.ExplainPoolRequest]) (*connect.Response[v1.ExplainPoolResponse], error) {
+	return c.explainPool.CallUnary(ctx, req)
+}
+
 // JobServiceHandler is an implementation of the mimosawharf.job.v1.JobService service.
 type JobServiceHandler interface {
 	// Submit stores a job. A job that is stored under its id already is left as it is.
@@ -424,6 +487,10 @@
 	List(context.Context, *connect.Request[v1.ListRequest]) (*connect.Response[v1.ListResponse], error)
 	// Explain returns where the next task of a job would go now, and why, without submitting it.
 	Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error)
+	// ExplainAccount returns what a client account runs and waits for in each service, and why its next task waits.
+	ExplainAccount(context.Context, *connect.Request[v1.ExplainAccountRequest]) (*connect.Response[v1.ExplainAccountResponse], error)
+	// ExplainPool returns what runs and waits in a service, and why its next task waits.
+	ExplainPool(context.Context, *connect.Request[v1.ExplainPoolRequest]) (*connect.Response[v1.ExplainPoolResponse], error)
 }
 
 // NewJobServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -469,6 +536,18 @@
 		connect.WithSchema(jobServiceMethods.ByName("Explain")),
 		connect.WithHandlerOptions(opts...),
 	)
+	jobServiceExplainAccountHandler := connect.NewUnaryHandler(
+		JobServiceExplainAccountProcedure,
+		svc.ExplainAccount,
+		connect.WithSchema(jobServiceMethods.ByName("ExplainAccount")),
+		connect.WithHandlerOptions(opts...),
+	)
+	jobServiceExplainPoolHandler := connect.NewUnaryHandler(
+		JobServiceExplainPoolProcedure,
+		svc.ExplainPool,
+		connect.WithSchema(jobServiceMethods.ByName("ExplainPool")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/mimosawharf.job.v1.JobService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case JobServiceSubmitProcedure:
@@ -483,6 +562,10 @@
 			jobServiceListHandler.ServeHTTP(w, r)
 		case JobServiceExplainProcedure:
 			jobServiceExplainHandler.ServeHTTP(w, r)
+		case JobServiceExplainAccountProcedure:
+			jobServiceExplainAccountHandler.ServeHTTP(w, r)
+		case JobServiceExplainPoolProcedure:
+			jobServiceExplainPoolHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -515,3 +598,11 @@
 func (UnimplementedJobServiceHandler) Explain(context.Context, *connect.Request[v1.ExplainRequest]) (*connect.Response[v1.ExplainResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.Explain is not implemented"))
 }
+
+func (UnimplementedJobServiceHandler) ExplainAccount(context.Context, *connect.Request[v1.ExplainAccountRequest]) (*connect.Response[v1.ExplainAccountResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.ExplainAccount is not implemented"))
+}
+
+func (UnimplementedJobServiceHandler) ExplainPool(context.Context, *connect.Request[v1.ExplainPoolRequest]) (*connect.Response[v1.ExplainPoolResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("mimosawharf.job.v1.JobService.ExplainPool is not implemented"))
+}
