poolsize: see a peak of many jobs in its first quarter of a second

Cause: the demand of arriving work was bounded by twice what runs and waits, since a single large job is no peak. A quarter of a second after its onset, a peak of tasks of two seconds has an eighth of its work in the system. So the bound held the demand down for about a second.

Change: holders tell how many jobs brought the work, and the bound is twice for each job that came in the last quarter of a second, eight at most.

The new test fails with the former bound ("not true: len(moves) >= c.atLeast").

--- a/internal/holder/resize.go
+++ b/internal/holder/resize.go
@@ -138,7 +138,7 @@
 			pool.Known = ok && a.Held
 			pool.Used, pool.Waiting, pool.Late, pool.VMCapacity = a.Load.Used, a.Load.Waiting, a.Load.Late, a.Load.PerEndpoint
 			pool.Lasting, pool.UsedLate, pool.Stranded = a.Load.Lasting, a.Load.UsedLate, a.Load.Stranded
-			pool.Backlog, pool.Arrived = a.Load.Backlog, a.Load.Arrived
+			pool.Backlog, pool.Arrived, pool.ArrivedJobs = a.Load.Backlog, a.Load.Arrived, a.Load.ArrivedJobs
 			for _, load := range a.Load.Endpoints {
 				loads[load.Endpoint] = load
 			}
--- a/internal/jobpeer/jobpeer.go
+++ b/internal/jobpeer/jobpeer.go
@@ -194,6 +194,7 @@
 	m := &jobv1.LoadResponse{
 		Held: a.Held, Used: uint64(a.Load.Used), Waiting: uint64(a.Load.Waiting), Late: uint64(a.Load.Late), PerEndpoint: uint64(a.Load.PerEndpoint),
 		Lasting: uint64(a.Load.Lasting), Stranded: uint32(a.Load.Stranded), Arrived: uint64(a.Load.Arrived), UsedLate: uint64(a.Load.UsedLate), Backlog: uint64(a.Load.Backlog),
+		ArrivedJobs: uint64(a.Load.ArrivedJobs),
 	}
 	for _, e := range a.Load.Endpoints {
 		m.Endpoints = append(m.Endpoints, &jobv1.EndpointLoad{Endpoint: string(e.Endpoint), Capacity: uint64(e.Capacity), Used: uint64(e.Used), Runs: uint32(e.Runs), Lasting: e.Lasting})
@@ -205,6 +206,7 @@
 	l := shard.Load{
 		Used: fleet.Millicores(m.GetUsed()), Waiting: fleet.Millicores(m.GetWaiting()), Late: fleet.Millicores(m.GetLate()), PerEndpoint: fleet.Millicores(m.GetPerEndpoint()),
 		Lasting: fleet.Millicores(m.GetLasting()), Stranded: int(m.GetStranded()), Arrived: fleet.Work(m.GetArrived()), UsedLate: fleet.Millicores(m.GetUsedLate()), Backlog: fleet.Work(m.GetBacklog()),
+		ArrivedJobs: int(m.GetArrivedJobs()),
 	}
 	for _, e := range m.GetEndpoints() {
 		l.Endpoints = append(l.Endpoints, shard.EndpointLoad{
--- a/internal/poolsize/history.go
+++ b/internal/poolsize/history.go
@@ -46,6 +46,7 @@
 type arrival struct {
 	at   time.Time
 	work fleet.Work
+	jobs int
 }
 
 type demandAt struct {
@@ -53,13 +54,13 @@
 	demand fleet.Millicores
 }
 
-// offered records the count of accepted work and returns its rate of arrival, the larger one of both spans: the
-// processor capacity that it uses in the long run.
-func (h *history) offered(now time.Time, work fleet.Work) fleet.Millicores {
+// offered records the counts of accepted work and jobs. It returns the rate at which work arrives, the larger one of both
+// spans, which is the processor capacity that it uses in the long run; and the jobs that have arrived within onsetSpan.
+func (h *history) offered(now time.Time, work fleet.Work, jobs int) (fleet.Millicores, int) {
 	if n := len(h.arrivals); n > 0 && work < h.arrivals[n-1].work {
 		h.arrivals = nil // The pool has a new holder.
 	}
-	h.arrivals = append(h.arrivals, arrival{now, work})
+	h.arrivals = append(h.arrivals, arrival{now, work, jobs})
 	for len(h.arrivals) > 1 && now.Sub(h.arrivals[1].at) >= offeredSpan {
 		h.arrivals = h.arrivals[1:]
 	}
@@ -70,7 +71,7 @@
 		}
 	}
 	long, short := float64(work-h.arrivals[0].work)/offeredSpan.Seconds(), float64(work-onset.work)/onsetSpan.Seconds()
-	return clamp(fleet.Millicores(max(long, short)))
+	return clamp(fleet.Millicores(max(long, short))), jobs - onset.jobs
 }
 
 // settled records the demand and returns the highest one within settleSpan.
--- a/internal/poolsize/load_test.go
+++ b/internal/poolsize/load_test.go
@@ -265,6 +265,7 @@
 		if pool < 4 {
 			p.VMCapacity = millicores(sum / float64(max(1, len(p.VMs))))
 			p.Used, p.UsedLate, p.Arrived = millicores(s.used[pool]), millicores(s.late[pool]), fleet.Work(s.arrived[pool]*1000)
+			p.ArrivedJobs = int(s.arrived[pool])
 			for _, b := range s.queues[pool] {
 				if waiting := millicores(b.work / taskTime.Seconds()); s.now.Add(taskTime).After(b.due) {
 					p.Late += waiting
--- a/internal/poolsize/poolsize.go
+++ b/internal/poolsize/poolsize.go
@@ -52,6 +52,8 @@
 	Stranded int
 	// Arrived counts the work of all jobs that the pool's holder has accepted; it restarts with the holder.
 	Arrived fleet.Work
+	// ArrivedJobs is their number.
+	ArrivedJobs int
 }
 
 // Move moves a VM from one pool to another.
--- a/internal/poolsize/poolsize_test.go
+++ b/internal/poolsize/poolsize_test.go
@@ -77,6 +77,35 @@
 	}
 }
 
+// Guards against a peak of many jobs that gets its VMs a second late, and against one large job that gets those of a peak.
+func TestPeakOfManyJobsIsSeenInItsFirstQuarterOfASecond(t *testing.T) {
+	const onset, run, peak = 250 * time.Millisecond, 2 * time.Second, 16 * cores64
+	for _, c := range []struct {
+		jobs     int
+		atLeast  int // moves
+		atMost   int
+		scenario string
+	}{
+		{40, 10, 15, "many jobs"},
+		{1, 0, 1, "one job"},
+	} {
+		t.Run(c.scenario, func(t *testing.T) {
+			is := is.New(t)
+			var p poolsize.Planner
+			busy := pool("busy", 4, cores64/8, 0)
+			for tick := range 8 {
+				p.Decide(start.Add(time.Duration(tick)*onset), []poolsize.Pool{busy, spare(30)})
+			}
+			busy.Arrived, busy.ArrivedJobs = fleet.Work(float64(peak)*onset.Seconds()), c.jobs
+			busy.Waiting = peak * fleet.Millicores(onset) / fleet.Millicores(run)
+			busy.Backlog = busy.Arrived
+			moves := p.Decide(start.Add(8*onset), []poolsize.Pool{busy, spare(30)})
+			is.True(len(moves) >= c.atLeast)
+			is.True(len(moves) <= c.atMost)
+		})
+	}
+}
+
 // Guards against VMs that are switched off as soon as demand drops and are missing at the next peak.
 func TestUnusedVMsAreSwitchedOffAfterThePeakDecays(t *testing.T) {
 	is := is.New(t)
--- a/internal/poolsize/round.go
+++ b/internal/poolsize/round.go
@@ -15,10 +15,10 @@
 	utilisationPercent = 85
 	// latePercent is the share of late demand for which a pool gets VMs that no other pool needs in time.
 	latePercent = 50
-	// surgeFactor is how many times the demand of started and waiting tasks the arriving work may count for. The work
-	// of a peak that begins is a small part of what follows, and a VM takes seconds to arrive; a single large job is
-	// no peak.
-	surgeFactor = 2
+	// surgePerJob and maxSurge bound the demand of the arriving work, as multiples of that of started and waiting tasks:
+	// by the number of jobs within onsetSpan, because a single large job is no peak, and by the part of a peak that has
+	// arrived by then, an eighth of what tasks of two seconds will ask for.
+	surgePerJob, maxSurge = 2, 8
 )
 
 // round is one decision.
@@ -89,21 +89,23 @@
 		h = &history{}
 		p.histories[pool.Service] = h
 	}
-	n.offered = h.offered(now, pool.Arrived)
-	demand := h.settled(now, pool.presentDemand(n.offered))
+	var jobs int
+	n.offered, jobs = h.offered(now, pool.Arrived, pool.ArrivedJobs)
+	demand := h.settled(now, pool.presentDemand(n.offered, jobs))
 	n.demand = max(demand, n.unplacedDemand(), minVMs*pool.VMCapacity)
 	n.margin = max(0, demand*100/utilisationPercent-n.demand)
 	n.late = pool.UsedLate + pool.Late*latePercent/100
 	n.keep = max(n.demand+n.margin, h.kept(now, min(n.demand+n.margin, n.has), n.has))
 }
 
-// presentDemand returns the capacity with which the pool keeps up with the work that arrives at the given rate, and
-// begins what waits within drainSpan.
-func (p *Pool) presentDemand(offered fleet.Millicores) fleet.Millicores {
+// presentDemand returns the capacity with which the pool keeps up with the work that arrives at the given rate, in as
+// many jobs within onsetSpan, and begins what waits within drainSpan.
+func (p *Pool) presentDemand(offered fleet.Millicores, jobs int) fleet.Millicores {
 	running := p.Used - p.UsedLate
 	all := running + p.Waiting
 	passing := all - min(all, p.Lasting) // that of tasks which end
-	sustained := max(running, p.Lasting+min(offered, surgeFactor*passing))
+	surge := fleet.Millicores(min(max(1, jobs)*surgePerJob, maxSurge))
+	sustained := max(running, p.Lasting+min(offered, surge*passing))
 	return max(min(all, sustained+clamp(fleet.Millicores(float64(p.Backlog)/drainSpan.Seconds()))), sustained)
 }
 
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -146,6 +146,8 @@
 	out   []Order
 	// arrived is the work of all jobs that were accepted since the engine was loaded.
 	arrived fleet.Work
+	// arrivedJobs is their number.
+	arrivedJobs int
 	// loading is set while only leases are renewed.
 	loading bool
 	// fenced is set when an endpoint has seen the token of a newer holder.
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -45,6 +45,7 @@
 	known := e.jobs[j.ID] != nil
 	if entry := e.entry(j); !known && !entry.excess && j.OccurrenceCount() == 1 {
 		e.arrived += e.workOf(j)
+		e.arrivedJobs++
 	}
 }
 
--- a/internal/shard/load.go
+++ b/internal/shard/load.go
@@ -25,6 +25,8 @@
 	Stranded int
 	// Arrived is the work of all jobs that the holder has accepted.
 	Arrived fleet.Work
+	// ArrivedJobs is their number.
+	ArrivedJobs int
 	// PerEndpoint is the average processor capacity of the endpoints that have answered, or of all before any has.
 	PerEndpoint fleet.Millicores
 	// Endpoints lists the load of each endpoint that may get work.
@@ -45,7 +47,7 @@
 
 // Load returns the current demand.
 func (e *Engine) Load(now time.Time) Load {
-	l := Load{Arrived: e.arrived}
+	l := Load{Arrived: e.arrived, ArrivedJobs: e.arrivedJobs}
 	mean := e.meanCapacity()
 	late := e.lateJobs(now)
 	l.PerEndpoint = mean.Millicores
