jobpeer: ask the holders of all services over one ring

account explain started a goroutine for each service, unlike the rest of the code, where duties are joined by bounded rings. The requests now share one ring with room for a reply of each service. No change for callers; TestJobCommands passes.

--- a/internal/jobpeer/backlog.go
+++ b/internal/jobpeer/backlog.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"sync"
 
 	"connectrpc.com/connect"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
@@ -31,23 +32,42 @@
 	if a.MaxRunning != (fleet.Capacity{}) {
 		m.Limit = wire.Demand(a.MaxRunning)
 	}
-	var asked sync.WaitGroup
 	for _, service := range config.Services {
-		if service.Spare {
-			continue
+		if !service.Spare {
+			m.Services = append(m.Services, &jobv1.Backlog{Service: string(service.ID), Unknown: true})
 		}
-		b := &jobv1.Backlog{Service: string(service.ID), Unknown: true}
-		m.Services = append(m.Services, b)
-		asked.Go(func() {
-			if got, err := j.ask(ctx, holder.JobRequest{Kind: holder.JobRequestBacklog, Service: service.ID, Account: id}); err == nil {
-				fillBacklog(b, got.Backlog)
-			}
-		})
 	}
-	asked.Wait()
+	j.askBacklogs(ctx, id, m.Services)
 	return connect.NewResponse(m), nil
 }
 
+// askBacklogs fills in what an account runs and waits for in services. Those whose holder does not answer stay unknown.
+func (j *Jobs) askBacklogs(ctx context.Context, id fleet.ClientAccountID, services []*jobv1.Backlog) {
+	type answer struct {
+		service int
+		reply   holder.Reply
+	}
+	answers, asked := ring.New[answer]("backlogs", max(1, len(services))), 0
+	for n, b := range services {
+		request := &holder.JobRequest{
+			Kind: holder.JobRequestBacklog, Service: fleet.ServiceID(b.GetService()), Account: id, Caller: account.Caller{Operator: true}, Deadline: j.deadline(ctx),
+			Reply: func(r holder.Reply) { _ = answers.Push(answer{n, r}) }, // The ring has room for one reply of each service.
+		}
+		if j.Feeds.JobRequests.Push(request) == nil {
+			asked++
+		}
+	}
+	for range asked {
+		got, err := answers.Pop(ctx)
+		if err != nil {
+			return
+		}
+		if got.reply.Kind == holder.ReplyFound {
+			fillBacklog(services[got.service], got.reply.Backlog)
+		}
+	}
+}
+
 // ExplainPool implements jobv1connect.JobServiceHandler.
 func (j *Jobs) ExplainPool(ctx context.Context, r *connect.Request[jobv1.ExplainPoolRequest]) (*connect.Response[jobv1.ExplainPoolResponse], error) {
 	if err := r.Msg.Check(); err != nil {
