endpoint, poolsize: bound what an odd count or transport may cause

Found in the read-through. A job count of another entry near the largest integer made the bound of a peak negative, so the pool would have asked for what runs only. A response over a transport that reports no connection would have counted as not sent; the daemon uses none. Nothing changes for other values: the tests of both packages pass three times with -race.

--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -176,7 +176,8 @@
 	for {
 		var t connTracker
 		response, err := w.client(s.Target).Run(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: t.gotConn}), connect.NewRequest(runRequest(s)))
-		isUnsent := t.isUnsent()
+		// A response without a recorded connection came over a transport that reports none.
+		isUnsent := (err != nil || t.conn.Load() != nil) && t.isUnsent()
 		if isUnsent && t.reused.Load() && ctx.Err() == nil {
 			continue // The kept connection is gone, so this ends at the latest with a new one.
 		}
--- a/internal/poolsize/round.go
+++ b/internal/poolsize/round.go
@@ -104,7 +104,7 @@
 	running := p.Used - p.UsedLate
 	all := running + p.Waiting
 	passing := all - min(all, p.Lasting) // that of tasks which end
-	surge := fleet.Millicores(min(max(1, jobs)*surgePerJob, maxSurge))
+	surge := fleet.Millicores(surgePerJob * min(max(1, jobs), maxSurge/surgePerJob))
 	sustained := max(running, p.Lasting+min(offered, surge*passing))
 	return max(min(all, sustained+clamp(fleet.Millicores(float64(p.Backlog)/drainSpan.Seconds()))), sustained)
 }
