--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,79 @@
+// Command standin-2 plays a case of the second review: it stands in for the platform, its runners and its clients, and
+// starts the project's entries as separate processes. It exits with 1 if a rule was broken, 0 if it held, and 2 if the
+// case could not run.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"time"
+)
+
+// playLimit is the longest time that a case may take.
+const playLimit = 110 * time.Second
+
+const (
+	exitHeld      = 0
+	exitBroken    = 1
+	exitCannotRun = 2
+)
+
+// cases are what can be played, by name. A case returns false if it could not run.
+var cases = map[string]func(w *world, trouble bool) bool{}
+
+func main() { os.Exit(play()) }
+
+func play() int {
+	name := flag.String("case", "", "the case to play")
+	record := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	flag.Parse()
+	c := cases[*name]
+	if c == nil {
+		fmt.Fprintln(os.Stderr, "no such case:", *name)
+		return exitCannotRun
+	}
+	w := newWorld(*record)
+	time.AfterFunc(playLimit, func() {
+		w.record("the case takes too long")
+		w.stop()
+		os.Exit(exitCannotRun)
+	})
+	defer func() { _ = w.out.Close() }()
+	ran := c(w, os.Getenv("TROUBLE") != "0")
+	w.stop()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !ran {
+		w.line("the case could not run")
+		return exitCannotRun
+	}
+	for _, b := range w.breaches {
+		fmt.Println("broken:", b)
+	}
+	if len(w.breaches) > 0 {
+		return exitBroken
+	}
+	w.line("all rules held")
+	fmt.Println("held")
+	return exitHeld
+}
+
+// startEntries starts entries against the stand-ins and waits until they are ready.
+func (w *world) startEntries(n int, adviceAddress string) bool {
+	cloud := ""
+	if len(w.machines) > 0 {
+		cloud = w.serve(http.HandlerFunc(w.serveCloud))
+	}
+	for i := range n {
+		door := &storeDoor{store: w.store}
+		e := w.addEntry(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("z%d", i%2+1), w.serve(door), cloud, adviceAddress)
+		e.storeDoor = door
+	}
+	if !w.waitReady() {
+		return false
+	}
+	time.Sleep(2 * time.Second)
+	return true
+}
