--- a/review/standin-2/case_gang.go
+++ b/review/standin-2/case_gang.go
@@ -3,40 +3,58 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 )
 
 func init() { cases["gang"] = playGang }
 
-// playGang hands in gangs while one runner fails all that it starts, and looks for jobs that are shown as failed although
-// neither a task nor the gang has failed max_attempts times.
+// playGang hands in gangs while two runners of 24 fail all that they start, and looks for jobs that are shown as failed
+// although neither a task nor the gang has failed max_attempts times.
 func playGang(w *world, trouble bool) bool {
 	const (
 		prefix      = "/puxa400/"
 		jobs        = 6
-		runners     = 12
-		maxAttempts = 3
+		runners     = 24
+		grey        = 2
+		maxAttempts = 2
 		greyFor     = 6500 * time.Millisecond
+		probe       = 1000
 	)
-	var list []*runner
 	for i := range runners {
-		list = append(list, w.addRunner(fmt.Sprintf("i-7f3a91%02d", i), "huvo11a", "", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072}))
+		w.addRunner(fmt.Sprintf("i-7f3a91%02d", i), "huvo11a", "", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072})
 	}
-	w.store.operator("op", "config", newConfig(3, []route{newRoute("r-u6wsjnb", prefix, "huvo11a")}, "huvo11a"))
+	queue := newRoute("r-u6wsjnb", prefix, "huvo11a")
+	queue.MaxAttempts = maxAttempts
+	w.store.operator("op", "config", newConfig(3, []route{queue}, "huvo11a"))
 	if !w.startEntries(3, "") {
 		return false
 	}
+	job := func() *jobBody {
+		return &jobBody{Spec: "ms=850", Steps: []stepBody{{Count: 6, CPU: 3500, Mem: 5100, EstimateMs: 850, Gang: true, AntiAffinity: 1}}}
+	}
+	// The first gang shows which runners the holder fills first.
+	if !w.submit(w.entries[0], host, prefix, jobID(probe), job()) {
+		return false
+	}
+	time.Sleep(2500 * time.Millisecond)
+	first := w.runnersOf(jobID(probe))
+	if len(first) < grey {
+		return false
+	}
 	if trouble {
-		w.record("a runner fails all that it starts", "runner", list[0].id)
-		list[0].setGrey(true)
-		time.AfterFunc(greyFor, func() {
-			w.record("the runner is sound again", "runner", list[0].id)
-			list[0].setGrey(false)
-		})
+		for _, r := range first[:grey] {
+			w.record("a runner fails all that it starts", "runner", r.id)
+			r.setGrey(true)
+			time.AfterFunc(greyFor, func() {
+				w.record("the runner is sound again", "runner", r.id)
+				r.setGrey(false)
+			})
+		}
 	}
 	for n := range jobs {
-		j := &jobBody{Spec: "ms=1000", Steps: []stepBody{{Count: 6, CPU: 3500, Mem: 5100, EstimateMs: 1000, Gang: true}}}
-		if !w.submit(w.entries[n%3], host, prefix, jobID(n), j) {
+		if !w.submit(w.entries[n%3], host, prefix, jobID(n), job()) {
 			return false
 		}
 		time.Sleep(1500 * time.Millisecond)
@@ -66,3 +84,17 @@
 	}
 	return true
 }
+
+// runnersOf returns the runners that started a job's tasks, in the order of their ids.
+func (w *world) runnersOf(id string) []*runner {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*runner
+	for _, e := range w.events {
+		if e.isStart && e.task[:16] == id && !slices.Contains(list, w.runners[e.runner]) {
+			list = append(list, w.runners[e.runner])
+		}
+	}
+	slices.SortFunc(list, func(a, b *runner) int { return strings.Compare(a.id, b.id) })
+	return list
+}
--- a/review/standin-2/case_oversize.go
+++ b/review/standin-2/case_oversize.go
@@ -69,7 +69,7 @@
 // although its tasks' turn has come and the runners have room.
 func (w *world) unfinished(id string, r response) {
 	w.mu.Lock()
-	running, last := 0, time.Duration(0)
+	running, last := 0, w.accepted[id]
 	for _, e := range w.events {
 		if e.task[:16] != id {
 			continue
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -203,7 +203,7 @@
 			continue
 		}
 		if n.step.Gang {
-			switch state, at := r.world.gangState(n); {
+			switch state := r.world.gangState(n); {
 			case state == "broken":
 				r.end(n, "broken", now)
 				continue
@@ -214,7 +214,6 @@
 				r.end(n, "alone", now)
 				continue
 			case state == "done":
-				_ = at
 				r.end(n, "done", now)
 				continue
 			}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -47,8 +48,13 @@
 type gang struct {
 	members map[string]bool
 	state   string
+	// brokenAt is when the first member ended that broke the gang.
+	brokenAt time.Time
 }
 
+// gangNews is how long the runners take to learn that a member of a gang on another runner has ended.
+const gangNews = 10 * time.Millisecond
+
 type event struct {
 	at      time.Duration
 	runner  string
@@ -68,9 +74,11 @@
 	folder   string
 	began    time.Time
 
-	mu       sync.Mutex
-	out      *os.File
-	jobs     map[string]*jobBody
+	mu   sync.Mutex
+	out  *os.File
+	jobs map[string]*jobBody
+	// accepted is when jobs were accepted, since the start.
+	accepted map[string]time.Duration
 	gangs    map[string]*gang
 	runners  map[string]*runner
 	entries  []*entry
@@ -91,7 +99,7 @@
 	}
 	w := &world{
 		holdMax: 10 * time.Second, stopTime: 900 * time.Millisecond, gangWait: 3 * time.Second, folder: folder, began: time.Now(), out: out,
-		jobs: map[string]*jobBody{}, gangs: map[string]*gang{}, runners: map[string]*runner{}, waves: map[string]*waveRecord{},
+		jobs: map[string]*jobBody{}, accepted: map[string]time.Duration{}, gangs: map[string]*gang{}, runners: map[string]*runner{}, waves: map[string]*waveRecord{},
 	}
 	w.store = newStore(w, 65536)
 	return w
@@ -183,18 +191,21 @@
 	}
 }
 
-func (w *world) gangState(n *run) (string, int) {
+func (w *world) gangState(n *run) string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g := w.gangs[gangKey(n)]
-	return g.state, len(g.members)
+	if g.state == "broken" && time.Since(g.brokenAt) < gangNews {
+		return "present"
+	}
+	return g.state
 }
 
 func (w *world) breakGang(n *run) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if g := w.gangs[gangKey(n)]; g.state != "done" {
-		g.state = "broken"
+	if g := w.gangs[gangKey(n)]; g.state != "done" && g.state != "broken" {
+		g.state, g.brokenAt = "broken", time.Now()
 	}
 }
 
@@ -224,14 +235,27 @@
 	done               chan struct{}
 }
 
-// freePort returns a port that is free now.
+// ports are those that freePort has returned.
+var (
+	ports     = map[int]bool{}
+	portsLock sync.Mutex
+)
+
+// freePort returns a port that is free now, out of the range from which the kernel takes ports for connections.
 func freePort() int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	portsLock.Lock()
+	defer portsLock.Unlock()
+	const low, high = 10000, 30000
+	for {
+		port := low + rand.IntN(high-low)
+		l, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port))
+		if err != nil || ports[port] {
+			continue
+		}
+		_ = l.Close()
+		ports[port] = true
+		return port
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().(*net.TCPAddr).Port
 }
 
 // addEntry writes the settings of an entry and starts it with the command of the deploy file.
@@ -442,6 +466,9 @@
 	for range 5 {
 		r := w.call(e, http.MethodPost, host, path+id, j)
 		if r.status/100 == 2 {
+			w.mu.Lock()
+			w.accepted[id] = time.Since(w.began)
+			w.mu.Unlock()
 			return true
 		}
 		time.Sleep(time.Second)
