--- a/review/standin-2/case_gang.go
+++ b/review/standin-2/case_gang.go
@@ -28,7 +28,7 @@
 	queue := newRoute("r-u6wsjnb", prefix, "huvo11a")
 	queue.MaxAttempts = maxAttempts
 	w.store.operator("op", "config", newConfig(3, []route{queue}, "huvo11a"))
-	if !w.startEntries(3, "") {
+	if !w.startEntries(3) {
 		return false
 	}
 	job := func() *jobBody {
--- a/review/standin-2/config.go
+++ b/review/standin-2/config.go
@@ -11,7 +11,6 @@
 	Service     string  `json:"service"`
 	MaxAttempts int     `json:"max_attempts"`
 	Stretch     float64 `json:"stretch"`
-	Advice      any     `json:"advice,omitempty"`
 }
 
 type service struct {
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -6,7 +6,6 @@
 import (
 	"flag"
 	"fmt"
-	"net/http"
 	"os"
 	"time"
 )
@@ -61,14 +60,10 @@
 }
 
 // startEntries starts entries against the stand-ins and waits until they are ready.
-func (w *world) startEntries(n int, adviceAddress string) bool {
-	cloud := ""
-	if len(w.machines) > 0 {
-		cloud = w.serve(http.HandlerFunc(w.serveCloud))
-	}
+func (w *world) startEntries(n int) bool {
 	for i := range n {
 		door := &storeDoor{store: w.store}
-		e := w.addEntry(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("z%d", i%2+1), w.serve(door), cloud, adviceAddress)
+		e := w.addEntry(fmt.Sprintf("edge-%d", i+1), fmt.Sprintf("z%d", i%2+1), door.listen())
 		e.storeDoor = door
 	}
 	if !w.waitReady() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -257,10 +257,8 @@
 	Deadline   int64  `json:"deadline_ms"`
 	Fence      uint64 `json:"fencing_token"`
 	Checkpoint string `json:"checkpoint"`
-	Ticket     string `json:"ticket"`
 	Ack        uint64 `json:"ack_cursor"`
 	Wait       int    `json:"wait_ms"`
-	Percent    *int   `json:"percent"`
 }
 
 // ServeHTTP implements http.Handler.
@@ -346,11 +344,6 @@
 	if spec != o.Spec {
 		r.world.breach("UNASKED", fmt.Sprintf("%s starts %s with another spec", r.id, o.Task))
 	}
-	if r.world.advice != nil && !r.world.advice.allows(o.Task, r.id, o.Ticket) {
-		r.world.record("ticket rejected", "runner", r.id, "task", o.Task, "ticket", o.Ticket)
-		r.refuse(w, "ticket")
-		return
-	}
 	u := r.used()
 	cpu := step.CPU
 	if step.Fill {
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -304,10 +304,3 @@
 	}
 	s.apply([]storedRow{{rowName: rowName{table, "", key}, value: data}}, nil)
 }
-
-// read returns the value of a row of the platform's own tables.
-func (s *store) read(table, key string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[rowName{table, "", key}].value
-}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -67,7 +67,6 @@
 // world holds the stand-ins of one case and what they have seen.
 type world struct {
 	store    *store
-	advice   *advice
 	holdMax  time.Duration
 	stopTime time.Duration
 	gangWait time.Duration
@@ -84,8 +83,6 @@
 	entries  []*entry
 	events   []event
 	breaches []string
-	machines []*machine
-	waves    map[string]*waveRecord
 }
 
 func newWorld(record string) *world {
@@ -99,7 +96,7 @@
 	}
 	w := &world{
 		holdMax: 10 * time.Second, stopTime: 900 * time.Millisecond, gangWait: 3 * time.Second, folder: folder, began: time.Now(), out: out,
-		jobs: map[string]*jobBody{}, accepted: map[string]time.Duration{}, gangs: map[string]*gang{}, runners: map[string]*runner{}, waves: map[string]*waveRecord{},
+		jobs: map[string]*jobBody{}, accepted: map[string]time.Duration{}, gangs: map[string]*gang{}, runners: map[string]*runner{},
 	}
 	w.store = newStore(w, 65536)
 	return w
@@ -215,17 +212,6 @@
 	w.gangs[gangKey(n)].state = "done"
 }
 
-// serve starts the platform's store, the list of machines and the advice on one address each.
-func (w *world) serve(h http.Handler) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
-	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: 10 * time.Second}
-	go func() { _ = s.Serve(l) }()
-	return l.Addr().String()
-}
-
 // entry is a process of the project's program.
 type entry struct {
 	name, front, ready string
@@ -259,7 +245,7 @@
 }
 
 // addEntry writes the settings of an entry and starts it with the command of the deploy file.
-func (w *world) addEntry(name, zone, storeAddress, cloudAddress, adviceAddress string) *entry {
+func (w *world) addEntry(name, zone, storeAddress string) *entry {
 	metrics := freePort()
 	e := &entry{name: name, front: "127.0.0.1:" + strconv.Itoa(freePort()), ready: "127.0.0.1:" + strconv.Itoa(freePort())}
 	internal := freePort()
@@ -279,7 +265,7 @@
 heartbeat_ms = 1500
 contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
 commands = "rpc"
-advice = %q
+advice = ""
 [zones]
 z1 = "r1"
 z2 = "r1"
@@ -343,11 +329,11 @@
 blob_ms = 25.0
 blob_mb_s = 80.0
 [cloud]
-address = %q
+address = ""
 rate_per_s = 64.0
 duties = []
 duty_per_s = 64.0
-`, name, zone, internal, internal+15, adviceAddress, e.front, e.ready, storeAddress, cloudAddress)
+`, name, zone, internal, internal+15, e.front, e.ready, storeAddress)
 	e.settings = filepath.Join(w.folder, name+".toml")
 	e.log = filepath.Join(w.folder, name+".log")
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
