--- a/review/standin-2/case_cancelled.go
+++ b/review/standin-2/case_cancelled.go
@@ -19,7 +19,7 @@
 		late        = 5500 * time.Millisecond
 	)
 	for i := range 8 {
-		w.addRunner(fmt.Sprintf("i-7f3a91c%d", i), "huvo11a", "", fmt.Sprintf("r1-%d", i/4), resources{CPU: 16000, Mem: 32768})
+		w.addRunner(fmt.Sprintf("i-7f3a91c%d", i), "huvo11a", fmt.Sprintf("r1-%d", i/4), resources{CPU: 16000, Mem: 32768})
 	}
 	w.store.operator("op", "config", newConfig(3, []route{newRoute("r-u6wsjnb", prefix, "huvo11a")}, "huvo11a"))
 	if !w.startEntries(3) {
--- a/review/standin-2/case_gang.go
+++ b/review/standin-2/case_gang.go
@@ -23,7 +23,7 @@
 		probe       = 1000
 	)
 	for i := range runners {
-		w.addRunner(fmt.Sprintf("i-7f3a91%02d", i), "huvo11a", "", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072})
+		w.addRunner(fmt.Sprintf("i-7f3a91%02d", i), "huvo11a", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072})
 	}
 	queue := newRoute("r-u6wsjnb", prefix, "huvo11a")
 	queue.MaxAttempts = maxAttempts
--- a/review/standin-2/case_oversize.go
+++ b/review/standin-2/case_oversize.go
@@ -17,7 +17,7 @@
 		finish = 14 * time.Second // finish_s
 	)
 	for i := range 8 {
-		w.addRunner(fmt.Sprintf("i-7f3a91c%d", i), "huvo11a", "", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072})
+		w.addRunner(fmt.Sprintf("i-7f3a91c%d", i), "huvo11a", fmt.Sprintf("r1-%d", i/4), resources{CPU: 64000, Mem: 131072})
 	}
 	w.store.operator("op", "config", newConfig(3, []route{newRoute("r-u6wsjnb", prefix, "huvo11a")}, "huvo11a"))
 	if !w.startEntries(3) {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -38,7 +38,6 @@
 	world    *world
 	id       string
 	service  string
-	machine  string
 	rack     string
 	capacity resources
 	labels   []string
@@ -47,7 +46,6 @@
 	listener net.Listener
 	server   *http.Server
 
-	// stalled, while set, holds all answers back.
 	mu       sync.Mutex
 	began    time.Time
 	fence    uint64
@@ -58,7 +56,8 @@
 	lastEnd  uint64
 	acked    uint64
 	changed  chan struct{}
-	gone     bool
+	// gone is set once the runner is lost for good.
+	gone bool
 	// grey is set while all that is started fails.
 	grey     bool
 	sequence int
@@ -71,13 +70,13 @@
 	GPU int64 `json:"gpu"`
 }
 
-func (w *world) addRunner(id, service, machine, rack string, capacity resources, labels ...string) *runner {
+func (w *world) addRunner(id, service, rack string, capacity resources, labels ...string) *runner {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		panic(err)
 	}
 	r := &runner{
-		world: w, id: id, service: service, machine: machine, rack: rack, capacity: capacity, labels: append(append([]string{"a"}, labels...), rack), address: l.Addr().String(),
+		world: w, id: id, service: service, rack: rack, capacity: capacity, labels: append(append([]string{"a"}, labels...), rack), address: l.Addr().String(),
 		born: time.Now().UnixMilli(), listener: l, began: time.Now(), running: map[string]*run{}, highest: map[string]uint32{}, changed: make(chan struct{}), state: "ready",
 	}
 	r.server = &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second}
@@ -107,17 +106,9 @@
 func (r *runner) live() {
 	beat := time.NewTicker(1500 * time.Millisecond)
 	step := time.NewTicker(4 * time.Millisecond)
-	defer beat.Stop()
-	defer step.Stop()
 	for {
 		select {
 		case <-beat.C:
-			r.mu.Lock()
-			gone := r.gone
-			r.mu.Unlock()
-			if gone {
-				return
-			}
 			r.beat()
 		case <-step.C:
 			r.mu.Lock()
@@ -140,21 +131,6 @@
 	r.grey = grey
 }
 
-// crash ends the runner without a word.
-func (r *runner) crash() {
-	r.mu.Lock()
-	r.gone = true
-	for task, n := range r.running {
-		r.world.recordEnd(r, task, n.number, "lost")
-		delete(r.running, task)
-	}
-	r.mu.Unlock()
-	_ = r.server.Close()
-}
-
-// leave removes the runner's row.
-func (r *runner) leave() { r.world.store.apply(nil, []rowName{{"servers", "", r.id}}) }
-
 // work returns how long a run works, and false if it lasts.
 func (n *run) work() (time.Duration, bool) {
 	if n.step.LongRunning {
@@ -278,9 +254,6 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.gone {
-		panic(http.ErrAbortHandler)
-	}
 	r.advance()
 	if o.Fence < r.fence {
 		r.refuse(w, "fence")
@@ -384,7 +357,7 @@
 	}
 	r.ends = r.ends[cut:]
 	end := time.Now().Add(time.Duration(min(o.Wait, 2000)) * time.Millisecond)
-	for len(r.ends) == 0 && time.Now().Before(end) && !r.gone {
+	for len(r.ends) == 0 && time.Now().Before(end) {
 		changed := r.changed
 		r.mu.Unlock()
 		select {
