--- a/review/standin-2/config.go
+++ b/review/standin-2/config.go
@@ -3,10 +3,10 @@
 type route struct {
 	Name        string  `json:"name"`
 	Host        string  `json:"host"`
-	Prefix      string  `json:"path_prefix"`
+	Prefix      string  `json:"prefix"`
 	Kind        string  `json:"kind"`
 	TimeoutMs   int     `json:"timeout_ms"`
-	TargetMs    int     `json:"target_latency_ms"`
+	TargetMs    int     `json:"target-latency"`
 	Priority    int     `json:"priority"`
 	Service     string  `json:"service"`
 	MaxAttempts int     `json:"max_attempts"`
@@ -19,7 +19,7 @@
 	MaxConns   int    `json:"max_conns"`
 	Protocol   string `json:"protocol"`
 	TLS        bool   `json:"tls"`
-	Enforces   bool   `json:"enforces_capacity"`
+	Enforces   bool   `json:"enforces"`
 	Spare      bool   `json:"spare"`
 }
 
--- a/review/standin-2/door.go
+++ b/review/standin-2/door.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return
 	}
-	if r.URL.Path == "/mimosawharf/rows-tx" && late > 0 {
+	if wireNames.path(r) == "/rows/transact" && late > 0 {
 		copied := r.Clone(context.Background())
 		copied.Body = io.NopCloser(bytes.NewReader(body))
 		time.AfterFunc(late, func() {
--- a/review/standin-2/runner.go
+++ b/review/standin-2/runner.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -66,7 +65,7 @@
 
 type resources struct {
 	CPU int64 `json:"cpu"`
-	Mem int64 `json:"mem_mb"`
+	Mem int64 `json:"memory"`
 	GPU int64 `json:"gpu"`
 }
 
@@ -230,10 +229,10 @@
 	Task       string `json:"task"`
 	Run        uint32 `json:"run"`
 	Spec       string `json:"spec"`
-	Deadline   int64  `json:"deadline_ms"`
-	Fence      uint64 `json:"fencing_token"`
+	Deadline   int64  `json:"deadline"`
+	Fence      uint64 `json:"token"`
 	Checkpoint string `json:"checkpoint"`
-	Ack        uint64 `json:"ack_cursor"`
+	Ack        uint64 `json:"acknowledged"`
 	Wait       int    `json:"wait_ms"`
 }
 
@@ -244,11 +243,11 @@
 		return
 	}
 	var o order
-	if json.NewDecoder(q.Body).Decode(&o) != nil {
+	if wireNames.decode(q.Body, &o) != nil {
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
-	if t := q.Header.Get("Mimosawharf-Target-Instance"); t != "" && t != r.id {
+	if t := q.Header.Get(wireNames.TargetInstance); t != "" && t != r.id {
 		reply(w, 421, map[string]any{})
 		return
 	}
@@ -260,10 +259,10 @@
 		return
 	}
 	r.fence = o.Fence
-	switch q.URL.Path {
-	case "/mimosawharf/run-start":
+	switch wireNames.path(q) {
+	case "/start":
 		r.start(w, o)
-	case "/mimosawharf/run-stop":
+	case "/stop":
 		r.stop(w, o)
 	case "/mimosawharf/pace":
 		r.answer(w, nil)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -1,8 +1,8 @@
 package main
 
 import (
+	"bytes"
 	"encoding/base64"
-	"encoding/json"
 	"io"
 	"net/http"
 	"sort"
@@ -71,7 +71,11 @@
 func reply(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(body)
+	data, err := wireNames.encode(body)
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(data) // Fails only if the caller has gone.
 }
 
 func (s *store) now() int64 { return time.Since(s.began).Milliseconds() + 1 }
@@ -110,14 +114,14 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	switch r.Method + " " + r.URL.Path {
-	case "POST /mimosawharf/rows-tx":
+	switch r.Method + " " + wireNames.path(r) {
+	case "POST /rows/transact":
 		s.transact(w, r)
-	case "GET /mimosawharf/rows-get":
+	case "GET /rows/get":
 		s.get(w, r)
 	case "GET /mimosawharf/rows-parts":
 		s.parts(w, r)
-	case "GET /mimosawharf/rows-feed":
+	case "GET /rows/feed":
 		s.feed(w, r)
 	default:
 		reply(w, http.StatusNotFound, map[string]any{})
@@ -130,12 +134,12 @@
 		return
 	}
 	var m struct {
-		Expected []wireRow `json:"expected_rev"`
+		Expected []wireRow `json:"conditions"`
 		Writes   []wireRow `json:"writes"`
 		Remove   []wireRow `json:"remove"`
 		Across   bool      `json:"across"`
 	}
-	if json.Unmarshal(body, &m) != nil || len(body) > maxTxBytes || len(m.Expected)+len(m.Writes)+len(m.Remove) > maxTxEntries {
+	if wireNames.decode(bytes.NewReader(body), &m) != nil || len(body) > maxTxBytes || len(m.Expected)+len(m.Writes)+len(m.Remove) > maxTxEntries {
 		s.world.record("store refuses a call", "bytes", len(body), "status", 400)
 		reply(w, http.StatusBadRequest, map[string]any{"error": "a call holds at most 100 entries and 1 MB"})
 		return
@@ -298,7 +302,7 @@
 
 // operator writes a row as the operator or a runner does.
 func (s *store) operator(table, key string, value any) {
-	data, err := json.Marshal(value)
+	data, err := wireNames.encode(value)
 	if err != nil {
 		panic(err)
 	}
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -22,18 +22,18 @@
 type stepBody struct {
 	Count         int    `json:"count"`
 	CPU           int64  `json:"cpu,omitempty"`
-	Mem           int64  `json:"mem_mb,omitempty"`
+	Mem           int64  `json:"memory,omitempty"`
 	GPU           int64  `json:"gpu,omitempty"`
-	EstimateMs    int    `json:"estimate_ms,omitempty"`
+	EstimateMs    int    `json:"estimate,omitempty"`
 	After         []int  `json:"after,omitempty"`
 	Checkpointing bool   `json:"checkpointing,omitempty"`
 	Gang          bool   `json:"gang,omitempty"`
 	SameRack      bool   `json:"same_rack,omitempty"`
 	Constraints   string `json:"constraints,omitempty"`
-	AntiAffinity  int    `json:"anti_affinity,omitempty"`
+	AntiAffinity  int    `json:"spread,omitempty"`
 	LongRunning   bool   `json:"long_running,omitempty"`
-	Fill          bool   `json:"fill_ratio,omitempty"`
-	MayMiss       int    `json:"may_miss,omitempty"`
+	Fill          bool   `json:"fill,omitempty"`
+	MayMiss       int    `json:"budget,omitempty"`
 }
 
 // jobBody is a job as a client sends it.
@@ -249,91 +249,7 @@
 	metrics := freePort()
 	e := &entry{name: name, front: "127.0.0.1:" + strconv.Itoa(freePort()), ready: "127.0.0.1:" + strconv.Itoa(freePort())}
 	internal := freePort()
-	text := fmt.Sprintf(`node = %q
-role = "entry"
-machine_class = "edge"
-serves = ["edge"]
-ip = "127.0.0.1"
-zone = %q
-region = "r1"
-internal_ports = [%d, %d]
-seeds = []
-bootstrap = true
-in_tolerance = false
-discovery = "platform"
-entry = "vip"
-heartbeat_ms = 1500
-contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
-commands = "rpc"
-advice = ""
-[zones]
-z1 = "r1"
-z2 = "r1"
-[listen]
-front = %q
-ready = %q
-[limits]
-cpu_share = 0.4
-cores = 1
-memory_mb = 284
-max_fds = 4100
-link_mbps = 1000.0
-disk_mb = 0
-[fault_tolerance]
-machines = 2
-zones = 1
-regions = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-contact_ms = 3000
-ack_ms = 4000
-catch_up_s = 4
-drain_ms = 2000
-grace_s = 6
-lost_ms = 200
-config_ms = 2000
-rollback_slack_ms = 250
-max_skew_ms = 5000
-recover_s = 12
-hold_max_ms = 10000
-stop_ms = 900
-gang_ms = 3000
-cancel_ms = 3000
-visible_ms = 3000
-early_ms = 250
-finish_s = 14
-status_s = 120
-far_x = 2
-save_s = 1
-restore_ms = 600
-notice_ms = 4500
-move_s = 1.5
-upkeep_s = 2
-require_fencing = false
-lease_ms = 3000
-thaw_ms = 300
-pace_ms = 100
-harm_ms = 4000
-[platform]
-address = %q
-form = "table"
-writes_per_s = 800
-reads_per_s = 2000
-tx_ms = 4.0
-part_writes_s = 250
-row_bytes = 65536
-across = true
-history_s = 20
-blob_bytes = 8388608
-blob_ms = 25.0
-blob_mb_s = 80.0
-[cloud]
-address = ""
-rate_per_s = 64.0
-duties = []
-duty_per_s = 64.0
-`, name, zone, internal, internal+15, e.front, e.ready, storeAddress)
+	text := fmt.Sprintf(settingsFile, name, zone, internal, internal+15, e.front, e.ready, storeAddress)
 	e.settings = filepath.Join(w.folder, name+".toml")
 	e.log = filepath.Join(w.folder, name+".log")
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
@@ -417,7 +333,7 @@
 func (w *world) call(e *entry, method, host, path string, body any) response {
 	var reader io.Reader
 	if body != nil {
-		data, err := json.Marshal(body)
+		data, err := wireNames.encode(body)
 		if err != nil {
 			panic(err)
 		}
