review: ports of a block of its own for each process of the stand-ins

In a fresh clone, with ten plays started at the same moment, case 8 could not run once (exit 2). Its record was overwritten by the play beside it, so the cause is not shown; two plays taking one port is the likely one.

--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -227,15 +227,22 @@
 	portsLock sync.Mutex
 )
 
-// freePort returns a port that is free now, out of the range from which the kernel takes ports for connections.
+// freePort returns a port that is free now, out of the range from which the kernel takes ports for connections. Each
+// process that plays a case looks in a block of its own first, so that several can play at a time.
 func freePort() int {
+	const low, blocks, size = 10000, 300, 64
 	portsLock.Lock()
 	defer portsLock.Unlock()
-	const low, high = 10000, 30000
-	for {
-		port := low + rand.IntN(high-low)
+	for n := 0; ; n++ {
+		port := low + os.Getpid()%blocks*size + n
+		if n >= size {
+			port = low + rand.IntN(blocks*size)
+		}
+		if ports[port] {
+			continue
+		}
 		l, err := net.Listen("tcp4", "127.0.0.1:"+strconv.Itoa(port))
-		if err != nil || ports[port] {
+		if err != nil {
 			continue
 		}
 		_ = l.Close()
