--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -7,6 +7,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -34,11 +36,15 @@
 		return exitCannotRun
 	}
 	w := newWorld(*record)
-	time.AfterFunc(playLimit, func() {
-		w.record("the case takes too long")
+	abort := func(reason string) {
+		w.record("the case is broken off", "reason", reason)
 		w.stop()
 		os.Exit(exitCannotRun)
-	})
+	}
+	time.AfterFunc(playLimit, func() { abort("it takes too long") })
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() { abort((<-signals).String()) }()
 	defer func() { _ = w.out.Close() }()
 	ran := c(w, os.Getenv("TROUBLE") != "0")
 	w.stop()
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -73,6 +73,10 @@
 	folder   string
 	began    time.Time
 
+	// life guards the starts of processes: none follows once the case has ended.
+	life  sync.Mutex
+	ended bool
+
 	mu   sync.Mutex
 	out  *os.File
 	jobs map[string]*jobBody
@@ -270,6 +274,11 @@
 }
 
 func (w *world) start(e *entry, metrics int) {
+	w.life.Lock()
+	defer w.life.Unlock()
+	if w.ended {
+		return
+	}
 	log, err := os.OpenFile(e.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		panic(err)
@@ -293,11 +302,13 @@
 	}()
 }
 
-// stop ends all processes that the case started.
+// stop ends all processes that the case started. It may be called more than once.
 func (w *world) stop() {
+	w.life.Lock()
+	defer w.life.Unlock()
+	w.ended = true
 	for _, e := range w.entries {
 		if e.command != nil && e.command.Process != nil {
-			_ = e.command.Process.Signal(syscall.SIGCONT)
 			_ = e.command.Process.Kill()
 			<-e.done
 		}
