shard: hold the tasks of due occurrences only

Cause: the engine created all occurrences of a scheduled job, with all tasks, when the job was accepted: 4.5 MB for a job of 8 tasks that runs hourly for a year, whether or not it was due, and again at each takeover. Excluded: large rows (a job that has not begun has none of progress) and requests (the entry without the service stays at 23 MB).

Change: an occurrence gets its tasks two seconds before it is due. Its end becomes one bit of the job's schedule, and its row is removed, once the end is committed and none of its runs may execute. Of a job whose occurrences wait for room, 256 tasks that run nothing are held. A job with more rows than a transaction has is removed in several; before, it was never removed, and its holder wrote a transaction without rows each 20 ms.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -137,8 +137,9 @@
 	Err  error
 }
 
-// ProgressRow is the encoded progress of one occurrence.
+// ProgressRow is an encoded row of the progress of jobs.
 type ProgressRow struct {
+	Key   shard.RowKey
 	Value []byte
 }
 
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"errors"
 	"maps"
 	"slices"
 	"time"
@@ -194,19 +193,7 @@
 	s.updateEndpoints(now, h)
 	h.acceptAll()
 	rows := h.progress.Rows
-	for _, row := range rows {
-		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] })
-		var unknown *wire.ProgressError
-		if errors.As(err, &unknown) && unknown.UnknownJob {
-			h.engine.ForgetRow(unknown.Key)
-			continue
-		}
-		if err != nil {
-			s.Log.Error("scheduler: progress row cannot be decoded, skipped", zap.String("service", string(h.service)), zap.Error(trace.Unwrap(err)))
-			continue
-		}
-		h.engine.Restore(now, o)
-	}
+	s.restore(now, h, rows)
 	for id := range h.cancelled {
 		h.engine.Cancel(now, id)
 	}
@@ -217,6 +204,38 @@
 		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
 }
 
+// restore passes the progress that earlier holders committed to the engine.
+func (s *Scheduler) restore(now time.Time, h *heldDuty, rows []*ProgressRow) {
+	skipped := func(row *ProgressRow, err error) {
+		s.Log.Error("scheduler: progress row cannot be decoded, skipped", zap.String("service", string(h.service)),
+			zap.String("job", string(row.Key.Job)), zap.Error(trace.Unwrap(err)))
+	}
+	for _, row := range rows {
+		switch {
+		case h.jobs[row.Key.Job] == nil:
+			h.engine.ForgetRow(row.Key)
+		case row.Key.IsSchedule:
+			schedule, err := wire.DecodeSchedule(row.Value)
+			if err != nil {
+				skipped(row, err)
+				continue
+			}
+			h.engine.RestoreSchedule(row.Key.Job, schedule)
+		}
+	}
+	for _, row := range rows {
+		if h.jobs[row.Key.Job] == nil || row.Key.IsSchedule {
+			continue
+		}
+		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] })
+		if err != nil {
+			skipped(row, err)
+			continue
+		}
+		h.engine.Restore(now, o)
+	}
+}
+
 func (s *Scheduler) applyEndpoints(now time.Time, l *EndpointList) {
 	if s.stopRegistry == nil || s.endpoints == nil && !l.All {
 		return // Left over from a service that is not held any more.
--- a/internal/holder/jobstate.go
+++ b/internal/holder/jobstate.go
@@ -5,6 +5,7 @@
 
 	"github.com/gravitational/trace"
 
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -40,7 +41,7 @@
 	}
 	prefix := string(request.Job) + "."
 	progress, err := r.Store.Scan(ctx, rowstore.Range{
-		Table: tableProgress, Part: dutyPart(ServiceDuty(service)), From: rowstore.Key(prefix), Until: rowstore.Key(prefix + ":"),
+		Table: tableProgress, Part: dutyPart(ServiceDuty(service)), From: rowstore.Key(prefix), Until: rowstore.Key(prefix + "~"),
 	})
 	if err != nil {
 		return r.unavailable(request, err)
@@ -55,27 +56,49 @@
 	return Reply{Kind: ReplyFound, State: state, Account: j.Account, Source: "store"}
 }
 
-// committedState derives the state of a job from the rows of its occurrences.
+// committedState derives the state of a job from the rows of its schedule and of its occurrences.
 func committedState(j *fleet.Job, rows []rowstore.Row) (fleet.JobState, error) {
-	done := 0
-	state := fleet.JobStatePending
+	var schedule job.Schedule
+	states := map[fleet.Occurrence]fleet.JobState{}
 	for _, row := range rows {
-		s, err := wire.ProgressState(row.Value)
+		key, ok := parseProgressKey(row.Key)
+		if !ok || key.Job != j.ID {
+			continue
+		}
+		var err error
+		if key.IsSchedule {
+			schedule, err = wire.DecodeSchedule(row.Value)
+		} else {
+			states[key.Occurrence], err = wire.ProgressState(row.Value)
+		}
 		if err != nil {
 			return "", trace.Wrap(err)
 		}
-		switch s {
-		case fleet.JobStateFailed, fleet.JobStateCancelled:
+	}
+	done, state := schedule.Count(), fleet.JobStatePending
+	if done > 0 {
+		state = fleet.JobStateRunning
+	}
+	for k, s := range states {
+		switch {
+		case schedule.HasEnded(k):
+			continue
+		case s == fleet.JobStateFailed || s == fleet.JobStateCancelled:
 			return s, nil
-		case fleet.JobStateCompleted:
+		case s == fleet.JobStateCompleted:
 			done++
 		}
 		if s != fleet.JobStatePending {
 			state = fleet.JobStateRunning
 		}
 	}
-	if done == j.OccurrenceCount() {
-		state = fleet.JobStateCompleted
+	switch {
+	case schedule.Failed:
+		return fleet.JobStateFailed, nil
+	case done == j.OccurrenceCount():
+		return fleet.JobStateCompleted, nil
+	case schedule.Cancelled:
+		return fleet.JobStateCancelled, nil
 	}
 	return state, nil
 }
--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -19,16 +20,43 @@
 // keyWave is the prefix of the key of a maintenance wave's row.
 const keyWave = "wave-"
 
-// progressKey returns the key of the row of an occurrence.
-func progressKey(k job.Key) rowstore.Key {
+// keySchedule follows the id of a job and a dot in the key of its schedule.
+const keySchedule = "schedule"
+
+// progressKey returns the key of a row of the progress of jobs.
+func progressKey(k shard.RowKey) rowstore.Key {
+	if k.IsSchedule {
+		return rowstore.Key(string(k.Job) + "." + keySchedule)
+	}
 	return rowstore.Key(string(k.Job) + "." + strconv.Itoa(int(k.Occurrence)))
 }
 
+// parseProgressKey parses the key of a row of the progress of jobs.
+func parseProgressKey(key rowstore.Key) (shard.RowKey, bool) {
+	dot := strings.LastIndexByte(string(key), '.')
+	if dot < 0 {
+		return shard.RowKey{}, false
+	}
+	k := shard.RowKey{Job: fleet.JobID(key[:dot])}
+	if key[dot+1:] == keySchedule {
+		k.IsSchedule = true
+		return k, true
+	}
+	occurrence, err := strconv.ParseUint(string(key[dot+1:]), 10, 32)
+	k.Occurrence = fleet.Occurrence(occurrence)
+	return k, err == nil
+}
+
 type progressEncoder struct{}
 
 // Encode implements shard.Encoder.
 func (progressEncoder) Encode(o *job.Occurrence) ([]byte, error) { return wire.EncodeProgress(o) }
 
+// EncodeSchedule implements shard.Encoder.
+func (progressEncoder) EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
+	return wire.EncodeSchedule(id, s)
+}
+
 // maxQueuedOrders bounds the orders that wait for one endpoint. It exceeds the tasks that an endpoint
 // of the specified sizes can hold.
 const maxQueuedOrders = 512
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -130,7 +130,9 @@
 			p.Processes = append(p.Processes, known...)
 			continue
 		}
-		p.Rows = append(p.Rows, &ProgressRow{Value: row.Value})
+		if key, ok := parseProgressKey(row.Key); ok {
+			p.Rows = append(p.Rows, &ProgressRow{Key: key, Value: row.Value})
+		}
 	}
 	r.done(p)
 	<-ctx.Done()
--- a/internal/job/occurrence.go
+++ b/internal/job/occurrence.go
@@ -98,6 +98,18 @@
 // Remaining returns how many tasks of a step are not done.
 func (o *Occurrence) Remaining(step fleet.StepIndex) int { return o.remaining[step] }
 
+// Running reports whether a run of one of the tasks may be executing.
+func (o *Occurrence) Running() bool {
+	for s := range o.Tasks {
+		for t := range o.Tasks[s] {
+			if o.Tasks[s][t].Running() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Start assigns the next run of a task to an endpoint and returns its number.
 func (o *Occurrence) Start(id fleet.TaskID, process fleet.EndpointProcess) fleet.RunNumber {
 	t := o.Task(id)
--- a/internal/shard/address_test.go
+++ b/internal/shard/address_test.go
@@ -29,6 +29,9 @@
 
 func (addressed) Encode(*job.Occurrence) ([]byte, error) { return []byte{1}, nil }
 
+// EncodeSchedule implements shard.Encoder.
+func (addressed) EncodeSchedule(fleet.JobID, job.Schedule) ([]byte, error) { return []byte{1}, nil }
+
 func newAddressed(clocks ...time.Duration) *addressed {
 	a := &addressed{now: fakeEpoch}
 	a.engine = shard.NewEngine("service", 1, shard.Bounds{MaxLease: fakeMaxLease, StopTime: fakeStop, StatusRetention: time.Hour}, &fakeObserver{}, shard.Inheritance{}, fakeEpoch.Add(time.Hour))
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -14,25 +14,45 @@
 
 // maxBatchBytes is the size of a batch's values from which on no further row is added. The store accepts 1 MB
 // per transaction, encoding included.
-const maxBatchBytes = 400 << 10
+const maxBatchBytes fleet.Bytes = 400 << 10
 
-// Encoder encodes an occurrence as the value of its row.
+// Encoder encodes rows.
 type Encoder interface {
 	Encode(o *job.Occurrence) ([]byte, error)
+	EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error)
+}
+
+// RowKey identifies a row of the progress of jobs.
+type RowKey struct {
+	Job        fleet.JobID
+	Occurrence fleet.Occurrence
+	// IsSchedule is set for the row of the job's schedule.
+	IsSchedule bool
 }
 
 // RowWrite is one row of a batch. A nil value deletes the row.
 type RowWrite struct {
-	Key   job.Key
+	Key   RowKey
 	Value []byte
 }
 
 // Batch is a transaction on the rows of the service. Orders that depend on it are held back until Committed.
 type Batch struct {
-	Rows    []RowWrite
-	planned []plannedRun
-	acks    map[fleet.EndpointProcess]fleet.EndCursor
-	jobs    map[fleet.JobID]*jobState
+	Rows []RowWrite
+	// occurrences are those with a row in the batch, size is that of the values.
+	occurrences map[job.Key]bool
+	size        fleet.Bytes
+	planned     []plannedRun
+	acks        map[fleet.EndpointProcess]fleet.EndCursor
+	jobs        map[fleet.JobID]*jobState
+}
+
+// hasRoom reports whether a row may be added.
+func (b *Batch) hasRoom() bool { return len(b.Rows) < maxBatchRows && b.size < maxBatchBytes }
+
+func (b *Batch) add(key RowKey, value []byte) {
+	b.Rows = append(b.Rows, RowWrite{Key: key, Value: value})
+	b.size += fleet.Bytes(len(value))
 }
 
 type plannedRun struct {
@@ -42,6 +62,7 @@
 }
 
 type jobState struct {
+	entry   *jobEntry
 	state   fleet.JobState
 	endedAt time.Time
 }
@@ -52,41 +73,73 @@
 	if e.batch != nil {
 		return nil, nil
 	}
-	if len(e.dirty)+len(e.drop)+len(e.orphans) == 0 {
+	b := &Batch{occurrences: map[job.Key]bool{}, acks: map[fleet.EndpointProcess]fleet.EndCursor{}, jobs: map[fleet.JobID]*jobState{}}
+	if err := e.addOccurrences(b, encoder); err != nil {
+		return nil, err
+	}
+	if err := e.addSchedules(b, encoder); err != nil {
+		return nil, err
+	}
+	e.addRemovals(b)
+	if len(b.Rows) == 0 {
 		e.acknowledge()
 		return nil, nil
 	}
-	b := &Batch{acks: map[fleet.EndpointProcess]fleet.EndCursor{}, jobs: map[fleet.JobID]*jobState{}}
-	size := 0
+	for _, js := range b.jobs {
+		js.state, js.endedAt = js.entry.state(), js.entry.lastEnd()
+	}
+	e.collect(b)
+	e.batch = b
+	return b, nil
+}
+
+// addOccurrences adds the rows of changed occurrences as long as there is room.
+func (e *Engine) addOccurrences(b *Batch, encoder Encoder) error {
 	for _, key := range e.dirtyKeys() {
-		if len(b.Rows) >= maxBatchRows || size >= maxBatchBytes {
-			break
-		}
-		delete(e.dirty, key)
 		entry := e.jobs[key.Job]
-		if entry == nil {
+		if entry == nil || entry.open[key.Occurrence] == nil {
+			delete(e.dirty, key)
 			continue
 		}
-		value, err := encoder.Encode(entry.occurrences[key.Occurrence])
+		if !b.hasRoom() {
+			return nil
+		}
+		value, err := encoder.Encode(entry.open[key.Occurrence])
 		if err != nil {
-			return nil, err
+			return err
 		}
-		size += len(value)
-		b.Rows = append(b.Rows, RowWrite{Key: key, Value: value})
-		b.jobs[key.Job] = &jobState{}
+		row := RowKey{Job: key.Job, Occurrence: key.Occurrence}
+		delete(e.orphans, row)
+		b.add(row, value)
+		delete(e.dirty, key)
+		b.occurrences[key] = true
+		b.jobs[key.Job] = &jobState{entry: entry}
 	}
-	for id := range b.jobs {
+	return nil
+}
+
+// addSchedules adds the rows of changed schedules as long as there is room.
+func (e *Engine) addSchedules(b *Batch, encoder Encoder) error {
+	for id := range e.schedules {
 		entry := e.jobs[id]
-		js := b.jobs[id]
-		js.state = entry.state()
-		for _, o := range entry.occurrences {
-			js.endedAt = later(js.endedAt, o.EndedAt)
+		if entry == nil {
+			delete(e.schedules, id)
+			continue
+		}
+		if !b.hasRoom() {
+			return nil
+		}
+		value, err := encoder.EncodeSchedule(id, entry.schedule)
+		if err != nil {
+			return err
 		}
+		key := RowKey{Job: id, IsSchedule: true}
+		delete(e.orphans, key)
+		b.add(key, value)
+		delete(e.schedules, id)
+		b.jobs[id] = &jobState{entry: entry}
 	}
-	e.addRemovals(b)
-	e.collect(b)
-	e.batch = b
-	return b, nil
+	return nil
 }
 
 // acknowledge marks all processed ends as committed. It is called when no change is left to commit.
@@ -109,39 +162,24 @@
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence))
 }
 
-// addRemovals adds the deletion of the rows of forgotten jobs and of rows without a job.
+// addRemovals adds the deletion of rows that are needed no more as long as there is room.
 func (e *Engine) addRemovals(b *Batch) {
 	for key := range e.orphans {
-		if len(b.Rows) >= maxBatchRows {
+		if !b.hasRoom() {
 			return
 		}
-		b.Rows = append(b.Rows, RowWrite{Key: key})
-		delete(e.orphans, key)
-	}
-	for id := range e.drop {
-		entry := e.jobs[id]
-		if entry == nil {
-			delete(e.drop, id)
+		// A schedule says that an occurrence has ended before the rows of the occurrence go.
+		if e.schedules[key.Job] && !key.IsSchedule {
 			continue
 		}
-		if len(b.Rows)+len(entry.occurrences) > maxBatchRows {
-			return
-		}
-		for _, o := range entry.occurrences {
-			b.Rows = append(b.Rows, RowWrite{Key: o.Key()})
-		}
-		delete(e.drop, id)
-		delete(e.jobs, id)
+		b.add(key, nil)
+		delete(e.orphans, key)
 	}
 }
 
 // collect records which ends may be acknowledged and which runs may start once the batch is committed. If some
 // occurrences did not fit into the batch, their runs and all ends wait for a later one.
 func (e *Engine) collect(b *Batch) {
-	included := make(map[job.Key]bool, len(b.Rows))
-	for _, r := range b.Rows {
-		included[r.Key] = true
-	}
 	if len(e.dirty) == 0 {
 		for _, w := range e.workers {
 			if w.cursor > w.acked {
@@ -151,7 +189,7 @@
 	}
 	e.planned = slices.DeleteFunc(e.planned, func(p plannedRun) bool { return !e.isPlanned(p) })
 	for _, p := range e.planned {
-		if included[job.Key{Job: p.id.Job, Occurrence: p.id.Occurrence}] {
+		if b.occurrences[job.Key{Job: p.id.Job, Occurrence: p.id.Occurrence}] {
 			b.planned = append(b.planned, plannedRun{e.workers[p.process.Endpoint].Process(), p.id, p.run})
 		}
 	}
@@ -193,8 +231,9 @@
 		return
 	}
 	for id, js := range b.jobs {
-		if entry := e.jobs[id]; entry != nil {
-			entry.committed, entry.endedAt = js.state, js.endedAt
+		if e.jobs[id] == js.entry {
+			js.entry.committed, js.entry.endedAt = js.state, js.endedAt
+			e.closeEnded(js.entry)
 		}
 	}
 	for process, cursor := range b.acks {
--- a/internal/shard/endpoints.go
+++ b/internal/shard/endpoints.go
@@ -60,10 +60,10 @@
 
 func (e *Engine) occurrence(id fleet.TaskID) *job.Occurrence {
 	entry := e.jobs[id.Job]
-	if entry == nil || int(id.Occurrence) >= len(entry.occurrences) {
+	if entry == nil {
 		return nil
 	}
-	return entry.occurrences[id.Occurrence]
+	return entry.open[id.Occurrence]
 }
 
 // sorted returns the workers sorted by id, so that schedules are reproducible.
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -135,10 +135,13 @@
 	adviceRequests []AdviceRequest
 
 	accounts accounts
-	dirty    map[job.Key]bool
-	// drop holds forgotten jobs whose rows are to be deleted, orphans rows without a job.
-	drop    map[fleet.JobID]bool
-	orphans map[job.Key]bool
+	// dirty holds the occurrences, and schedules the scheduled jobs, whose rows are out of date.
+	dirty     map[job.Key]bool
+	schedules map[fleet.JobID]bool
+	// orphans holds the rows that are to be deleted.
+	orphans map[RowKey]bool
+	// schedule holds the jobs with occurrences that have not been opened.
+	schedule scheduleQueue
 	// planned holds the runs that were assigned, and possibly some that no longer wait for their commit.
 	planned []plannedRun
 	// batch is the batch that is being committed, or nil.
@@ -193,8 +196,8 @@
 		advice:           map[StepID]*stepAdvice{},
 		accounts:         accounts{usage: accountUsage{}, waiting: map[fleet.ClientAccountID]*allowance.Demand{}},
 		dirty:            map[job.Key]bool{},
-		drop:             map[fleet.JobID]bool{},
-		orphans:          map[job.Key]bool{},
+		schedules:        map[fleet.JobID]bool{},
+		orphans:          map[RowKey]bool{},
 	}
 	for _, b := range inherited.Bounds {
 		e.pendingBounds[b.Endpoint], e.inheritedBounds[b.Endpoint], e.withheld[b.Endpoint] = b, b, b.Silent
@@ -204,15 +207,15 @@
 
 func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
 
-// Restore adds an occurrence as read from the store.
+// Restore adds an occurrence as read from the store. The schedule of its job has been restored before.
 func (e *Engine) Restore(now time.Time, o *job.Occurrence) {
 	o.Recount()
 	entry := e.entry(o.Job)
-	entry.occurrences[o.Number] = o
-	e.active[o.Key()] = o
-	if o.State.IsFinal() {
-		delete(e.active, o.Key())
+	if entry.schedule.HasEnded(o.Number) {
+		e.orphan(o)
+		return
 	}
+	e.openOccurrence(entry, o)
 	for s := range o.Tasks {
 		for t := range o.Tasks[s] {
 			task := &o.Tasks[s][t]
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/mimosawharf/mimosawharf/internal/job"
@@ -9,8 +10,13 @@
 
 // jobEntry is one job with its occurrences.
 type jobEntry struct {
-	job         *fleet.Job
-	occurrences []*job.Occurrence
+	job *fleet.Job
+	// open holds the occurrences that have been opened and not closed, next is the first one that may not have been
+	// opened, schedule records those that were closed. A job that is not scheduled has one occurrence, which is always
+	// open.
+	open     map[fleet.Occurrence]*job.Occurrence
+	next     fleet.Occurrence
+	schedule job.Schedule
 	// committed is the committed state, which callers see.
 	committed fleet.JobState
 	endedAt   time.Time
@@ -31,12 +37,13 @@
 	}
 	e.ticketed = e.ticketed || j.NeedsTickets
 	entry = &jobEntry{job: j, committed: fleet.JobStatePending, excess: e.accounts.meter.Submit(j.Account, j.AcceptedAt)}
-	for k := range j.OccurrenceCount() {
-		o := job.New(j, fleet.Occurrence(k))
-		entry.occurrences = append(entry.occurrences, o)
-		e.active[o.Key()] = o
-	}
 	e.jobs[j.ID] = entry
+	if j.Occurrences == 0 {
+		e.openOccurrence(entry, job.New(j, 0))
+		entry.next = 1
+	} else {
+		heap.Push(&e.schedule, scheduledJob{entry: entry, openAt: openTime(entry)})
+	}
 	return entry
 }
 
@@ -58,14 +65,20 @@
 	if entry.cancelled {
 		return true
 	}
-	entry.cancelled = true
 	changed := false
-	for _, o := range entry.occurrences {
+	wasFinal := entry.state().IsFinal()
+	entry.cancelled = true
+	for _, o := range entry.sortedOpen() {
 		if o.Cancel(now) {
 			changed = true
 			e.finish(now, o)
 		}
 	}
+	if entry.job.Occurrences > 0 && !wasFinal {
+		// Occurrences that were not opened have no row that says so.
+		entry.schedule.Cancelled, entry.schedule.EndedAt = true, now
+		changed, e.schedules[id] = true, true
+	}
 	if changed {
 		e.Observer.Cancelled(id)
 	}
@@ -110,28 +123,42 @@
 
 // state derives the state of a job from its occurrences.
 func (j *jobEntry) state() fleet.JobState {
-	state, pending, done := fleet.JobStateRunning, true, true
-	for _, o := range j.occurrences {
+	ended := j.schedule.Count()
+	pending, failed, cancelled := ended == 0, j.schedule.Failed, j.cancelled || j.schedule.Cancelled
+	for _, o := range j.open {
 		switch o.State {
-		case fleet.JobStateFailed, fleet.JobStateCancelled:
-			return o.State
+		case fleet.JobStateFailed:
+			failed = true
+		case fleet.JobStateCancelled:
+			cancelled = true
+		case fleet.JobStateCompleted:
+			ended++
 		}
 		pending = pending && o.State == fleet.JobStatePending
-		done = done && o.State == fleet.JobStateCompleted
 	}
 	switch {
-	case done:
-		state = fleet.JobStateCompleted
+	case failed:
+		return fleet.JobStateFailed
+	case ended == j.job.OccurrenceCount():
+		return fleet.JobStateCompleted
+	case cancelled:
+		return fleet.JobStateCancelled
 	case pending:
-		state = fleet.JobStatePending
+		return fleet.JobStatePending
 	}
-	return state
+	return fleet.JobStateRunning
+}
+
+// lastEnd returns when the last of the ended occurrences ended.
+func (j *jobEntry) lastEnd() time.Time {
+	at := j.schedule.EndedAt
+	for _, o := range j.open {
+		at = later(at, o.EndedAt)
+	}
+	return at
 }
 
 // markCommitted sets the committed state of the job to its current state.
 func (j *jobEntry) markCommitted() {
-	j.committed = j.state()
-	for _, o := range j.occurrences {
-		j.endedAt = later(j.endedAt, o.EndedAt)
-	}
+	j.committed, j.endedAt = j.state(), j.lastEnd()
 }
--- a/internal/shard/loading.go
+++ b/internal/shard/loading.go
@@ -20,6 +20,9 @@
 // set again: an earlier holder may have known other processes of them.
 func (e *Engine) Loaded(now time.Time) {
 	e.loaded = true
+	for _, entry := range e.jobs {
+		e.closeEnded(entry) // An earlier holder had no time to.
+	}
 	if !e.loading {
 		return
 	}
--- a/internal/shard/next_kind_test.go
+++ b/internal/shard/next_kind_test.go
@@ -92,6 +92,9 @@
 // Encode implements shard.Encoder.
 func (*kindSite) Encode(*job.Occurrence) ([]byte, error) { return []byte{1}, nil }
 
+// EncodeSchedule implements shard.Encoder.
+func (*kindSite) EncodeSchedule(fleet.JobID, job.Schedule) ([]byte, error) { return []byte{1}, nil }
+
 // apply brings one event about. A start reaches the endpoint only if it names the process at work.
 func (s *kindSite) apply(event kindEvent) {
 	s.now = s.now.Add(30 * time.Millisecond)
--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -175,6 +175,11 @@
 // Encode implements shard.Encoder.
 func (*peak) Encode(o *job.Occurrence) ([]byte, error) { return wire.EncodeProgress(o) }
 
+// EncodeSchedule implements shard.Encoder.
+func (*peak) EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
+	return wire.EncodeSchedule(id, s)
+}
+
 // after has something happen outside of the holder.
 func (p *peak) after(d time.Duration, do func()) {
 	p.outside.count++
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -40,6 +40,7 @@
 	if !e.Permitted(now) || !e.Current(now) {
 		return
 	}
+	e.openDue(now)
 	e.requestAdvice(now)
 	e.countStarts(now)
 	e.open = e.openWorkers(now)
--- a/internal/shard/placement.go
+++ b/internal/shard/placement.go
@@ -128,14 +128,18 @@
 // nextTasks returns the step of a job that would be placed first and its waiting tasks, or why none would.
 func (e *Engine) nextTasks(now time.Time, j *fleet.Job) (candidate, []fleet.TaskID, Verdict) {
 	var occurrences []*job.Occurrence
+	notOpened := VerdictNothingWaits
 	if entry := e.jobs[j.ID]; entry != nil {
-		occurrences = entry.occurrences
+		occurrences = entry.sortedOpen()
+		if !entry.isOpened() {
+			notOpened = VerdictNotDue
+		}
 	} else {
 		accepted := *j
 		e.policy(j).Admit(&accepted, now)
 		occurrences = append(occurrences, job.New(&accepted, 0))
 	}
-	verdict := VerdictNothingWaits
+	verdict := notOpened
 	for _, o := range occurrences {
 		for s := range o.Tasks {
 			step := fleet.StepIndex(s)
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -46,13 +46,29 @@
 
 // Forget removes the progress of a job whose acceptance is no longer stored.
 func (e *Engine) Forget(id fleet.JobID) {
-	if entry := e.jobs[id]; entry != nil && entry.committed.IsFinal() {
-		e.drop[id] = true
+	entry := e.jobs[id]
+	if entry == nil || !entry.committed.IsFinal() {
+		return
+	}
+	for _, o := range entry.open {
+		delete(e.active, o.Key())
+		delete(e.dirty, o.Key())
+		e.orphan(o)
+	}
+	if entry.job.Occurrences > 0 {
+		delete(e.schedules, id)
+		e.orphans[RowKey{Job: id, IsSchedule: true}] = true
 	}
+	delete(e.jobs, id)
 }
 
 // ForgetRow removes a progress row whose job is no longer stored.
-func (e *Engine) ForgetRow(key job.Key) { e.orphans[key] = true }
+func (e *Engine) ForgetRow(key RowKey) { e.orphans[key] = true }
+
+// orphan has the row of an occurrence removed.
+func (e *Engine) orphan(o *job.Occurrence) {
+	e.orphans[RowKey{Job: o.Job.ID, Occurrence: o.Number}] = true
+}
 
 // statusMargin is added to Bounds.StatusRetention, because clocks differ.
 const statusMargin = 30 * time.Second
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -159,6 +159,29 @@
 	return o, nil
 }
 
+// EncodeSchedule returns the row value of a schedule.
+func EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
+	m := &jobv1.Schedule{Job: string(id), Ended: s.Ended, Failed: s.Failed, Cancelled: s.Cancelled}
+	if !s.EndedAt.IsZero() {
+		m.EndedAt = timestamppb.New(s.EndedAt)
+	}
+	value, err := proto.Marshal(m)
+	return value, trace.Wrap(err)
+}
+
+// DecodeSchedule returns the schedule that a row describes.
+func DecodeSchedule(value []byte) (job.Schedule, error) {
+	m := &jobv1.Schedule{}
+	if err := proto.Unmarshal(value, m); err != nil {
+		return job.Schedule{}, trace.Wrap(err)
+	}
+	s := job.Schedule{Ended: m.GetEnded(), Failed: m.GetFailed(), Cancelled: m.GetCancelled()}
+	if m.GetEndedAt() != nil {
+		s.EndedAt = m.GetEndedAt().AsTime()
+	}
+	return s, nil
+}
+
 // ProgressState returns the state in a progress row.
 func ProgressState(value []byte) (fleet.JobState, error) {
 	m := &jobv1.Progress{}
