shard, wire: divide the progress of a large job among rows

Cause: the progress of an occurrence was one row, which grows with the tasks, the ids of endpoints and the checkpoints: 74,866 bytes for 900 tasks. The store refuses rows above 65,536, and the transaction, with the renewal of the lease and the rows of all other jobs, was repeated without end. The stand-in for the store had no bounds, so no test could show it. Excluded: a slow holder (the same tasks in jobs of 30 are served).

Change: 128 tasks a row, all changed rows of an occurrence in one transaction, whose size is counted before rows are added. Transactions of submissions count the rows instead of the payloads. Jobs through the product's own interface have the bounds of those through the platform. The stand-in has the bounds of the platform. A transaction that is refused for its content is logged.

--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -12,7 +12,7 @@
 const (
 	// maxIntakeBatch bounds the submissions of one transaction.
 	maxIntakeBatch = 32
-	// maxIntakeBytes bounds the size of one transaction, well below 1 MB with its encoding.
+	// maxIntakeBytes bounds the values of one transaction, well below 1 MB with their encoding.
 	maxIntakeBytes = 256 << 10
 	// intakeRetryDelay is the pause before another attempt.
 	intakeRetryDelay = 60 * time.Millisecond
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -210,6 +210,7 @@
 		s.Log.Error("scheduler: progress row cannot be decoded, skipped", zap.String("service", string(h.service)),
 			zap.String("job", string(row.Key.Job)), zap.Error(trace.Unwrap(err)))
 	}
+	parts := map[shard.RowKey][]byte{}
 	for _, row := range rows {
 		switch {
 		case h.jobs[row.Key.Job] == nil:
@@ -221,13 +222,20 @@
 				continue
 			}
 			h.engine.RestoreSchedule(row.Key.Job, schedule)
+		case row.Key.Part > 0:
+			parts[row.Key] = row.Value
 		}
 	}
 	for _, row := range rows {
-		if h.jobs[row.Key.Job] == nil || row.Key.IsSchedule {
+		if h.jobs[row.Key.Job] == nil || row.Key.IsSchedule || row.Key.Part > 0 {
 			continue
 		}
-		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] })
+		part := func(n int) []byte {
+			key := row.Key
+			key.Part = n
+			return parts[key]
+		}
+		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] }, part)
 		if err != nil {
 			skipped(row, err)
 			continue
--- a/internal/holder/intake_test.go
+++ b/internal/holder/intake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -90,3 +92,35 @@
 		})
 	}
 }
+
+// Guards against transactions that the store refuses for their size, and with them each submission of their part: the
+// steps of a job were not counted.
+func TestLargeSubmissionsAreStored(t *testing.T) {
+	is := is.New(t)
+	store := rows.New(clock.Real())
+	inbox, calls := ring.New[holder.IntakeEvent]("intake", 64), ring.New[holder.StoreCall]("calls", 4)
+	var outcomes []*ring.Ring[holder.IntakeOutcome]
+	for n := range 30 {
+		j := &fleet.Job{ID: fleet.JobID(fmt.Sprintf("%016x", n)), Service: "service", Queue: "queue"}
+		for range 600 {
+			j.Steps = append(j.Steps, fleet.Step{Tasks: 1, RequiredLabel: fleet.Label(strings.Repeat("l", 80))})
+		}
+		is.NoErr(holder.CheckSize(j))
+		outcome := ring.New[holder.IntakeOutcome]("outcome", 1)
+		outcomes = append(outcomes, outcome)
+		is.NoErr(inbox.Push(holder.IntakeEvent{Submission: &holder.Submission{
+			Job: j, Deadline: clock.Real().Now().Add(10 * time.Second), Reply: func(o holder.IntakeOutcome) { _ = outcome.Push(o) },
+		}}))
+	}
+	group, ctx := duty.NewGroup(context.Background())
+	defer func() { group.Stop(); _ = group.Wait() }()
+	group.Start(ctx, &holder.Intake{
+		Inbox: inbox, Writer: calls, Latency: &ring.Latest[follow.Latency]{}, Clock: clock.Real(), Log: zap.NewNop(), Announce: func(holder.Announcement) {},
+	})
+	group.Start(ctx, &holder.IntakeWriter{Inbox: calls, Intake: inbox, Store: store, Log: zap.NewNop()})
+	for _, outcome := range outcomes {
+		got, err := outcome.Pop(t.Context())
+		is.NoErr(err)
+		is.Equal(got, holder.IntakeStored)
+	}
+}
--- a/internal/holder/jobstate.go
+++ b/internal/holder/jobstate.go
@@ -62,7 +62,7 @@
 	states := map[fleet.Occurrence]fleet.JobState{}
 	for _, row := range rows {
 		key, ok := parseProgressKey(row.Key)
-		if !ok || key.Job != j.ID {
+		if !ok || key.Job != j.ID || key.Part > 0 {
 			continue
 		}
 		var err error
--- a/internal/holder/links.go
+++ b/internal/holder/links.go
@@ -20,15 +20,23 @@
 // keyWave is the prefix of the key of a maintenance wave's row.
 const keyWave = "wave-"
 
-// keySchedule follows the id of a job and a dot in the key of its schedule.
-const keySchedule = "schedule"
+const (
+	// keySchedule follows the id of a job and a dot in the key of its schedule.
+	keySchedule = "schedule"
+	// partSeparator stands between the key of an occurrence and the number of a part.
+	partSeparator = "+"
+)
 
 // progressKey returns the key of a row of the progress of jobs.
 func progressKey(k shard.RowKey) rowstore.Key {
 	if k.IsSchedule {
 		return rowstore.Key(string(k.Job) + "." + keySchedule)
 	}
-	return rowstore.Key(string(k.Job) + "." + strconv.Itoa(int(k.Occurrence)))
+	key := string(k.Job) + "." + strconv.Itoa(int(k.Occurrence))
+	if k.Part > 0 {
+		key += partSeparator + strconv.Itoa(k.Part)
+	}
+	return rowstore.Key(key)
 }
 
 // parseProgressKey parses the key of a row of the progress of jobs.
@@ -42,15 +50,19 @@
 		k.IsSchedule = true
 		return k, true
 	}
-	occurrence, err := strconv.ParseUint(string(key[dot+1:]), 10, 32)
-	k.Occurrence = fleet.Occurrence(occurrence)
-	return k, err == nil
+	number, part, hasPart := strings.Cut(string(key[dot+1:]), partSeparator)
+	occurrence, err := strconv.ParseUint(number, 10, 32)
+	if k.Occurrence = fleet.Occurrence(occurrence); err != nil || !hasPart {
+		return k, err == nil
+	}
+	k.Part, err = strconv.Atoi(part)
+	return k, err == nil && k.Part > 0
 }
 
 type progressEncoder struct{}
 
 // Encode implements shard.Encoder.
-func (progressEncoder) Encode(o *job.Occurrence) ([]byte, error) { return wire.EncodeProgress(o) }
+func (progressEncoder) Encode(o *job.Occurrence) ([][]byte, error) { return wire.EncodeProgress(o) }
 
 // EncodeSchedule implements shard.Encoder.
 func (progressEncoder) EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/gravitational/trace"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
@@ -41,6 +43,8 @@
 	// Reply receives the outcome. It must not block. It is nil for removals.
 	Reply func(IntakeOutcome)
 
+	// encoded is what rows returns, once it has been called.
+	encoded   []rowstore.Row
 	arrivedAt time.Time
 	// inFlight is set while an attempt with the submission has no answer, inDoubt once an attempt may take
 	// effect although it was not answered. Only a submission that is neither may be refused.
@@ -59,6 +63,13 @@
 
 // rows returns the rows to store. The first one must not exist; it decides which submission is stored.
 func (s *Submission) rows() []rowstore.Row {
+	if s.encoded == nil {
+		s.encoded = s.encode()
+	}
+	return s.encoded
+}
+
+func (s *Submission) encode() []rowstore.Row {
 	id := s.id()
 	part := IntakePart(id)
 	if s.Job == nil {
@@ -78,12 +89,30 @@
 	return jobKey(s.id())
 }
 
-// size approximates the size of the row by its payload, which dominates it.
+// size returns the size of the values of the rows.
 func (s *Submission) size() int {
-	if s.Job == nil {
-		return 0
+	n := 0
+	for _, row := range s.rows() {
+		n += len(row.Value)
+	}
+	return n
+}
+
+// TooLargeError reports a job whose row the store does not keep.
+type TooLargeError struct{ Size int }
+
+// Error implements error.
+func (e *TooLargeError) Error() string {
+	return "the job takes " + strconv.Itoa(e.Size) + " bytes, at most " + strconv.Itoa(rowstore.MaxValue) + " are kept"
+}
+
+// CheckSize returns *TooLargeError for a job that cannot be stored. A submission of one would fail, and with it each
+// transaction that it is part of.
+func CheckSize(j *fleet.Job) error {
+	if size := proto.Size(wire.Job(j)); size > rowstore.MaxValue {
+		return trace.Wrap(&TooLargeError{Size: size})
 	}
-	return len(s.Job.Payload)
+	return nil
 }
 
 func jobKey(id fleet.JobID) rowstore.Key    { return rowstore.Key(keyJob + string(id)) }
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -171,7 +171,7 @@
 		return
 	}
 	s.taking[d] = true
-	chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Latency: s.Latency}
+	chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Latency: s.Latency, Log: s.Log}
 	takeCtx, cancel := context.WithCancel(ctx)
 	s.Duties.Start(takeCtx, &taker{
 		chain: chain, previous: s.election.Leases[d], probe: probe, clock: s.Clock, log: s.Log,
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/gravitational/trace"
+	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/mimosawharf/mimosawharf/internal/clock"
@@ -68,6 +70,8 @@
 	Epoch fleet.FencingToken
 	Store Store
 	Clock clock.Clock
+	// Log may be nil.
+	Log *zap.Logger
 	// Latency determines the timeout of attempts; nil means that the latency is not known.
 	Latency *ring.Latest[follow.Latency]
 
@@ -121,6 +125,7 @@
 			c.version = version
 			return sent, nil
 		case errors.As(err, &refused):
+			c.logRefusal(refused, t, attempts)
 			pause = min(pause, refusedRetry)
 		case errors.As(err, &conflict):
 			done, err := c.resolveConflict(conflict)
@@ -134,6 +139,15 @@
 	}
 }
 
+// logRefusal logs the first refusal of a transaction that is not due to the load or an outage of the store.
+func (c *Chain) logRefusal(refused *rowstore.RefusedError, t rowstore.Transaction, attempts int) {
+	if c.Log == nil || attempts > 0 || refused.Status == 0 || refused.Overloaded() || refused.Status == http.StatusServiceUnavailable {
+		return
+	}
+	c.Log.Error("writer: the store refuses a transaction", zap.String("duty", string(c.Duty)), zap.Int("status", refused.Status),
+		zap.Int("rows", len(t.Puts)+len(t.Removes)), zap.Int("bytes", size(t)))
+}
+
 func (c *Chain) attempt(ctx context.Context, t rowstore.Transaction, attempts int) (rowstore.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout(attempts)+follow.TransferTime(size(t)))
 	defer cancel()
--- a/internal/job/occurrence.go
+++ b/internal/job/occurrence.go
@@ -66,6 +66,22 @@
 	}
 }
 
+// PartTasks is the largest number of tasks that one row holds. An occurrence with more is divided into parts. The state
+// of a task takes up to 450 bytes, and the platform's store keeps rows of 64 KB.
+const PartTasks = 128
+
+// Parts returns the number of parts that the tasks are divided into, or 0 where one row holds the occurrence.
+func (o *Occurrence) Parts() int {
+	tasks := 0
+	for _, s := range o.Tasks {
+		tasks += len(s)
+	}
+	if tasks <= PartTasks {
+		return 0
+	}
+	return (tasks + PartTasks - 1) / PartTasks
+}
+
 // Key returns the key of the occurrence.
 func (o *Occurrence) Key() Key { return Key{o.Job.ID, o.Number} }
 
--- a/internal/jobentry/size_test.go
+++ b/internal/jobentry/size_test.go
@@ -212,7 +212,7 @@
 		_, err = f.platform.Rows.Transact(ctx, rowstore.Transaction{Puts: []rowstore.Row{
 			{Table: holder.AcceptedTable, Part: part, Key: key, Value: accepted},
 			{Table: holder.JobTable("planner"), Part: part, Key: key, Value: body},
-			{Table: "mimosawharf-progress", Part: "duty-jobs-planner", Key: rowstore.Key(j.ID + ".0"), Value: progress},
+			{Table: "mimosawharf-progress", Part: "duty-jobs-planner", Key: rowstore.Key(j.ID + ".0"), Value: progress[0]},
 		}})
 		is.NoErr(err)
 	}
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -10,6 +10,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/wire"
 	jobv1 "github.com/mimosawharf/mimosawharf/pkg/api/mimosawharf/job/v1"
@@ -76,6 +77,9 @@
 		return nil, requestError(connect.CodeInvalidArgument, "the job has no steps")
 	}
 	queue.Admit(job, j.Clock.Now())
+	if err := checkLimits(job); err != nil {
+		return nil, requestError(connect.CodeInvalidArgument, err.Error())
+	}
 	reply := ring.New[holder.IntakeOutcome]("reply", 1)
 	s := &holder.Submission{Job: job, Deadline: j.deadline(ctx), Reply: func(o holder.IntakeOutcome) { _ = reply.Push(o) }} // The ring has room for the single reply.
 	if err := j.Feeds.Intakes[holder.IntakeIndex(job.ID)].Push(holder.IntakeEvent{Submission: s}); err != nil {
@@ -93,6 +97,14 @@
 	return connect.NewResponse(&jobv1.SubmitResponse{}), nil
 }
 
+// checkLimits returns an error for a job that cannot be kept.
+func checkLimits(j *fleet.Job) error {
+	if err := job.CheckLimits(j); err != nil {
+		return err
+	}
+	return holder.CheckSize(j)
+}
+
 // checkSteps returns an error where a step follows one that is not an earlier one.
 func checkSteps(job *fleet.Job) error {
 	for i, s := range job.Steps {
--- a/internal/rowstore/rowstore.go
+++ b/internal/rowstore/rowstore.go
@@ -19,6 +19,9 @@
 // Version counts the transactions of the store, across all tables.
 type Version uint64
 
+// MaxValue is the longest value of a row in bytes that the platform's store keeps.
+const MaxValue = 64 << 10
+
 // Row is one row. A deleted row has no value.
 type Row struct {
 	Table   Table
--- a/internal/shard/address_test.go
+++ b/internal/shard/address_test.go
@@ -27,7 +27,7 @@
 	twice     bool
 }
 
-func (addressed) Encode(*job.Occurrence) ([]byte, error) { return []byte{1}, nil }
+func (addressed) Encode(*job.Occurrence) ([][]byte, error) { return [][]byte{{1}}, nil }
 
 // EncodeSchedule implements shard.Encoder.
 func (addressed) EncodeSchedule(fleet.JobID, job.Schedule) ([]byte, error) { return []byte{1}, nil }
--- a/internal/shard/commit.go
+++ b/internal/shard/commit.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -12,13 +14,14 @@
 // maxBatchRows is the limit of rows in one transaction. The store accepts at most 100 entries.
 const maxBatchRows = 80
 
-// maxBatchBytes is the size of a batch's values from which on no further row is added. The store accepts 1 MB
-// per transaction, encoding included.
+// maxBatchBytes bounds the values of a batch. The store accepts 1 MB per transaction, of which base64 takes a quarter.
+// The rows of one occurrence, at most 440 KB, may exceed it if the batch has no other.
 const maxBatchBytes fleet.Bytes = 400 << 10
 
 // Encoder encodes rows.
 type Encoder interface {
-	Encode(o *job.Occurrence) ([]byte, error)
+	// Encode returns the value of an occurrence's row, and those of the rows with its tasks where it has parts.
+	Encode(o *job.Occurrence) ([][]byte, error)
 	EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error)
 }
 
@@ -26,6 +29,8 @@
 type RowKey struct {
 	Job        fleet.JobID
 	Occurrence fleet.Occurrence
+	// Part is 0 for the row of the occurrence itself; the rows of its tasks, where it has them, are numbered from 1.
+	Part int
 	// IsSchedule is set for the row of the job's schedule.
 	IsSchedule bool
 }
@@ -47,8 +52,10 @@
 	jobs        map[fleet.JobID]*jobState
 }
 
-// hasRoom reports whether a row may be added.
-func (b *Batch) hasRoom() bool { return len(b.Rows) < maxBatchRows && b.size < maxBatchBytes }
+// hasRoom reports whether rows may be added. Rows that go together may exceed the bounds if the batch has no other.
+func (b *Batch) hasRoom(rows int, size fleet.Bytes) bool {
+	return len(b.Rows) == 0 || len(b.Rows)+rows <= maxBatchRows && b.size+size <= maxBatchBytes
+}
 
 func (b *Batch) add(key RowKey, value []byte) {
 	b.Rows = append(b.Rows, RowWrite{Key: key, Value: value})
@@ -93,7 +100,7 @@
 	return b, nil
 }
 
-// addOccurrences adds the rows of changed occurrences as long as there is room.
+// addOccurrences adds the rows of changed occurrences as long as there is room. All rows of one go together.
 func (e *Engine) addOccurrences(b *Batch, encoder Encoder) error {
 	for _, key := range e.dirtyKeys() {
 		entry := e.jobs[key.Job]
@@ -101,16 +108,28 @@
 			delete(e.dirty, key)
 			continue
 		}
-		if !b.hasRoom() {
-			return nil
-		}
-		value, err := encoder.Encode(entry.open[key.Occurrence])
+		values, err := encoder.Encode(entry.open[key.Occurrence])
 		if err != nil {
 			return err
 		}
-		row := RowKey{Job: key.Job, Occurrence: key.Occurrence}
-		delete(e.orphans, row)
-		b.add(row, value)
+		rows, sums := changedRows(key, values, entry.parts[key.Occurrence])
+		var size fleet.Bytes
+		for _, row := range rows {
+			size += fleet.Bytes(len(row.Value))
+		}
+		if !b.hasRoom(len(rows), size) {
+			return nil // No end is acknowledged before it has had its turn, so that the others come to rest.
+		}
+		if len(sums) > 0 {
+			if entry.parts == nil {
+				entry.parts = map[fleet.Occurrence][]uint64{}
+			}
+			entry.parts[key.Occurrence] = sums
+		}
+		for _, row := range rows {
+			delete(e.orphans, row.Key)
+			b.add(row.Key, row.Value)
+		}
 		delete(e.dirty, key)
 		b.occurrences[key] = true
 		b.jobs[key.Job] = &jobState{entry: entry}
@@ -118,6 +137,22 @@
 	return nil
 }
 
+// changedRows returns the rows of an occurrence to be written, and the checksums of all its parts. Parts with the
+// checksum of the stored row are left out.
+func changedRows(key job.Key, values [][]byte, stored []uint64) (rows []RowWrite, sums []uint64) {
+	for part, value := range values {
+		if part > 0 {
+			sum := xxhash.Sum64(value)
+			sums = append(sums, sum)
+			if part <= len(stored) && stored[part-1] == sum {
+				continue
+			}
+		}
+		rows = append(rows, RowWrite{Key: RowKey{Job: key.Job, Occurrence: key.Occurrence, Part: part}, Value: value})
+	}
+	return rows, sums
+}
+
 // addSchedules adds the rows of changed schedules as long as there is room.
 func (e *Engine) addSchedules(b *Batch, encoder Encoder) error {
 	for id := range e.schedules {
@@ -126,13 +161,13 @@
 			delete(e.schedules, id)
 			continue
 		}
-		if !b.hasRoom() {
-			return nil
-		}
 		value, err := encoder.EncodeSchedule(id, entry.schedule)
 		if err != nil {
 			return err
 		}
+		if !b.hasRoom(1, fleet.Bytes(len(value))) {
+			return nil
+		}
 		key := RowKey{Job: id, IsSchedule: true}
 		delete(e.orphans, key)
 		b.add(key, value)
@@ -165,7 +200,7 @@
 // addRemovals adds the deletion of rows that are needed no more as long as there is room.
 func (e *Engine) addRemovals(b *Batch) {
 	for key := range e.orphans {
-		if !b.hasRoom() {
+		if !b.hasRoom(1, 0) {
 			return
 		}
 		// A schedule says that an occurrence has ended before the rows of the occurrence go.
--- a/internal/shard/fake_test.go
+++ b/internal/shard/fake_test.go
@@ -76,6 +76,10 @@
 	advicePending []pendingAdvice
 	adviceCount   int
 
+	// batched, if set, is passed each batch, and encode replaces the placeholders that rows are encoded as.
+	batched func(*shard.Batch)
+	encode  func(*job.Occurrence) ([][]byte, error)
+
 	statusRetention time.Duration
 	// farFactor is how many times as long a task runs away from its data.
 	farFactor float64
@@ -169,10 +173,17 @@
 	return c
 }
 
-// Encode implements shard.Encoder. The value is a placeholder; the state is kept in latest.
-func (sim *simulation) Encode(o *job.Occurrence) ([]byte, error) {
+// Encode implements shard.Encoder. The values are placeholders; the state is kept in latest.
+func (sim *simulation) Encode(o *job.Occurrence) ([][]byte, error) {
 	sim.latest[o.Key()] = clone(o)
-	return []byte{1}, nil
+	if sim.encode != nil {
+		return sim.encode(o)
+	}
+	values := [][]byte{{1}}
+	for range o.Parts() {
+		values = append(values, []byte{1})
+	}
+	return values, nil
 }
 
 // EncodeSchedule implements shard.Encoder.
@@ -243,6 +254,9 @@
 	if err != nil || batch == nil {
 		return
 	}
+	if sim.batched != nil {
+		sim.batched(batch)
+	}
 	sim.committing, sim.removing = nil, map[shard.RowKey]bool{}
 	for _, row := range batch.Rows {
 		sim.committing = append(sim.committing, row.Key)
@@ -256,6 +270,7 @@
 	for _, row := range sim.committing {
 		key := job.Key{Job: row.Job, Occurrence: row.Occurrence}
 		switch {
+		case row.Part > 0: // The state is kept with the occurrence.
 		case row.IsSchedule && sim.removing[row]:
 			delete(sim.store.schedules, row.Job)
 		case row.IsSchedule:
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -17,6 +17,8 @@
 	open     map[fleet.Occurrence]*job.Occurrence
 	next     fleet.Occurrence
 	schedule job.Schedule
+	// parts holds the checksums of the stored parts of occurrences.
+	parts map[fleet.Occurrence][]uint64
 	// committed is the committed state, which callers see.
 	committed fleet.JobState
 	endedAt   time.Time
--- a/internal/shard/next_kind_test.go
+++ b/internal/shard/next_kind_test.go
@@ -90,7 +90,7 @@
 }
 
 // Encode implements shard.Encoder.
-func (*kindSite) Encode(*job.Occurrence) ([]byte, error) { return []byte{1}, nil }
+func (*kindSite) Encode(*job.Occurrence) ([][]byte, error) { return [][]byte{{1}}, nil }
 
 // EncodeSchedule implements shard.Encoder.
 func (*kindSite) EncodeSchedule(fleet.JobID, job.Schedule) ([]byte, error) { return []byte{1}, nil }
--- a/internal/shard/peak_test.go
+++ b/internal/shard/peak_test.go
@@ -173,7 +173,7 @@
 }
 
 // Encode implements shard.Encoder.
-func (*peak) Encode(o *job.Occurrence) ([]byte, error) { return wire.EncodeProgress(o) }
+func (*peak) Encode(o *job.Occurrence) ([][]byte, error) { return wire.EncodeProgress(o) }
 
 // EncodeSchedule implements shard.Encoder.
 func (*peak) EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -155,6 +155,7 @@
 		}
 		entry.schedule.End(o)
 		delete(entry.open, o.Number)
+		delete(entry.parts, o.Number)
 		e.schedules[entry.job.ID] = true
 		e.orphan(o)
 	}
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -65,9 +65,11 @@
 // ForgetRow removes a progress row whose job is no longer stored.
 func (e *Engine) ForgetRow(key RowKey) { e.orphans[key] = true }
 
-// orphan has the row of an occurrence removed.
+// orphan has the rows of an occurrence removed.
 func (e *Engine) orphan(o *job.Occurrence) {
-	e.orphans[RowKey{Job: o.Job.ID, Occurrence: o.Number}] = true
+	for part := range 1 + o.Parts() {
+		e.orphans[RowKey{Job: o.Job.ID, Occurrence: o.Number, Part: part}] = true
+	}
 }
 
 // statusMargin is added to Bounds.StatusRetention, because clocks differ.
--- a/internal/shard/turn_test.go
+++ b/internal/shard/turn_test.go
@@ -99,7 +99,7 @@
 		t.engine.Accept(j)
 	}
 	for _, row := range t.stored {
-		if o, err := wire.DecodeProgress(row, func(id fleet.JobID) *fleet.Job { return t.jobs[id] }); err == nil {
+		if o, err := wire.DecodeProgress(row, func(id fleet.JobID) *fleet.Job { return t.jobs[id] }, nil); err == nil {
 			t.engine.Restore(t.now, o)
 		}
 	}
--- a/internal/standin/rows/rows.go
+++ b/internal/standin/rows/rows.go
@@ -4,6 +4,9 @@
 import (
 	"cmp"
 	"context"
+	"encoding/base64"
+	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -89,7 +92,50 @@
 	return version, err
 }
 
+// OversizeError is the cause of the refusal of a transaction that exceeds a bound of the platform.
+type OversizeError struct {
+	What       string
+	Size, Most int
+}
+
+// Error implements error.
+func (e *OversizeError) Error() string {
+	return fmt.Sprintf("%s: %d, at most %d", e.What, e.Size, e.Most)
+}
+
+// Bounds of a transaction, as the platform has them.
+const (
+	maxEntries = 100
+	maxName    = 200
+	maxBody    = 1 << 20
+)
+
+// check returns an error for a transaction that the platform refuses for its size.
+func check(t rowstore.Transaction) error {
+	body := 0
+	var problem *OversizeError
+	require := func(what string, size, most int) {
+		if size > most && problem == nil {
+			problem = &OversizeError{what, size, most}
+		}
+	}
+	for _, row := range slices.Concat(t.Puts, t.Removes) {
+		require("bytes of the value of "+string(row.Key), len(row.Value), rowstore.MaxValue)
+		require("bytes of a name", max(len(row.Table), len(row.Part), len(row.Key)), maxName)
+		body += base64.StdEncoding.EncodedLen(len(row.Value)) + len(row.Table) + len(row.Part) + len(row.Key)
+	}
+	require("entries", len(t.Conditions)+len(t.Puts)+len(t.Removes), maxEntries)
+	require("bytes of a transaction", body, maxBody)
+	if problem != nil {
+		return trace.Wrap(&rowstore.RefusedError{Call: "transact", Status: http.StatusBadRequest, Cause: problem})
+	}
+	return nil
+}
+
 func (s *Store) apply(t rowstore.Transaction) (rowstore.Version, error) {
+	if err := check(t); err != nil {
+		return 0, err
+	}
 	conflict := false
 	var current []rowstore.Row
 	for _, c := range t.Conditions {
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -19,7 +19,9 @@
 	Duration time.Duration
 	// DurationOf, if set, returns how long a task runs instead of Duration.
 	DurationOf func(fleet.TaskID) time.Duration
-	Started    time.Time
+	// CheckpointOf, if set, returns the checkpoint that the runs of a task save.
+	CheckpointOf func(fleet.TaskID) fleet.Checkpoint
+	Started      time.Time
 	// ClockStart is what the endpoint's monotonic clock shows at Started.
 	ClockStart time.Duration
 	// MaxLease is the longest lease that the endpoint grants.
@@ -137,13 +139,20 @@
 	r.StartMillis = e.Process.StartMillis // Only lists show which process answers.
 	for id, current := range e.running {
 		progress := 100 * (r.Clock - current.beganAt) / max(1, e.duration(id))
-		r.Running = append(r.Running, shard.ListedRun{Task: id, Run: current.number, Progress: int(min(99, progress))})
+		r.Running = append(r.Running, shard.ListedRun{Task: id, Run: current.number, Progress: int(min(99, progress)), Checkpoint: e.checkpoint(id)})
 	}
 	for _, ended := range e.ends {
 		r.Ends = append(r.Ends, ended.ListedEnd)
 	}
 }
 
+func (e *Endpoint) checkpoint(id fleet.TaskID) fleet.Checkpoint {
+	if e.CheckpointOf == nil {
+		return ""
+	}
+	return e.CheckpointOf(id)
+}
+
 func (e *Endpoint) duration(id fleet.TaskID) time.Duration {
 	if e.DurationOf != nil {
 		return e.DurationOf(id)
@@ -174,7 +183,7 @@
 	if e.Observer != nil {
 		e.Observer.Ended(e.Process, id, e.running[id].number, how, e.timeOf(at))
 	}
-	e.ends = append(e.ends, end{shard.ListedEnd{Number: e.lastEnd, Task: id, Run: e.running[id].number, How: how}, at})
+	e.ends = append(e.ends, end{shard.ListedEnd{Number: e.lastEnd, Task: id, Run: e.running[id].number, How: how, Checkpoint: e.checkpoint(id)}, at})
 	delete(e.running, id)
 }
 
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -89,27 +90,52 @@
 	return s
 }
 
-// EncodeProgress returns the row value of an occurrence.
-func EncodeProgress(o *job.Occurrence) ([]byte, error) {
+// EncodeProgress returns the row value of an occurrence, and behind it those of its parts if it has any.
+func EncodeProgress(o *job.Occurrence) ([][]byte, error) {
 	m := &jobv1.Progress{Job: string(o.Job.ID), Occurrence: uint32(o.Number), State: string(o.State)}
 	if !o.EndedAt.IsZero() {
 		m.EndedAt = timestamppb.New(o.EndedAt)
 	}
-	// A holder encodes a row for each task at a peak, so the messages of a step are allocated together.
+	if parts := o.Parts(); parts > 0 {
+		m.Parts = uint32(parts)
+		return encodeParts(m, o)
+	}
 	m.Steps = make([]*jobv1.StepProgress, 0, len(o.Tasks))
 	for _, tasks := range o.Tasks {
-		s := &jobv1.StepProgress{Tasks: make([]*jobv1.TaskProgress, len(tasks))}
-		messages := make([]jobv1.TaskProgress, len(tasks))
-		for i := range tasks {
-			t, to := &tasks[i], &messages[i]
-			to.Done, to.Failures, to.Run, to.Noted = t.Done, uint32(t.Failures), uint32(t.Run), uint32(t.LastEnded)
-			to.Endpoint, to.EndpointBorn, to.Checkpoint = string(t.Process.Endpoint), t.Process.StartMillis, string(t.Checkpoint)
-			s.Tasks[i] = to
-		}
-		m.Steps = append(m.Steps, s)
+		m.Steps = append(m.Steps, &jobv1.StepProgress{Tasks: taskMessages(tasks)})
 	}
 	value, err := proto.Marshal(m)
-	return value, trace.Wrap(err)
+	return [][]byte{value}, trace.Wrap(err)
+}
+
+// encodeParts returns the row values of an occurrence that is divided.
+func encodeParts(m *jobv1.Progress, o *job.Occurrence) ([][]byte, error) {
+	value, err := proto.Marshal(m)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	values := [][]byte{value}
+	for tasks := range slices.Chunk(slices.Concat(o.Tasks...), job.PartTasks) {
+		value, err := proto.Marshal(&jobv1.ProgressPart{Tasks: taskMessages(tasks)})
+		if err != nil {
+			return nil, trace.Wrap(err)
+		}
+		values = append(values, value)
+	}
+	return values, nil
+}
+
+// taskMessages converts tasks to their messages. A holder encodes a row for each task at a peak, so they are allocated
+// together.
+func taskMessages(tasks []job.Task) []*jobv1.TaskProgress {
+	list, messages := make([]*jobv1.TaskProgress, len(tasks)), make([]jobv1.TaskProgress, len(tasks))
+	for i := range tasks {
+		t, to := &tasks[i], &messages[i]
+		to.Done, to.Failures, to.Run, to.Noted = t.Done, uint32(t.Failures), uint32(t.Run), uint32(t.LastEnded)
+		to.Endpoint, to.EndpointBorn, to.Checkpoint = string(t.Process.Endpoint), t.Process.StartMillis, string(t.Checkpoint)
+		list[i] = to
+	}
+	return list
 }
 
 // ProgressError reports a progress row that does not fit its job.
@@ -123,9 +149,9 @@
 // Error implements error.
 func (e *ProgressError) Error() string { return "progress row does not fit job " + string(e.Job) }
 
-// DecodeProgress returns the occurrence that a row describes. find returns the job of an id, or nil.
-// DecodeProgress returns *ProgressError for a row that does not fit its job.
-func DecodeProgress(value []byte, find func(fleet.JobID) *fleet.Job) (*job.Occurrence, error) {
+// DecodeProgress returns the occurrence that a row describes. find returns the job of an id, or nil, and part the row
+// value of a part, numbered from 1, or nil. DecodeProgress returns *ProgressError for rows that do not fit their job.
+func DecodeProgress(value []byte, find func(fleet.JobID) *fleet.Job, part func(int) []byte) (*job.Occurrence, error) {
 	m := &jobv1.Progress{}
 	if err := proto.Unmarshal(value, m); err != nil {
 		return nil, trace.Wrap(err)
@@ -135,7 +161,7 @@
 	if j == nil {
 		return nil, trace.Wrap(&ProgressError{Job: id, UnknownJob: true, Key: job.Key{Job: id, Occurrence: fleet.Occurrence(m.GetOccurrence())}})
 	}
-	if len(m.GetSteps()) != len(j.Steps) || int(m.GetOccurrence()) >= j.OccurrenceCount() {
+	if int(m.GetOccurrence()) >= j.OccurrenceCount() {
 		return nil, trace.Wrap(&ProgressError{Job: id})
 	}
 	o := job.New(j, fleet.Occurrence(m.GetOccurrence()))
@@ -143,11 +169,12 @@
 	if m.GetEndedAt() != nil {
 		o.EndedAt = m.GetEndedAt().AsTime()
 	}
-	for s, step := range m.GetSteps() {
-		if len(step.GetTasks()) != len(o.Tasks[s]) {
-			return nil, trace.Wrap(&ProgressError{Job: id})
-		}
-		for k, t := range step.GetTasks() {
+	steps, err := stepsOf(m, o, part)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	for s, tasks := range steps {
+		for k, t := range tasks {
 			o.Tasks[s][k] = job.Task{
 				Done: t.GetDone(), Failures: int(t.GetFailures()), Run: fleet.RunNumber(t.GetRun()), LastEnded: fleet.RunNumber(t.GetNoted()),
 				Process:    fleet.EndpointProcess{Endpoint: fleet.EndpointID(t.GetEndpoint()), StartMillis: t.GetEndpointBorn()},
@@ -159,6 +186,48 @@
 	return o, nil
 }
 
+// stepsOf returns the tasks of a row, or of its parts, by step.
+func stepsOf(m *jobv1.Progress, o *job.Occurrence, part func(int) []byte) ([][]*jobv1.TaskProgress, error) {
+	misfit := trace.Wrap(&ProgressError{Job: o.Job.ID})
+	var steps [][]*jobv1.TaskProgress
+	if m.GetParts() == 0 {
+		for _, s := range m.GetSteps() {
+			steps = append(steps, s.GetTasks())
+		}
+	} else {
+		var tasks []*jobv1.TaskProgress
+		for n := range m.GetParts() {
+			p := &jobv1.ProgressPart{}
+			value := part(int(n) + 1)
+			if value == nil {
+				return nil, misfit
+			}
+			if err := proto.Unmarshal(value, p); err != nil {
+				return nil, trace.Wrap(err)
+			}
+			tasks = append(tasks, p.GetTasks()...)
+		}
+		for _, s := range o.Tasks {
+			if len(tasks) < len(s) {
+				return nil, misfit
+			}
+			steps, tasks = append(steps, tasks[:len(s)]), tasks[len(s):]
+		}
+		if len(tasks) > 0 {
+			return nil, misfit
+		}
+	}
+	if len(steps) != len(o.Tasks) {
+		return nil, misfit
+	}
+	for s := range steps {
+		if len(steps[s]) != len(o.Tasks[s]) {
+			return nil, misfit
+		}
+	}
+	return steps, nil
+}
+
 // EncodeSchedule returns the row value of a schedule.
 func EncodeSchedule(id fleet.JobID, s job.Schedule) ([]byte, error) {
 	m := &jobv1.Schedule{Job: string(id), Ended: s.Ended, Failed: s.Failed, Cancelled: s.Cancelled}
