holder: withdraw a job that is cancelled before it is stored

Cause: a cancellation that found no job stored nothing. A submission that was answered with 504 was still open at the store, its condition held, and the store performed it later. Excluded: the entry sends nothing after its 504, and the holder misses no cancellation that is stored.

Change: such a cancellation creates the row that decides about the id, marked as withdrawn, on the condition that there is none. If the job has been accepted meanwhile, the conflict shows it and the job is cancelled as usual. An entry never stores a job and its withdrawal in one transaction. The holder of the service has the rows removed after the time that it keeps ended jobs.

--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -84,6 +84,9 @@
 		if n == maxIntakeBatch || n > 0 && size > maxIntakeBytes {
 			break
 		}
+		if a.contradicts(s) {
+			continue
+		}
 		s.inFlight = true
 		a.attempt = append(a.attempt, s)
 	}
@@ -93,31 +96,47 @@
 	return a.attempt, a.latency.Timeout(now, a.unansweredAttempts)
 }
 
+// contradicts reports whether the next transaction withdraws the job of a submission, or the other way round: only one of
+// the two may be stored.
+func (a *admission) contradicts(s *Submission) bool {
+	return slices.ContainsFunc(a.attempt, func(o *Submission) bool {
+		return (o.Withdraw == "") != (s.Withdraw == "") && o.id() == s.id()
+	})
+}
+
 // applied handles the success of the attempt in flight and returns the submissions that it stored.
 func (a *admission) applied() []*Submission {
 	stored := a.attempt
 	a.answered()
-	return a.complete(stored)
+	a.complete(stored, func(*Submission) IntakeOutcome { return IntakeStored })
+	return stored
 }
 
 // conflicted handles a conflict of the attempt in flight with existing rows and returns the submissions
-// that the rows belong to. The others were not stored by this attempt and are sent again.
+// whose rows they are. Those without an existing row were not stored by this attempt and are sent again.
 func (a *admission) conflicted(rows []rowstore.Row) []*Submission {
-	exists := map[rowstore.Key]bool{}
+	exists := map[rowstore.Key]rowstore.Row{}
 	for _, row := range rows {
 		if !row.Deleted && row.Version > 0 {
-			exists[row.Key] = true
+			exists[row.Key] = row
 		}
 	}
-	var stored []*Submission
+	var decided, stored []*Submission
+	outcomes := map[*Submission]IntakeOutcome{}
 	for _, s := range a.attempt {
 		s.inFlight = false
-		if exists[s.decidingKey()] {
+		row, ok := exists[s.decidingKey()]
+		if !ok {
+			continue
+		}
+		decided, outcomes[s] = append(decided, s), s.outcome(row)
+		if outcomes[s] == IntakeStored {
 			stored = append(stored, s)
 		}
 	}
 	a.answered()
-	return a.complete(stored)
+	a.complete(decided, func(s *Submission) IntakeOutcome { return outcomes[s] })
+	return stored
 }
 
 // refused handles an answer that nothing was stored, because the store is overloaded or because it refuses
@@ -151,16 +170,15 @@
 	a.attempt, a.failingSince, a.refusingSince, a.unansweredAttempts = nil, time.Time{}, time.Time{}, 0
 }
 
-// complete removes stored submissions from the pending ones and replies to their callers.
-func (a *admission) complete(stored []*Submission) []*Submission {
+// complete removes submissions from the pending ones and replies to their callers.
+func (a *admission) complete(decided []*Submission, outcome func(*Submission) IntakeOutcome) {
 	a.pending = slices.DeleteFunc(a.pending, func(s *Submission) bool {
-		done := slices.Contains(stored, s)
+		done := slices.Contains(decided, s)
 		if done {
-			s.Reply(IntakeStored)
+			s.Reply(outcome(s))
 		}
 		return done
 	})
-	return stored
 }
 
 // expiry returns the latest time at which a submission is given an outcome.
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -30,6 +30,8 @@
 	// jobs are those that are known to be stored, cancelled those whose cancellation is.
 	jobs      map[fleet.JobID]*fleet.Job
 	cancelled map[fleet.JobID]bool
+	// withdrawnAt is when a cancellation was first seen to have no job.
+	withdrawnAt map[fleet.JobID]time.Time
 	// jobsRead is set once all jobs that were stored before the lease was taken are known.
 	jobsRead bool
 	// progress is nil until the progress of earlier holders has been read, and again once it is loaded.
@@ -96,10 +98,37 @@
 	delete(h.cancelled, id)
 }
 
+// withdrawn returns the jobs that were withdrawn so long ago that no submission of them is still open.
+func (h *heldDuty) withdrawn(now time.Time, retention time.Duration) []fleet.JobID {
+	var list []fleet.JobID
+	for id := range h.cancelled {
+		if h.jobs[id] != nil {
+			delete(h.withdrawnAt, id)
+			continue
+		}
+		if h.withdrawnAt[id].IsZero() {
+			h.withdrawnAt[id] = now
+		}
+		if now.Sub(h.withdrawnAt[id]) > retention && len(list) < maxWithdrawals {
+			list = append(list, id)
+		}
+	}
+	for id := range h.withdrawnAt {
+		if !h.cancelled[id] {
+			delete(h.withdrawnAt, id)
+		}
+	}
+	return list
+}
+
+// maxWithdrawals bounds the withdrawn jobs whose rows are removed at a time.
+const maxWithdrawals = 32
+
 // read starts the duties that read what the holder of a service needs. All of it is read after the lease was taken,
 // so it holds whatever earlier holders have committed.
 func (s *Scheduler) read(h *heldDuty) {
 	h.jobs, h.cancelled = map[fleet.JobID]*fleet.Job{}, map[fleet.JobID]bool{}
+	h.withdrawnAt = map[fleet.JobID]time.Time{}
 	h.processes = &processes{}
 	h.refresh = ring.New[follow.RefreshRequest]("jobs-refresh", refreshCapacity)
 	var parts []rowstore.Part
--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -27,6 +27,8 @@
 type StoreCall struct {
 	transaction rowstore.Transaction
 	timeout     time.Duration
+	// withdrawn is set if the transaction may only remove the rows of a withdrawn job.
+	withdrawn bool
 	// removed is the job whose rows the transaction removes. Such a transaction is not reported back.
 	removed fleet.JobID
 }
@@ -202,10 +204,13 @@
 	t := rowstore.Transaction{Removes: []rowstore.Row{
 		{Table: AcceptedTable, Part: part, Key: jobKey(s.Remove)}, {Table: table, Part: part, Key: jobKey(s.Remove)},
 	}}
-	if s.Cancelled {
+	switch {
+	case s.Withdrawn:
+		t.Removes[1].Key = cancelKey(s.Remove)
+	case s.Cancelled:
 		t.Removes = append(t.Removes, rowstore.Row{Table: table, Part: part, Key: cancelKey(s.Remove)})
 	}
-	return StoreCall{transaction: t, timeout: transactTimeout, removed: s.Remove}
+	return StoreCall{transaction: t, timeout: transactTimeout, removed: s.Remove, withdrawn: s.Withdrawn}
 }
 
 // IntakeWriter is the duty that makes the calls of one intake to the store, so that the intake can answer
@@ -250,6 +255,41 @@
 func (w *IntakeWriter) send(ctx context.Context, call StoreCall) error {
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
+	if call.withdrawn {
+		if err := w.checkWithdrawn(ctx, &call); err != nil {
+			return trace.Wrap(err)
+		}
+	}
 	_, err := w.Store.Transact(ctx, call.transaction)
 	return trace.Wrap(err)
 }
+
+// NotWithdrawnError reports a job that was accepted, so that its rows stay.
+type NotWithdrawnError struct{ Job fleet.JobID }
+
+// Error implements error.
+func (e *NotWithdrawnError) Error() string { return "job " + string(e.Job) + " was not withdrawn" }
+
+// checkWithdrawn makes the removal of the rows of a withdrawn job conditional on what is stored of it now.
+func (w *IntakeWriter) checkWithdrawn(ctx context.Context, call *StoreCall) error {
+	row := call.transaction.Removes[0]
+	page, err := w.Store.Scan(ctx, rowstore.Only(row.Table, row.Part, row.Key))
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	condition := rowstore.Condition{Table: row.Table, Part: row.Part, Key: row.Key}
+	if len(page.Rows) == 0 {
+		call.transaction.Removes = call.transaction.Removes[1:]
+	} else {
+		accepted, err := decodeAccepted(page.Rows[0])
+		if err != nil {
+			return trace.Wrap(err)
+		}
+		if !accepted.Withdrawn {
+			return trace.Wrap(&NotWithdrawnError{Job: call.removed})
+		}
+		condition.Version = page.Rows[0].Version
+	}
+	call.transaction.Conditions = []rowstore.Condition{condition}
+	return nil
+}
--- a/internal/holder/intake_test.go
+++ b/internal/holder/intake_test.go
@@ -112,12 +112,7 @@
 			Job: j, Deadline: clock.Real().Now().Add(10 * time.Second), Reply: func(o holder.IntakeOutcome) { _ = outcome.Push(o) },
 		}}))
 	}
-	group, ctx := duty.NewGroup(context.Background())
-	defer func() { group.Stop(); _ = group.Wait() }()
-	group.Start(ctx, &holder.Intake{
-		Inbox: inbox, Writer: calls, Latency: &ring.Latest[follow.Latency]{}, Clock: clock.Real(), Log: zap.NewNop(), Announce: func(holder.Announcement) {},
-	})
-	group.Start(ctx, &holder.IntakeWriter{Inbox: calls, Intake: inbox, Store: store, Log: zap.NewNop()})
+	startIntake(t, inbox, calls, store)
 	for _, outcome := range outcomes {
 		got, err := outcome.Pop(t.Context())
 		is.NoErr(err)
--- a/internal/holder/jobrows.go
+++ b/internal/holder/jobrows.go
@@ -86,6 +86,8 @@
 	Service fleet.ServiceID
 	// Account is the client account that submitted the job; empty for a queue that is open to all.
 	Account fleet.ClientAccountID
+	// Withdrawn is set for a job that was cancelled before it was stored. It does not exist.
+	Withdrawn bool
 }
 
 // decodeAccepted decodes the row that decides about the id of an accepted job.
@@ -94,5 +96,5 @@
 	if err := proto.Unmarshal(row.Value, m); err != nil {
 		return acceptance{}, trace.Wrap(err)
 	}
-	return acceptance{Service: fleet.ServiceID(m.GetService()), Account: fleet.ClientAccountID(m.GetAccount())}, nil
+	return acceptance{Service: fleet.ServiceID(m.GetService()), Account: fleet.ClientAccountID(m.GetAccount()), Withdrawn: m.GetWithdrawn()}, nil
 }
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -98,7 +98,7 @@
 	switch {
 	case err != nil:
 		return r.unavailable(request, err)
-	case !found:
+	case !found || accepted.Withdrawn:
 		return Reply{Kind: ReplyNotFound, Source: "store"}
 	}
 	if service != request.Service {
@@ -156,7 +156,8 @@
 	return Reply{Kind: ReplyUnavailable, Source: "store"}
 }
 
-// cancel stores the cancellation of a job that exists.
+// cancel stores the cancellation of a job. One that has not been accepted is withdrawn: a submission whose outcome nobody
+// knows may take effect later, at any entry.
 func (r *Resolver) cancel(ctx context.Context, request *JobRequest) {
 	local, ok := r.askScheduler(ctx, Query{Kind: QueryState, Service: request.Service, Job: request.Job})
 	if !ok {
@@ -172,12 +173,43 @@
 			request.Reply(r.unavailable(request, err))
 			return
 		}
-		if !found {
-			request.Reply(Reply{Kind: ReplyNotFound, Source: "store"})
+		switch {
+		case !found:
+			r.withdraw(request)
+			return
+		case stored.Withdrawn:
+			request.Reply(Reply{Kind: ReplyNotFound, Source: "withdrawn"})
 			return
 		}
 		accepted = stored
 	}
+	r.cancelAccepted(request, accepted)
+}
+
+// withdraw stores that a job which has not been accepted never is.
+func (r *Resolver) withdraw(request *JobRequest) {
+	if request.Service == "" {
+		request.Reply(Reply{Kind: ReplyUnavailable, Source: "no configuration yet"})
+		return
+	}
+	s := &Submission{Withdraw: request.Job, Service: request.Service, Account: request.Caller.Account, Deadline: request.Deadline}
+	s.Reply = func(o IntakeOutcome) {
+		switch o {
+		case IntakeStored:
+			request.Reply(Reply{Kind: ReplyNotFound, Source: "store"})
+		case IntakeAccepted:
+			r.cancelAccepted(request, s.Accepted)
+		case IntakeRefused:
+			request.Reply(Reply{Kind: ReplyUnavailable, Source: "store"})
+		default:
+			request.Reply(Reply{Kind: ReplyUnknown, Source: "store"})
+		}
+	}
+	r.store(request, s)
+}
+
+// cancelAccepted stores the cancellation of an accepted job. It does not block.
+func (r *Resolver) cancelAccepted(request *JobRequest, accepted acceptance) {
 	if !request.Caller.MayAccess(accepted.Account) {
 		request.Reply(otherAccount)
 		return
@@ -193,7 +225,12 @@
 			reply(Reply{Kind: ReplyUnknown, Source: "store"})
 		}
 	}}
+	r.store(request, s)
+}
+
+// store passes a submission to its intake.
+func (r *Resolver) store(request *JobRequest, s *Submission) {
 	if err := r.Intakes[IntakeIndex(request.Job)].Push(IntakeEvent{Submission: s}); err != nil {
-		reply(Reply{Kind: ReplyUnavailable, Source: "intake busy"})
+		request.Reply(Reply{Kind: ReplyUnavailable, Source: "intake busy"})
 	}
 }
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -25,19 +25,28 @@
 	IntakeRefused IntakeOutcome = "refused"
 	// IntakeUnknown means that the row may appear later.
 	IntakeUnknown IntakeOutcome = "unknown"
+	// IntakeWithdrawn means that the job was withdrawn, and that it never runs.
+	IntakeWithdrawn IntakeOutcome = "withdrawn"
+	// IntakeAccepted means that a job to be withdrawn has been accepted. Nothing was stored.
+	IntakeAccepted IntakeOutcome = "accepted"
 )
 
-// Submission is a request to store or remove rows: an accepted job, a cancellation, or a removal.
+// Submission is a request to store or remove rows: an accepted job, a cancellation, a withdrawal, or a removal.
 type Submission struct {
-	// Job is set for a job, Cancel for a cancellation of the job with that id, Remove for the removal of
-	// both rows of a job that ended long ago.
-	Job    *fleet.Job
-	Cancel fleet.JobID
-	Remove fleet.JobID
-	// Service is the service of a job that is cancelled or removed.
+	// Job is set for a job, Cancel for a cancellation of the accepted job with that id, Withdraw for the cancellation of
+	// one that has not been accepted, Remove for the removal of the rows of a job that ended, or was withdrawn, long ago.
+	Job      *fleet.Job
+	Cancel   fleet.JobID
+	Withdraw fleet.JobID
+	Remove   fleet.JobID
+	// Service is the service of a job that is cancelled, withdrawn or removed, Account the client account that withdraws
+	// one.
 	Service fleet.ServiceID
-	// Cancelled is set when the job to remove has a cancellation row.
-	Cancelled bool
+	Account fleet.ClientAccountID
+	// Cancelled is set when the job to remove has a cancellation row, Withdrawn when it has that row only.
+	Cancelled, Withdrawn bool
+	// Accepted is what is stored of a job that could not be withdrawn. It is set before Reply.
+	Accepted acceptance
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Reply receives the outcome. It must not block. It is nil for removals.
@@ -57,6 +66,8 @@
 		return s.Job.ID
 	case s.Cancel != "":
 		return s.Cancel
+	case s.Withdraw != "":
+		return s.Withdraw
 	}
 	return s.Remove
 }
@@ -72,8 +83,15 @@
 func (s *Submission) encode() []rowstore.Row {
 	id := s.id()
 	part := IntakePart(id)
-	if s.Job == nil {
-		return []rowstore.Row{{Table: JobTable(s.Service), Part: part, Key: cancelKey(id), Value: []byte{}}}
+	cancellation := rowstore.Row{Table: JobTable(s.Service), Part: part, Key: cancelKey(id), Value: []byte{}}
+	switch {
+	case s.Withdraw != "":
+		// The first row makes the conditions of open submissions fail, the second one tells the holder of the service,
+		// which has both removed after a while.
+		m := &jobv1.Accepted{Service: string(s.Service), Account: string(s.Account), Withdrawn: true}
+		return []rowstore.Row{mustRow(AcceptedTable, part, jobKey(id), m), cancellation}
+	case s.Job == nil:
+		return []rowstore.Row{cancellation}
 	}
 	return []rowstore.Row{
 		mustRow(AcceptedTable, part, jobKey(id), &jobv1.Accepted{Service: string(s.Job.Service), Account: string(s.Job.Account)}),
@@ -83,12 +101,28 @@
 
 // decidingKey returns the key of the first of the rows.
 func (s *Submission) decidingKey() rowstore.Key {
-	if s.Job == nil {
+	if s.Cancel != "" {
 		return cancelKey(s.id())
 	}
 	return jobKey(s.id())
 }
 
+// outcome returns the outcome of a submission whose first row exists, from an earlier submission.
+func (s *Submission) outcome(existing rowstore.Row) IntakeOutcome {
+	if existing.Table != AcceptedTable {
+		return IntakeStored
+	}
+	accepted, err := decodeAccepted(existing)
+	switch {
+	case err != nil || s.Job != nil && !accepted.Withdrawn || s.Withdraw != "" && accepted.Withdrawn:
+		return IntakeStored
+	case s.Job != nil:
+		return IntakeWithdrawn
+	}
+	s.Accepted = accepted
+	return IntakeAccepted
+}
+
 // size returns the size of the values of the rows.
 func (s *Submission) size() int {
 	n := 0
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -167,7 +167,8 @@
 // expiryInterval is the time between checks for jobs that need not be kept.
 const expiryInterval = 5 * time.Second
 
-// expire has the acceptance rows of old jobs removed. Their progress rows follow once that is seen.
+// expire has the acceptance rows of old jobs removed, and the rows of withdrawn ones. The progress rows of a job follow
+// once that is seen.
 func (s *Scheduler) expire(now time.Time) {
 	for _, h := range s.sorted() {
 		if h.engine == nil || !h.loaded {
@@ -177,5 +178,8 @@
 			// When the ring is full, the next check finds the job again.
 			_ = s.Intakes[IntakeIndex(id)].Push(IntakeEvent{Submission: &Submission{Remove: id, Service: h.service, Cancelled: h.cancelled[id]}})
 		}
+		for _, id := range h.withdrawn(now, s.Bounds.Retention()) {
+			_ = s.Intakes[IntakeIndex(id)].Push(IntakeEvent{Submission: &Submission{Remove: id, Service: h.service, Withdrawn: true}})
+		}
 	}
 }
--- a/internal/jobentry/expiry_test.go
+++ b/internal/jobentry/expiry_test.go
@@ -24,8 +24,10 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Guards against rows of ended jobs that are never removed from the store.
-func TestRowsOfEndedJobsAreRemoved(t *testing.T) {
+// runExpiring runs an entry that keeps what is stored of jobs for a second after their end. It returns a client, the store
+// and a function that waits until a condition is met.
+func runExpiring(t *testing.T) (jobv1connect.JobServiceClient, *rows.Store, func(func() bool)) {
+	t.Helper()
 	is := is.New(t)
 	c := clock.Real()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -49,7 +51,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); _ = e.Run(ctx) }()
-	defer func() { stop(); <-done }()
+	t.Cleanup(func() { stop(); <-done })
 	client := jobv1connect.NewJobServiceClient(http.DefaultClient, "http://"+string(address))
 	eventually := func(f func() bool) {
 		t.Helper()
@@ -61,6 +63,13 @@
 		}
 		t.Error("condition was not met within 15 s")
 	}
+	return client, store, eventually
+}
+
+// Guards against rows of ended jobs that are never removed from the store.
+func TestRowsOfEndedJobsAreRemoved(t *testing.T) {
+	ctx := t.Context()
+	client, store, eventually := runExpiring(t)
 	eventually(func() bool {
 		_, err := client.Submit(ctx, connect.NewRequest(&jobv1.SubmitRequest{Job: &jobv1.Job{Id: "old", Queue: "plans", Steps: []*jobv1.Step{{Tasks: 1}}}}))
 		return err == nil
@@ -76,3 +85,25 @@
 		return len(accepted.Rows)+len(stored.Rows)+len(progress.Rows) == 0
 	})
 }
+
+// Guards against rows of jobs that were cancelled before they were accepted and that are never removed from the store.
+func TestRowsOfWithdrawnJobsExpire(t *testing.T) {
+	is := is.New(t)
+	ctx := t.Context()
+	client, store, eventually := runExpiring(t)
+	eventually(func() bool {
+		_, err := client.Cancel(ctx, connect.NewRequest(&jobv1.CancelRequest{Job: "none"}))
+		return connect.CodeOf(err) == connect.CodeNotFound
+	})
+	_, err := client.Get(ctx, connect.NewRequest(&jobv1.GetRequest{Job: "none"}))
+	is.Equal(connect.CodeOf(err), connect.CodeNotFound)
+	_, err = client.Submit(ctx, connect.NewRequest(&jobv1.SubmitRequest{Job: &jobv1.Job{Id: "none", Queue: "plans", Steps: []*jobv1.Step{{Tasks: 1}}}}))
+	is.Equal(connect.CodeOf(err), connect.CodeFailedPrecondition)
+	eventually(func() bool {
+		accepted, _ := store.Scan(ctx, rowstore.Range{Table: holder.AcceptedTable, Part: holder.IntakePart("none")})
+		stored, _ := store.Scan(ctx, rowstore.Range{Table: holder.JobTable("planner"), Part: holder.IntakePart("none")})
+		return len(accepted.Rows)+len(stored.Rows) == 0
+	})
+	_, err = client.Submit(ctx, connect.NewRequest(&jobv1.SubmitRequest{Job: &jobv1.Job{Id: "none", Queue: "plans", Steps: []*jobv1.Step{{Tasks: 1}}}}))
+	is.NoErr(err)
+}
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -91,6 +91,8 @@
 		return nil, requestError(connect.CodeDeadlineExceeded, "the outcome of the write is not known")
 	case got == holder.IntakeRefused:
 		return nil, requestError(connect.CodeUnavailable, "not run: the store is not available")
+	case got == holder.IntakeWithdrawn:
+		return nil, requestError(connect.CodeFailedPrecondition, "not run: the job was cancelled before it was accepted")
 	case got == holder.IntakeUnknown:
 		return nil, requestError(connect.CodeDeadlineExceeded, "the outcome of the write is not known")
 	}
@@ -179,7 +181,7 @@
 	if err := r.Msg.Check(); err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	if _, err := j.ask(ctx, holder.JobRequest{Kind: holder.JobRequestCancel, Job: fleet.JobID(r.Msg.GetJob())}); err != nil {
+	if _, err := j.ask(ctx, holder.JobRequest{Kind: holder.JobRequestCancel, Job: fleet.JobID(r.Msg.GetJob()), Service: j.anyService()}); err != nil {
 		return nil, err
 	}
 	return connect.NewResponse(&jobv1.CancelResponse{}), nil
@@ -209,6 +211,15 @@
 	return connect.NewResponse(&jobv1.ListResponse{Jobs: jobStates(got.Jobs)}), nil
 }
 
+// anyService returns the service of one of the queues, or none without a configuration. A job that has not been accepted
+// is withdrawn in it.
+func (j *Jobs) anyService() fleet.ServiceID {
+	if c := j.Feeds.Config.Get(); c != nil && len(c.Queues) > 0 {
+		return c.Queues[0].Service
+	}
+	return ""
+}
+
 // askQueue asks the holder of a queue's service.
 func (j *Jobs) askQueue(ctx context.Context, kind holder.JobRequestKind, id string) (holder.Reply, error) {
 	queue, ok := j.queue(fleet.QueueID(id))
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -34,7 +34,7 @@
 func (e *Engine) Expired(now time.Time) []fleet.JobID {
 	var list []fleet.JobID
 	for id, entry := range e.jobs {
-		if len(list) < maxExpiredJobs && entry.committed.IsFinal() && !entry.endedAt.IsZero() && now.Sub(entry.endedAt) > e.Bounds.StatusRetention+statusMargin {
+		if len(list) < maxExpiredJobs && entry.committed.IsFinal() && !entry.endedAt.IsZero() && now.Sub(entry.endedAt) > e.Bounds.Retention() {
 			list = append(list, id)
 		}
 	}
@@ -75,6 +75,9 @@
 // statusMargin is added to Bounds.StatusRetention, because clocks differ.
 const statusMargin = 30 * time.Second
 
+// Retention returns how long what is stored of a job is kept after its end.
+func (b *Bounds) Retention() time.Duration { return b.StatusRetention + statusMargin }
+
 // expire marks the runs of an unreachable worker lost once all its leases have expired.
 func (e *Engine) expire(now time.Time, w *worker) {
 	if len(w.runs) == 0 || w.reachable(now) || now.Before(w.leaseEnd) {
