holder: bound the memory of all jobs of an entry

Cause: the sum over all jobs had no bound. Each bound was of one job.

Change: the engine counts what its jobs take. Once the jobs of all services that an entry holds exceed a quarter of its memory, the services with more than an equal part take no further ones. What an entry stores between two renewals of a lease is bounded too, since a crowd is faster than the row. Runs are bounded by an eighth of the memory. Jobs that have ended keep neither steps nor payloads, and scheduled ones that were cancelled no occurrences.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -22,6 +22,8 @@
 	Released    bool
 	// Settled is set once the orders of all earlier holders have expired.
 	Settled bool
+	// Full is set while the holder has no memory for further jobs.
+	Full bool
 	// ChangedAt is when this entry last saw the row change, by its own clock, moved by the outages of the store since.
 	ChangedAt time.Time
 	// SeenAt is the same, whatever outages followed: the holder's own time runs on during them.
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -58,6 +58,9 @@
 // announced applies the announcement of a stored job or cancellation.
 func (s *Scheduler) announced(now time.Time, h *heldDuty, q *Query) {
 	if h == nil || h.engine == nil {
+		if q.Accepted != nil {
+			s.countUnseen(q.Service, q.Accepted)
+		}
 		return
 	}
 	switch {
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/mimosawharf/mimosawharf/internal/follow"
+	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
@@ -54,6 +55,10 @@
 	// suspended is set while the engine may order nothing, outdated while it may start nothing because what it knows is
 	// too old.
 	suspended, outdated bool
+	// unloaded is how much memory the jobs take while the service is not loaded.
+	unloaded fleet.Bytes
+	// full is set while there is no memory for further jobs, fullDue until a renewal says so.
+	full, fullDue bool
 	// boundsDue is set while the stored bounds of leases are out of date.
 	boundsDue bool
 	// confirmedAt is when the last renewal that took effect was sent. The next holder sees renewals only.
@@ -73,6 +78,7 @@
 		return
 	}
 	h.jobs[j.ID] = j
+	h.unloaded += job.Footprint(j)
 	if h.loaded {
 		h.engine.Accept(j)
 		if h.cancelled[j.ID] {
@@ -91,13 +97,25 @@
 
 // forget removes a job whose rows were removed.
 func (h *heldDuty) forget(id fleet.JobID) {
-	if h.loaded && h.jobs[id] != nil {
-		h.engine.Forget(id)
+	if j := h.jobs[id]; j != nil {
+		h.unloaded -= job.Footprint(j)
+		if h.loaded {
+			h.engine.Forget(id)
+		}
 	}
 	delete(h.jobs, id)
 	delete(h.cancelled, id)
 }
 
+// releaseEnded drops the steps and payloads of jobs that have ended.
+func (h *heldDuty) releaseEnded() {
+	for _, id := range h.engine.TakeClosed() {
+		if j := h.jobs[id]; j != nil {
+			h.jobs[id] = j.Ended()
+		}
+	}
+}
+
 // withdrawn returns the jobs that were withdrawn so long ago that no submission of them is still open.
 func (h *heldDuty) withdrawn(now time.Time, retention time.Duration) []fleet.JobID {
 	var list []fleet.JobID
@@ -227,6 +245,7 @@
 		h.engine.Cancel(now, id)
 	}
 	h.engine.Loaded(now)
+	h.releaseEnded()
 	h.progress, h.loaded, s.limits.due = nil, true, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -9,6 +9,7 @@
 	"github.com/gravitational/trace"
 	"go.uber.org/zap"
 
+	"github.com/mimosawharf/mimosawharf/internal/account"
 	"github.com/mimosawharf/mimosawharf/internal/clock"
 	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
@@ -50,8 +51,12 @@
 	Inbox   *ring.Ring[IntakeEvent]
 	Writer  *ring.Ring[StoreCall]
 	Latency *ring.Latest[follow.Latency]
-	Clock   clock.Clock
-	Log     *zap.Logger
+	// Status says which services take no further jobs, and JobRequests reaches the resolvers. Both may be nil where jobs of
+	// all services are taken.
+	Status      *ring.Latest[Status]
+	JobRequests *ring.Ring[*JobRequest]
+	Clock       clock.Clock
+	Log         *zap.Logger
 	// Announce notifies the holder of the service of what was stored.
 	Announce func(a Announcement)
 
@@ -107,11 +112,31 @@
 		if err := i.Writer.Push(removal(s)); err != nil {
 			i.Log.Warn("intake: rows of an old job cannot be removed", zap.String("job", string(s.Remove)), zap.Error(trace.Unwrap(err)))
 		}
+	case s.Job != nil && i.Status != nil && i.Status.Get().Full[s.Job.Service]:
+		i.refuseFull(s)
 	default:
 		i.admission.add(now, s)
 	}
 }
 
+// refuseFull refuses the submission of a job for which the holder of its service has no memory, unless an earlier
+// submission has stored the job.
+func (i *Intake) refuseFull(s *Submission) {
+	err := i.JobRequests.Push(&JobRequest{
+		Kind: JobRequestState, Caller: account.Caller{Account: s.Job.Account}, Job: s.Job.ID, Service: s.Job.Service, Deadline: s.Deadline,
+		Reply: func(r Reply) {
+			if r.Kind == ReplyFound {
+				s.Reply(IntakeStored)
+			} else {
+				s.Reply(IntakeFull)
+			}
+		},
+	})
+	if err != nil {
+		s.Reply(IntakeFull)
+	}
+}
+
 // attemptEnded handles the end of the attempt in flight.
 func (i *Intake) attemptEnded(now time.Time, err error) {
 	var conflict *rowstore.ConflictError
--- a/internal/holder/intake_test.go
+++ b/internal/holder/intake_test.go
@@ -15,6 +15,7 @@
 	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/holder"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
+	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/standin/rows"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -119,3 +120,45 @@
 		is.Equal(got, holder.IntakeStored)
 	}
 }
+
+// Guards against jobs that are taken although the holder of their service has no memory for them, and against a refusal of
+// one that an earlier submission has stored.
+func TestSubmissionToFullServiceIsRefused(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		reply holder.ReplyKind
+		want  holder.IntakeOutcome
+	}{
+		{"new job", holder.ReplyNotFound, holder.IntakeFull},
+		{"job of an earlier submission", holder.ReplyFound, holder.IntakeStored},
+		{"holder and store do not answer", holder.ReplyUnavailable, holder.IntakeFull},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			store := rows.New(clock.Real())
+			group, ctx := duty.NewGroup(context.Background())
+			defer func() { group.Stop(); _ = group.Wait() }()
+			inbox, calls := ring.New[holder.IntakeEvent]("intake", 8), ring.New[holder.StoreCall]("calls", 4)
+			status, requests := &ring.Latest[holder.Status]{}, ring.New[*holder.JobRequest]("requests", 4)
+			status.Set(holder.Status{Full: map[fleet.ServiceID]bool{"full": true}})
+			group.Start(ctx, &holder.Intake{
+				Inbox: inbox, Writer: calls, Latency: &ring.Latest[follow.Latency]{}, Status: status, JobRequests: requests, Clock: clock.Real(), Log: zap.NewNop(),
+				Announce: func(holder.Announcement) {},
+			})
+			group.Start(ctx, &holder.IntakeWriter{Inbox: calls, Intake: inbox, Store: store, Log: zap.NewNop()})
+			outcome := submit(is, inbox, "full")
+			request, err := requests.Pop(t.Context())
+			is.NoErr(err)
+			request.Reply(holder.Reply{Kind: c.reply})
+			got, err := outcome.Pop(t.Context())
+			is.NoErr(err)
+			is.Equal(got, c.want)
+			page, err := store.Scan(t.Context(), rowstore.Range{Table: holder.AcceptedTable, Part: holder.IntakePart("0123456789abcdef")})
+			is.NoErr(err)
+			is.Equal(len(page.Rows), 0)
+			got, err = submit(is, inbox, "other").Pop(t.Context()) // Other services take jobs.
+			is.NoErr(err)
+			is.Equal(got, holder.IntakeStored)
+		})
+	}
+}
--- a/internal/holder/jobstate.go
+++ b/internal/holder/jobstate.go
@@ -95,10 +95,10 @@
 	switch {
 	case schedule.Failed:
 		return fleet.JobStateFailed, nil
-	case done == j.OccurrenceCount():
-		return fleet.JobStateCompleted, nil
 	case schedule.Cancelled:
 		return fleet.JobStateCancelled, nil
+	case done == j.OccurrenceCount():
+		return fleet.JobStateCompleted, nil
 	}
 	return state, nil
 }
--- a/internal/holder/members.go
+++ b/internal/holder/members.go
@@ -85,7 +85,7 @@
 func lease(m *jobv1.Lease) election.Lease {
 	return election.Lease{
 		Duty: fleet.DutyName(m.GetDuty()), Entry: fleet.EntryID(m.GetEntry()), Incarnation: fleet.Incarnation(m.GetIncarnation()),
-		Address: fleet.Address(m.GetAddress()), Epoch: fleet.FencingToken(m.GetEpoch()), Renewals: m.GetRenewals(), Released: m.GetReleased(), Settled: m.GetSettled(),
+		Address: fleet.Address(m.GetAddress()), Epoch: fleet.FencingToken(m.GetEpoch()), Renewals: m.GetRenewals(), Released: m.GetReleased(), Settled: m.GetSettled(), Full: m.GetFull(),
 	}
 }
 
@@ -110,6 +110,7 @@
 	}
 	s.membersReadAt = now
 	for _, l := range c.Leases {
+		s.forgetUnseen(l)
 		s.election.SetLease(now, l)
 	}
 	for _, n := range c.Nodes {
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -102,6 +102,8 @@
 	Observer   func(s fleet.ServiceID, epoch fleet.FencingToken) shard.Observer
 	// Rounds observes the rounds of the scheduler.
 	Rounds RoundObserver
+	// Memory is what the process may use; 0 when unknown.
+	Memory fleet.Bytes
 	// Status is published for readiness and the status page.
 	Status *ring.Latest[Status]
 	// Latency is how fast the store answers.
@@ -123,10 +125,14 @@
 	expiryCheckedAt time.Time
 	membersReadAt   time.Time
 	// wakeAt is when a placement or a batch that was held back is due; zero when none was.
-	wakeAt   time.Time
-	limits   limits
-	stopping bool
-	ctx      context.Context
+	wakeAt time.Time
+	limits limits
+	// unseen is what this entry has stored for services since their leases were last seen to be renewed. memoryDue is set
+	// while the services that take no further jobs are to be published.
+	unseen    map[fleet.ServiceID]fleet.Bytes
+	memoryDue bool
+	stopping  bool
+	ctx       context.Context
 }
 
 // Name implements duty.Duty.
@@ -139,6 +145,7 @@
 	s.queued = map[fleet.ServiceID]bool{}
 	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
 	s.limits.book = allowance.NewBook()
+	s.unseen = map[fleet.ServiceID]fleet.Bytes{}
 	s.ctx, s.startedAt = ctx, s.Clock.Now()
 	next := s.startedAt
 	for {
@@ -164,6 +171,7 @@
 			s.tick(ctx, now)
 			next = now.Add(tickInterval)
 		}
+		s.observeMemory()
 		s.runDuties()
 		s.Rounds.RoundEnded(s.Clock.Now().Sub(began), s.Inbox.Depth())
 	}
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -11,6 +11,8 @@
 	// Jobs counts the jobs of the held services.
 	Jobs int
 	Held []fleet.DutyName
+	// Full holds the services whose holder has no memory for further jobs.
+	Full map[fleet.ServiceID]bool
 }
 
 func (s *Scheduler) publish() {
@@ -19,5 +21,6 @@
 		status.Held = append(status.Held, h.chain.Duty)
 		status.Jobs += len(h.jobs)
 	}
+	status.Full = s.full(s.Clock.Now())
 	s.Status.Set(status)
 }
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -27,6 +27,9 @@
 	IntakeUnknown IntakeOutcome = "unknown"
 	// IntakeWithdrawn means that the job was withdrawn, and that it never runs.
 	IntakeWithdrawn IntakeOutcome = "withdrawn"
+	// IntakeFull means that the service takes no further jobs, and that nothing was stored by this submission or, as far
+	// as is known, an earlier one.
+	IntakeFull IntakeOutcome = "full"
 	// IntakeAccepted means that a job to be withdrawn has been accepted. Nothing was stored.
 	IntakeAccepted IntakeOutcome = "accepted"
 )
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -77,7 +77,7 @@
 		return
 	}
 	sinceRenewal := now.Sub(h.renewedAt)
-	due := sinceRenewal >= election.RenewInterval || h.boundsDue && sinceRenewal >= boundsInterval
+	due := sinceRenewal >= election.RenewInterval || (h.boundsDue || h.fullDue) && sinceRenewal >= boundsInterval
 	if batch == nil && !due {
 		return
 	}
@@ -86,7 +86,8 @@
 		w.Puts, w.Removes = rowsOf(h.chain.Duty, batch)
 	}
 	if due {
-		h.renewedAt, h.boundsDue = now, false
+		h.renewedAt, h.boundsDue, h.fullDue = now, false, false
+		w.Full = h.full
 		w.Bounds = storedBounds(now, h.engine.PrepareBounds(now))
 		// A bound that is dropped and the process that has settled with it are stored together.
 		if h.loaded && (h.processes.settle(now, h.engine) || h.processes.due(now)) {
@@ -119,6 +120,7 @@
 	}
 	if h.batchWriting {
 		h.engine.Committed(now)
+		h.releaseEnded()
 	}
 }
 
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -47,6 +47,8 @@
 	Renew, Release bool
 	// Settled is set when the orders of all earlier holders have expired; the lease row of maintenance records it.
 	Settled bool
+	// Full is set while the holder has no memory for further jobs; the lease row records it.
+	Full bool
 	// Bounds is stored with a renewal or a release; nil for a duty that runs no jobs.
 	Bounds *jobv1.LeaseBounds
 }
@@ -208,7 +210,7 @@
 func (c *Chain) leaseRow(w Write) rowstore.Row {
 	return mustRow(MembersTable, dutyPart(c.Duty), keyLease, &jobv1.Lease{
 		Duty: string(c.Duty), Entry: string(c.Self.Entry), Incarnation: string(c.Self.Incarnation),
-		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: w.Release, Settled: w.Settled,
+		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: w.Release, Settled: w.Settled, Full: w.Full,
 	})
 }
 
--- a/internal/job/schedule.go
+++ b/internal/job/schedule.go
@@ -7,14 +7,13 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// Schedule records which occurrences of a scheduled job have ended, without the state of their tasks. The zero value has
-// none.
+// Schedule records which occurrences of a job have ended, without the state of their tasks. The zero value has none.
 type Schedule struct {
 	// Ended has a bit for each occurrence, the lowest bit of the first byte for occurrence 0.
 	Ended []byte
-	// Failed is set when one of them has failed. The others have completed.
+	// Failed is set when one of them has failed.
 	Failed bool
-	// Cancelled is set when the job was cancelled before all of them had ended.
+	// Cancelled is set when the job was cancelled before all of them had completed or failed.
 	Cancelled bool
 	// EndedAt is when the last of them ended, or the job was cancelled.
 	EndedAt time.Time
@@ -25,13 +24,14 @@
 	return int(k/8) < len(s.Ended) && s.Ended[k/8]&(1<<(k%8)) != 0
 }
 
-// End records the end of an occurrence that has completed or failed.
+// End records the end of an occurrence.
 func (s *Schedule) End(o *Occurrence) {
 	for int(o.Number/8) >= len(s.Ended) {
 		s.Ended = append(s.Ended, 0)
 	}
 	s.Ended[o.Number/8] |= 1 << (o.Number % 8)
 	s.Failed = s.Failed || o.State == fleet.JobStateFailed
+	s.Cancelled = s.Cancelled || o.State == fleet.JobStateCancelled
 	if o.EndedAt.After(s.EndedAt) {
 		s.EndedAt = o.EndedAt
 	}
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -227,7 +227,7 @@
 	for i := range e.feeds.Intakes {
 		calls := ring.New[holder.StoreCall]("intake-writer", intakeCalls)
 		list = append(list, &holder.Intake{
-			Number: i, Inbox: e.feeds.Intakes[i], Writer: calls, Latency: &e.storeLatency, Clock: e.Clock, Log: e.Log,
+			Number: i, Inbox: e.feeds.Intakes[i], Writer: calls, Latency: &e.storeLatency, Status: &e.status, JobRequests: e.feeds.JobRequests, Clock: e.Clock, Log: e.Log,
 			// The holder of a submission that is not announced learns of it at its next read of the jobs.
 			Announce: func(a holder.Announcement) { _ = e.announcements.Push(a) },
 		}, &holder.IntakeWriter{Number: i, Inbox: calls, Intake: e.feeds.Intakes[i], Store: e.store, Log: e.Log})
@@ -245,7 +245,7 @@
 
 func (e *Entry) scheduler(peers holder.Peers) *holder.Scheduler {
 	s := &holder.Scheduler{
-		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds,
+		Self: e.self, Inbox: e.feeds.Scheduler, Store: e.store, Clock: e.Clock, Log: e.Log, Bounds: e.Bounds, Memory: e.Memory,
 		Duties: e.group, NewRegistry: func() duty.Duty { return e.Platform.Registry(e.feeds) }, Intakes: e.feeds.Intakes, Advice: e.advice, Status: &e.status, Latency: &e.storeLatency, NewCaller: e.Platform.NewCaller,
 		Rounds: holder.NewRounds(e.registry.Scope), Relays: &jobpeer.RelayDialer{Clock: e.Clock}, Scope: e.registry.Scope,
 		Observer: func(service fleet.ServiceID, epoch fleet.FencingToken) shard.Observer {
--- a/internal/jobpeer/jobs.go
+++ b/internal/jobpeer/jobs.go
@@ -91,6 +91,8 @@
 		return nil, requestError(connect.CodeDeadlineExceeded, "the outcome of the write is not known")
 	case got == holder.IntakeRefused:
 		return nil, requestError(connect.CodeUnavailable, "not run: the store is not available")
+	case got == holder.IntakeFull:
+		return nil, requestError(connect.CodeResourceExhausted, "not run: the service has no memory for further jobs")
 	case got == holder.IntakeWithdrawn:
 		return nil, requestError(connect.CodeFailedPrecondition, "not run: the job was cancelled before it was accepted")
 	case got == holder.IntakeUnknown:
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -140,6 +140,11 @@
 	schedules map[fleet.JobID]bool
 	// orphans holds the rows that are to be deleted.
 	orphans map[RowKey]bool
+	// held is how much memory the jobs take, closed are those that TakeClosed returns.
+	held   fleet.Bytes
+	closed []fleet.JobID
+	// runs counts the assigned runs while Plan runs, maxRuns bounds them; 0 for no bound.
+	runs, maxRuns int
 	// schedule holds the jobs with occurrences that have not been opened.
 	schedule scheduleQueue
 	// planned holds the runs that were assigned, and possibly some that no longer wait for their commit.
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -17,6 +17,10 @@
 	open     map[fleet.Occurrence]*job.Occurrence
 	next     fleet.Occurrence
 	schedule job.Schedule
+	// isReleased is set once the job has ended and its steps and payload were dropped.
+	isReleased bool
+	// storedParts is the number of parts of the occurrence of a job that is not scheduled, once it is closed.
+	storedParts int
 	// parts holds the checksums of the stored parts of occurrences.
 	parts map[fleet.Occurrence][]uint64
 	// committed is the committed state, which callers see.
@@ -40,6 +44,7 @@
 	e.ticketed = e.ticketed || j.NeedsTickets
 	entry = &jobEntry{job: j, committed: fleet.JobStatePending, excess: e.accounts.meter.Submit(j.Account, j.AcceptedAt)}
 	e.jobs[j.ID] = entry
+	e.held += job.Footprint(j)
 	if j.Occurrences == 0 {
 		e.openOccurrence(entry, job.New(j, 0))
 		entry.next = 1
@@ -126,7 +131,7 @@
 // state derives the state of a job from its occurrences.
 func (j *jobEntry) state() fleet.JobState {
 	ended := j.schedule.Count()
-	pending, failed, cancelled := ended == 0, j.schedule.Failed, j.cancelled || j.schedule.Cancelled
+	pending, failed, cancelled := ended == 0, j.schedule.Failed, j.cancelled
 	for _, o := range j.open {
 		switch o.State {
 		case fleet.JobStateFailed:
@@ -141,6 +146,8 @@
 	switch {
 	case failed:
 		return fleet.JobStateFailed
+	case j.schedule.Cancelled:
+		return fleet.JobStateCancelled
 	case ended == j.job.OccurrenceCount():
 		return fleet.JobStateCompleted
 	case cancelled:
--- /dev/null
+++ b/internal/shard/memory_test.go
@@ -0,0 +1,121 @@
+package shard_test
+
+import (
+	"fmt"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/mimosawharf/mimosawharf/internal/shard"
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// holdOnly returns an engine without endpoints that is not part of a simulation, whose checks need memory themselves.
+func holdOnly() *shard.Engine {
+	e := shard.NewEngine("service", shard.EpochStep, shard.Bounds{MaxLease: fakeMaxLease}, &fakeObserver{ejections: map[fleet.EndpointID]int{}}, shard.Inheritance{}, fakeEpoch.Add(time.Hour))
+	e.Loaded(fakeEpoch)
+	e.JobsKnown(fakeEpoch.Add(time.Hour))
+	e.EndpointsKnown(fakeEpoch.Add(time.Hour))
+	return e
+}
+
+// Guards against a holder that exceeds the memory of its VM although it refuses jobs beyond a limit, because the jobs take
+// more than is counted.
+func TestFootprintCoversHeldMemory(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		count int
+		job   func(id fleet.JobID) *fleet.Job
+	}{
+		{"small", 4000, func(id fleet.JobID) *fleet.Job { return batchJob(id, 2, 500) }},
+		{"two steps", 4000, func(id fleet.JobID) *fleet.Job {
+			j := batchJob(id, 8, 500)
+			j.Steps = append(j.Steps, fleet.Step{Tasks: 8, After: []fleet.StepIndex{0}})
+			return j
+		}},
+		{"payload", 4000, func(id fleet.JobID) *fleet.Job {
+			j := batchJob(id, 2, 500)
+			j.Payload = strings.Repeat(string(id[len(id)-1:]), 4000)
+			return j
+		}},
+		{"many tasks", 200, func(id fleet.JobID) *fleet.Job { return batchJob(id, 1000, 500) }},
+		{"many steps", 100, func(id fleet.JobID) *fleet.Job {
+			j := batchJob(id, 1, 500)
+			for range 500 {
+				j.Steps = append(j.Steps, fleet.Step{Tasks: 1, RequiredLabel: fleet.Label(strings.Repeat(string(id[len(id)-1:]), 50))})
+			}
+			return j
+		}},
+		{"many occurrences", 400, func(id fleet.JobID) *fleet.Job { return scheduledJob(id, 10_000, 10, -time.Hour, time.Millisecond) }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			before := heapBytes()
+			e := holdOnly()
+			for n := range c.count {
+				j := c.job(fleet.JobID(fmt.Sprintf("job-%012d", n)))
+				j.Queue, j.Service, j.AcceptedAt = "queue", "service", fakeEpoch
+				e.Accept(j)
+			}
+			now := fakeEpoch
+			for range 40 {
+				now = now.Add(20 * time.Millisecond)
+				e.Plan(now)
+			}
+			used := heapBytes() - before
+			t.Logf("%d bytes, counted as %d", used, e.Held())
+			is.True(used <= int64(e.Held()))
+			runtime.KeepAlive(e)
+		})
+	}
+}
+
+// Guards against memory for jobs that is counted for ever, or given back too often.
+func TestFootprintOfForgottenJobsIsGivenBack(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, worker64)
+	sim.submit(batchJob("done", 2, 500))
+	sim.submit(batchJob("cancelled", 300, 32_000))
+	sim.submit(scheduledJob("timed", 20, 2, 0, 50*time.Millisecond))
+	sim.submit(scheduledJob("later", 20, 2, time.Hour, time.Hour))
+	accepted := sim.engine.Held()
+	sim.run(5 * time.Second)
+	sim.cancel("cancelled")
+	sim.cancel("later")
+	sim.run(5 * time.Second)
+	is.Equal(sim.state("done"), fleet.JobStateCompleted)
+	is.Equal(sim.state("cancelled"), fleet.JobStateCancelled)
+	is.True(sim.engine.Held() < accepted/2) // Ended jobs have neither steps nor payloads.
+	for _, id := range []fleet.JobID{"done", "cancelled", "timed", "later"} {
+		sim.engine.Forget(id)
+	}
+	sim.run(time.Second)
+	is.Equal(sim.engine.Held(), fleet.Bytes(0))
+	is.Equal(len(sim.store.rows)+len(sim.store.schedules), 0)
+	is.Equal(len(sim.violations), 0)
+}
+
+// Guards against jobs of many tasks that ask for nearly nothing and run all at the same time, whose runs take more memory
+// than the holder has.
+func TestRunsAreBounded(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, worker64)
+	sim.engine.SetMaxRuns(100)
+	for n := range 4 {
+		j := batchJob(fleet.JobID(fmt.Sprintf("job-%d", n)), 300, 1)
+		j.Steps[0].Demand.Memory = 0
+		sim.submit(j)
+	}
+	for range 500 {
+		sim.step()
+		runs := 0
+		for _, e := range sim.endpoints {
+			runs += len(e.running)
+		}
+		is.True(runs <= 100)
+	}
+	is.Equal(sim.state("job-0"), fleet.JobStateCompleted)
+}
--- a/internal/shard/place.go
+++ b/internal/shard/place.go
@@ -45,8 +45,11 @@
 	e.countStarts(now)
 	e.open = e.openWorkers(now)
 	defer func() { e.open = nil }()
-	e.plannedAt = now
-	if e.starts.isFull() {
+	e.plannedAt, e.runs = now, 0
+	for _, w := range e.workers {
+		e.runs += len(w.runs)
+	}
+	if e.isFull() {
 		return
 	}
 	if now.Sub(e.rankedAt) >= e.rankInterval(now) {
@@ -78,7 +81,7 @@
 // placement, and so do lasting ones and those that start at once, or others would take what becomes free for them.
 func (e *Engine) placeRanked(now time.Time) {
 	skip, again := unplaceable{}, []candidate{}
-	for len(e.ranked) > 0 && !e.starts.isFull() {
+	for len(e.ranked) > 0 && !e.isFull() {
 		c := e.ranked.next()
 		if !c.occurrence.Ready(c.step) {
 			continue // It has ended since it was ranked.
@@ -93,7 +96,7 @@
 		if len(skip.demands) > known {
 			e.ranked.remove(func(c candidate) bool { return e.isCovered(c, &skip) })
 		}
-		if (c.lasting || together || e.starts.isFull()) && waiting(c.occurrence.Tasks[c.step]) {
+		if (c.lasting || together || e.isFull()) && waiting(c.occurrence.Tasks[c.step]) {
 			again = append(again, c)
 		}
 	}
@@ -130,7 +133,7 @@
 		if task.Done || task.Running() {
 			continue
 		}
-		if e.starts.isFull() || !e.allows(c.occurrence.Job, step, 1) {
+		if e.isFull() || !e.allows(c.occurrence.Job, step, 1) {
 			return
 		}
 		id := c.occurrence.ID(c.step, fleet.TaskIndex(t))
@@ -186,6 +189,7 @@
 		e.open[w.openIndex].free = w.free()
 	}
 	e.starts.outstanding++
+	e.runs++
 	e.planned = append(e.planned, plannedRun{w.Process(), id, run})
 	e.dirty[o.Key()] = true
 	e.Observer.Assigned(id, run, w.Process(), now.Sub(o.Job.Due(o.Number)))
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -14,13 +14,8 @@
 // ended. An occurrence is opened when it is due and closed once its end is committed; then the job's schedule records
 // that it has ended.
 
-const (
-	// maxIdleTasks bounds the tasks of a scheduled job that are due and do not run, beyond those of one occurrence. Later
-	// occurrences stay closed until earlier ones run: work that waits longer than its interval would fill the memory.
-	maxIdleTasks = 256
-	// reopenInterval is the time between two checks whether a job with so many tasks may open another occurrence.
-	reopenInterval = 200 * time.Millisecond
-)
+// reopenInterval is the time between two checks whether a job with job.MaxIdleTasks may open another occurrence.
+const reopenInterval = 200 * time.Millisecond
 
 // scheduledJob is a job with occurrences that have not been opened.
 type scheduledJob struct {
@@ -73,7 +68,7 @@
 	for len(e.schedule) > 0 && !now.Before(e.schedule[0].openAt) {
 		next := heap.Pop(&e.schedule).(scheduledJob)
 		entry := next.entry
-		if entry.cancelled || e.jobs[entry.job.ID] != entry {
+		if entry.cancelled || entry.schedule.Cancelled || e.jobs[entry.job.ID] != entry {
 			continue
 		}
 		entry.skipKnown()
@@ -120,7 +115,7 @@
 			idle += tasks
 		}
 	}
-	return idle > 0 && idle+tasks > maxIdleTasks
+	return idle > 0 && idle+tasks > job.MaxIdleTasks
 }
 
 // sortedOpen returns the open occurrences by number.
@@ -142,21 +137,54 @@
 	}
 }
 
-// closeEnded records the occurrences of a job that have ended in its schedule, and has their rows removed with the next
-// batch. An occurrence stays open while one of its runs may execute.
+// closeEnded closes the occurrences of a job that have ended and of which no run may execute. The schedule of the job
+// records them, and for a scheduled job, where it is stored, replaces their rows with the next batch.
 func (e *Engine) closeEnded(entry *jobEntry) {
-	if entry.job.Occurrences == 0 || entry.cancelled {
-		return
-	}
+	isScheduled := entry.job.Occurrences > 0
 	for _, o := range entry.sortedOpen() {
-		ended := o.State == fleet.JobStateCompleted || o.State == fleet.JobStateFailed
-		if !ended || e.dirty[o.Key()] || o.Running() {
+		if !o.State.IsFinal() || e.dirty[o.Key()] || o.Running() {
 			continue
 		}
 		entry.schedule.End(o)
+		entry.storedParts = o.Parts()
 		delete(entry.open, o.Number)
 		delete(entry.parts, o.Number)
-		e.schedules[entry.job.ID] = true
-		e.orphan(o)
+		if isScheduled {
+			e.schedules[entry.job.ID] = true
+			e.orphan(o)
+		}
+	}
+	entry.skipKnown()
+	if len(entry.open) == 0 && (entry.isOpened() || entry.schedule.Cancelled) {
+		e.release(entry)
+	}
+}
+
+// release drops the steps and the payload of a job that has ended.
+func (e *Engine) release(entry *jobEntry) {
+	if entry.isReleased {
+		return
 	}
+	e.held += job.EndedFootprint(entry.job) - job.Footprint(entry.job)
+	entry.job, entry.open, entry.parts, entry.isReleased = entry.job.Ended(), nil, nil, true
+	e.closed = append(e.closed, entry.job.ID)
+}
+
+// TakeClosed returns the jobs that have ended since the last call and of which the engine has no steps any more.
+func (e *Engine) TakeClosed() []fleet.JobID {
+	list := e.closed
+	e.closed = nil
+	return list
+}
+
+// Held returns how much memory the jobs take.
+func (e *Engine) Held() fleet.Bytes { return e.held }
+
+// SetMaxRuns bounds the runs of the service at the same time; 0 means that nothing does but the endpoints.
+func (e *Engine) SetMaxRuns(n int) { e.maxRuns = n }
+
+// isFull reports whether no further run may be assigned now: too many starts are on their way, or as many runs are
+// assigned as the holder has memory for.
+func (e *Engine) isFull() bool {
+	return e.starts.isFull() || e.maxRuns > 0 && e.runs >= e.maxRuns
 }
--- a/internal/shard/tick.go
+++ b/internal/shard/tick.go
@@ -55,9 +55,19 @@
 		delete(e.dirty, o.Key())
 		e.orphan(o)
 	}
-	if entry.job.Occurrences > 0 {
+	if entry.isReleased {
+		e.held -= job.EndedFootprint(entry.job)
+	} else {
+		e.held -= job.Footprint(entry.job)
+	}
+	switch {
+	case entry.job.Occurrences > 0:
 		delete(e.schedules, id)
 		e.orphans[RowKey{Job: id, IsSchedule: true}] = true
+	case len(entry.open) == 0:
+		for part := range 1 + entry.storedParts {
+			e.orphans[RowKey{Job: id, Part: part}] = true
+		}
 	}
 	delete(e.jobs, id)
 }
--- a/pkg/fleet/job.go
+++ b/pkg/fleet/job.go
@@ -200,6 +200,13 @@
 	NeedsTickets bool
 }
 
+// Ended returns what is kept of a job whose tasks have all ended: no steps and no payload.
+func (j *Job) Ended() *Job {
+	ended := *j
+	ended.Steps, ended.Payload = nil, ""
+	return &ended
+}
+
 // OccurrenceCount returns how often the steps run, at least 1.
 func (j *Job) OccurrenceCount() int { return max(1, j.Occurrences) }
 
