shard: bound the images whose run times are known

Cause: the run times of each image that has run were kept for the life of the holder, under the image's name.

Change: names are hashed, and at most 4,096 images are known; the one that has not run for the longest makes room.

--- a/internal/shard/lists.go
+++ b/internal/shard/lists.go
@@ -167,7 +167,7 @@
 	case fleet.RunEndDone:
 		w.recordSuccess(a)
 		if !a.startedAt.IsZero() && !a.step.Lasting {
-			e.recordRunTime(o, a, e.nearTime(o, w, a, ran))
+			e.recordRunTime(now, o, a, e.nearTime(o, w, a, ran))
 		}
 		delete(e.avoid, end.Task)
 		if a.step.Gang {
--- a/internal/shard/memory_test.go
+++ b/internal/shard/memory_test.go
@@ -119,3 +119,18 @@
 	}
 	is.Equal(sim.state("job-0"), fleet.JobStateCompleted)
 }
+
+// Guards against run times of images that are kept for ever, as many as callers make up.
+func TestRunTimesOfFewImagesAreKept(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 40, worker64)
+	sim.duration = func(fleet.TaskID) time.Duration { return 10 * time.Millisecond }
+	for n := range 6000 {
+		j := batchJob(fleet.JobID(fmt.Sprintf("job-%04d", n)), 1, 500)
+		j.Steps[0].Image = fleet.ImageID(fmt.Sprintf("image-%d", n))
+		sim.submit(j)
+	}
+	sim.run(20 * time.Second)
+	is.Equal(sim.state("job-5999"), fleet.JobStateCompleted)
+	is.True(sim.engine.RunTimes() <= 4096)
+}
--- a/internal/shard/times.go
+++ b/internal/shard/times.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -11,9 +13,17 @@
 // runTimeKey identifies tasks that are expected to take equally long.
 type runTimeKey struct {
 	queue fleet.QueueID
-	image fleet.ImageID
+	// image is a hash of the image's name, whose length callers choose.
+	image uint64
+}
+
+func newRunTimeKey(q fleet.QueueID, image fleet.ImageID) runTimeKey {
+	return runTimeKey{q, xxhash.Sum64String(string(image))}
 }
 
+// maxRunTimes bounds the images whose run times are known. Callers choose their names.
+const maxRunTimes = 4096
+
 // runTime is the observed run time of the tasks with one key.
 type runTime struct {
 	// actual and ratio hold the logarithms of the run times, in seconds, and of their ratios to the declared
@@ -23,6 +33,8 @@
 	// longest is the mean ratio of the longest run of a step to the mean of its runs.
 	longest float64
 	steps   int
+	// recordedAt is when a run was last recorded.
+	recordedAt time.Time
 }
 
 // logMean is the mean and the variance of logarithms, as exponential moving averages.
@@ -61,13 +73,15 @@
 )
 
 // recordRunTime adds the run time of a completed task.
-func (e *Engine) recordRunTime(o *job.Occurrence, a *assignment, ran time.Duration) {
-	key := runTimeKey{o.Job.Queue, a.step.Image}
+func (e *Engine) recordRunTime(now time.Time, o *job.Occurrence, a *assignment, ran time.Duration) {
+	key := newRunTimeKey(o.Job.Queue, a.step.Image)
 	t := e.runTimes[key]
 	if t == nil {
+		e.forgetRunTime()
 		t = &runTime{longest: 1}
 		e.runTimes[key] = t
 	}
+	t.recordedAt = now
 	ran = max(ran, time.Millisecond)
 	t.actual.add(math.Log(ran.Seconds()))
 	if a.step.Estimate > 0 {
@@ -77,6 +91,21 @@
 	e.recordStep(t, StepID{a.id.Job, a.id.Occurrence, a.id.Step}, a.step.Tasks, ran)
 }
 
+// forgetRunTime makes room for another image by the one that has not run for the longest.
+func (e *Engine) forgetRunTime() {
+	if len(e.runTimes) < maxRunTimes {
+		return
+	}
+	var oldest runTimeKey
+	var at time.Time
+	for key, t := range e.runTimes {
+		if at.IsZero() || t.recordedAt.Before(at) {
+			oldest, at = key, t.recordedAt
+		}
+	}
+	delete(e.runTimes, oldest)
+}
+
 // recordStep adds the run time of a task to those of its step, and the step's to the key's when it is complete.
 func (e *Engine) recordStep(t *runTime, id StepID, tasks int, ran time.Duration) {
 	runs := e.stepRuns[id]
@@ -97,7 +126,7 @@
 // expected returns the expected run time of a task of a step. Declared estimates are used where they have predicted
 // run times better than the mean has, corrected by their usual error.
 func (e *Engine) expected(q fleet.QueueID, s *fleet.Step) time.Duration {
-	return e.runTimes[runTimeKey{q, s.Image}].expected(s)
+	return e.runTimes[newRunTimeKey(q, s.Image)].expected(s)
 }
 
 func (t *runTime) expected(s *fleet.Step) time.Duration {
@@ -112,7 +141,7 @@
 
 // deviation returns the standard deviation of the logarithm of the run time of a task from the expected one.
 func (e *Engine) deviation(q fleet.QueueID, s *fleet.Step) float64 {
-	t := e.runTimes[runTimeKey{q, s.Image}]
+	t := e.runTimes[newRunTimeKey(q, s.Image)]
 	switch {
 	case t == nil || t.actual.samples < minSamples:
 		return unknownDeviation
@@ -127,7 +156,7 @@
 
 // expectedStep returns the expected time from the start of a step's tasks to the end of the last one.
 func (e *Engine) expectedStep(q fleet.QueueID, s *fleet.Step) time.Duration {
-	t := e.runTimes[runTimeKey{q, s.Image}]
+	t := e.runTimes[newRunTimeKey(q, s.Image)]
 	expected := t.expected(s)
 	if t != nil && t.steps >= minSamples && s.Tasks > 1 {
 		expected = time.Duration(float64(expected) * t.longest)
