job: count a failed run of a gang once

Cause: each member that ended failed added to one counter of the gang, so that a run with two of them used up two attempts. Excluded: no end is counted twice.

Change: a run of a gang counts once, by its number, which the members share; the failures of each task are counted too. The row of the gang's first task has the new counter; rows of earlier builds are read as before.

--- a/internal/job/occurrence.go
+++ b/internal/job/occurrence.go
@@ -16,8 +16,13 @@
 
 // Task is the state of one task.
 type Task struct {
-	Done     bool
+	Done bool
+	// Failures counts the failed runs of the task.
 	Failures int
+	// GangFailures counts the failed runs of a gang, and GangFailedRun is the latest of them. They are those of the gang's
+	// first task. A run fails once, however many of its members do.
+	GangFailures  int
+	GangFailedRun fleet.RunNumber
 	// Run is the number of the latest run. It never decreases.
 	Run fleet.RunNumber
 	// LastEnded is the latest run whose end was recorded. Endpoints list ends until they are acknowledged, so
@@ -155,7 +160,7 @@
 	case how == fleet.RunEndDone:
 		o.finish(now, id, step)
 	case how == fleet.RunEndFailed:
-		o.fail(now, id, step, maxAttempts)
+		o.fail(now, id, run, step, maxAttempts)
 	}
 	return true
 }
@@ -173,7 +178,7 @@
 	case fleet.RunEndDone:
 		o.finish(now, id, o.Job.Steps[id.Step])
 	case fleet.RunEndFailed:
-		o.fail(now, id, o.Job.Steps[id.Step], maxAttempts)
+		o.fail(now, id, run, o.Job.Steps[id.Step], maxAttempts)
 	default:
 		return false
 	}
@@ -202,14 +207,18 @@
 	}
 }
 
-// fail counts a failed run against the task, or against its gang.
-func (o *Occurrence) fail(now time.Time, id fleet.TaskID, step fleet.Step, maxAttempts int) {
+// fail counts a failed run against the task and its gang.
+func (o *Occurrence) fail(now time.Time, id fleet.TaskID, run fleet.RunNumber, step fleet.Step, maxAttempts int) {
 	t := o.Task(id)
-	if step.Gang {
-		t = &o.Tasks[id.Step][0]
-	}
 	t.Failures++
-	if t.Failures >= maxAttempts && !o.State.IsFinal() {
+	failures := t.Failures
+	if gang := &o.Tasks[id.Step][0]; step.Gang {
+		if run > gang.GangFailedRun {
+			gang.GangFailures, gang.GangFailedRun = gang.GangFailures+1, run
+		}
+		failures = max(failures, gang.GangFailures)
+	}
+	if failures >= maxAttempts && !o.State.IsFinal() {
 		o.State, o.EndedAt = fleet.JobStateFailed, now
 	}
 }
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -132,6 +132,7 @@
 	for i := range tasks {
 		t, to := &tasks[i], &messages[i]
 		to.Done, to.Failures, to.Run, to.Noted = t.Done, uint32(t.Failures), uint32(t.Run), uint32(t.LastEnded)
+		to.GangFailures, to.GangFailedRun = uint32(t.GangFailures), uint32(t.GangFailedRun)
 		to.Endpoint, to.EndpointBorn, to.Checkpoint = string(t.Process.Endpoint), t.Process.StartMillis, string(t.Checkpoint)
 		list[i] = to
 	}
@@ -177,6 +178,7 @@
 		for k, t := range tasks {
 			o.Tasks[s][k] = job.Task{
 				Done: t.GetDone(), Failures: int(t.GetFailures()), Run: fleet.RunNumber(t.GetRun()), LastEnded: fleet.RunNumber(t.GetNoted()),
+				GangFailures: int(t.GetGangFailures()), GangFailedRun: fleet.RunNumber(t.GetGangFailedRun()),
 				Process:    fleet.EndpointProcess{Endpoint: fleet.EndpointID(t.GetEndpoint()), StartMillis: t.GetEndpointBorn()},
 				Checkpoint: fleet.Checkpoint(t.GetCheckpoint()),
 			}
--- a/internal/wire/progress_test.go
+++ b/internal/wire/progress_test.go
@@ -24,7 +24,7 @@
 	for s := range o.Tasks {
 		for t := range o.Tasks[s] {
 			o.Tasks[s][t] = job.Task{
-				Done: t%2 == 0, Failures: 1 << 30, Run: 1<<30 + fleet.RunNumber(t), LastEnded: 1 << 30,
+				Done: t%2 == 0, Failures: 1 << 30, Run: 1<<30 + fleet.RunNumber(t), LastEnded: 1 << 30, GangFailures: 1 << 30, GangFailedRun: 1 << 30,
 				Process:    fleet.EndpointProcess{Endpoint: fleet.EndpointID(strings.Repeat("e", 200)), StartMillis: 4_102_444_800_000},
 				Checkpoint: fleet.Checkpoint(strings.Repeat("c", 200)),
 			}
