holder: count the waiting jobs of queues that have moved

Cause: the count was asked of the holder of the present service only, and jobs stay with the service that their queue had when they were accepted. Excluded: the earlier holder still has them.

Change: a holder puts the counts of waiting jobs whose queues are not its own any more into its lease row, which every entry reads. An entry adds them to what the holder of the present service says. Nothing is counted for it while no queue has moved.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -24,6 +24,8 @@
 	Settled bool
 	// Full is set while the holder has no memory for further jobs.
 	Full bool
+	// Moved counts the waiting jobs of queues that the configuration sends to other services now.
+	Moved map[fleet.QueueID]int
 	// ChangedAt is when this entry last saw the row change, by its own clock, moved by the outages of the store since.
 	ChangedAt time.Time
 	// SeenAt is the same, whatever outages followed: the holder's own time runs on during them.
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -15,6 +15,9 @@
 		s.announced(now, h, q)
 	}
 	a := Answer{Service: service}
+	if q.Kind == QueryWaiting {
+		a.Moved = s.movedJobs(now, service, q.Queue)
+	}
 	if h == nil || h.engine == nil || !h.loaded || h.releasing {
 		if l, ok := s.election.Holder(now, ServiceDuty(service)); ok && l.Entry != s.Self.Entry {
 			a.Holder = l.Address
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -203,6 +203,9 @@
 	Service fleet.ServiceID
 	Account fleet.ClientAccountID
 	Count   int
+	// Moved counts the waiting jobs of the queue at the holders of services that it had before, as far as the entry that
+	// answers knows.
+	Moved int
 	// Vacated are the endpoints that run nothing and get no work for a while.
 	Vacated []fleet.EndpointID
 	Load    shard.Load
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -57,6 +57,10 @@
 	suspended, outdated bool
 	// unloaded is how much memory the jobs take while the service is not loaded.
 	unloaded fleet.Bytes
+	// queues holds the configured queues, and whether their jobs run in the service.
+	queues map[fleet.QueueID]bool
+	// mayHaveMoved is set while there may be waiting jobs of queues that the configuration sends elsewhere now.
+	mayHaveMoved bool
 	// full is set while there is no memory for further jobs, fullDue until a renewal says so.
 	full, fullDue bool
 	// boundsDue is set while the stored bounds of leases are out of date.
@@ -78,6 +82,7 @@
 		return
 	}
 	h.jobs[j.ID] = j
+	h.mayHaveMoved = h.mayHaveMoved || !h.queues[j.Queue]
 	h.unloaded += job.Footprint(j)
 	if h.loaded {
 		h.engine.Accept(j)
@@ -246,7 +251,7 @@
 	}
 	h.engine.Loaded(now)
 	h.releaseEnded()
-	h.progress, h.loaded, s.limits.due = nil, true, true
+	h.progress, h.loaded, h.mayHaveMoved, s.limits.due = nil, true, true, true
 	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
 		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
 		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
--- a/internal/holder/members.go
+++ b/internal/holder/members.go
@@ -83,8 +83,13 @@
 }
 
 func lease(m *jobv1.Lease) election.Lease {
+	moved := map[fleet.QueueID]int{}
+	for _, w := range m.GetMoved() {
+		moved[fleet.QueueID(w.GetQueue())] = int(w.GetJobs())
+	}
 	return election.Lease{
-		Duty: fleet.DutyName(m.GetDuty()), Entry: fleet.EntryID(m.GetEntry()), Incarnation: fleet.Incarnation(m.GetIncarnation()),
+		Moved: moved,
+		Duty:  fleet.DutyName(m.GetDuty()), Entry: fleet.EntryID(m.GetEntry()), Incarnation: fleet.Incarnation(m.GetIncarnation()),
 		Address: fleet.Address(m.GetAddress()), Epoch: fleet.FencingToken(m.GetEpoch()), Renewals: m.GetRenewals(), Released: m.GetReleased(), Settled: m.GetSettled(), Full: m.GetFull(),
 	}
 }
--- /dev/null
+++ b/internal/holder/moved.go
@@ -0,0 +1,48 @@
+package holder
+
+import (
+	"time"
+
+	"github.com/mimosawharf/mimosawharf/pkg/fleet"
+)
+
+// Jobs stay with the service that their queue had when they were accepted. Once the configuration sends the queue to
+// another service, its holder does not know of them, so the holder that has them counts them in its lease row, which each
+// entry reads.
+
+// moved counts the waiting jobs of a held service whose queues the configuration sends to other services, or to none.
+func (s *Scheduler) moved(now time.Time, h *heldDuty) map[fleet.QueueID]int {
+	if s.config == nil || !h.loaded || !h.mayHaveMoved {
+		return nil
+	}
+	var moved map[fleet.QueueID]int
+	for queue, jobs := range h.waiting(now) {
+		if !h.queues[queue] && jobs > 0 && len(moved) < maxMovedQueues {
+			if moved == nil {
+				moved = map[fleet.QueueID]int{}
+			}
+			moved[queue] = jobs
+		}
+	}
+	h.mayHaveMoved = moved != nil
+	return moved
+}
+
+// maxMovedQueues bounds the queues of a lease row.
+const maxMovedQueues = 256
+
+// movedJobs returns how many jobs of a queue wait at the holders of other services.
+func (s *Scheduler) movedJobs(now time.Time, service fleet.ServiceID, queue fleet.QueueID) int {
+	jobs := 0
+	for d, l := range s.election.Leases {
+		if d == ServiceDuty(service) {
+			continue
+		}
+		if h := s.held[d]; h != nil && h.loaded && h.engine != nil {
+			jobs += s.moved(now, h)[queue]
+		} else {
+			jobs += l.Moved[queue]
+		}
+	}
+	return jobs
+}
--- a/internal/holder/resolver.go
+++ b/internal/holder/resolver.go
@@ -119,6 +119,7 @@
 		return Reply{Kind: ReplyUnavailable, Source: "scheduler busy"}, false
 	}
 	if reply, ok := replyFrom(q, local, "own"); ok || local.Holder == "" {
+		reply.Count += local.Moved
 		return reply, ok
 	}
 	queryCtx, cancel := context.WithTimeout(ctx, peerTimeout)
@@ -128,7 +129,9 @@
 		r.Log.Warn("resolver: holder does not answer", zap.String("job", string(q.Job)), zap.String("holder", string(local.Holder)), zap.Error(trace.Unwrap(err)))
 		return Reply{}, false
 	}
-	return replyFrom(q, remote, "holder")
+	reply, ok := replyFrom(q, remote, "holder")
+	reply.Count += local.Moved
+	return reply, ok
 }
 
 // replyFrom returns the reply for an answer, and false when the answer is not authoritative.
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -237,8 +237,10 @@
 	}
 	// A queue that has moved to another service may have jobs here.
 	policies := make([]job.Policy, 0, len(s.config.Queues))
+	h.queues, h.mayHaveMoved = map[fleet.QueueID]bool{}, true
 	for _, q := range s.config.Queues {
 		policies = append(policies, q.Policy)
+		h.queues[q.Queue] = q.Service == h.service
 	}
 	h.engine.SetPolicies(policies)
 	h.engine.SetWeights(s.config.Accounts.Weights())
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -87,7 +87,7 @@
 	}
 	if due {
 		h.renewedAt, h.boundsDue, h.fullDue = now, false, false
-		w.Full = h.full
+		w.Full, w.Moved = h.full, s.moved(now, h)
 		w.Bounds = storedBounds(now, h.engine.PrepareBounds(now))
 		// A bound that is dropped and the process that has settled with it are stored together.
 		if h.loaded && (h.processes.settle(now, h.engine) || h.processes.due(now)) {
--- a/internal/holder/writer.go
+++ b/internal/holder/writer.go
@@ -49,6 +49,8 @@
 	Settled bool
 	// Full is set while the holder has no memory for further jobs; the lease row records it.
 	Full bool
+	// Moved counts the waiting jobs of queues of other services; the lease row records it.
+	Moved map[fleet.QueueID]int
 	// Bounds is stored with a renewal or a release; nil for a duty that runs no jobs.
 	Bounds *jobv1.LeaseBounds
 }
@@ -208,10 +210,14 @@
 }
 
 func (c *Chain) leaseRow(w Write) rowstore.Row {
-	return mustRow(MembersTable, dutyPart(c.Duty), keyLease, &jobv1.Lease{
+	m := &jobv1.Lease{
 		Duty: string(c.Duty), Entry: string(c.Self.Entry), Incarnation: string(c.Self.Incarnation),
 		Address: string(c.Self.Address), Epoch: uint64(c.Epoch), Renewals: c.renewals, Released: w.Release, Settled: w.Settled, Full: w.Full,
-	})
+	}
+	for queue, jobs := range w.Moved {
+		m.Moved = append(m.Moved, &jobv1.WaitingJobs{Queue: string(queue), Jobs: uint32(jobs)})
+	}
+	return mustRow(MembersTable, dutyPart(c.Duty), keyLease, m)
 }
 
 // mustRow encodes a message. Encoding fails only for text that is not UTF-8, which no field of the
