holder: count no leases of an earlier process of the entry after its end

Cause: a taker counts 2 s and a lease from its last sight of the lease row, after an outage its first read. Where the holder was an earlier process of the same entry, that one had ended before this one started.

Change: the end of the earlier process bounds what it may have granted and written. Rows of other entries are not used: the store may perform a write of an ended process late.

--- a/internal/election/election.go
+++ b/internal/election/election.go
@@ -30,6 +30,8 @@
 	ChangedAt time.Time
 	// SeenAt is the same, whatever outages followed: the holder's own time runs on during them.
 	SeenAt time.Time
+	// EndedBy is by when the process that holds the lease had ended, if that is known.
+	EndedBy time.Time
 }
 
 // Node is the row of an entry as last read from the store.
@@ -103,6 +105,16 @@
 	s.Leases[l.Duty] = l
 }
 
+// EndedBy returns by when the process that held a lease had ended, or zero while it may go on. An earlier process of this
+// entry had ended when this one started. The rows of other entries prove less: the store may perform a write of an earlier
+// process late.
+func (s *State) EndedBy(l Lease, startedAt time.Time) time.Time {
+	if l.Entry != s.Self || l.Incarnation == s.Incarnation {
+		return time.Time{}
+	}
+	return startedAt
+}
+
 // SetNode records the row of an entry as read at now.
 func (s *State) SetNode(now time.Time, n Node) {
 	old, known := s.Nodes[n.Entry]
--- a/internal/holder/bounds.go
+++ b/internal/holder/bounds.go
@@ -80,6 +80,10 @@
 	if !current.Released {
 		lastGrant = lastGrant.Add(withDrift(holderValidity))
 	}
+	if ended := seen.EndedBy; !ended.IsZero() && seen.Epoch == current.Epoch {
+		// Its last renewal was written, and its last lease granted, before its process ended.
+		writtenBy, lastGrant = earlier(writtenBy, ended), earlier(lastGrant, ended)
+	}
 	own := shard.LeaseEnd(lastGrant)
 	if stored == nil || fleet.FencingToken(stored.GetEpoch()) != current.Epoch || stored.GetRenewals() != current.Renewals {
 		// The earlier holders are unknown; they have ended before this one took the lease.
@@ -104,6 +108,13 @@
 // withDrift adds what the clocks of two entries may differ by during d.
 func withDrift(d time.Duration) time.Duration { return d + d*clockDriftPercent/100 }
 
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/internal/holder/bounds_test.go
+++ b/internal/holder/bounds_test.go
@@ -38,6 +38,16 @@
 			renewed, none,
 			shard.LeaseEnd(seenAt.Add(withDrift(holderValidity))), nil,
 		},
+		{
+			"the holder's process had ended",
+			election.Lease{Epoch: 5, Renewals: 7, SeenAt: seenAt, ChangedAt: seenAt, EndedBy: seenAt.Add(-time.Second)},
+			renewed, none, shard.LeaseEnd(seenAt.Add(-time.Second)), nil,
+		},
+		{
+			"the holder's process ended after its last renewal",
+			election.Lease{Epoch: 5, Renewals: 7, SeenAt: seenAt, ChangedAt: seenAt, EndedBy: seenAt.Add(time.Second)},
+			renewed, none, shard.LeaseEnd(seenAt.Add(time.Second)), nil,
+		},
 		{"the holder released the lease", released, released, bounds, shard.LeaseEnd(seenAt), bound(seenAt)},
 		{"the holder released the lease unseen", renewed, released, bounds, shard.LeaseEnd(now), bound(now)},
 		{"leases of earlier holders last longer", released, released, &jobv1.LeaseBounds{Epoch: 5, Renewals: 8, RemainingMs: 10_000}, seenAt.Add(10_200 * time.Millisecond), nil},
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -173,8 +173,10 @@
 	s.taking[d] = true
 	chain := &Chain{Duty: d, Self: s.Self, Store: s.Store, Clock: s.Clock, Latency: s.Latency, Log: s.Log}
 	takeCtx, cancel := context.WithCancel(ctx)
+	previous := s.election.Leases[d]
+	previous.EndedBy = s.election.EndedBy(previous, s.startedAt)
 	s.Duties.Start(takeCtx, &taker{
-		chain: chain, previous: s.election.Leases[d], probe: probe, clock: s.Clock, log: s.Log,
+		chain: chain, previous: previous, probe: probe, clock: s.Clock, log: s.Log,
 		done: func(t Taken) { s.push(Event{Taken: &t}); cancel() },
 	})
 }
