shard, holder, platform: split files that have grown

A queue that has moved is looked for until its jobs have been counted anew: an earlier count may lack a job that has come since.

--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -1,21 +1,14 @@
 package holder
 
 import (
-	"cmp"
 	"context"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/gravitational/trace"
-	"go.uber.org/zap"
-
 	"github.com/mimosawharf/mimosawharf/internal/follow"
 	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/rowstore"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
-	"github.com/mimosawharf/mimosawharf/internal/wire"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
@@ -112,41 +105,6 @@
 	delete(h.cancelled, id)
 }
 
-// releaseEnded drops the steps and payloads of jobs that have ended.
-func (h *heldDuty) releaseEnded() {
-	for _, id := range h.engine.TakeClosed() {
-		if j := h.jobs[id]; j != nil {
-			h.jobs[id] = j.Ended()
-		}
-	}
-}
-
-// withdrawn returns the jobs that were withdrawn so long ago that no submission of them is still open.
-func (h *heldDuty) withdrawn(now time.Time, retention time.Duration) []fleet.JobID {
-	var list []fleet.JobID
-	for id := range h.cancelled {
-		if h.jobs[id] != nil {
-			delete(h.withdrawnAt, id)
-			continue
-		}
-		if h.withdrawnAt[id].IsZero() {
-			h.withdrawnAt[id] = now
-		}
-		if now.Sub(h.withdrawnAt[id]) > retention && len(list) < maxWithdrawals {
-			list = append(list, id)
-		}
-	}
-	for id := range h.withdrawnAt {
-		if !h.cancelled[id] {
-			delete(h.withdrawnAt, id)
-		}
-	}
-	return list
-}
-
-// maxWithdrawals bounds the withdrawn jobs whose rows are removed at a time.
-const maxWithdrawals = 32
-
 // read starts the duties that read what the holder of a service needs. All of it is read after the lease was taken,
 // so it holds whatever earlier holders have committed.
 func (s *Scheduler) read(h *heldDuty) {
@@ -227,76 +185,6 @@
 	s.load(now, h)
 }
 
-// acceptAll passes the jobs to the engine in the order of their acceptance, by which jobs are beyond their account's weight.
-func (h *heldDuty) acceptAll() {
-	for _, j := range slices.SortedFunc(maps.Values(h.jobs), func(a, b *fleet.Job) int {
-		return cmp.Or(a.AcceptedAt.Compare(b.AcceptedAt), cmp.Compare(a.ID, b.ID))
-	}) {
-		h.engine.Accept(j)
-	}
-}
-
-// load fills the engine once the jobs, the progress that earlier holders committed, and the endpoints are known.
-func (s *Scheduler) load(now time.Time, h *heldDuty) {
-	if h.engine == nil || h.loaded || !h.jobsRead || h.progress == nil || s.endpoints == nil {
-		return
-	}
-	s.updatePolicies(h)
-	s.updateEndpoints(now, h)
-	h.acceptAll()
-	rows := h.progress.Rows
-	s.restore(now, h, rows)
-	for id := range h.cancelled {
-		h.engine.Cancel(now, id)
-	}
-	h.engine.Loaded(now)
-	h.releaseEnded()
-	h.progress, h.loaded, h.mayHaveMoved, s.limits.due = nil, true, true, true
-	s.Log.Info("scheduler: service loaded", zap.String("duty", string(h.chain.Duty)), zap.Uint64("epoch", uint64(h.chain.Epoch)),
-		zap.Int("jobs", len(h.jobs)), zap.Int("progress-rows", len(rows)), zap.Int("inherited-runs", h.engine.InheritedRuns()),
-		zap.Duration("after", now.Sub(h.takenAt)), zap.Duration("predecessor-leases-left", max(0, -sinceOrZero(now, h.inherited.End))), zap.Int("predecessor-lease-bounds", len(h.inherited.Bounds)))
-}
-
-// restore passes the progress that earlier holders committed to the engine.
-func (s *Scheduler) restore(now time.Time, h *heldDuty, rows []*ProgressRow) {
-	skipped := func(row *ProgressRow, err error) {
-		s.Log.Error("scheduler: progress row cannot be decoded, skipped", zap.String("service", string(h.service)),
-			zap.String("job", string(row.Key.Job)), zap.Error(trace.Unwrap(err)))
-	}
-	parts := map[shard.RowKey][]byte{}
-	for _, row := range rows {
-		switch {
-		case h.jobs[row.Key.Job] == nil:
-			h.engine.ForgetRow(row.Key)
-		case row.Key.IsSchedule:
-			schedule, err := wire.DecodeSchedule(row.Value)
-			if err != nil {
-				skipped(row, err)
-				continue
-			}
-			h.engine.RestoreSchedule(row.Key.Job, schedule)
-		case row.Key.Part > 0:
-			parts[row.Key] = row.Value
-		}
-	}
-	for _, row := range rows {
-		if h.jobs[row.Key.Job] == nil || row.Key.IsSchedule || row.Key.Part > 0 {
-			continue
-		}
-		part := func(n int) []byte {
-			key := row.Key
-			key.Part = n
-			return parts[key]
-		}
-		o, err := wire.DecodeProgress(row.Value, func(id fleet.JobID) *fleet.Job { return h.jobs[id] }, part)
-		if err != nil {
-			skipped(row, err)
-			continue
-		}
-		h.engine.Restore(now, o)
-	}
-}
-
 func (s *Scheduler) applyEndpoints(now time.Time, l *EndpointList) {
 	if s.stopRegistry == nil || s.endpoints == nil && !l.All {
 		return // Left over from a service that is not held any more.
--- a/internal/holder/memory.go
+++ b/internal/holder/memory.go
@@ -126,3 +126,12 @@
 		delete(s.unseen, service)
 	}
 }
+
+// releaseEnded drops the steps and payloads of jobs that have ended.
+func (h *heldDuty) releaseEnded() {
+	for _, id := range h.engine.TakeClosed() {
+		if j := h.jobs[id]; j != nil {
+			h.jobs[id] = j.Ended()
+		}
+	}
+}
--- a/internal/holder/moved.go
+++ b/internal/holder/moved.go
@@ -15,6 +15,7 @@
 	if s.config == nil || !h.loaded || !h.mayHaveMoved {
 		return nil
 	}
+	isCounted := h.waitingJobs == nil || now.Sub(h.waitingAt) >= waitingAge
 	var moved map[fleet.QueueID]int
 	for queue, jobs := range h.waiting(now) {
 		if !h.queues[queue] && jobs > 0 && len(moved) < maxMovedQueues {
@@ -24,7 +25,8 @@
 			moved[queue] = jobs
 		}
 	}
-	h.mayHaveMoved = moved != nil
+	// Earlier counts may lack a job that has come since.
+	h.mayHaveMoved = moved != nil || !isCounted
 	return moved
 }
 
--- a/internal/shard/engine.go
+++ b/internal/shard/engine.go
@@ -135,9 +135,9 @@
 	adviceRequests []AdviceRequest
 
 	accounts accounts
-	// dirty holds the occurrences, and schedules the scheduled jobs, whose rows are out of date.
-	dirty     map[job.Key]bool
-	schedules map[fleet.JobID]bool
+	// dirty holds the occurrences, and dirtySchedules the scheduled jobs, whose rows are out of date.
+	dirty          map[job.Key]bool
+	dirtySchedules map[fleet.JobID]bool
 	// orphans holds the rows that are to be deleted.
 	orphans map[RowKey]bool
 	// held is how much memory the jobs take, closed are those that TakeClosed returns.
@@ -145,8 +145,8 @@
 	closed []fleet.JobID
 	// runs counts the assigned runs while Plan runs, maxRuns bounds them; 0 for no bound.
 	runs, maxRuns int
-	// schedule holds the jobs with occurrences that have not been opened.
-	schedule scheduleQueue
+	// unopened holds the jobs with occurrences that have not been opened.
+	unopened scheduleQueue
 	// planned holds the runs that were assigned, and possibly some that no longer wait for their commit.
 	planned []plannedRun
 	// batch is the batch that is being committed, or nil.
@@ -201,7 +201,7 @@
 		advice:           map[StepID]*stepAdvice{},
 		accounts:         accounts{usage: accountUsage{}, waiting: map[fleet.ClientAccountID]*allowance.Demand{}},
 		dirty:            map[job.Key]bool{},
-		schedules:        map[fleet.JobID]bool{},
+		dirtySchedules:   map[fleet.JobID]bool{},
 		orphans:          map[RowKey]bool{},
 	}
 	for _, b := range inherited.Bounds {
@@ -212,33 +212,6 @@
 
 func (e *Engine) leaseLength() time.Duration { return min(LeaseLength, e.Bounds.MaxLease) }
 
-// Restore adds an occurrence as read from the store. The schedule of its job has been restored before.
-func (e *Engine) Restore(now time.Time, o *job.Occurrence) {
-	o.Recount()
-	entry := e.entry(o.Job)
-	if entry.schedule.HasEnded(o.Number) {
-		e.orphan(o)
-		return
-	}
-	e.openOccurrence(entry, o)
-	for s := range o.Tasks {
-		for t := range o.Tasks[s] {
-			task := &o.Tasks[s][t]
-			entry.started = entry.started || task.LastEnded > 0
-			if o.Job.Steps[s].Lasting && task.LastEnded > 0 && !task.Running() {
-				e.beginWait(now, o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), task.Run, true)
-			}
-			if task.Running() {
-				w := e.workerOf(now, task.Process)
-				w.leaseEnd = later(w.leaseEnd, e.inheritedEnd(w.Endpoint))
-				e.evacuateFrom = later(e.evacuateFrom, now.Add(e.Bounds.StopTime+stopSettle))
-				w.add(&assignment{id: o.ID(fleet.StepIndex(s), fleet.TaskIndex(t)), run: task.Run, account: o.Job.Account, process: task.Process, step: o.Job.Steps[s], phase: phaseOrdered, pace: 100, inherited: true, hasOldToken: true, evidence: EvidenceNone})
-			}
-		}
-	}
-	entry.markCommitted()
-}
-
 // workerOf returns the worker of an endpoint, and creates it when the endpoint is known from an assignment
 // only. An assignment to an earlier process of the endpoint stays with the same worker, because only the
 // endpoint's first answer shows which process is running.
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -12,8 +12,8 @@
 type jobEntry struct {
 	job *fleet.Job
 	// open holds the occurrences that have been opened and not closed, next is the first one that may not have been
-	// opened, schedule records those that were closed. A job that is not scheduled has one occurrence, which is always
-	// open.
+	// opened, schedule records those that were closed. A job that is not scheduled has one occurrence, which is open from
+	// the acceptance on.
 	open     map[fleet.Occurrence]*job.Occurrence
 	next     fleet.Occurrence
 	schedule job.Schedule
@@ -49,7 +49,7 @@
 		e.openOccurrence(entry, job.New(j, 0))
 		entry.next = 1
 	} else {
-		heap.Push(&e.schedule, scheduledJob{entry: entry, openAt: openTime(entry)})
+		heap.Push(&e.unopened, scheduledJob{entry: entry, openAt: openTime(entry)})
 	}
 	return entry
 }
@@ -84,7 +84,7 @@
 	if entry.job.Occurrences > 0 && !wasFinal {
 		// Occurrences that were not opened have no row that says so.
 		entry.schedule.Cancelled, entry.schedule.EndedAt = true, now
-		changed, e.schedules[id] = true, true
+		changed, e.dirtySchedules[id] = true, true
 	}
 	if changed {
 		e.Observer.Cancelled(id)
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -65,8 +65,8 @@
 
 // openDue opens the occurrences that are due, and those for which tickets may be requested.
 func (e *Engine) openDue(now time.Time) {
-	for len(e.schedule) > 0 && !now.Before(e.schedule[0].openAt) {
-		next := heap.Pop(&e.schedule).(scheduledJob)
+	for len(e.unopened) > 0 && !now.Before(e.unopened[0].openAt) {
+		next := heap.Pop(&e.unopened).(scheduledJob)
 		entry := next.entry
 		if entry.cancelled || entry.schedule.Cancelled || e.jobs[entry.job.ID] != entry {
 			continue
@@ -87,7 +87,7 @@
 			}
 			next.openAt = openTime(entry)
 		}
-		heap.Push(&e.schedule, next)
+		heap.Push(&e.unopened, next)
 	}
 }
 
@@ -128,15 +128,6 @@
 	return list
 }
 
-// RestoreSchedule adds the schedule of a job as read from the store. The job has been accepted before.
-func (e *Engine) RestoreSchedule(id fleet.JobID, s job.Schedule) {
-	if entry := e.jobs[id]; entry != nil {
-		entry.schedule = s
-		entry.started = entry.started || s.Count() > 0
-		entry.markCommitted()
-	}
-}
-
 // closeEnded closes the occurrences of a job that have ended and of which no run may execute. The schedule of the job
 // records them, and for a scheduled job, where it is stored, replaces their rows with the next batch.
 func (e *Engine) closeEnded(entry *jobEntry) {
@@ -150,7 +141,7 @@
 		delete(entry.open, o.Number)
 		delete(entry.parts, o.Number)
 		if isScheduled {
-			e.schedules[entry.job.ID] = true
+			e.dirtySchedules[entry.job.ID] = true
 			e.orphan(o)
 		}
 	}
@@ -169,22 +160,3 @@
 	entry.job, entry.open, entry.parts, entry.isReleased = entry.job.Ended(), nil, nil, true
 	e.closed = append(e.closed, entry.job.ID)
 }
-
-// TakeClosed returns the jobs that have ended since the last call and of which the engine has no steps any more.
-func (e *Engine) TakeClosed() []fleet.JobID {
-	list := e.closed
-	e.closed = nil
-	return list
-}
-
-// Held returns how much memory the jobs take.
-func (e *Engine) Held() fleet.Bytes { return e.held }
-
-// SetMaxRuns bounds the runs of the service at the same time; 0 means that nothing does but the endpoints.
-func (e *Engine) SetMaxRuns(n int) { e.maxRuns = n }
-
-// isFull reports whether no further run may be assigned now: too many starts are on their way, or as many runs are
-// assigned as the holder has memory for.
-func (e *Engine) isFull() bool {
-	return e.starts.isFull() || e.maxRuns > 0 && e.runs >= e.maxRuns
-}
