holder: name the service in the row of a withdrawal, shorter rows of processes

Services share tables of jobs, so the holder of each of them took the cancellations of the others' jobs for withdrawals and asked for the removal of their rows after 150 s, which the condition refuses. The row names the service now.

A row has 256; TestRowsOfProcessesAreKept is red with 1,000.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -45,6 +45,8 @@
 	All       bool
 	Jobs      []*fleet.Job
 	Cancelled []fleet.JobID
+	// Withdrawn are those of the cancelled jobs that were never accepted.
+	Withdrawn []fleet.JobID
 	Removed   []fleet.JobID
 }
 
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -24,7 +24,7 @@
 	// jobs are those that are known to be stored, cancelled those whose cancellation is.
 	jobs      map[fleet.JobID]*fleet.Job
 	cancelled map[fleet.JobID]bool
-	// withdrawnAt is when a cancellation was first seen to have no job.
+	// withdrawnAt is when withdrawn jobs of the service were first seen.
 	withdrawnAt map[fleet.JobID]time.Time
 	// jobsRead is set once all jobs that were stored before the lease was taken are known.
 	jobsRead bool
@@ -103,6 +103,7 @@
 	}
 	delete(h.jobs, id)
 	delete(h.cancelled, id)
+	delete(h.withdrawnAt, id)
 }
 
 // read starts the duties that read what the holder of a service needs. All of it is read after the lease was taken,
@@ -149,6 +150,11 @@
 	for _, id := range c.Cancelled {
 		h.cancelJob(now, id)
 	}
+	for _, id := range c.Withdrawn {
+		if h.withdrawnAt[id].IsZero() {
+			h.withdrawnAt[id] = now
+		}
+	}
 	for _, id := range c.Removed {
 		h.forget(id)
 	}
--- a/internal/holder/jobrows.go
+++ b/internal/holder/jobrows.go
@@ -51,6 +51,9 @@
 			c.Removed = append(c.Removed, fleet.JobID(id))
 		} else {
 			c.Cancelled = append(c.Cancelled, fleet.JobID(id))
+			if s.service != "" && string(row.Value) == string(s.service) {
+				c.Withdrawn = append(c.Withdrawn, fleet.JobID(id))
+			}
 		}
 		return
 	}
--- a/internal/holder/memory.go
+++ b/internal/holder/memory.go
@@ -18,7 +18,7 @@
 	jobsShare = 4
 	// runsShare is the part for their runs.
 	runsShare = 8
-	// withdrawalFootprint is what a cancellation without a job takes.
+	// withdrawalFootprint is what a withdrawn job takes.
 	withdrawalFootprint fleet.Bytes = 300
 )
 
--- a/internal/holder/processes.go
+++ b/internal/holder/processes.go
@@ -30,8 +30,8 @@
 }
 
 const (
-	// processesPerRow bounds the processes of one row well below the platform's bound of 64 KB.
-	processesPerRow = 1000
+	// processesPerRow bounds the processes of one row, each of which takes up to 220 bytes.
+	processesPerRow = 256
 	// processRetention is how long an endpoint that has left the registry is remembered: longer than an order to
 	// it may be late and a lease that it grants may last.
 	processRetention = time.Minute
--- a/internal/holder/processes_test.go
+++ b/internal/holder/processes_test.go
@@ -1,6 +1,7 @@
 package holder
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -74,3 +75,20 @@
 	next.observe(shard.EndpointInfo{Endpoint: "i-a", StartMillis: 3})
 	is.True(!next.settled("i-a"))
 }
+
+// Guards against rows of processes that the store refuses, and with them the renewals of the lease.
+func TestRowsOfProcessesAreKept(t *testing.T) {
+	is := is.New(t)
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	var p processes
+	for n := range 2 * processesPerRow {
+		id := fleet.EndpointID(fmt.Sprintf("%0200d", n))
+		p.observe(shard.EndpointInfo{Endpoint: id, StartMillis: 4_102_444_800_000})
+		p.observe(shard.EndpointInfo{Endpoint: id, StartMillis: 4_102_444_799_999})
+	}
+	rows := p.rows(now, "jobs-service")
+	is.Equal(len(rows), 2)
+	for _, row := range rows {
+		is.True(len(row.Value) <= rowstore.MaxValue)
+	}
+}
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -90,7 +90,8 @@
 	switch {
 	case s.Withdraw != "":
 		// The first row makes the conditions of open submissions fail, the second one tells the holder of the service,
-		// which has both removed after a while.
+		// which has both removed after a while. Services share tables, so it names the service.
+		cancellation.Value = []byte(s.Service)
 		m := &jobv1.Accepted{Service: string(s.Service), Account: string(s.Account), Withdrawn: true}
 		return []rowstore.Row{mustRow(AcceptedTable, part, jobKey(id), m), cancellation}
 	case s.Job == nil:
