shard: leave no state of tasks whose ends come late

Change: the state of an occurrence's tasks is removed once more when it is closed. A withdrawal that meets a row which cannot be decoded leaves the outcome open, as the job may have been accepted.

Evidence: TestEndedTasksLeaveNoState, "68 != 0" without the removal.

--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -118,6 +118,8 @@
 	}
 	accepted, err := decodeAccepted(existing)
 	switch {
+	case err != nil && s.Withdraw != "":
+		return IntakeUnknown // The job may have been accepted.
 	case err != nil || s.Job != nil && !accepted.Withdrawn || s.Withdraw != "" && accepted.Withdrawn:
 		return IntakeStored
 	case s.Job != nil:
--- a/internal/shard/export_test.go
+++ b/internal/shard/export_test.go
@@ -14,3 +14,8 @@
 
 // RunTimes returns for how many images run times are known.
 func (e *Engine) RunTimes() int { return len(e.runTimes) }
+
+// TaskStates returns how many tasks and steps have scheduling state apart from their occurrence.
+func (e *Engine) TaskStates() int {
+	return len(e.avoid) + len(e.near.waits) + len(e.unavailableSince) + len(e.waits) + len(e.failedOn) + len(e.stepRuns) + len(e.rackWaits)
+}
--- a/internal/shard/jobs.go
+++ b/internal/shard/jobs.go
@@ -101,9 +101,6 @@
 		for t := range o.Tasks[s] {
 			task := &o.Tasks[s][t]
 			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
-			delete(e.avoid, id)
-			delete(e.near.waits, id)
-			delete(e.unavailableSince, id)
 			if !task.Running() {
 				continue
 			}
@@ -112,13 +109,26 @@
 			}
 		}
 	}
+	e.forgetTasks(o)
+	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
+}
+
+// forgetTasks removes the scheduling state of the tasks of an occurrence that has ended. Ends of its runs may still come and
+// leave some.
+func (e *Engine) forgetTasks(o *job.Occurrence) {
 	delete(e.failedOn, o.Job.ID)
 	for s := range o.Tasks {
-		id := StepID{o.Job.ID, o.Number, fleet.StepIndex(s)}
-		delete(e.stepRuns, id)
-		delete(e.rackWaits, id)
+		step := StepID{o.Job.ID, o.Number, fleet.StepIndex(s)}
+		delete(e.stepRuns, step)
+		delete(e.rackWaits, step)
+		for t := range o.Tasks[s] {
+			id := o.ID(fleet.StepIndex(s), fleet.TaskIndex(t))
+			delete(e.avoid, id)
+			delete(e.near.waits, id)
+			delete(e.unavailableSince, id)
+			delete(e.waits, id)
+		}
 	}
-	e.Observer.JobEnded(o.Job.ID, o.State, now.Sub(o.Job.Due(o.Number)))
 }
 
 // markStarted records that an endpoint has started a task of a job.
--- a/internal/shard/memory_test.go
+++ b/internal/shard/memory_test.go
@@ -134,3 +134,24 @@
 	is.Equal(sim.state("job-5999"), fleet.JobStateCompleted)
 	is.True(sim.engine.RunTimes() <= 4096)
 }
+
+// Guards against state of tasks that is kept for ever, because the ends of their runs come after their job was cancelled.
+func TestEndedTasksLeaveNoState(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(1, 4, worker64)
+	for n := range 20 {
+		sim.submit(lastingJob(fleet.JobID(fmt.Sprintf("lasting-%d", n)), 4, 1, 1))
+		sim.submit(batchJob(fleet.JobID(fmt.Sprintf("batch-%d", n)), 4, 500))
+	}
+	sim.run(700 * time.Millisecond)
+	for _, e := range sim.endpoints {
+		e.failAll = true
+	}
+	sim.run(100 * time.Millisecond)
+	for _, j := range sim.jobs {
+		sim.cancel(j.ID)
+	}
+	sim.run(20 * time.Second)
+	is.Equal(sim.engine.TaskStates(), 0)
+	is.Equal(len(sim.violations), 0)
+}
--- a/internal/shard/schedule.go
+++ b/internal/shard/schedule.go
@@ -136,6 +136,7 @@
 		if !o.State.IsFinal() || e.dirty[o.Key()] || o.Running() {
 			continue
 		}
+		e.forgetTasks(o)
 		entry.schedule.End(o)
 		entry.storedParts = o.Parts()
 		delete(entry.open, o.Number)
