--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,128 @@
+// Command standin-3 plays the cases of a review: the users' platform, runners and callers are stand-ins on loopback, the
+// entries are the project's own processes.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// cases holds the cases by name. Each returns whether the rule held.
+var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase}
+
+func main() {
+	if len(os.Args) != 4 {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE ENTRY-PROGRAM RECORD")
+		os.Exit(2)
+	}
+	play := cases[os.Args[1]]
+	if play == nil {
+		fail("no such case", fmt.Errorf("%s", os.Args[1]))
+	}
+	out, err := os.Create(os.Args[3])
+	if err != nil {
+		fail("record", err)
+	}
+	dir, err := os.MkdirTemp("", "review-3-")
+	if err != nil {
+		fail("folder", err)
+	}
+	binary, _ := filepath.Abs(os.Args[2])
+	if _, err := os.Stat(binary); err != nil {
+		fail("entry program", err)
+	}
+	c := &cluster{store: newStore(), dir: dir, binary: binary, record: &record{out: out, began: time.Now()}}
+	trouble := os.Getenv("TROUBLE") != "0"
+	c.record.log("case", "name", os.Args[1], "trouble", trouble)
+	held := play(c, trouble)
+	c.stop()
+	c.record.log("result", "held", held)
+	_ = out.Close()
+	_ = os.RemoveAll(dir)
+	if !held {
+		os.Exit(1)
+	}
+}
+
+// addEntries adds entries that have not been started.
+func (c *cluster) addEntries(list ...*entry) {
+	for _, e := range list {
+		e.c = c
+		e.store = listen("127.0.0.1", c.store.handler(e.Name))
+		e.IP = fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, 1+os.Getpid()/200%250, 1+len(c.entries))
+		l, err := net.Listen("tcp4", e.front())
+		if err != nil {
+			fail("no free port", err)
+		}
+		_ = l.Close()
+		c.entries = append(c.entries, e)
+	}
+}
+
+// route is a queue in the configuration.
+type route struct {
+	Name     string  `json:"name"`
+	Host     string  `json:"host"`
+	Prefix   string  `json:"path_prefix"`
+	Kind     string  `json:"kind"`
+	Timeout  int     `json:"timeout_ms"`
+	Target   int     `json:"target_latency_ms"`
+	Priority int     `json:"priority"`
+	Service  string  `json:"service"`
+	Attempts int     `json:"max_attempts"`
+	Stretch  float64 `json:"stretch"`
+}
+
+// configure writes a configuration with a queue for each service.
+func (c *cluster) configure(version int, services ...string) {
+	var routes []route
+	var list []map[string]any
+	for _, s := range services {
+		routes = append(routes, route{"r-" + s, s + ".example", "/" + s + "/", "unsafe", 3000, 600, 0, s, 4, 1.6})
+		list = append(list, map[string]any{"name": s, "enforces_capacity": true, "spare": false})
+	}
+	value, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": list, "limits": map[string]any{"max_body_bytes": 262144}})
+	c.store.put(row{Table: "op", Key: "config", Value: encode(value)})
+	c.record.log("configured", "version", version)
+}
+
+// addRunner starts a runner and registers it.
+func (c *cluster) addRunner(e *runner) {
+	e.Log = c.record.log
+	e.start()
+	address := listen("127.0.0.1", http.Handler(e))
+	c.runners = append(c.runners, e)
+	c.store.put(e.row(address))
+	go func() {
+		for range time.Tick(1500 * time.Millisecond) {
+			c.store.put(e.row(address))
+		}
+	}()
+}
+
+// boot starts all entries and waits until each takes callers.
+func (c *cluster) boot() {
+	for _, e := range c.entries {
+		go e.run()
+	}
+	for began := time.Now(); ; time.Sleep(50 * time.Millisecond) {
+		ready := 0
+		for _, e := range c.entries {
+			if c.isReady(e) {
+				ready++
+			}
+		}
+		if ready == len(c.entries) {
+			break
+		}
+		if time.Since(began) > 20*time.Second {
+			fail("entries are not ready", fmt.Errorf("%d of %d", ready, len(c.entries)))
+		}
+	}
+	time.Sleep(3 * time.Second) // Leases are taken.
+}
