--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -35,6 +35,33 @@
 	mu    sync.Mutex
 	out   io.Writer
 	began time.Time
+	// brief is set while runs are counted, not logged one by one.
+	brief  bool
+	counts map[string]int
+}
+
+// setBrief says whether runs are counted from now on, and logs what has been counted.
+func (r *record) setBrief(brief bool) {
+	r.mu.Lock()
+	counts := r.counts
+	r.brief, r.counts = brief, map[string]int{}
+	r.mu.Unlock()
+	if len(counts) > 0 {
+		r.log("runs", "counts", counts)
+	}
+}
+
+// run logs or counts what a runner has begun or ended.
+func (r *record) run(event string, fields ...any) {
+	r.mu.Lock()
+	brief := r.brief
+	if brief {
+		r.counts[event]++
+	}
+	r.mu.Unlock()
+	if !brief {
+		r.log(event, fields...)
+	}
 }
 
 func (r *record) log(event string, fields ...any) {
@@ -128,14 +155,19 @@
 [platform]
 address = %q
 form = "table"
-writes_per_s = 800
-reads_per_s = 2000
+writes_per_s = %v
+reads_per_s = %v
 tx_ms = 4.0
 part_writes_s = 250
 row_bytes = 65536
 across = true
 history_s = 20
-`, e.Name, e.IP, e.Zone, e.front(), e.ready(), e.IP, e.Share, e.MemoryMB, e.store)
+`, e.Name, e.IP, e.Zone, e.front(), e.ready(), e.IP, e.Share, e.MemoryMB, e.store, e.c.store.writes.rate, e.c.store.reads.rate)
+}
+
+// setRates sets how many calls the store takes each second. It is called before the entries start.
+func (c *cluster) setRates(writes, reads float64) {
+	c.store.writes.rate, c.store.reads.rate = writes, reads
 }
 
 // run starts the process, and starts it again after it has ended, as the platform does.
@@ -209,6 +241,23 @@
 	return 0
 }
 
+// cpu returns the processor time that the process has used.
+func (e *entry) cpu() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.command == nil || e.command.Process == nil {
+		return 0
+	}
+	data, _ := os.ReadFile("/proc/" + strconv.Itoa(e.command.Process.Pid) + "/stat")
+	fields := strings.Fields(string(data[bytes.LastIndexByte(data, ')')+1:]))
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
 // guardMemory kills each process that exceeds the memory of its machine, as the platform does.
 func (c *cluster) guardMemory() {
 	for tick := 0; ; tick++ {
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,15 +5,17 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 )
 
 // cases holds the cases by name. Each returns whether the rule held.
-var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase}
+var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase, "odd": oddCase, "moved": movedCase}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -80,20 +82,31 @@
 
 // configure writes a configuration with a queue for each service.
 func (c *cluster) configure(version int, services ...string) {
+	queues := map[string]string{}
+	for _, s := range services {
+		queues[s] = s
+	}
+	c.configureQueues(version, queues)
+}
+
+// configureQueues writes a configuration with a service for each queue.
+func (c *cluster) configureQueues(version int, queues map[string]string) {
 	var routes []route
 	var list []map[string]any
-	for _, s := range services {
-		routes = append(routes, route{"r-" + s, s + ".example", "/" + s + "/", "unsafe", 3000, 600, 0, s, 4, 1.6})
+	for _, q := range slices.Sorted(maps.Keys(queues)) {
+		routes = append(routes, route{"r-" + q, q + ".example", "/" + q + "/", "unsafe", 3000, 600, 0, queues[q], 4, 1.6})
+	}
+	for _, s := range slices.Compact(slices.Sorted(maps.Values(queues))) {
 		list = append(list, map[string]any{"name": s, "enforces_capacity": true, "spare": false})
 	}
 	value, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": list, "limits": map[string]any{"max_body_bytes": 262144}})
 	c.store.put(row{Table: "op", Key: "config", Value: encode(value)})
-	c.record.log("configured", "version", version)
+	c.record.log("configured", "version", version, "queues", queues)
 }
 
 // addRunner starts a runner and registers it.
 func (c *cluster) addRunner(e *runner) {
-	e.Log = c.record.log
+	e.Log = c.record.run
 	e.start()
 	address := listen("127.0.0.1", http.Handler(e))
 	c.runners = append(c.runners, e)
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -24,9 +24,11 @@
 	deadline time.Duration
 	running  map[string]*run
 	ended    map[string]int
-	ends     [][]any
-	number   int
-	wake     chan struct{}
+	// begun counts the runs of each task that have begun.
+	begun  map[string]int
+	ends   [][]any
+	number int
+	wake   chan struct{}
 }
 
 type run struct {
@@ -43,7 +45,7 @@
 )
 
 func (e *runner) start() {
-	e.born, e.running, e.ended, e.wake = time.Now(), map[string]*run{}, map[string]int{}, make(chan struct{})
+	e.born, e.running, e.ended, e.begun, e.wake = time.Now(), map[string]*run{}, map[string]int{}, map[string]int{}, make(chan struct{})
 }
 
 func (e *runner) clock() time.Duration { return time.Since(e.born) + time.Second }
@@ -168,6 +170,7 @@
 	}
 	cpu, memory, lasts = e.Demand(o.Task)
 	e.running[o.Task] = &run{number: o.Run, cpu: cpu, memory: memory, began: e.clock(), end: e.clock() + e.Work, lasts: lasts}
+	e.begun[o.Task]++
 	if !lasts {
 		time.AfterFunc(e.Work+time.Millisecond, e.poll)
 	}
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -38,6 +38,10 @@
 	writes, reads bucket
 	// conditional holds the entry that last wrote to each part under a condition.
 	conditional map[string]string
+	// free is when each part has done the transactions that wait for it.
+	free map[string]time.Time
+	// out is the part that the store doesn't serve now.
+	out string
 }
 
 // bucket bounds the rate of calls.
@@ -58,7 +62,7 @@
 }
 
 func newStore() *store {
-	return &store{Latency: 4 * time.Millisecond, changed: make(chan struct{}), rows: map[partKey]map[string]row{}, began: time.Now(), writes: bucket{rate: 800}, reads: bucket{rate: 2000}, conditional: map[string]string{}}
+	return &store{Latency: 4 * time.Millisecond, changed: make(chan struct{}), rows: map[partKey]map[string]row{}, began: time.Now(), writes: bucket{rate: 800}, reads: bucket{rate: 2000}, conditional: map[string]string{}, free: map[string]time.Time{}}
 }
 
 // maxRows and maxBytes bound the rows of one answer.
@@ -125,6 +129,13 @@
 	case "rows-tx":
 		s.transact(w, r, entry)
 	case "rows-get":
+		s.mu.Lock()
+		out := s.out != "" && q.Get("part") == s.out
+		s.mu.Unlock()
+		if out {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
 		limit, _ := strconv.Atoi(q.Get("limit"))
 		s.scan(w, partKey{q.Get("table"), q.Get("part")}, q.Get("from"), q.Get("target"), limit)
 	case "rows-parts":
@@ -143,12 +154,18 @@
 		Expected []row `json:"expected_rev"`
 		Writes   []row `json:"writes"`
 		Remove   []row `json:"remove"`
+		Across   bool  `json:"across"`
 	}
 	if json.NewDecoder(r.Body).Decode(&m) != nil || len(m.Expected)+len(m.Writes)+len(m.Remove) > 100 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	time.Sleep(s.Latency)
+	wait, refused := s.queue(slices.Concat(m.Expected, m.Writes, m.Remove), m.Across)
+	if refused != 0 {
+		w.WriteHeader(refused)
+		return
+	}
+	time.Sleep(wait)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, holds := []row{}, true
@@ -170,6 +187,40 @@
 	answer(w, http.StatusOK, map[string]any{"ver": s.version, "now_ms": s.now()})
 }
 
+// partTime is how long a transaction keeps its parts busy, maxQueue how much of that may wait at a part.
+const (
+	partTime = 4 * time.Millisecond
+	maxQueue = time.Second
+)
+
+// queue puts a transaction into the queues of its parts and returns how long it takes, or the status with which it
+// is refused.
+func (s *store) queue(rows []row, across bool) (time.Duration, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	begin := now
+	for _, r := range rows {
+		if s.out != "" && r.Part == s.out {
+			return 0, http.StatusServiceUnavailable
+		}
+		if at := s.free[r.Part]; at.After(begin) {
+			begin = at
+		}
+	}
+	if begin.Sub(now) > maxQueue {
+		return 0, http.StatusTooManyRequests
+	}
+	cost, latency := partTime, s.Latency
+	if across {
+		cost, latency = 2*cost, 2*latency
+	}
+	for _, r := range rows {
+		s.free[r.Part] = begin.Add(cost)
+	}
+	return begin.Add(latency).Sub(now), 0
+}
+
 func (s *store) scan(w http.ResponseWriter, k partKey, from, target string, limit int) {
 	if limit <= 0 || limit > maxRows {
 		limit = maxRows
@@ -242,6 +293,13 @@
 	}
 }
 
+// setOut makes the store refuse the calls for a part, or none.
+func (s *store) setOut(part string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.out = part
+}
+
 func (s *store) now() int64 { return time.Since(s.began).Milliseconds() }
 
 func answer(w http.ResponseWriter, status int, body any) {
