review/12: jobs of a service whose first lease wasn't taken before a restart never run (LOST)

The store refuses one part for 4 s, the queue moves to another service, all processes are killed. sh review/build-3.sh; review/12/run.sh, five times: rc 1 each time, LOST jobs=19 without-a-start=19. TROUBLE=0 review/12/run.sh: rc 0, all 19 completed.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,7 +15,7 @@
 )
 
 // cases holds the cases by name. Each returns whether the rule held.
-var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase, "odd": oddCase, "moved": movedCase}
+var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase, "moved": movedCase, "kept": keptCase}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -38,7 +38,7 @@
 	if _, err := os.Stat(binary); err != nil {
 		fail("entry program", err)
 	}
-	c := &cluster{store: newStore(), dir: dir, binary: binary, record: &record{out: out, began: time.Now()}}
+	c := &cluster{statusS: 120, store: newStore(), dir: dir, binary: binary, record: &record{out: out, began: time.Now()}}
 	trouble := os.Getenv("TROUBLE") != "0"
 	c.record.log("case", "name", os.Args[1], "trouble", trouble)
 	held := play(c, trouble)
