--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -28,6 +28,8 @@
 	entries []*entry
 	record  *record
 	runners []*runner
+	// tenants is set if the deployment has tenants.
+	tenants bool
 	// statusS is how many seconds the state of an ended job is to be kept.
 	statusS int
 }
@@ -99,72 +101,16 @@
 func (e *entry) ready() string { return e.IP + ":18081" }
 
 func (e *entry) settings() string {
-	return fmt.Sprintf(`node = %q
-role = "entry"
-machine_class = "edge"
-serves = ["edge"]
-ip = %q
-zone = %q
-region = "r"
-internal_ports = [18090,18105]
-seeds = []
-bootstrap = true
-discovery = "platform"
-entry = "vip"
-heartbeat_ms = 1500
-contracts = ["base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"]
-commands = "rpc"
-[listen]
-front = %q
-ready = %q
-control = "%s:18082"
-[limits]
-cpu_share = %v
-cores = 1
-memory_mb = %d
-max_fds = 4100
-link_mbps = 1000.0
-disk_mb = 0
-[bounds]
-contact_ms = 3000
-ack_ms = 4000
-drain_ms = 2000
-grace_s = 6
-lost_ms = 200
-config_ms = 2000
-rollback_slack_ms = 250
-max_skew_ms = 5000
-recover_s = 12
-hold_max_ms = 10000
-stop_ms = 900
-gang_ms = 3000
-cancel_ms = 3000
-visible_ms = 3000
-early_ms = 250
-finish_s = 14
-status_s = %d
-far_x = 2
-save_s = 1
-restore_ms = 600
-notice_ms = 4500
-move_s = 1.5
-upkeep_s = 2
-require_fencing = false
-lease_ms = 3000
-thaw_ms = 300
-pace_ms = 100
-harm_ms = 4000
-[platform]
-address = %q
-form = "table"
-writes_per_s = %v
-reads_per_s = %v
-tx_ms = 4.0
-part_writes_s = 250
-row_bytes = 65536
-across = true
-history_s = 20
-`, e.Name, e.IP, e.Zone, e.front(), e.ready(), e.IP, e.Share, e.MemoryMB, max(1, e.c.statusS), e.store, e.c.store.writes.rate, e.c.store.reads.rate)
+	return fmt.Sprintf(settings, e.Name, e.IP, e.Zone, e.c.contracts(), e.front(), e.ready(), e.IP, e.Share, e.MemoryMB, max(1, e.c.statusS), e.store, e.c.store.writes.rate, e.c.store.reads.rate)
+}
+
+// contracts returns the contracts of the settings.
+func (c *cluster) contracts() string {
+	list := `"base","drain","config","cost","recover","sched","platform","advice","upkeep","sharing"`
+	if c.tenants {
+		list += `,"health","tenants","quota","pressure"`
+	}
+	return list
 }
 
 // setRates sets how many calls the store takes each second. It is called before the entries start.
@@ -305,6 +251,11 @@
 
 // call sends a caller's request to an entry and returns the status, 0 without an answer, and the body.
 func (c *cluster) call(e *entry, method, host, path string, body any) (int, []byte) {
+	return c.callAs(e, "", method, host, path, body)
+}
+
+// callAs sends a request with the key of a tenant.
+func (c *cluster) callAs(e *entry, key, method, host, path string, body any) (int, []byte) {
 	var data []byte
 	if body != nil {
 		data, _ = json.Marshal(body)
@@ -316,6 +267,9 @@
 	r.Host = host
 	r.Header.Set("Content-Type", "application/json")
 	r.Header.Set("Mimosawharf-Deadline-Ms", "3000")
+	if key != "" {
+		r.Header.Set("Authorization", "Token "+key)
+	}
 	response, err := client.Do(r)
 	if err != nil {
 		return 0, nil
--- a/review/standin-3/handover.go
+++ b/review/standin-3/handover.go
@@ -108,7 +108,7 @@
 			go func() {
 				defer group.Done()
 				id := fmt.Sprintf("%016x", rand.Uint64())
-				step := map[string]any{"count": 1, "cpu": 100, "mem_mb": 100, "estimate_ms": 20}
+				step := oneTask(100, 100, 20)
 				status, _ := c.call(c.entries[rand.IntN(len(c.entries))], "POST", "a.example", "/a/"+id, map[string]any{"spec": spec, "steps": []any{step}})
 				c.record.run("sent", "job", id, "status", status)
 				switch status {
@@ -160,14 +160,14 @@
 
 // begun returns how many runs of each of the jobs the runners have begun.
 func (c *cluster) begun(jobs []string) map[string]int {
-	begun := map[string]int{}
+	begun, known := map[string]int{}, map[string]bool{}
 	for _, id := range jobs {
-		begun[id] = 0
+		begun[id], known[id] = 0, true
 	}
 	for _, e := range c.runners {
 		e.mu.Lock()
 		for task := range e.begun {
-			if id, _, _ := strings.Cut(task, "."); slices.Contains(jobs, id) {
+			if id, _, _ := strings.Cut(task, "."); known[id] {
 				begun[id]++
 			}
 		}
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -15,7 +15,7 @@
 )
 
 // cases holds the cases by name. Each returns whether the rule held.
-var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase, "moved": movedCase, "kept": keptCase}
+var cases = map[string]func(*cluster, bool) bool{"memory": memoryCase, "handover": handoverCase, "moved": movedCase, "kept": keptCase, "tenants": tenantsCase, "limits": limitsCase}
 
 func main() {
 	if len(os.Args) != 4 {
@@ -66,20 +66,6 @@
 	}
 }
 
-// route is a queue in the configuration.
-type route struct {
-	Name     string  `json:"name"`
-	Host     string  `json:"host"`
-	Prefix   string  `json:"path_prefix"`
-	Kind     string  `json:"kind"`
-	Timeout  int     `json:"timeout_ms"`
-	Target   int     `json:"target_latency_ms"`
-	Priority int     `json:"priority"`
-	Service  string  `json:"service"`
-	Attempts int     `json:"max_attempts"`
-	Stretch  float64 `json:"stretch"`
-}
-
 // configure writes a configuration with a queue for each service.
 func (c *cluster) configure(version int, services ...string) {
 	queues := map[string]string{}
@@ -91,13 +77,15 @@
 
 // configureQueues writes a configuration with a service for each queue.
 func (c *cluster) configureQueues(version int, queues map[string]string) {
-	var routes []route
-	var list []map[string]any
+	var routes, list []map[string]any
 	for _, q := range slices.Sorted(maps.Keys(queues)) {
-		routes = append(routes, route{"r-" + q, q + ".example", "/" + q + "/", "unsafe", 3000, 600, 0, queues[q], 4, 1.6})
+		routes = append(routes, map[string]any{
+			"name": "r-" + q, "host": q + ".example", word("prefix"): "/" + q + "/", "kind": "unsafe", "timeout_ms": 3000, word("latency"): 600, "priority": 0,
+			"service": queues[q], "max_attempts": 4, "stretch": 1.6,
+		})
 	}
 	for _, s := range slices.Compact(slices.Sorted(maps.Values(queues))) {
-		list = append(list, map[string]any{"name": s, "enforces_capacity": true, "spare": false})
+		list = append(list, map[string]any{"name": s, word("enforces"): true, "spare": false})
 	}
 	value, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": list, "limits": map[string]any{"max_body_bytes": 262144}})
 	c.store.put(row{Table: "op", Key: "config", Value: encode(value)})
--- a/review/standin-3/memory.go
+++ b/review/standin-3/memory.go
@@ -79,7 +79,7 @@
 				for refused := 0; refused < 5 && accepted[i].Load() < 30000; {
 					e := c.entries[(i+k+rand.IntN(2))%len(c.entries)]
 					id := fmt.Sprintf("%016x", rand.Uint64())
-					step := map[string]any{"count": 1, "cpu": 7700, "mem_mb": 11000, "estimate_ms": 1100}
+					step := oneTask(7700, 11000, 1100)
 					status, body := c.call(e, "POST", s+".example", "/"+s+"/"+id, map[string]any{"spec": strings.Repeat("x", specSize), "steps": []any{step}})
 					c.record.run("sent", "job", id, "status", status)
 					if status == 200 {
--- a/review/standin-3/runner.go
+++ b/review/standin-3/runner.go
@@ -55,7 +55,7 @@
 func (e *runner) row(address string) row {
 	value, _ := json.Marshal(map[string]any{
 		"service": e.Service, "address": address, "zone": e.Zone, "version": "v1", "slots": 8, "state": "ready", "cold_remaining_ms": 0,
-		"capacity": map[string]any{"cpu": e.CPU, "mem_mb": e.Memory, "gpu": 0}, "labels": []string{"a", e.Rack}, "clock_ms": e.clock().Milliseconds(),
+		"capacity": map[string]any{"cpu": e.CPU, word("memory"): e.Memory, "gpu": 0}, "labels": []string{"a", e.Rack}, "clock_ms": e.clock().Milliseconds(),
 		"sequence": 1, "born": e.bornMs(),
 	})
 	return row{Table: "servers", Key: e.ID, Value: encode(value)}
@@ -90,20 +90,20 @@
 	Task     string `json:"task"`
 	Run      int    `json:"run"`
 	Spec     string `json:"spec"`
-	Deadline int64  `json:"deadline_ms"`
-	Token    uint64 `json:"fencing_token"`
-	Ack      *int   `json:"ack_cursor"`
+	Deadline int64  `json:"deadline"`
+	Token    uint64 `json:"token"`
+	Ack      *int   `json:"ack"`
 	Wait     int    `json:"wait_ms"`
 }
 
 // ServeHTTP implements http.Handler.
 func (e *runner) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	var o order
-	if json.NewDecoder(r.Body).Decode(&o) != nil {
+	if decode(r.Body, &o) != nil {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if r.Header.Get("Mimosawharf-Target-Instance") != e.ID {
+	if r.Header.Get(word("instance")) != e.ID {
 		answer(w, 421, map[string]any{})
 		return
 	}
@@ -118,12 +118,12 @@
 		e.deadline = max(e.deadline, min(time.Duration(o.Deadline)*time.Millisecond, e.clock()+holdMax))
 	}
 	switch strings.TrimPrefix(r.URL.Path, "/mimosawharf/") {
-	case "run-start":
+	case word("start"):
 		if reason := e.begin(o); reason != "" {
 			e.refuse(w, reason)
 			return
 		}
-	case "run-stop":
+	case word("stop"):
 		if have := e.running[o.Task]; have != nil && have.number <= o.Run {
 			have.stopping, have.end = true, e.clock()+stopTime
 			time.AfterFunc(stopTime, e.poll)
@@ -161,14 +161,14 @@
 	case have != nil || o.Run <= e.ended[o.Task]:
 		return "old"
 	}
-	cpu, memory, lasts := e.Demand(o.Task)
+	cpu, memory, _ := e.Demand(o.Task)
 	for _, r := range e.running {
 		cpu, memory = cpu+r.cpu, memory+r.memory
 	}
 	if cpu > e.CPU || memory > e.Memory {
 		return "room"
 	}
-	cpu, memory, lasts = e.Demand(o.Task)
+	cpu, memory, lasts := e.Demand(o.Task)
 	e.running[o.Task] = &run{number: o.Run, cpu: cpu, memory: memory, began: e.clock(), end: e.clock() + e.Work, lasts: lasts}
 	e.begun[o.Task]++
 	if !lasts {
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -40,6 +40,9 @@
 	conditional map[string]string
 	// free is when each part has done the transactions that wait for it.
 	free map[string]time.Time
+	// tooLong holds the sizes of the rows that were refused because they are too long.
+	tooLong      map[string]int
+	firstTooLong time.Time
 	// out is the part that the store doesn't serve now.
 	out string
 }
@@ -62,13 +65,15 @@
 }
 
 func newStore() *store {
-	return &store{Latency: 4 * time.Millisecond, changed: make(chan struct{}), rows: map[partKey]map[string]row{}, began: time.Now(), writes: bucket{rate: 800}, reads: bucket{rate: 2000}, conditional: map[string]string{}, free: map[string]time.Time{}}
+	return &store{Latency: 4 * time.Millisecond, changed: make(chan struct{}), rows: map[partKey]map[string]row{}, began: time.Now(), writes: bucket{rate: 800}, reads: bucket{rate: 2000}, conditional: map[string]string{}, free: map[string]time.Time{}, tooLong: map[string]int{}}
 }
 
 // maxRows and maxBytes bound the rows of one answer.
 const (
 	maxRows  = 500
 	maxBytes = 1 << 20
+	// rowBytes bounds the value of a row.
+	rowBytes = 65536
 )
 
 // put writes rows without a condition, as the operator and the runners do.
@@ -78,13 +83,6 @@
 	s.apply(list, nil)
 }
 
-// remove removes a row, as the registry does.
-func (s *store) remove(r row) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.apply(nil, []row{r})
-}
-
 func (s *store) apply(writes, removes []row) {
 	s.version++
 	for _, r := range writes {
@@ -126,9 +124,9 @@
 		return
 	}
 	switch strings.TrimPrefix(r.URL.Path, "/mimosawharf/") {
-	case "rows-tx":
+	case word("transact"):
 		s.transact(w, r, entry)
-	case "rows-get":
+	case word("get"):
 		s.mu.Lock()
 		out := s.out != "" && q.Get("part") == s.out
 		s.mu.Unlock()
@@ -140,7 +138,7 @@
 		s.scan(w, partKey{q.Get("table"), q.Get("part")}, q.Get("from"), q.Get("target"), limit)
 	case "rows-parts":
 		s.parts(w, q.Get("table"), q.Get("after"))
-	case "rows-feed":
+	case word("feed"):
 		after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 		wait, _ := strconv.Atoi(q.Get("wait_ms"))
 		s.feed(w, r, q.Get("table"), after, time.Duration(wait)*time.Millisecond)
@@ -151,15 +149,27 @@
 
 func (s *store) transact(w http.ResponseWriter, r *http.Request, entry string) {
 	var m struct {
-		Expected []row `json:"expected_rev"`
+		Expected []row `json:"expected"`
 		Writes   []row `json:"writes"`
 		Remove   []row `json:"remove"`
 		Across   bool  `json:"across"`
 	}
-	if json.NewDecoder(r.Body).Decode(&m) != nil || len(m.Expected)+len(m.Writes)+len(m.Remove) > 100 {
+	if decode(r.Body, &m) != nil || len(m.Expected)+len(m.Writes)+len(m.Remove) > 100 {
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	for _, r := range m.Writes {
+		if len(r.Value)/4*3 > rowBytes+2 {
+			s.mu.Lock()
+			if s.firstTooLong.IsZero() {
+				s.firstTooLong = time.Now()
+			}
+			s.tooLong[r.Table+"/"+r.Key] = max(s.tooLong[r.Table+"/"+r.Key], len(r.Value)/4*3)
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
 	wait, refused := s.queue(slices.Concat(m.Expected, m.Writes, m.Remove), m.Across)
 	if refused != 0 {
 		w.WriteHeader(refused)
