--- a/review/standin-3/cluster.go
+++ b/review/standin-3/cluster.go
@@ -241,8 +241,18 @@
 	return l.Addr().String()
 }
 
+// cleanUp ends what has been started.
+var cleanUp = func() {}
+
+// end ends all processes that the case has started, and removes its folder.
+func (c *cluster) end() {
+	c.stop()
+	_ = os.RemoveAll(c.dir)
+}
+
 // fail ends the case as one that couldn't run.
 func fail(what string, err error) {
+	cleanUp()
 	fmt.Fprintln(os.Stderr, "standin-3:", what, err)
 	os.Exit(2)
 }
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"slices"
+	"syscall"
 	"time"
 )
 
@@ -39,13 +41,20 @@
 		fail("entry program", err)
 	}
 	c := &cluster{statusS: 120, store: newStore(), dir: dir, binary: binary, record: &record{out: out, began: time.Now()}}
+	cleanUp = c.end
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		c.end()
+		os.Exit(2)
+	}()
 	trouble := os.Getenv("TROUBLE") != "0"
 	c.record.log("case", "name", os.Args[1], "trouble", trouble)
 	held := play(c, trouble)
-	c.stop()
+	c.end()
 	c.record.log("result", "held", held)
 	_ = out.Close()
-	_ = os.RemoveAll(dir)
 	if !held {
 		os.Exit(1)
 	}
