allowance, holder: keep a ledger for each account

Cause: what all services hold of the limits of all accounts was one row. With 200 accounts and 8 services it has 70,518 bytes; the store keeps 65,536, refuses the write, and the same row is written again. Accounts without a stored part start nothing.

Excluded: conflicts of the holders (a single entry that holds all services fails as well) and the division itself (100 accounts start all jobs).

Change: each account has a ledger, a row with the claims of the services on its limit. One transaction writes the ledgers that change, 48 and 256 KB at most, accounts with waiting tasks first. A ledger is bounded by 60 KB: beyond half of that services with nothing to run leave it, and one without room waits for others to leave. The row of an earlier version is sealed, so that entries of that version take no more, and what it says still counts until an account's own ledger replaces it. A division whose input has not changed is not computed again.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -1,7 +1,9 @@
 package allowance
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
@@ -14,30 +16,24 @@
 	Accounts map[fleet.ClientAccountID]Demand
 }
 
-// Book decides what the services that one entry holds may start. A part of a limit that it gives up is not used any
-// more from the moment at which the write is planned, and one that it takes is used once the write has taken effect:
-// so the ledger never says less than what may run, whether or not the answer to a write arrives. It is not safe for
-// concurrent use.
+// Book decides what the services that one entry holds may start. It is not safe for concurrent use.
 type Book struct {
-	limits Limits
-	held   map[fleet.ServiceID]*holding
-	// known is the least version that the ledger may have.
-	known Version
-	// planned is the ledger of a planned write whose outcome is not known, based the version that it replaces.
-	planned Ledger
-	based   Version
+	// MaxLedger bounds the size of a ledger that is written, 0 means that nothing does. A service for which there is no
+	// room holds nothing.
+	MaxLedger fleet.Bytes
+	// MaxWrites and MaxWritten bound the ledgers of one Plan and their size; 0 means that nothing does. One ledger is
+	// always planned.
+	MaxWrites  int
+	MaxWritten fleet.Bytes
+
+	limits    Limits
+	divisions map[fleet.ClientAccountID]*division
+	// round counts the plans.
+	round uint64
 }
 
-// holding is what the services of this entry may use.
-type holding struct {
-	epoch    fleet.FencingToken
-	accounts map[fleet.ClientAccountID]fleet.Capacity
-	// blocked holds the accounts of which more is held than their limit: nothing starts until it fits.
-	blocked map[fleet.ClientAccountID]bool
-}
-
-// NewBook returns a book that allows nothing to accounts with a limit until a ledger is known.
-func NewBook() *Book { return &Book{held: map[fleet.ServiceID]*holding{}} }
+// NewBook returns a book that allows nothing to accounts with a limit until their ledgers are known.
+func NewBook() *Book { return &Book{divisions: map[fleet.ClientAccountID]*division{}} }
 
 // SetLimits replaces the limits. One that was removed bounds nothing from now on, others are in force with the next Plan.
 func (b *Book) SetLimits(l Limits) { b.limits = l }
@@ -48,8 +44,8 @@
 	if !ok {
 		return true
 	}
-	h := b.held[s]
-	return h != nil && h.epoch == epoch && !h.blocked[account] && bounded(used, limit).Fits(h.accounts[account])
+	h := b.holding(s, epoch, account)
+	return h != nil && !h.blocked && bounded(used, limit).Fits(h.part)
 }
 
 // Allowed returns what the tasks of an account may use in a service, whether the account has a limit at all, and whether
@@ -58,156 +54,116 @@
 	if _, isLimited = b.limits[account]; !isLimited {
 		return fleet.Capacity{}, false, false
 	}
-	if h := b.held[s]; h != nil && h.epoch == epoch {
-		return h.accounts[account], true, h.blocked[account]
+	if h := b.holding(s, epoch, account); h != nil {
+		return h.part, true, h.blocked
 	}
 	return fleet.Capacity{}, true, false
 }
 
+// holding returns what a service may use of an account's limit, or nil while nothing is known of it.
+func (b *Book) holding(s fleet.ServiceID, epoch fleet.FencingToken, account fleet.ClientAccountID) *holding {
+	d := b.divisions[account]
+	if d == nil || d.held[s] == nil || d.held[s].epoch != epoch {
+		return nil
+	}
+	return d.held[s]
+}
+
+// Accounts returns the accounts that have been planned.
+func (b *Book) Accounts() []fleet.ClientAccountID { return slices.Collect(maps.Keys(b.divisions)) }
+
 // WithinLimit reports whether the limit of an account is at least so much.
 func (b *Book) WithinLimit(account fleet.ClientAccountID, used fleet.Capacity) bool {
 	limit, ok := b.limits[account]
 	return !ok || bounded(used, limit).Fits(limit)
 }
 
-// Plan returns the ledger to be written in place of the given one, and false when it need not change. The caller writes
-// it on condition that the given one still holds, and calls Written when the write has taken effect. Until then the
-// services use only what both ledgers allow.
-func (b *Book) Plan(l Ledger, version Version, reports []Report) (Ledger, bool) {
-	if version < b.known {
-		return l, false // A late answer.
-	}
-	b.known = version
-	next := l.Clone()
-	// An earlier write without an answer may take effect for as long as the version that it replaces stands. Another
-	// write rules that out.
-	outstanding := b.planned != nil && b.based == version
-	due := outstanding
-	current := make([]Report, 0, len(reports))
-	for _, r := range reports {
-		claim := next[r.Service]
-		if claim.Epoch > r.Epoch {
-			delete(b.held, r.Service) // Another entry has taken over.
-			continue
+// Plan returns the ledgers to be written in place of the given ones, all in one transaction. Accounts whose ledger is not
+// given are left as they are. The caller calls Written when the transaction has taken effect. Until then the services use
+// only what both ledgers of an account allow.
+//
+// Accounts with waiting tasks come first, and among equals those that were not planned for the longest time.
+func (b *Book) Plan(ledgers map[fleet.ClientAccountID]Stored, reports []Report) []Write {
+	b.round++
+	var writes []Write
+	var written fleet.Bytes
+	for _, account := range b.order(ledgers, reports) {
+		d := b.divisions[account]
+		if d == nil {
+			d = &division{held: map[fleet.ServiceID]*holding{}}
+			b.divisions[account] = d
 		}
-		h := b.held[r.Service]
-		if h == nil || h.epoch != r.Epoch {
-			h = &holding{epoch: r.Epoch, accounts: map[fleet.ClientAccountID]fleet.Capacity{}, blocked: map[fleet.ClientAccountID]bool{}}
-			b.held[r.Service] = h
+		limit, isLimited := b.limits[account]
+		in := input{stored: ledgers[account], limit: limit, isLimited: isLimited, claimants: claimants(account, reports), room: b.MaxLedger}
+		next, due := d.plan(in)
+		isWritten := due && (len(writes) == 0 || b.hasRoom(len(writes)+1, written+next.Size()))
+		if isWritten {
+			writes, written = append(writes, Write{account, next, in.stored.Version}), written+next.Size()
+			d.plannedIn = b.round
 		}
-		if claim.Epoch == r.Epoch && !outstanding {
-			h.adopt(claim)
+		d.restrict(in, next, isWritten)
+		if !due {
+			d.settled = &in
 		}
-		due = due || claim.Epoch < r.Epoch
-		if claim.Accounts == nil {
-			claim.Accounts = map[fleet.ClientAccountID]Position{}
+		if !isLimited && !due && d.planned == nil {
+			delete(b.divisions, account) // Its claims are gone.
 		}
-		claim.Epoch = r.Epoch
-		next[r.Service] = claim
-		current = append(current, r)
 	}
-	for _, r := range current {
-		b.drop(next, r.Service)
-		for account, limit := range b.limits {
-			p := next[r.Service].Accounts[account]
-			d := r.Accounts[account]
-			p.Wanted = bounded(d.Used.Plus(d.Waiting), limit)
-			next.set(r.Service, account, p)
-		}
-	}
-	for _, raise := range []bool{false, true} { // What one service of this entry gives up, another one may take.
-		for _, r := range current {
-			for account, limit := range b.limits {
-				due = b.divide(l, next, r, account, limit, raise) || due
-			}
-		}
-	}
-	b.planned, b.based = nil, version
-	if due {
-		b.planned, l = next, next
-	}
-	for _, r := range current {
-		b.restrict(l, r)
-	}
-	return next, due
+	return writes
 }
 
-// drop removes the accounts that have no limit any more from the claim of a service.
-func (b *Book) drop(l Ledger, s fleet.ServiceID) {
-	maps.DeleteFunc(l[s].Accounts, func(account fleet.ClientAccountID, _ Position) bool {
-		_, ok := b.limits[account]
-		return !ok
-	})
+// hasRoom reports whether one transaction may have so many ledgers of that size.
+func (b *Book) hasRoom(writes int, size fleet.Bytes) bool {
+	return (b.MaxWrites == 0 || writes <= b.MaxWrites) && (b.MaxWritten == 0 || size <= b.MaxWritten)
 }
 
-// divide sets what a service holds of an account's limit, and reports whether that has to be written. It either lowers
-// or raises it.
-func (b *Book) divide(l, next Ledger, r Report, account fleet.ClientAccountID, limit fleet.Capacity, raise bool) bool {
-	p, d := next[r.Service].Accounts[account], r.Accounts[account]
-	used, others := bounded(d.Used, limit), next.held(account, limit, r.Service)
-	target := lower(next.fair(r.Service, account, limit), limit.Minus(others))
-	if used == (fleet.Capacity{}) && others == (fleet.Capacity{}) {
-		// A task above the limit runs when nothing else of its account does, or it would never run.
-		target = higher(target, bounded(d.Least, limit))
-	}
-	target = higher(target, used)
-	old := l[r.Service].Accounts[account]
-	if raise {
-		target = higher(target, p.Held)
-	} else {
-		target = lower(target, p.Held)
+// order returns the accounts to plan.
+func (b *Book) order(ledgers map[fleet.ClientAccountID]Stored, reports []Report) []fleet.ClientAccountID {
+	waiting := map[fleet.ClientAccountID]bool{}
+	for _, r := range reports {
+		for account, d := range r.Accounts {
+			waiting[account] = waiting[account] || d.Waiting != (fleet.Capacity{})
+		}
 	}
-	p.Held = target
-	next.set(r.Service, account, p)
-	if !raise {
-		return target != old.Held && (next.short(account, r.Service) || !others.Plus(old.Held).Fits(limit))
+	list := make([]fleet.ClientAccountID, 0, len(ledgers))
+	for account := range ledgers {
+		_, isLimited := b.limits[account]
+		if isLimited || b.divisions[account] != nil {
+			list = append(list, account)
+		}
 	}
-	wasShort, isShort := !old.Wanted.Fits(old.Held), !p.Wanted.Fits(target)
-	switch {
-	case !target.Fits(old.Held) && !p.Wanted.Fits(old.Held):
-		return true // More of what is wanted can be had.
-	case wasShort != isShort:
-		return true
-	case isShort:
-		return differs(old.Wanted, p.Wanted)
+	plannedIn := func(account fleet.ClientAccountID) uint64 {
+		if d := b.divisions[account]; d != nil {
+			return d.plannedIn
+		}
+		return 0
 	}
-	return false
+	slices.SortFunc(list, func(x, y fleet.ClientAccountID) int {
+		if waiting[x] != waiting[y] {
+			if waiting[x] {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(plannedIn(x), plannedIn(y)), cmp.Compare(x, y))
+	})
+	return list
 }
 
-// restrict lowers what a service may use to what a ledger allows: the planned one, or the present one if that stays.
-func (b *Book) restrict(l Ledger, r Report) {
-	h := b.held[r.Service]
-	for account, limit := range b.limits {
-		others := l.held(account, limit, r.Service)
-		d := r.Accounts[account]
-		alone := others == (fleet.Capacity{}) && bounded(d.Used, limit) == (fleet.Capacity{})
-		position := l[r.Service].Accounts[account].Held
-		h.accounts[account] = lower(h.accounts[account], position)
-		h.blocked[account] = !alone && !others.Plus(position).Fits(limit)
+// claimants returns what the services of this entry use and want of an account.
+func claimants(account fleet.ClientAccountID, reports []Report) []claimant {
+	list := make([]claimant, 0, len(reports))
+	for _, r := range reports {
+		list = append(list, claimant{r.Service, r.Epoch, r.Accounts[account]})
 	}
+	return list
 }
 
-// Written is called when the ledger of the last Plan has been written.
-func (b *Book) Written() {
-	for s, claim := range b.planned {
-		if h := b.held[s]; h != nil && h.epoch == claim.Epoch {
-			h.adopt(claim)
+// Written is called when the ledgers of a Plan have been written.
+func (b *Book) Written(writes []Write) {
+	for _, w := range writes {
+		if d := b.divisions[w.Account]; d != nil {
+			d.written()
 		}
 	}
-	b.known, b.planned = max(b.known, b.based+1), nil
-}
-
-// adopt takes over what the ledger says, when no earlier write can change it any more.
-func (h *holding) adopt(c Claim) {
-	clear(h.accounts)
-	for account, p := range c.Accounts {
-		h.accounts[account] = p.Held
-	}
-}
-
-// differs reports whether a demand has changed by more than a quarter.
-func differs(a, b fleet.Capacity) bool {
-	return far(a.Millicores, b.Millicores) || far(a.Memory, b.Memory) || far(a.Accelerators, b.Accelerators)
 }
-
-func far[T quantity](a, b T) bool { return max(a, b)-min(a, b) > max(a, b)/4 }
--- a/internal/allowance/book_test.go
+++ b/internal/allowance/book_test.go
@@ -19,8 +19,10 @@
 
 // model is a store, services and entries that may be frozen, lost and replaced. Tasks use one unit.
 type model struct {
-	random  *rand.Rand
-	limit   int
+	random *rand.Rand
+	limit  int
+	// room bounds the ledger.
+	room    fleet.Bytes
 	ledger  allowance.Ledger
 	version allowance.Version
 	// epochs and committed are what the store holds of each service: its holder and the runs that may execute.
@@ -47,15 +49,13 @@
 	ledger allowance.Ledger
 }
 
-func newModel(seed uint64, limit, services, entries int) *model {
+func newModel(seed uint64, limit, services, entries int, room fleet.Bytes) *model {
 	m := &model{
-		random: rand.New(rand.NewPCG(seed, 1)), limit: limit, ledger: allowance.Ledger{},
+		random: rand.New(rand.NewPCG(seed, 1)), limit: limit, room: room, ledger: allowance.Ledger{},
 		epochs: map[fleet.ServiceID]fleet.FencingToken{}, committed: map[fleet.ServiceID]int{},
 	}
 	for range entries {
-		b := allowance.NewBook()
-		b.SetLimits(allowance.Limits{account: cores(limit)})
-		m.entries = append(m.entries, &entry{book: b, held: map[fleet.ServiceID]*holding{}})
+		m.entries = append(m.entries, &entry{book: m.newBook(), held: map[fleet.ServiceID]*holding{}})
 	}
 	for i := range services {
 		m.take(m.entries[i%entries], fleet.ServiceID(rune('A'+i)))
@@ -63,6 +63,13 @@
 	return m
 }
 
+func (m *model) newBook() *allowance.Book {
+	b := allowance.NewBook()
+	b.MaxLedger = m.room
+	b.SetLimits(allowance.Limits{account: cores(m.limit)})
+	return b
+}
+
 func (m *model) take(e *entry, s fleet.ServiceID) {
 	m.epochs[s]++
 	e.held[s] = &holding{epoch: m.epochs[s], used: m.committed[s]}
@@ -86,7 +93,7 @@
 			account: {Used: cores(used), Waiting: cores(h.asks), Least: cores(1)},
 		}})
 	}
-	next, due := e.book.Plan(m.ledger, m.version, reports)
+	next, due := plan(e.book, m.ledger, m.version, reports)
 	if !due {
 		return
 	}
@@ -103,11 +110,23 @@
 		m.apply(w)
 	default:
 		if m.apply(w) {
-			e.book.Written()
+			e.book.Written(written)
 		}
 	}
 }
 
+// written is a write of the account's ledger that has taken effect.
+var written = []allowance.Write{{Account: account}}
+
+// plan returns the planned ledger of the account, and whether it is to be written.
+func plan(b *allowance.Book, l allowance.Ledger, version allowance.Version, reports []allowance.Report) (allowance.Ledger, bool) {
+	writes := b.Plan(map[fleet.ClientAccountID]allowance.Stored{account: {Ledger: l, Version: version}}, reports)
+	if len(writes) == 0 {
+		return l, false
+	}
+	return writes[0].Ledger, true
+}
+
 // start lets an entry plan a start, commit the planned ones if the service is still its own, or learn of ends.
 func (m *model) start(e *entry, s fleet.ServiceID) {
 	h := e.held[s]
@@ -180,8 +199,7 @@
 	case n < 4:
 		e.frozen = !e.frozen
 	case n < 5:
-		*e = entry{book: allowance.NewBook(), held: map[fleet.ServiceID]*holding{}} // It restarts.
-		e.book.SetLimits(allowance.Limits{account: cores(m.limit)})
+		*e = entry{book: m.newBook(), held: map[fleet.ServiceID]*holding{}} // It restarts.
 	case n < 15 && len(m.late) > 0:
 		i := m.random.IntN(len(m.late))
 		m.apply(m.late[i])
@@ -204,7 +222,7 @@
 	for seed := range uint64(300) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			is := is.New(t)
-			m := newModel(seed, 1+int(seed%17), 4, 3)
+			m := newModel(seed, 1+int(seed%17), 4, 3, 0)
 			for range 3000 {
 				m.step()
 				is.True(m.running() <= m.limit)
@@ -220,7 +238,7 @@
 
 func TestUnusedShareIsTakenByTheServiceThatWaits(t *testing.T) {
 	is := is.New(t)
-	m := newModel(1, 40, 4, 4)
+	m := newModel(1, 40, 4, 4, 0)
 	asks := []int{7, 100, 100, 0}
 	for i, e := range m.entries {
 		e.held[fleet.ServiceID(rune('A'+i))].asks = asks[i]
@@ -232,14 +250,14 @@
 	}
 	held := map[fleet.ServiceID]fleet.Capacity{}
 	for s, c := range m.ledger {
-		held[s] = c.Accounts[account].Held
+		held[s] = c.Held
 	}
 	is.Equal(held, map[fleet.ServiceID]fleet.Capacity{"A": cores(7), "B": cores(16), "C": cores(16), "D": cores(0)})
 }
 
 func TestLoweredLimitStopsStartsUntilItFits(t *testing.T) {
 	is := is.New(t)
-	m := newModel(1, 40, 2, 2)
+	m := newModel(1, 40, 2, 2, 0)
 	a, b := m.entries[0], m.entries[1]
 	a.held["A"].used, m.committed["A"] = 30, 30
 	b.held["B"].used, m.committed["B"] = 8, 8
@@ -272,13 +290,13 @@
 	reports := func() []allowance.Report {
 		return []allowance.Report{{Service: "A", Epoch: 1, Accounts: map[fleet.ClientAccountID]allowance.Demand{account: demand}}}
 	}
-	next, due := e.Plan(allowance.Ledger{}, 0, reports())
+	next, due := plan(e, allowance.Ledger{}, 0, reports())
 	is.True(due)
 	is.True(!e.Allows("A", 1, account, cores(9))) // Not yet written.
-	e.Written()
+	e.Written(written)
 	is.True(e.Allows("A", 1, account, cores(9)))
 	demand.Used = cores(9)
-	e.Plan(next, 1, reports())
+	plan(e, next, 1, reports())
 	is.True(!e.Allows("A", 1, account, cores(18)))
 }
 
@@ -288,21 +306,21 @@
 	}}}
 }
 
-func position(held, wanted int) map[fleet.ClientAccountID]allowance.Position {
-	return map[fleet.ClientAccountID]allowance.Position{account: {Held: cores(held), Wanted: cores(wanted)}}
+func claim(held, wanted int) allowance.Claim {
+	return allowance.Claim{Epoch: 1, Held: cores(held), Wanted: cores(wanted)}
 }
 
 func TestShareOfUnansweredWriteIsUsedOnceItCannotTakeEffect(t *testing.T) {
 	is := is.New(t)
 	b := allowance.NewBook()
 	b.SetLimits(allowance.Limits{account: cores(40)})
-	ledger := allowance.Ledger{"A": {Epoch: 1, Accounts: position(20, 40)}, "B": {Epoch: 1, Accounts: position(20, 40)}}
-	_, due := b.Plan(ledger, 1, report(1, 5, 0))
+	ledger := allowance.Ledger{"A": claim(20, 40), "B": claim(20, 40)}
+	_, due := plan(b, ledger, 1, report(1, 5, 0))
 	is.True(due) // 15 are given up, and the answer does not arrive.
-	_, due = b.Plan(ledger, 1, report(1, 5, 35))
+	_, due = plan(b, ledger, 1, report(1, 5, 35))
 	is.True(due)
 	is.True(!b.Allows("A", 1, account, cores(6)))
-	b.Written()
+	b.Written(written)
 	is.True(b.Allows("A", 1, account, cores(20)))
 }
 
@@ -310,10 +328,10 @@
 	is := is.New(t)
 	b := allowance.NewBook()
 	b.SetLimits(allowance.Limits{account: cores(40)})
-	_, due := b.Plan(allowance.Ledger{"A": {Epoch: 1, Accounts: position(40, 40)}}, 1, report(2, 10, 30))
+	_, due := plan(b, allowance.Ledger{"A": claim(40, 40)}, 1, report(2, 10, 30))
 	is.True(due)
 	is.True(!b.Allows("A", 2, account, cores(11)))
-	b.Written()
+	b.Written(written)
 	is.True(b.Allows("A", 2, account, cores(40)))
 }
 
@@ -321,10 +339,10 @@
 	is := is.New(t)
 	b := allowance.NewBook()
 	b.SetLimits(allowance.Limits{account: cores(40)})
-	ledger := allowance.Ledger{"A": {Epoch: 1, Accounts: position(30, 0)}, "B": {Epoch: 1, Accounts: position(10, 8)}}
+	ledger := allowance.Ledger{"A": claim(30, 0), "B": claim(10, 8)}
 	reports := append(report(1, 0, 5), report(1, 0, 8)...)
 	reports[1].Service = "B"
-	_, due := b.Plan(ledger, 1, reports)
+	_, due := plan(b, ledger, 1, reports)
 	is.True(!due) // Both have what they want.
 	is.True(b.Allows("A", 1, account, cores(30)))
 	is.True(b.Allows("B", 1, account, cores(10)))
--- a/internal/allowance/divide.go
+++ b/internal/allowance/divide.go
@@ -8,12 +8,12 @@
 
 // fair returns the part of a limit that a service should hold. Each resource is divided by max-min fairness among what
 // the services want; what nobody wants is divided equally, so that the first tasks of a service need not wait.
-func (l Ledger) fair(s fleet.ServiceID, account fleet.ClientAccountID, limit fleet.Capacity) fleet.Capacity {
+func (l Ledger) fair(s fleet.ServiceID, limit fleet.Capacity) fleet.Capacity {
 	wanted := make([]fleet.Capacity, 0, len(l))
 	for _, claim := range l {
-		wanted = append(wanted, claim.Accounts[account].Wanted)
+		wanted = append(wanted, claim.Wanted)
 	}
-	own := l[s].Accounts[account].Wanted
+	own := l[s].Wanted
 	return fleet.Capacity{
 		Millicores:   part(limit.Millicores, own.Millicores, wanted, func(c fleet.Capacity) fleet.Millicores { return c.Millicores }),
 		Memory:       part(limit.Memory, own.Memory, wanted, func(c fleet.Capacity) fleet.Megabytes { return c.Memory }),
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -1,6 +1,6 @@
-// Package allowance divides what a client account may have running among the services that run its tasks. The
-// parts of all services stand in one ledger, which changes only by conditional writes, so that their sum cannot exceed
-// a limit whoever is slow, lost or replaced. The package uses no network, clock or logger.
+// Package allowance divides what a client account may have running among the services that run its tasks. The parts of
+// all services stand in a ledger for each account, which changes only by conditional writes, so that their sum cannot
+// exceed a limit whoever is slow, lost or replaced. The package uses no network, clock or logger.
 package allowance
 
 import (
@@ -13,24 +13,35 @@
 // bound are left out.
 type Limits map[fleet.ClientAccountID]fleet.Capacity
 
-// Ledger says which part of each account's limit each service holds.
+// Ledger says which part of one account's limit each service holds.
 type Ledger map[fleet.ServiceID]Claim
 
-// Claim is the part of the ledger that belongs to one service. Only the service's holder changes it.
+// Claim is the part of a service. Only the service's holder changes it.
 type Claim struct {
 	// Epoch is that of the last holder that has claimed the part.
-	Epoch    fleet.FencingToken
-	Accounts map[fleet.ClientAccountID]Position
-}
-
-// Position is what a service holds of one account's limit.
-type Position struct {
+	Epoch fleet.FencingToken
 	// Held bounds what the account's tasks use in the service.
 	Held fleet.Capacity
 	// Wanted is what they would use if the account had no limit.
 	Wanted fleet.Capacity
 }
 
+// Version is the version of a ledger in the store, 0 while it has not been written. It rises with each write.
+type Version uint64
+
+// Stored is a ledger as it was read. It must not be changed.
+type Stored struct {
+	Ledger  Ledger
+	Version Version
+}
+
+// Write replaces the ledger of an account, on condition that it still has a version.
+type Write struct {
+	Account fleet.ClientAccountID
+	Ledger  Ledger
+	Version Version
+}
+
 // Demand is what the tasks of an account use and ask for in one service.
 type Demand struct {
 	// Used is the demand of all runs that may execute.
@@ -39,49 +50,53 @@
 	Waiting, Least fleet.Capacity
 }
 
-// Clone returns a copy that shares nothing with the ledger.
-func (l Ledger) Clone() Ledger {
-	c := make(Ledger, len(l))
-	for s, claim := range l {
-		claim.Accounts = maps.Clone(claim.Accounts)
-		c[s] = claim
+// idle reports whether nothing of the account runs or waits.
+func (d Demand) idle() bool { return d.Used == (fleet.Capacity{}) && d.Waiting == (fleet.Capacity{}) }
+
+// clone returns a copy that shares nothing with the ledger.
+func (l Ledger) clone() Ledger {
+	if l == nil {
+		return Ledger{}
 	}
-	return c
+	return maps.Clone(l)
 }
 
-// Version is the version of the ledger in the store. It rises with each write.
-type Version uint64
+// claimSize is the most that a claim takes in the store besides the name of its service: an epoch and two capacities of
+// three numbers, with their tags and lengths.
+const claimSize fleet.Bytes = 96
+
+// Size is an upper bound of what the claims of a ledger take in the store.
+func (l Ledger) Size() fleet.Bytes {
+	var size fleet.Bytes
+	for s := range l {
+		size += sizeOf(s)
+	}
+	return size
+}
+
+func sizeOf(s fleet.ServiceID) fleet.Bytes { return claimSize + fleet.Bytes(len(s)) }
 
 // held returns what all services but one hold of an account's limit.
-func (l Ledger) held(account fleet.ClientAccountID, limit fleet.Capacity, except fleet.ServiceID) fleet.Capacity {
+func (l Ledger) held(limit fleet.Capacity, except fleet.ServiceID) fleet.Capacity {
 	var sum fleet.Capacity
 	for s, claim := range l {
 		if s != except {
-			sum = sum.Plus(claim.Accounts[account].Held)
+			sum = sum.Plus(claim.Held)
 		}
 	}
 	return bounded(sum, limit)
 }
 
 // short reports whether a service other than one lacks some of the account's limit.
-func (l Ledger) short(account fleet.ClientAccountID, except fleet.ServiceID) bool {
+func (l Ledger) short(except fleet.ServiceID) bool {
 	for s, claim := range l {
-		if p := claim.Accounts[account]; s != except && !p.Wanted.Fits(p.Held) {
+		if s != except && !claim.Wanted.Fits(claim.Held) {
 			return true
 		}
 	}
 	return false
 }
 
-// set replaces the position of a service, which must have a claim. An empty one is left out.
-func (l Ledger) set(s fleet.ServiceID, account fleet.ClientAccountID, p Position) {
-	if p == (Position{}) {
-		delete(l[s].Accounts, account)
-		return
-	}
-	l[s].Accounts[account] = p
-}
-
 // bounded returns a capacity without the resources that a limit does not bound.
 func bounded(c, limit fleet.Capacity) fleet.Capacity {
 	if limit.Millicores == 0 {
--- a/internal/holder/ledger.go
+++ b/internal/holder/ledger.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"time"
 
@@ -18,32 +20,69 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// tableLimits holds the ledger of the accounts' limits, a single row.
+// tableLimits holds a ledger for each account with a limit. The ledgers share a part, so that one transaction may write
+// several of them.
 const (
 	tableLimits rowstore.Table = "mimosawharf-limits"
 	partLimits  rowstore.Part  = "limits"
-	keyLedger   rowstore.Key   = "ledger"
+	keyAccount  rowstore.Key   = "account-"
 )
 
-// ledgerWrite replaces the ledger on condition that it still has a version.
+// Bounds of the ledgers.
+const (
+	// maxLedger bounds the claims of one ledger, below the longest value that the store keeps.
+	maxLedger fleet.Bytes = rowstore.MaxValue - 4<<10
+	// maxLedgerWrites bounds the ledgers of one transaction. Each takes two of the 100 entries that the store allows.
+	maxLedgerWrites = 48
+	// maxLedgerBytes bounds their size, well below 1 MB with their encoding.
+	maxLedgerBytes fleet.Bytes = 256 << 10
+)
+
+// ledgerKey returns the key of an account's ledger. Names of accounts may be longer than keys.
+func ledgerKey(account fleet.ClientAccountID) rowstore.Key {
+	sum := sha256.Sum256([]byte(account))
+	return keyAccount + rowstore.Key(hex.EncodeToString(sum[:]))
+}
+
+// ledgerWrite replaces ledgers, or seals the ledger of all accounts that an earlier version wrote.
 type ledgerWrite struct {
-	next    allowance.Ledger
-	version allowance.Version
+	writes []allowance.Write
+	seal   *allAccounts
 }
 
-// LedgerEvent is what a read of the ledger or an attempt to write it has shown.
+// transaction returns the conditional transaction of a write.
+func (w ledgerWrite) transaction() rowstore.Transaction {
+	t := rowstore.Transaction{}
+	add := func(row rowstore.Row, version allowance.Version) {
+		t.Puts = append(t.Puts, row)
+		t.Conditions = append(t.Conditions, rowstore.Condition{Table: row.Table, Part: row.Part, Key: row.Key, Version: rowstore.Version(version)})
+	}
+	for _, ledger := range w.writes {
+		add(mustRow(tableLimits, partLimits, ledgerKey(ledger.Account), encodeLedger(ledger.Account, ledger.Ledger)), ledger.Version)
+	}
+	if w.seal != nil {
+		add(w.seal.sealed(), w.seal.version)
+	}
+	return t
+}
+
+// LedgerEvent is what a read of the ledgers or an attempt to write some has shown.
 type LedgerEvent struct {
 	// IsAnswer is set for the answer to a write.
 	IsAnswer bool
-	// Written is set when the write took effect.
-	Written bool
-	// Ledger is nil when it is not known.
-	Ledger  allowance.Ledger
-	Version allowance.Version
-	Err     error
+	// Written is set when the write took effect, IsConflict when another entry was faster.
+	Written, IsConflict bool
+	// IsComplete is set when the event has all ledgers.
+	IsComplete bool
+	Ledgers    map[fleet.ClientAccountID]allowance.Stored
+	// Unreadable holds the keys of ledgers that cannot be decoded.
+	Unreadable []rowstore.Key
+	// All is the ledger of all accounts; nil when its row is not in the event.
+	All *allAccounts
+	Err error
 }
 
-// ledgerWriter is the duty that writes the ledger, one attempt at a time.
+// ledgerWriter is the duty that writes the ledgers, one attempt at a time.
 type ledgerWriter struct {
 	store   Store
 	inbox   *ring.Ring[ledgerWrite]
@@ -73,35 +112,38 @@
 }
 
 func (l *ledgerWriter) write(ctx context.Context, w ledgerWrite) LedgerEvent {
-	row := mustRow(tableLimits, partLimits, keyLedger, encodeLedger(w.next))
+	t := w.transaction()
 	timeout := transactTimeout
 	if l.latency != nil {
 		timeout = l.latency.Get().Timeout(l.clock.Now(), 0)
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout+follow.TransferTime(len(row.Value)))
+	ctx, cancel := context.WithTimeout(ctx, timeout+follow.TransferTime(size(t)))
 	defer cancel()
-	_, err := l.store.Transact(ctx, rowstore.Transaction{
-		Conditions: []rowstore.Condition{{Table: tableLimits, Part: partLimits, Key: keyLedger, Version: rowstore.Version(w.version)}},
-		Puts:       []rowstore.Row{row},
-	})
+	_, err := l.store.Transact(ctx, t)
 	var conflict *rowstore.ConflictError
 	switch {
 	case err == nil:
 		return LedgerEvent{Written: true}
 	case errors.As(err, &conflict):
-		return ledgerEvent(conflict.Rows, l.log)
+		e := ledgerEvent(conflict.Rows, l.log)
+		e.IsConflict = true
+		return e
 	}
 	return LedgerEvent{Err: err}
 }
 
-// ledgerSink passes the ledger on to the scheduler.
+// ledgerSink passes the ledgers on to the scheduler.
 type ledgerSink struct {
 	log  *zap.Logger
 	done func(LedgerEvent)
 }
 
 // Replace implements follow.Sink.
-func (s *ledgerSink) Replace(rows []rowstore.Row) { s.done(ledgerEvent(rows, s.log)) }
+func (s *ledgerSink) Replace(rows []rowstore.Row) {
+	e := ledgerEvent(rows, s.log)
+	e.IsComplete = true
+	s.done(e)
+}
 
 // Change implements follow.Sink.
 func (s *ledgerSink) Change(rows []rowstore.Row) { s.done(ledgerEvent(rows, s.log)) }
@@ -109,44 +151,47 @@
 // Synced implements follow.Sink.
 func (*ledgerSink) Synced(time.Time) {}
 
-// ledgerEvent decodes the row of the ledger, which is empty before it is first written. A ledger that cannot be decoded is
-// not known, so that no service takes more of a limit.
+// ledgerEvent decodes rows of the table. A ledger that cannot be decoded is not known, so that no service takes more of
+// the account's limit.
 func ledgerEvent(rows []rowstore.Row, log *zap.Logger) LedgerEvent {
-	e := LedgerEvent{Ledger: allowance.Ledger{}}
+	e := LedgerEvent{Ledgers: map[fleet.ClientAccountID]allowance.Stored{}}
 	for _, row := range rows {
-		if row.Key != keyLedger || row.Deleted {
+		if row.Deleted {
 			continue
 		}
-		m := &jobv1.LimitLedger{}
-		if err := proto.Unmarshal(row.Value, m); err != nil {
-			log.Error("limits: ledger cannot be decoded", zap.Error(err))
-			return LedgerEvent{Err: err}
+		if row.Key == keyAllAccounts {
+			e.All = decodeAllAccounts(row, log)
+			continue
 		}
-		e.Ledger, e.Version = decodeLedger(m), allowance.Version(row.Version)
+		m := &jobv1.AccountLedger{}
+		err := proto.Unmarshal(row.Value, m)
+		account := fleet.ClientAccountID(m.GetAccount())
+		if err != nil || ledgerKey(account) != row.Key {
+			log.Error("limits: ledger cannot be decoded", zap.String("key", string(row.Key)), zap.Error(err))
+			e.Unreadable = append(e.Unreadable, row.Key)
+			continue
+		}
+		e.Ledgers[account] = allowance.Stored{Ledger: decodeLedger(m), Version: allowance.Version(row.Version)}
 	}
 	return e
 }
 
-func encodeLedger(l allowance.Ledger) *jobv1.LimitLedger {
-	m := &jobv1.LimitLedger{}
+func encodeLedger(account fleet.ClientAccountID, l allowance.Ledger) *jobv1.AccountLedger {
+	m := &jobv1.AccountLedger{Account: string(account)}
 	for s, claim := range l {
-		c := &jobv1.LimitClaim{Service: string(s), Epoch: uint64(claim.Epoch)}
-		for account, p := range claim.Accounts {
-			c.Positions = append(c.Positions, &jobv1.LimitPosition{Account: string(account), Held: limitCapacity(p.Held), Wanted: limitCapacity(p.Wanted)})
-		}
-		m.Claims = append(m.Claims, c)
+		m.Claims = append(m.Claims, &jobv1.AccountClaim{
+			Service: string(s), Epoch: uint64(claim.Epoch), Held: limitCapacity(claim.Held), Wanted: limitCapacity(claim.Wanted),
+		})
 	}
 	return m
 }
 
-func decodeLedger(m *jobv1.LimitLedger) allowance.Ledger {
-	l := allowance.Ledger{}
+func decodeLedger(m *jobv1.AccountLedger) allowance.Ledger {
+	l := make(allowance.Ledger, len(m.GetClaims()))
 	for _, c := range m.GetClaims() {
-		claim := allowance.Claim{Epoch: fleet.FencingToken(c.GetEpoch()), Accounts: map[fleet.ClientAccountID]allowance.Position{}}
-		for _, p := range c.GetPositions() {
-			claim.Accounts[fleet.ClientAccountID(p.GetAccount())] = allowance.Position{Held: fromLimitCapacity(p.GetHeld()), Wanted: fromLimitCapacity(p.GetWanted())}
+		l[fleet.ServiceID(c.GetService())] = allowance.Claim{
+			Epoch: fleet.FencingToken(c.GetEpoch()), Held: fromLimitCapacity(c.GetHeld()), Wanted: fromLimitCapacity(c.GetWanted()),
 		}
-		l[fleet.ServiceID(c.GetService())] = claim
 	}
 	return l
 }
--- a/internal/holder/limits.go
+++ b/internal/holder/limits.go
@@ -27,20 +27,18 @@
 )
 
 // limits divides the limits of client accounts among the services that this entry holds and those of others. It is
-// part of the scheduler. The duties that read and write the ledger exist only while there is a limit and a service is held.
+// part of the scheduler. The duties that read and write the ledgers exist only while there is a limit and a service is held.
 type limits struct {
 	book       *allowance.Book
 	configured allowance.Limits
 	// writes is nil, and stop too, while the entry holds no service or there is no limit.
-	writes *ring.Ring[ledgerWrite]
-	stop   context.CancelFunc
-	// ledger is what is known of the ledger; nil before it was read.
-	ledger  allowance.Ledger
-	version allowance.Version
-	// writing is set while a write is in flight, due while a division should not wait for divideInterval.
-	writing, due bool
-	// written is the version that the last write replaces.
-	written   allowance.Version
+	writes  *ring.Ring[ledgerWrite]
+	stop    context.CancelFunc
+	ledgers ledgers
+	// writing is what is being written, nil while nothing is.
+	writing *ledgerWrite
+	// due is set while a division should not wait for divideInterval.
+	due       bool
 	dividedAt time.Time
 	failed    bool
 	// reportedAt is when waiting accounts were last logged.
@@ -89,9 +87,9 @@
 		s.startLimits()
 	case !holds && l.stop != nil:
 		l.stop()
-		l.stop, l.ledger, l.writing = nil, nil, false
+		l.stop, l.ledgers, l.writing = nil, ledgers{}, nil
 	}
-	if !loaded || l.ledger == nil || l.writing {
+	if !loaded || !l.ledgers.complete || l.writing != nil {
 		return
 	}
 	interval := divideInterval
@@ -106,13 +104,22 @@
 	reports := s.limitReports()
 	s.reportDenied(now, reports)
 	s.counter("limit_divisions").Inc(1)
-	if next, due := l.book.Plan(l.ledger, l.version, reports); due {
-		s.counter("limit_writes").Inc(1)
-		l.writing, l.written = true, l.version
-		_ = l.writes.Push(ledgerWrite{next, l.version}) // The ring has room: one write at a time is in flight.
+	if all := l.ledgers.all; !all.isSealed && !all.isUnreadable {
+		s.writeLedgers(ledgerWrite{seal: &all})
+		return
+	}
+	if writes := l.book.Plan(l.ledgers.known(l.configured, l.book), reports); len(writes) > 0 {
+		s.writeLedgers(ledgerWrite{writes: writes})
 	}
 }
 
+func (s *Scheduler) writeLedgers(w ledgerWrite) {
+	s.counter("limit_writes").Inc(1)
+	s.counter("limit_ledgers_written").Inc(int64(len(w.writes)))
+	s.limits.writing = &w
+	_ = s.limits.writes.Push(w) // The ring has room: one write at a time is in flight.
+}
+
 // startLimits starts the duties that read and write the ledger.
 func (s *Scheduler) startLimits() {
 	l := &s.limits
@@ -131,36 +138,28 @@
 	})
 }
 
-// applyLedger applies what a read or a write of the ledger has shown.
+// applyLedger applies what a read or a write of ledgers has shown.
 func (s *Scheduler) applyLedger(e *LedgerEvent) {
 	l := &s.limits
 	if l.stop == nil {
 		return
 	}
 	if e.IsAnswer {
-		l.writing = false
+		if e.Written && l.writing != nil {
+			l.book.Written(l.writing.writes)
+			l.ledgers.written(*l.writing)
+		}
+		l.writing = nil
 		if failed := e.Err != nil; failed != l.failed {
 			l.failed = failed
-			s.Log.Info("limits: writes of the ledger changed", zap.Bool("failing", failed), zap.Error(trace.Unwrap(e.Err)))
+			s.Log.Info("limits: writes of the ledgers changed", zap.Bool("failing", failed), zap.Error(trace.Unwrap(e.Err)))
 		}
 	}
-	if e.Written {
-		l.book.Written()
-		// The follower shows the written row once, before or after this answer. The version that a transaction reports may
-		// be higher than that of the row.
-		if l.version <= l.written {
-			l.ledger = nil
-		}
-		return
-	}
-	if e.IsAnswer && e.Ledger != nil {
+	if e.IsConflict {
 		s.counter("limit_conflicts").Inc(1)
 		l.dividedAt = time.Time{} // Another entry was faster.
 	}
-	if e.Ledger != nil && (l.ledger == nil || e.Version > l.version) {
-		l.due = true
-		l.ledger, l.version = e.Ledger, e.Version
-	}
+	l.due = l.ledgers.apply(e) || l.due
 }
 
 func (s *Scheduler) limitReports() []allowance.Report {
@@ -208,7 +207,7 @@
 // limitFields returns what a log line says of an account.
 func (s *Scheduler) limitFields(r allowance.Report, account fleet.ClientAccountID) zapcore.ObjectMarshalerFunc {
 	return func(o zapcore.ObjectEncoder) error {
-		used, held, limit := r.Accounts[account].Used, s.limits.ledger[r.Service].Accounts[account].Held, s.limits.configured[account]
+		used, held, limit := r.Accounts[account].Used, s.limits.ledgers.byAccount[account].Ledger[r.Service].Held, s.limits.configured[account]
 		o.AddInt64("used-millicores", int64(used.Millicores))
 		o.AddInt64("held-millicores", int64(held.Millicores))
 		o.AddInt64("limit-millicores", int64(limit.Millicores))
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -145,6 +145,7 @@
 	s.queued = map[fleet.ServiceID]bool{}
 	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
 	s.limits.book = allowance.NewBook()
+	s.limits.book.MaxLedger, s.limits.book.MaxWrites, s.limits.book.MaxWritten = maxLedger, maxLedgerWrites, maxLedgerBytes
 	s.unseen = map[fleet.ServiceID]fleet.Bytes{}
 	s.ctx, s.startedAt = ctx, s.Clock.Now()
 	next := s.startedAt
