holder: record services with their first jobs

Cause: entries claim the leases of services that a configuration in their memory names, and of those with a lease row. A service whose jobs were accepted while the store refused the part of its lease had no lease row, and no process that started later had seen the configuration.

Excluded: entries that wait for the refused part (no entry claims the lease after the restart, and the test needs no outage), jobs taken for those of another service (their rows name the first one).

Change: jobs and withdrawals of a service for which the entry has read neither a lease nor a record put a record into their own transaction. Each entry reads the records with the leases and claims the leases of recorded services; the answer that a service has no jobs goes by them as well. Services whose lease is taken before their first job need none. The entries of a transaction are counted, since a batch of first jobs of many services would exceed the 100 that the store allows.

--- a/internal/holder/admission.go
+++ b/internal/holder/admission.go
@@ -12,6 +12,8 @@
 const (
 	// maxIntakeBatch bounds the submissions of one transaction.
 	maxIntakeBatch = 32
+	// maxIntakeEntries bounds the entries of one transaction, as the store does.
+	maxIntakeEntries = 100
 	// maxIntakeBytes bounds the values of one transaction, well below 1 MB with their encoding.
 	maxIntakeBytes = 256 << 10
 	// intakeRetryDelay is the pause before another attempt.
@@ -78,10 +80,10 @@
 	if a.attempt != nil || len(a.pending) == 0 || now.Before(a.retryAt) {
 		return nil, 0
 	}
-	size := 0
+	size, entries := 0, 0
 	for n, s := range a.pending {
-		size += s.size()
-		if n == maxIntakeBatch || n > 0 && size > maxIntakeBytes {
+		size, entries = size+s.size(), entries+s.entries()
+		if n == maxIntakeBatch || n > 0 && (size > maxIntakeBytes || entries > maxIntakeEntries) {
 			break
 		}
 		if a.contradicts(s) {
--- a/internal/holder/answer.go
+++ b/internal/holder/answer.go
@@ -85,10 +85,9 @@
 	return fleet.JobStateCancelled
 }
 
-// idle reports whether a service has no queues and never had a holder, so that it has no jobs.
+// idle reports whether a service has no jobs, as far as this entry has read.
 func (s *Scheduler) idle(service fleet.ServiceID) bool {
-	_, leased := s.election.Leases[ServiceDuty(service)]
-	return s.config != nil && !s.membersReadAt.IsZero() && !s.queued[service] && !leased
+	return s.config != nil && !s.membersReadAt.IsZero() && !s.mayHaveJobs(service)
 }
 
 // waitingAge is how old the numbers of waiting jobs may be. Callers ask for them a hundred times a second at a peak, and
--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -33,6 +33,8 @@
 type MembersChange struct {
 	Leases []election.Lease
 	Nodes  []election.Node
+	// Recorded are services whose records were read.
+	Recorded []fleet.ServiceID
 	// RemovedNodes are entries whose row was removed.
 	RemovedNodes []fleet.EntryID
 }
--- a/internal/holder/intake.go
+++ b/internal/holder/intake.go
@@ -51,8 +51,8 @@
 	Inbox   *ring.Ring[IntakeEvent]
 	Writer  *ring.Ring[StoreCall]
 	Latency *ring.Latest[follow.Latency]
-	// Status says which services take no further jobs, and JobRequests reaches the resolvers. Both may be nil where jobs of
-	// all services are taken.
+	// Status says which services take no further jobs and which are recorded, and JobRequests reaches the resolvers. Both may
+	// be nil where jobs of all services are taken.
 	Status      *ring.Latest[Status]
 	JobRequests *ring.Ring[*JobRequest]
 	Clock       clock.Clock
@@ -115,6 +115,7 @@
 	case s.Job != nil && i.Status != nil && i.Status.Get().Full[s.Job.Service]:
 		i.refuseFull(s)
 	default:
+		s.Unrecorded = i.Status == nil || !i.Status.Get().Recorded[s.service()]
 		i.admission.add(now, s)
 	}
 }
@@ -202,12 +203,16 @@
 // insertion returns the transaction that stores submissions, provided that none of their rows exists.
 func insertion(batch []*Submission) rowstore.Transaction {
 	t := rowstore.Transaction{}
-	seen := map[rowstore.Key]bool{}
+	seen, recorded := map[rowstore.Key]bool{}, map[fleet.ServiceID]bool{}
 	for _, s := range batch {
 		if seen[s.decidingKey()] {
 			continue
 		}
 		seen[s.decidingKey()] = true
+		if service := s.service(); s.Unrecorded && !recorded[service] {
+			recorded[service] = true
+			t.Puts = append(t.Puts, serviceRecord(IntakePart(s.id()), service))
+		}
 		rows := s.rows()
 		t.Puts = append(t.Puts, rows...)
 		t.Conditions = append(t.Conditions, rowstore.Condition{Table: rows[0].Table, Part: rows[0].Part, Key: rows[0].Key})
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -112,6 +112,8 @@
 	election *election.State
 	// queued holds the services that a configuration has sent a queue to. They may have jobs.
 	queued map[fleet.ServiceID]bool
+	// recorded holds the services that stored rows name. They may have jobs. The map is replaced, not changed.
+	recorded map[fleet.ServiceID]bool
 	// endpoints is nil while the registry has not been read.
 	endpoints map[fleet.EndpointID]shard.EndpointInfo
 	// endpointsKnown is up to when endpoints has what was stored.
@@ -142,7 +144,7 @@
 func (s *Scheduler) Run(ctx context.Context) error {
 	s.election = election.NewState(s.Self.Entry, s.Self.Incarnation)
 	s.election.Millicores = s.Self.Millicores
-	s.queued = map[fleet.ServiceID]bool{}
+	s.queued, s.recorded = map[fleet.ServiceID]bool{}, map[fleet.ServiceID]bool{}
 	s.held, s.taking = map[fleet.DutyName]*heldDuty{}, map[fleet.DutyName]bool{}
 	s.limits.book = allowance.NewBook()
 	s.limits.book.MaxLedger, s.limits.book.MaxWrites, s.limits.book.MaxWritten = maxLedger, maxLedgerWrites, maxLedgerBytes
--- a/internal/holder/status.go
+++ b/internal/holder/status.go
@@ -13,6 +13,8 @@
 	Held []fleet.DutyName
 	// Full holds the services whose holder has no memory for further jobs.
 	Full map[fleet.ServiceID]bool
+	// Recorded holds the services that a stored row names, so that each entry knows that they may have jobs.
+	Recorded map[fleet.ServiceID]bool
 }
 
 func (s *Scheduler) publish() {
@@ -21,6 +23,6 @@
 		status.Held = append(status.Held, h.chain.Duty)
 		status.Jobs += len(h.jobs)
 	}
-	status.Full = s.full(s.Clock.Now())
+	status.Full, status.Recorded = s.full(s.Clock.Now()), s.recorded
 	s.Status.Set(status)
 }
--- a/internal/holder/store.go
+++ b/internal/holder/store.go
@@ -48,6 +48,8 @@
 	keyCancel  = "cancel-"
 	keyProcess = "endpoints-"
 	keyLease   = rowstore.Key("lease")
+	// keyService is the prefix of the keys of recorded services, in the parts of accepted jobs.
+	keyService = "service-"
 	keyChain   = rowstore.Key("chain")
 )
 
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -50,6 +50,9 @@
 	Cancelled, Withdrawn bool
 	// Accepted is what is stored of a job that could not be withdrawn. It is set before Reply.
 	Accepted acceptance
+	// Unrecorded is set while no stored row is known that has an entry take the lease of the service. The submission stores
+	// one then.
+	Unrecorded bool
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Reply receives the outcome. It must not block. It is nil for removals.
@@ -75,6 +78,14 @@
 	return s.Remove
 }
 
+// service returns the service that has to act on the rows of the submission.
+func (s *Submission) service() fleet.ServiceID {
+	if s.Job != nil {
+		return s.Job.Service
+	}
+	return s.Service
+}
+
 // rows returns the rows to store. The first one must not exist; it decides which submission is stored.
 func (s *Submission) rows() []rowstore.Row {
 	if s.encoded == nil {
@@ -129,6 +140,15 @@
 	return IntakeAccepted
 }
 
+// entries is the most that the submission takes of a transaction: a condition, its rows, and the record of its service.
+func (s *Submission) entries() int {
+	n := 1 + len(s.rows())
+	if s.Unrecorded {
+		n++
+	}
+	return n
+}
+
 // size returns the size of the values of the rows.
 func (s *Submission) size() int {
 	n := 0
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -148,10 +148,10 @@
 	for service := range s.queued {
 		duties = append(duties, ServiceDuty(service))
 	}
-	for _, d := range s.election.Duties() {
-		// A service that had a holder may have jobs, whether or not it has queues.
-		if service, ok := serviceOf(d); ok && !s.queued[service] {
-			duties = append(duties, d)
+	for service := range s.recorded {
+		// It may have jobs, whether or not it has queues.
+		if !s.queued[service] {
+			duties = append(duties, ServiceDuty(service))
 		}
 	}
 	if s.Maintainer != nil {
@@ -225,6 +225,7 @@
 		return
 	}
 	h.service, _ = serviceOf(t.Duty)
+	s.record(h.service)
 	h.inherited = t.Inherited
 	h.engine = shard.NewEngine(h.service, t.Chain.Epoch, s.Bounds, s.Observer(h.service, t.Chain.Epoch), t.Inherited, t.SentAt.Add(holderValidity))
 	h.engine.SetAllowance(&serviceAllowance{s.limits.book, h.service, t.Chain.Epoch})
