holder: change what the fake store reads under its lock

Cause: the test wrote without the lock. The product has no part in it.

Change: these writes hold the lock, in cutOff and in the three other places that wrote what calls read (a cut in TestPausedHolderExtendsNoLease, the store's mode in takeover schedules).

--- a/internal/holder/fake_cluster_test.go
+++ b/internal/holder/fake_cluster_test.go
@@ -203,6 +203,13 @@
 	return strings.HasPrefix(string(id.Job), "lasting")
 }
 
+// change changes what the calls of entries read: endpoints, and how the store treats the entries. They run at the same time.
+func (c *fakeCluster) change(do func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	do()
+}
+
 // disrupt records a disruption.
 func (c *fakeCluster) disrupt(format string, args ...any) {
 	c.mu.Lock()
--- a/internal/holder/takeover_property_test.go
+++ b/internal/holder/takeover_property_test.go
@@ -129,14 +129,14 @@
 		s.stop(e)
 		end = s.between(0, 2600*time.Millisecond)
 	case 2:
-		e.storeMode = storeRefuses
+		s.change(func() { e.storeMode = storeRefuses })
 		s.stop(e)
 		end = s.between(0, 2600*time.Millisecond)
 	}
 	s.after(end, func() {
 		if e.life == life {
 			s.kill(e)
-			e.storeMode = storeAnswers
+			s.change(func() { e.storeMode = storeAnswers })
 		}
 	})
 	s.after(end+s.between(10*time.Millisecond, 4*time.Second), func() { s.start(e) })
--- a/internal/holder/takeover_test.go
+++ b/internal/holder/takeover_test.go
@@ -76,12 +76,14 @@
 // holders. With alone set, the first holder reaches no other endpoint, so none fences it.
 func cutOff(c *fakeCluster, alone bool) {
 	first, endpoint := c.holder(), c.endpointOf(lastingTask)
-	for _, entry := range c.entries {
-		for _, e := range c.endpoints {
-			e.cutFrom[entry.id] = entry != first && e == endpoint || alone && entry == first && e != endpoint
+	c.change(func() {
+		for _, entry := range c.entries {
+			for _, e := range c.endpoints {
+				e.cutFrom[entry.id] = entry != first && e == endpoint || alone && entry == first && e != endpoint
+			}
 		}
-	}
-	first.storeMode = storeSilent
+		first.storeMode = storeSilent
+	})
 	c.disrupt("%s is cut from the store, %s from the other entries", first.id, endpoint.id)
 	c.run(3 * time.Second)
 	for range 3 {
@@ -139,9 +141,11 @@
 func TestPausedHolderExtendsNoLease(t *testing.T) {
 	inCluster(t, func(c *fakeCluster) {
 		first, endpoint := c.holder(), c.endpointOf(lastingTask)
-		for _, e := range c.entries {
-			endpoint.cutFrom[e.id] = e != first
-		}
+		c.change(func() {
+			for _, e := range c.entries {
+				endpoint.cutFrom[e.id] = e != first
+			}
+		})
 		c.submit("batch", 8, false)
 		c.run(30 * time.Millisecond) // A batch is being committed.
 		first.life.pause(14 * time.Second)
