allowance: give large tasks their turn

Cause: a limit is divided by max-min fairness as if it could be divided at will. Both services hold 32 of 64 cores, neither can start its task of 40, and neither gives its part up. Besides, a service whose tasks follow one another kept its part for as long as it had any.

Change: a service in which nothing runs, and whose part is too small for its smallest waiting task, takes a turn in the ledger. What the task needs is set aside in the order of the turns, the rest is divided as before, and services behind a turn start nothing beyond their part of the rest. A turn ends when a task runs or none waits; one that is not used for 20 plans goes behind the others. Steps whose tasks start together count as one task. Where each part is enough for a task nothing changes.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -45,7 +45,7 @@
 		return true
 	}
 	h := b.holding(s, epoch, account)
-	return h != nil && !h.blocked && bounded(used, limit).Fits(h.part)
+	return h != nil && !h.blocked && bounded(used, limit).Fits(h.allowed())
 }
 
 // Allowed returns what the tasks of an account may use in a service, whether the account has a limit at all, and whether
@@ -55,7 +55,7 @@
 		return fleet.Capacity{}, false, false
 	}
 	if h := b.holding(s, epoch, account); h != nil {
-		return h.part, true, h.blocked
+		return h.allowed(), true, h.blocked
 	}
 	return fleet.Capacity{}, true, false
 }
@@ -102,7 +102,7 @@
 			d.plannedIn = b.round
 		}
 		d.restrict(in, next, isWritten)
-		if !due {
+		if !due && !d.hasTurn(in) {
 			d.settled = &in
 		}
 		if !isLimited && !due && d.planned == nil {
--- a/internal/allowance/division.go
+++ b/internal/allowance/division.go
@@ -28,8 +28,18 @@
 	part  fleet.Capacity
 	// blocked is set while more is held of the account than its limit: nothing starts until it fits.
 	blocked bool
+	// yields is set while parts are set aside for other services. Then what starts has to fit goal as well, since the part
+	// that is held cannot be given up as long as one run follows another.
+	yields bool
+	goal   fleet.Capacity
+	// unused counts the plans in a row in which the service held what a task needs in its turn and none ran.
+	unused int
 }
 
+// maxUnused is the number of plans after which a service that starts nothing in its turn waits for another one. Plans are
+// made some times a second.
+const maxUnused = 20
+
 // claimant is a service of this entry, with what it uses and wants of the account.
 type claimant struct {
 	service fleet.ServiceID
@@ -84,6 +94,9 @@
 			current = append(current, c)
 		}
 	}
+	for _, c := range current {
+		due = takeTurn(in, next, c, d.held[c.service]) || due
+	}
 	for _, raise := range []bool{false, true} { // What one service of this entry gives up, another one may take.
 		for _, c := range current {
 			due = divide(in, next, c, raise) || due
@@ -109,12 +122,38 @@
 	return true, isDue
 }
 
+// takeTurn gives a service a turn if its share is too small for any of its tasks and none runs, and ends a turn that is
+// over. It reports whether that has to be written.
+func takeTurn(in input, next Ledger, c claimant, h *holding) bool {
+	claim, d := next[c.service], c.demand
+	used, least := bounded(d.Used, in.limit), bounded(d.Least, in.limit)
+	old := claim
+	isStuck := used == (fleet.Capacity{}) && least != (fleet.Capacity{}) && d.Least.Fits(d.Waiting) && least.Fits(in.limit) &&
+		!least.Fits(next.share(c.service, in.limit, nil))
+	if isStuck && least.Fits(claim.Held) {
+		h.unused++
+	} else {
+		h.unused = 0
+	}
+	switch {
+	case !isStuck:
+		claim.Least, claim.Turn = fleet.Capacity{}, 0
+	case claim.Turn == 0 || h.unused > maxUnused:
+		claim.Least, claim.Turn, h.unused = least, next.nextTurn(), 0
+	default:
+		claim.Least = least
+	}
+	next[c.service] = claim
+	return claim != old
+}
+
 // divide sets what a service holds of the limit, and reports whether that has to be written. It either lowers or raises it.
 func divide(in input, next Ledger, c claimant, raise bool) bool {
 	claim, demand, limit := next[c.service], c.demand, in.limit
 	used, others := bounded(demand.Used, limit), next.held(limit, c.service)
-	target := lower(next.fair(c.service, limit), limit.Minus(others))
-	if used == (fleet.Capacity{}) && others == (fleet.Capacity{}) {
+	fair, yields := next.fair(c.service, limit)
+	target := lower(fair, limit.Minus(others))
+	if !yields && used == (fleet.Capacity{}) && others == (fleet.Capacity{}) {
 		// A task above the limit runs when nothing else of its account does, or it would never run.
 		target = higher(target, bounded(demand.Least, limit))
 	}
@@ -165,10 +204,24 @@
 		others := l.held(in.limit, c.service)
 		alone := others == (fleet.Capacity{}) && bounded(c.demand.Used, in.limit) == (fleet.Capacity{})
 		h.part = lower(h.part, l[c.service].Held)
+		h.goal, h.yields = l.fair(c.service, in.limit)
 		h.blocked = !alone && !others.Plus(l[c.service].Held).Fits(in.limit)
 	}
 }
 
+// allowed returns what the service may use.
+func (h *holding) allowed() fleet.Capacity {
+	if h.yields {
+		return lower(h.part, h.goal)
+	}
+	return h.part
+}
+
+// hasTurn reports whether a service of this entry has a turn, which ends after a number of plans.
+func (*division) hasTurn(in input) bool {
+	return slices.ContainsFunc(in.claimants, func(c claimant) bool { return in.stored.Ledger[c.service].Turn > 0 })
+}
+
 // isOutstanding reports whether a write without an answer may still take effect.
 func (d *division) isOutstanding(version Version) bool { return d.planned != nil && d.based == version }
 
--- a/internal/allowance/ledger.go
+++ b/internal/allowance/ledger.go
@@ -24,6 +24,10 @@
 	Held fleet.Capacity
 	// Wanted is what they would use if the account had no limit.
 	Wanted fleet.Capacity
+	// Least is what the smallest of them needs while none runs and the fair part is too small for it; zero otherwise.
+	Least fleet.Capacity
+	// Turn is set with Least: parts of that size are set aside in the order of the turns.
+	Turn uint64
 }
 
 // Version is the version of a ledger in the store, 0 while it has not been written. It rises with each write.
@@ -61,9 +65,9 @@
 	return maps.Clone(l)
 }
 
-// claimSize is the most that a claim takes in the store besides the name of its service: an epoch and two capacities of
-// three numbers, with their tags and lengths.
-const claimSize fleet.Bytes = 96
+// claimSize is the most that a claim takes in the store besides the name of its service: an epoch, a turn and three
+// capacities of three numbers, with their tags and lengths.
+const claimSize fleet.Bytes = 144
 
 // Size is an upper bound of what the claims of a ledger take in the store.
 func (l Ledger) Size() fleet.Bytes {
--- a/internal/holder/ledger.go
+++ b/internal/holder/ledger.go
@@ -181,6 +181,7 @@
 	for s, claim := range l {
 		m.Claims = append(m.Claims, &jobv1.AccountClaim{
 			Service: string(s), Epoch: uint64(claim.Epoch), Held: limitCapacity(claim.Held), Wanted: limitCapacity(claim.Wanted),
+			Least: limitCapacity(claim.Least), Turn: claim.Turn,
 		})
 	}
 	return m
@@ -191,6 +192,7 @@
 	for _, c := range m.GetClaims() {
 		l[fleet.ServiceID(c.GetService())] = allowance.Claim{
 			Epoch: fleet.FencingToken(c.GetEpoch()), Held: fromLimitCapacity(c.GetHeld()), Wanted: fromLimitCapacity(c.GetWanted()),
+			Least: fromLimitCapacity(c.GetLeast()), Turn: c.GetTurn(),
 		}
 	}
 	return l
--- a/internal/holder/ledger_test.go
+++ b/internal/holder/ledger_test.go
@@ -49,7 +49,7 @@
 	most := fleet.Capacity{Millicores: math.MaxInt, Memory: math.MaxInt64, Accelerators: math.MaxInt}
 	l := allowance.Ledger{}
 	for n := 0; l.Size() < maxLedger-512; n++ {
-		l[fleet.ServiceID(fmt.Sprintf("%0150d", n))] = allowance.Claim{Epoch: math.MaxUint64, Held: most, Wanted: most}
+		l[fleet.ServiceID(fmt.Sprintf("%0150d", n))] = allowance.Claim{Epoch: math.MaxUint64, Held: most, Wanted: most, Least: most, Turn: math.MaxUint64}
 	}
 	account := fleet.ClientAccountID(strings.Repeat("a", 200))
 	is.True(fleet.Bytes(proto.Size(encodeLedger(account, l))) <= l.Size()+fleet.Bytes(len(account))+8)
--- a/internal/shard/account.go
+++ b/internal/shard/account.go
@@ -140,10 +140,14 @@
 			d = &allowance.Demand{}
 			e.accounts.waiting[j.Account] = d
 		}
-		demand, count := j.Steps[list[i].step].Demand, countWaiting(list[i].occurrence.Tasks[list[i].step])
-		d.Waiting = d.Waiting.Plus(times(demand, count))
-		if d.Least == (fleet.Capacity{}) || demand.Fits(d.Least) {
-			d.Least = demand
+		step, count := &j.Steps[list[i].step], countWaiting(list[i].occurrence.Tasks[list[i].step])
+		d.Waiting = d.Waiting.Plus(times(step.Demand, count))
+		least := step.Demand
+		if step.Gang || step.SameRack {
+			least = times(step.Demand, count) // They start together.
+		}
+		if d.Least == (fleet.Capacity{}) || least.Fits(d.Least) {
+			d.Least = least
 		}
 	}
 }
