allowance: skip divisions whose input has not changed

The division of such an account was not planned again, but what its services may use was still worked out from the whole ledger each time, for all accounts. The condition of a turn has a function of its own.

go test ./internal/allowance and the tests of waves pass; no time was measured.

--- a/internal/allowance/book.go
+++ b/internal/allowance/book.go
@@ -95,6 +95,9 @@
 		}
 		limit, isLimited := b.limits[account]
 		in := input{stored: ledgers[account], limit: limit, isLimited: isLimited, claimants: claimants(account, reports), room: b.MaxLedger}
+		if d.settled != nil && d.settled.equal(&in) {
+			continue // Nothing has changed.
+		}
 		next, due := d.plan(in)
 		isWritten := due && (len(writes) == 0 || b.hasRoom(len(writes)+1, written+next.Size()))
 		if isWritten {
--- a/internal/allowance/division.go
+++ b/internal/allowance/division.go
@@ -63,8 +63,8 @@
 
 // plan returns the ledger that should replace the stored one, and false when it need not change.
 func (d *division) plan(in input) (Ledger, bool) {
-	if in.stored.Version < d.known || d.settled != nil && d.settled.equal(&in) {
-		return in.stored.Ledger, false // A late answer, or nothing has changed.
+	if in.stored.Version < d.known {
+		return in.stored.Ledger, false // A late answer.
 	}
 	d.known = in.stored.Version
 	next := in.stored.Ledger.clone()
@@ -122,21 +122,25 @@
 	return true, isDue
 }
 
-// takeTurn gives a service a turn if its share is too small for any of its tasks and none runs, and ends a turn that is
-// over. It reports whether that has to be written.
+// isStuck reports whether nothing of the account runs in a service and its share is too small for any waiting task. What is
+// above the limit has no turn, nor has what the endpoints cannot start soon.
+func isStuck(in input, l Ledger, c claimant) bool {
+	used, least := bounded(c.demand.Used, in.limit), bounded(c.demand.Least, in.limit)
+	return used == (fleet.Capacity{}) && least != (fleet.Capacity{}) && c.demand.Least.Fits(c.demand.Waiting) && least.Fits(in.limit) &&
+		!least.Fits(l.share(c.service, in.limit, nil))
+}
+
+// takeTurn gives a service that is stuck a turn, and ends a turn that is over. It reports whether that has to be written.
 func takeTurn(in input, next Ledger, c claimant, h *holding) bool {
-	claim, d := next[c.service], c.demand
-	used, least := bounded(d.Used, in.limit), bounded(d.Least, in.limit)
+	claim, least, stuck := next[c.service], bounded(c.demand.Least, in.limit), isStuck(in, next, c)
 	old := claim
-	isStuck := used == (fleet.Capacity{}) && least != (fleet.Capacity{}) && d.Least.Fits(d.Waiting) && least.Fits(in.limit) &&
-		!least.Fits(next.share(c.service, in.limit, nil))
-	if isStuck && least.Fits(claim.Held) {
+	if stuck && least.Fits(claim.Held) {
 		h.unused++
 	} else {
 		h.unused = 0
 	}
 	switch {
-	case !isStuck:
+	case !stuck:
 		claim.Least, claim.Turn = fleet.Capacity{}, 0
 	case claim.Turn == 0 || h.unused > maxUnused:
 		claim.Least, claim.Turn, h.unused = least, next.nextTurn(), 0
--- a/internal/allowance/turn_test.go
+++ b/internal/allowance/turn_test.go
@@ -41,7 +41,9 @@
 	return l
 }
 
-func (l *largeTasks) service(n int) fleet.ServiceID { return fleet.ServiceID(fmt.Sprintf("service-%d", n)) }
+func (l *largeTasks) service(n int) fleet.ServiceID {
+	return fleet.ServiceID(fmt.Sprintf("service-%d", n))
+}
 
 // round lets each service start and end tasks and divide the limit once. It returns what runs.
 func (l *largeTasks) round() int {
--- a/internal/holder/rowsize_test.go
+++ b/internal/holder/rowsize_test.go
@@ -81,7 +81,7 @@
 	m.Waves.Set([]WaveOrder{order})
 	ended := make(chan struct{})
 	go func() { defer close(ended); _ = m.Run(ctx) }()
-	time.Sleep(d)
+	_ = clock.Wait(t.Context(), clock.Real(), d)
 	cancel()
 	<-ended
 	group.Stop()
