holder, follow: read no payloads of completed jobs

Cause: rows of jobs stay for minutes after their end, since callers may ask for them, with payloads of up to 4,000 bytes. A holder in service drops the payload of an ended job; a new one read and decoded all of them before it had the progress. Besides, rows of old jobs were removed one by one, 32 in five seconds for a service, so that they pile up above six jobs a second.

Excluded: the size of the progress itself (with the payloads left out the case holds).

Change: the first read of a service's jobs leaves out the payloads of jobs that the stored progress shows as completed, task by task, and that were accepted before that end. Rows of old jobs are removed in groups, one transaction for each part.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -33,6 +33,15 @@
 	Synced(upTo time.Time)
 }
 
+// Reducer shortens rows while a table is read in full, so that a table need not fit into memory as it is stored. It is used
+// by several readers at a time.
+type Reducer interface {
+	// Await returns once another page may be read, or the context has ended.
+	Await(ctx context.Context)
+	// Reduce returns what is kept of a page.
+	Reduce(rows []rowstore.Row) []rowstore.Row
+}
+
 // RefreshRequest requests a read before the next one is due.
 type RefreshRequest struct {
 	// Done is called once everything that was committed before the request has reached the sink. It may
--- a/internal/follow/follower.go
+++ b/internal/follow/follower.go
@@ -32,6 +32,8 @@
 	Sink    Sink
 	Clock   clock.Clock
 	Log     *zap.Logger
+	// Reducer, if not nil, shortens the rows of a table that is read by several readers.
+	Reducer Reducer
 	// Interval returns the time between reads. With Wait, the store holds each read until something changes. MaxWait
 	// bounds it: a read that the store has swallowed is noticed only after the wait. After a failure a read does not
 	// wait, so that it shows at once whether the store answers.
--- a/internal/follow/load.go
+++ b/internal/follow/load.go
@@ -41,7 +41,7 @@
 	if f.load == nil {
 		f.load = &load{since: now, followedAt: now, reportedAt: now, listed: !f.All, scan: &parallelScan{}}
 		for range max(1, f.Readers) {
-			f.load.scan.scans = append(f.load.scan.scans, &Scan{Store: timedStore{f.Store, f}, Table: f.Table, Clock: f.Clock, Log: f.Log})
+			f.load.scan.scans = append(f.load.scan.scans, &Scan{Store: timedStore{f.Store, f}, Table: f.Table, Reducer: f.Reducer, Clock: f.Clock, Log: f.Log})
 		}
 		f.load.scan.add(f.Parts)
 		if f.Readers > 1 {
--- a/internal/follow/pace.go
+++ b/internal/follow/pace.go
@@ -24,6 +24,9 @@
 func (p *pace) readOn(ctx context.Context, s *Scan) error {
 	began := s.Clock.Now()
 	for len(s.Parts) > 0 {
+		if s.Reducer != nil {
+			awaitReducer(ctx, s, began)
+		}
 		sent := s.Clock.Now()
 		if sent.Sub(began) >= followDuringLoad {
 			return nil // The changes are due to be read.
@@ -39,6 +42,13 @@
 	return nil
 }
 
+// awaitReducer waits until another page may be read, or the changes are due to be read.
+func awaitReducer(ctx context.Context, s *Scan, began time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, max(0, began.Add(followDuringLoad).Sub(s.Clock.Now())))
+	defer cancel()
+	s.Reducer.Await(ctx)
+}
+
 // nextWithin reads a page and reports whether it got no answer within the patience. Without a patience the store's own
 // bound holds.
 func nextWithin(ctx context.Context, s *Scan, patience time.Duration) (swallowed bool, err error) {
--- a/internal/follow/scan.go
+++ b/internal/follow/scan.go
@@ -34,8 +34,10 @@
 	Table rowstore.Table
 	// Parts are read in this order.
 	Parts []rowstore.Part
-	Clock clock.Clock
-	Log   *zap.Logger
+	// Reducer, if not nil, shortens the rows.
+	Reducer Reducer
+	Clock   clock.Clock
+	Log     *zap.Logger
 
 	rows    []rowstore.Row
 	from    rowstore.Key
@@ -89,7 +91,11 @@
 	if s.version == 0 {
 		s.version = page.Version
 	}
-	s.rows = append(s.rows, page.Rows...)
+	rows := page.Rows
+	if s.Reducer != nil {
+		rows = s.Reducer.Reduce(rows)
+	}
+	s.rows = append(s.rows, rows...)
 	switch last := lastKey(page, unreadable); {
 	case !page.More:
 		s.nextPart()
--- a/internal/holder/held.go
+++ b/internal/holder/held.go
@@ -26,6 +26,8 @@
 	cancelled map[fleet.JobID]bool
 	// withdrawnAt is when withdrawn jobs of the service were first seen.
 	withdrawnAt map[fleet.JobID]time.Time
+	// payloads leaves out payloads while the jobs are first read.
+	payloads *payloadReducer
 	// jobsRead is set once all jobs that were stored before the lease was taken are known.
 	jobsRead bool
 	// progress is nil until the progress of earlier holders has been read, and again once it is loaded.
@@ -111,7 +113,7 @@
 func (s *Scheduler) read(h *heldDuty) {
 	h.jobs, h.cancelled = map[fleet.JobID]*fleet.Job{}, map[fleet.JobID]bool{}
 	h.withdrawnAt = map[fleet.JobID]time.Time{}
-	h.processes = &processes{}
+	h.processes, h.payloads = &processes{}, &payloadReducer{clock: s.Clock}
 	h.refresh = ring.New[follow.RefreshRequest]("jobs-refresh", refreshCapacity)
 	var parts []rowstore.Part
 	for n := range intakeParts {
@@ -119,11 +121,11 @@
 	}
 	s.Duties.Start(h.ctx, &follow.Follower{
 		Duty: "follow-" + h.chain.Duty, Table: JobTable(h.service), Parts: parts, Readers: jobReaders, Duties: s.Duties, Store: s.Store, Clock: s.Clock, Log: s.Log,
-		Interval: follow.Every(jobsInterval), Inbox: h.refresh,
+		Interval: follow.Every(jobsInterval), Inbox: h.refresh, Reducer: h.payloads,
 		Sink: &jobSink{out: Outbox{Scheduler: s.Inbox}, log: s.Log, duty: h.chain.Duty, epoch: h.chain.Epoch, service: h.service},
 	})
 	s.Duties.Start(h.ctx, &progressReader{
-		chain: h.chain, clock: s.Clock, log: s.Log, done: func(p *ProgressRead) { s.push(Event{Progress: p}) },
+		chain: h.chain, payloads: h.payloads, clock: s.Clock, log: s.Log, done: func(p *ProgressRead) { s.push(Event{Progress: p}) },
 	})
 	if s.stopRegistry == nil {
 		ctx, cancel := context.WithCancel(s.ctx)
@@ -159,6 +161,7 @@
 		h.forget(id)
 	}
 	if c.All && !h.jobsRead {
+		h.payloads.disable()
 		h.jobsRead = true
 		s.load(now, h)
 	}
--- a/internal/holder/intakewriter.go
+++ b/internal/holder/intakewriter.go
@@ -12,8 +12,8 @@
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
 )
 
-// removal returns the call that removes the rows of a job from the store. It is not retried: the job's
-// holder requests it again while the rows exist.
+// removal returns the call that removes the rows of jobs from the store. It is not retried: their holder requests it again
+// while the rows exist.
 func removal(s *Submission) StoreCall {
 	part := IntakePart(s.Remove)
 	table := JobTable(s.Service)
@@ -26,6 +26,13 @@
 	case s.Cancelled:
 		t.Removes = append(t.Removes, rowstore.Row{Table: table, Part: part, Key: cancelKey(s.Remove)})
 	}
+	for _, r := range s.Further {
+		t.Removes = append(t.Removes,
+			rowstore.Row{Table: AcceptedTable, Part: part, Key: jobKey(r.Job)}, rowstore.Row{Table: table, Part: part, Key: jobKey(r.Job)})
+		if r.Cancelled {
+			t.Removes = append(t.Removes, rowstore.Row{Table: table, Part: part, Key: cancelKey(r.Job)})
+		}
+	}
 	return StoreCall{transaction: t, timeout: transactTimeout, removed: s.Remove, withdrawn: s.Withdrawn}
 }
 
--- a/internal/holder/submission.go
+++ b/internal/holder/submission.go
@@ -34,6 +34,16 @@
 	IntakeAccepted IntakeOutcome = "accepted"
 )
 
+// Removal is a job that ended long ago and whose rows are removed.
+type Removal struct {
+	Job fleet.JobID
+	// Cancelled is set when the job has a cancellation row.
+	Cancelled bool
+}
+
+// maxRemovals bounds the jobs of one transaction. Each has up to three rows, and the store accepts 100 entries.
+const maxRemovals = 30
+
 // Submission is a request to store or remove rows: an accepted job, a cancellation, a withdrawal, or a removal.
 type Submission struct {
 	// Job is set for a job, Cancel for a cancellation of the accepted job with that id, Withdraw for the cancellation of
@@ -42,6 +52,8 @@
 	Cancel   fleet.JobID
 	Withdraw fleet.JobID
 	Remove   fleet.JobID
+	// Further are more jobs of the same part and service whose rows are removed with those of Remove.
+	Further []Removal
 	// Service is the service of a job that is cancelled, withdrawn or removed, Account the client account that withdraws
 	// one.
 	Service fleet.ServiceID
--- a/internal/holder/take.go
+++ b/internal/holder/take.go
@@ -93,9 +93,11 @@
 // progressReader is the duty that reads the progress of a service once. The holder renews its lease meanwhile.
 type progressReader struct {
 	chain *Chain
-	clock clock.Clock
-	log   *zap.Logger
-	done  func(*ProgressRead)
+	// payloads is told which jobs have been completed.
+	payloads *payloadReducer
+	clock    clock.Clock
+	log      *zap.Logger
+	done     func(*ProgressRead)
 }
 
 // Name implements duty.Duty.
@@ -132,6 +134,7 @@
 			p.Rows = append(p.Rows, &ProgressRow{Key: key, Value: row.Value})
 		}
 	}
+	r.payloads.ended.Set(readEnded(p.Rows))
 	r.done(p)
 	<-ctx.Done()
 	return trace.Wrap(ctx.Err())
--- a/internal/holder/write.go
+++ b/internal/holder/write.go
@@ -186,9 +186,18 @@
 		if h.engine == nil || !h.loaded {
 			continue
 		}
+		removals := map[int]*Submission{}
 		for _, id := range h.engine.Expired(now) {
-			// When the ring is full, the next check finds the job again.
-			_ = s.Intakes[IntakeIndex(id)].Push(IntakeEvent{Submission: &Submission{Remove: id, Service: h.service, Cancelled: h.cancelled[id]}})
+			n := IntakeIndex(id)
+			if r := removals[n]; r == nil {
+				removals[n] = &Submission{Remove: id, Service: h.service, Cancelled: h.cancelled[id]}
+			} else if len(r.Further) < maxRemovals-1 {
+				r.Further = append(r.Further, Removal{Job: id, Cancelled: h.cancelled[id]})
+			}
+		}
+		for n, r := range removals {
+			// When the ring is full, the next check finds the jobs again.
+			_ = s.Intakes[n].Push(IntakeEvent{Submission: r})
 		}
 		for _, id := range h.withdrawn(now, s.Bounds.Retention()) {
 			_ = s.Intakes[IntakeIndex(id)].Push(IntakeEvent{Submission: &Submission{Remove: id, Service: h.service, Withdrawn: true}})
--- a/internal/shard/expiry.go
+++ b/internal/shard/expiry.go
@@ -20,8 +20,8 @@
 	return list
 }
 
-// maxExpiredJobs is the limit of jobs that Expired returns.
-const maxExpiredJobs = 32
+// maxExpiredJobs is the limit of jobs that Expired returns: as many as one transaction for each part of the store removes.
+const maxExpiredJobs = 960
 
 // Forget removes the progress of a job whose acceptance is no longer stored.
 func (e *Engine) Forget(id fleet.JobID) {
--- a/internal/shard/expiry_test.go
+++ b/internal/shard/expiry_test.go
@@ -1,6 +1,7 @@
 package shard_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -32,3 +33,17 @@
 	is.Equal(len(sim.store.rows), 0)
 	is.Equal(len(sim.violations), 0)
 }
+
+// Guards against rows of ended jobs that pile up at a service with more than a few jobs a second.
+func TestManyOldJobsExpireAtOnce(t *testing.T) {
+	is := is.New(t)
+	const jobs = 300
+	sim := newSimulation(1, 4, worker64)
+	sim.statusRetention = time.Second
+	sim.takeOver(shard.Inheritance{})
+	for n := range jobs {
+		sim.submit(batchJob(fleet.JobID(fmt.Sprintf("job-%d", n)), 1, 1000))
+	}
+	sim.run(60 * time.Second)
+	is.Equal(len(sim.engine.Expired(sim.now)), jobs)
+}
--- a/internal/wire/job.go
+++ b/internal/wire/job.go
@@ -253,6 +253,23 @@
 	return s, nil
 }
 
+// CompletedAt returns when an occurrence was completed by its progress row, and false if any of its tasks has not ended or
+// has a row of its own.
+func CompletedAt(value []byte) (time.Time, bool) {
+	m := &jobv1.Progress{}
+	if proto.Unmarshal(value, m) != nil || fleet.JobState(m.GetState()) != fleet.JobStateCompleted || m.GetParts() > 0 || m.GetEndedAt() == nil {
+		return time.Time{}, false
+	}
+	for _, step := range m.GetSteps() {
+		for _, task := range step.GetTasks() {
+			if !task.GetDone() {
+				return time.Time{}, false
+			}
+		}
+	}
+	return m.GetEndedAt().AsTime(), true
+}
+
 // ProgressState returns the state in a progress row.
 func ProgressState(value []byte) (fleet.JobState, error) {
 	m := &jobv1.Progress{}
