holder, jobentry: keep the records of services in a table of their own

The records stood in the table of leases, in parts of accepted jobs. Each entry reads all parts of that table before it takes a lease, so that a store that refuses one of these parts would have kept entries that start meanwhile from all services.

--- a/internal/holder/event.go
+++ b/internal/holder/event.go
@@ -13,7 +13,9 @@
 
 // Event is one message to the scheduler. One field is set.
 type Event struct {
-	Members   *MembersChange
+	Members *MembersChange
+	// Recorded are services whose records were read.
+	Recorded  []fleet.ServiceID
 	Jobs      *JobsChange
 	Known     *Known
 	Progress  *ProgressRead
@@ -34,8 +36,6 @@
 type MembersChange struct {
 	Leases []election.Lease
 	Nodes  []election.Node
-	// Recorded are services whose records were read.
-	Recorded []fleet.ServiceID
 	// RemovedNodes are entries whose row was removed.
 	RemovedNodes []fleet.EntryID
 }
--- a/internal/holder/fake_calls_test.go
+++ b/internal/holder/fake_calls_test.go
@@ -48,6 +48,8 @@
 		return s.life.entry.jobsMode
 	case table == registryTable && s.life.entry.registryMode != storeAnswers:
 		return s.life.entry.registryMode
+	case table == holder.RecordsTable && s.life.entry.recordsMode != storeAnswers:
+		return s.life.entry.recordsMode
 	}
 	return s.life.entry.storeMode
 }
--- a/internal/holder/fake_entry_test.go
+++ b/internal/holder/fake_entry_test.go
@@ -26,8 +26,9 @@
 	count     int
 	life      *fakeLife
 	storeMode storeMode
-	// jobsMode and registryMode are how the store treats the entry's reads of jobs and of the registry.
-	jobsMode, registryMode storeMode
+	// jobsMode, registryMode and recordsMode are how the store treats the entry's reads of jobs, of the registry and of
+	// records of services.
+	jobsMode, registryMode, recordsMode storeMode
 }
 
 // fakeLife is one process of an entry with the duties of a holder.
@@ -97,6 +98,10 @@
 			Interval: func() time.Duration { return holder.MembersInterval(l.status.Get()) }, Latency: &l.latency,
 			Sink: &holder.MembersSink{Scheduler: l.inbox, Log: log},
 		},
+		&follow.Follower{
+			Duty: "follow-services", Table: holder.RecordsTable, Parts: []rowstore.Part{holder.RecordsPart}, All: true, Store: store, Clock: gated, Log: zap.NewNop(),
+			Interval: follow.Every(holder.RecordsInterval), Sink: &holder.RecordsSink{Scheduler: l.inbox, Log: log},
+		},
 	} {
 		l.group.Start(l.ctx, d)
 	}
--- a/internal/holder/members.go
+++ b/internal/holder/members.go
@@ -67,14 +67,6 @@
 				c.Leases = append(c.Leases, lease(m))
 			}
 		}
-	case isServiceRecord(row):
-		var service fleet.ServiceID
-		if row.Deleted {
-			return
-		}
-		if service, valid, err = decodeServiceRecord(row); err == nil && valid {
-			c.Recorded = append(c.Recorded, service)
-		}
 	case row.Part == NodesPart && row.Deleted:
 		c.RemovedNodes = append(c.RemovedNodes, fleet.EntryID(row.Key))
 	case row.Part == NodesPart:
@@ -129,9 +121,6 @@
 			s.record(service)
 		}
 	}
-	for _, service := range c.Recorded {
-		s.record(service)
-	}
 	for _, n := range c.Nodes {
 		s.election.SetNode(now, n)
 	}
--- a/internal/holder/recorded_test.go
+++ b/internal/holder/recorded_test.go
@@ -53,11 +53,11 @@
 func records(t *testing.T, store *rows.Store) map[fleet.ServiceID]bool {
 	t.Helper()
 	is := is.New(t)
-	parts, err := store.Parts(context.Background(), holder.MembersTable)
+	parts, err := store.Parts(context.Background(), holder.RecordsTable)
 	is.NoErr(err)
 	list := map[fleet.ServiceID]bool{}
 	for _, part := range parts {
-		page, err := store.Scan(context.Background(), rowstore.Range{Table: holder.MembersTable, Part: part, From: "service-", Until: "service."})
+		page, err := store.Scan(context.Background(), rowstore.Range{Table: holder.RecordsTable, Part: part, From: "service-", Until: "service."})
 		is.NoErr(err)
 		for _, row := range page.Rows {
 			list[fleet.ServiceID(strings.TrimPrefix(string(row.Key), "service-"))] = true
@@ -109,6 +109,29 @@
 	})
 }
 
+// Guards against entries without any lease while the store refuses a part with records.
+func TestRefusedRecordsDelayNoLease(t *testing.T) {
+	for _, mode := range []storeMode{storeRefuses, storeSilent} {
+		t.Run(string(mode), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newFakeCluster(t, 1, 6)
+				accept(t, c.store, nil, newJob("earlier", "other"), newJob("job", fakeService))
+				c.addEntries(3)
+				c.change(func() {
+					for _, e := range c.entries {
+						e.recordsMode = mode
+					}
+				})
+				defer c.close()
+				c.run(8 * time.Second)
+				_, done := c.running()
+				is.Equal(done, 2)
+			})
+		})
+	}
+}
+
 // Guards against a record with each job: services that a stored row names already need none.
 func TestServiceIsRecordedOnce(t *testing.T) {
 	is := is.New(t)
@@ -133,15 +156,15 @@
 func TestOddRecordsNameNoService(t *testing.T) {
 	is := is.New(t)
 	events := ring.New[holder.Event]("events", 4)
-	sink := &holder.MembersSink{Scheduler: events, Log: zap.NewNop()}
+	sink := &holder.RecordsSink{Scheduler: events, Log: zap.NewNop()}
 	sink.Change([]rowstore.Row{
-		{Table: holder.MembersTable, Part: "intake-1", Key: "service-a", Value: []byte{0xff}},
-		{Table: holder.MembersTable, Part: "intake-1", Key: "service-b", Value: []byte("\x0a\x01c")},
-		{Table: holder.MembersTable, Part: "other", Key: "service-c", Value: []byte("\x0a\x01c")},
-		{Table: holder.MembersTable, Part: "intake-1", Key: "service-d", Deleted: true},
-		{Table: holder.MembersTable, Part: "intake-1", Key: "service-e", Value: []byte("\x0a\x01e")},
+		{Table: holder.RecordsTable, Part: "intake-1", Key: "service-a", Value: []byte{0xff}},
+		{Table: holder.RecordsTable, Part: "intake-1", Key: "service-b", Value: []byte("\x0a\x01c")},
+		{Table: holder.RecordsTable, Part: "intake-1", Key: "other-c", Value: []byte("\x0a\x01c")},
+		{Table: holder.RecordsTable, Part: "intake-1", Key: "service-d", Deleted: true},
+		{Table: holder.RecordsTable, Part: "intake-1", Key: "service-e", Value: []byte("\x0a\x01e")},
 	})
 	event, ok := events.TryPop()
 	is.True(ok)
-	is.Equal(event.Members.Recorded, []fleet.ServiceID{"e"})
+	is.Equal(event.Recorded, []fleet.ServiceID{"e"})
 }
--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -185,6 +185,10 @@
 	switch {
 	case e.Members != nil:
 		s.applyMembers(now, e.Members)
+	case e.Recorded != nil:
+		for _, service := range e.Recorded {
+			s.record(service)
+		}
 	case e.Jobs != nil:
 		s.applyJobs(now, e.Jobs)
 	case e.Known != nil:
--- a/internal/holder/store.go
+++ b/internal/holder/store.go
@@ -25,6 +25,9 @@
 const (
 	// MembersTable is read by every entry: leases and entries.
 	MembersTable rowstore.Table = "mimosawharf-members"
+	// RecordsTable has the records of services. A table of its own keeps a part that the store refuses from delaying the
+	// read of the leases.
+	RecordsTable rowstore.Table = "mimosawharf-services"
 	// AcceptedTable has a row for each accepted job. Nobody reads it in full.
 	AcceptedTable rowstore.Table = "mimosawharf-accepted"
 	// tableJobs is the prefix of the tables with the jobs and cancellations of services. Each is read by the holders
--- a/internal/jobentry/entry.go
+++ b/internal/jobentry/entry.go
@@ -216,6 +216,11 @@
 			Interval: func() time.Duration { return holder.MembersInterval(e.status.Get()) }, Latency: &e.storeLatency,
 			Sink: &holder.MembersSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
 		},
+		&follow.Follower{
+			Duty: "follow-services", Table: holder.RecordsTable, Parts: []rowstore.Part{holder.RecordsPart}, All: true, Store: e.store, Clock: e.Clock, Log: e.Log,
+			Interval: follow.Every(holder.RecordsInterval), Inbox: ring.New[follow.RefreshRequest]("services-refresh", 1),
+			Sink: &holder.RecordsSink{Scheduler: e.feeds.Scheduler, Log: e.Log},
+		},
 		e.Platform.Operator(e.feeds),
 		&holder.RelayHost{
 			Inbox: e.relaySessions, NewCaller: e.Platform.NewCaller, Duties: e.group, Clock: e.Clock, Log: e.Log, Stopping: e.drainCtx,
