--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -112,7 +112,8 @@
 	election *election.State
 	// queued holds the services that a configuration has sent a queue to. They may have jobs.
 	queued map[fleet.ServiceID]bool
-	// recorded holds the services that stored rows name. They may have jobs. The map is replaced, not changed.
+	// recorded holds the services that stored rows name. They may have jobs. The map is replaced, not changed, as it is
+	// published.
 	recorded map[fleet.ServiceID]bool
 	// endpoints is nil while the registry has not been read.
 	endpoints map[fleet.EndpointID]shard.EndpointInfo
--- a/internal/holder/waverow.go
+++ b/internal/holder/waverow.go
@@ -38,7 +38,7 @@
 	return rowstore.Key(keyWaveRow + strconv.Itoa(n) + "-" + string(wave))
 }
 
-// changedRows returns the rows whose stored values are out of date, with at least one if the wave has changed.
+// changedRows returns the rows whose stored values are out of date. Rows that hold no VM any more are stored empty.
 func (w *waveState) changedRows() []rowstore.Row {
 	var list []rowstore.Row
 	vms := w.known()
