--- a/internal/holder/scheduler.go
+++ b/internal/holder/scheduler.go
@@ -14,7 +14,6 @@
 	"github.com/mimosawharf/mimosawharf/internal/duty"
 	"github.com/mimosawharf/mimosawharf/internal/election"
 	"github.com/mimosawharf/mimosawharf/internal/follow"
-	"github.com/mimosawharf/mimosawharf/internal/job"
 	"github.com/mimosawharf/mimosawharf/internal/ring"
 	"github.com/mimosawharf/mimosawharf/internal/shard"
 	"github.com/mimosawharf/mimosawharf/pkg/fleet"
@@ -224,36 +223,6 @@
 	}
 }
 
-func (s *Scheduler) applyConfig(c *Config) {
-	if s.config != nil && c.Version <= s.config.Version {
-		return
-	}
-	s.config = c
-	s.setLimits(c)
-	for _, q := range c.Queues {
-		s.queued[q.Service] = true
-	}
-	for _, h := range s.held {
-		s.updatePolicies(h)
-	}
-	s.Log.Info("scheduler: configuration in force", zap.Uint64("config-version", c.Version), zap.Int("queues", len(c.Queues)))
-}
-
-func (s *Scheduler) updatePolicies(h *heldDuty) {
-	if h.engine == nil || s.config == nil {
-		return
-	}
-	// A queue that has moved to another service may have jobs here.
-	policies := make([]job.Policy, 0, len(s.config.Queues))
-	h.queues, h.mayHaveMoved = map[fleet.QueueID]bool{}, true
-	for _, q := range s.config.Queues {
-		policies = append(policies, q.Policy)
-		h.queues[q.Queue] = q.Service == h.service
-	}
-	h.engine.SetPolicies(policies)
-	h.engine.SetWeights(s.config.Accounts.Weights())
-}
-
 // tick does the periodic work of all held duties.
 func (s *Scheduler) tick(ctx context.Context, now time.Time) {
 	for _, h := range s.sorted() {
